--- /dev/null
+++ b/standins/_generation.py
@@ -0,0 +1,158 @@
+"""Token streams of the engine stand-in."""
+
+import asyncio
+import math
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+import xxhash
+
+from ._program import wall_time
+
+MEDIAN_TOKENS = 100
+LENGTH_SIGMA = 0.8
+PIECE_TOKENS = 8
+WORDS = (
+    "amber basin cedar delta ember fjord grove harbor inlet jetty kelp lagoon "
+    "meadow nectar orchid pebble quartz reed sable tundra umber valley willow "
+    "yarrow zephyr alder birch clover dune estuary fern gully"
+).split()
+
+
+class StreamState(Enum):
+    """Where a stream stands."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    FINISHED = "finished"
+    CANCELLED = "cancelled"
+    EXPIRED = "expired"
+    LOST = "lost"
+
+
+@dataclass(frozen=True)
+class Piece:
+    """A few tokens; ``version`` is ``None`` where the stamp is missing."""
+
+    seq: int
+    tokens: int
+    text: str
+    version: int | None
+    done: bool = False
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the piece as the protocol writes it."""
+        piece: dict[str, Any] = {
+            "seq": self.seq,
+            "tokens": self.tokens,
+            "text": self.text,
+        }
+        if self.version is not None:
+            piece["version"] = self.version
+        if self.done:
+            piece["done"] = True
+        return piece
+
+
+@dataclass
+class TokenStream:
+    """One generation; loop times and seconds, but for the wall times noted."""
+
+    id: str
+    workload: str
+    prompt: str
+    seed: int
+    length: int
+    priority: int
+    min_version: int | None
+    arrival: int
+    state: StreamState = StreamState.QUEUED
+    prefill_left: float = 0.0
+    credit: float = 0.0
+    tokens: int = 0
+    pieces: list[Piece] = field(default_factory=list)
+    readers: int = 0
+    unread_since: float = 0.0
+    was_cut: bool = False
+    started_wall: float | None = None
+    ended_wall: float | None = None
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether more pieces are to come."""
+        return self.state in (StreamState.QUEUED, StreamState.RUNNING)
+
+    @property
+    def is_dropped(self) -> bool:
+        """Whether the stream ended without its last piece."""
+        return not self.is_open and self.state is not StreamState.FINISHED
+
+    def earn(self, tokens: float, version: int | None) -> None:
+        """Generate the whole pieces that ``tokens`` more tokens allow."""
+        self.credit += tokens
+        while self.is_open:
+            count = min(PIECE_TOKENS, self.length - self.tokens)
+            if self.credit < count:
+                return
+            self.credit -= count
+            self._generate(count, version)
+
+    def _generate(self, count: int, version: int | None) -> None:
+        text = generated_text(self.prompt, self.seed, self.tokens, count)
+        self.tokens += count
+        done = self.tokens >= self.length
+        self.pieces.append(Piece(len(self.pieces), count, text, version, done))
+        if done:
+            self.end(StreamState.FINISHED)
+        self.notify()
+
+    def end(self, state: StreamState) -> None:
+        """Note the end and wake the readers."""
+        self.state = state
+        self.ended_wall = wall_time()
+        self.notify()
+
+    def notify(self) -> None:
+        """Wake the readers that wait."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def as_record(self) -> dict[str, Any]:
+        """Return what the engine's record says of the stream."""
+        return {
+            "stream": self.id,
+            "workload": self.workload,
+            "priority": self.priority,
+            "state": self.state.value,
+            "tokens": self.tokens,
+            "length": self.length,
+            "versions": sorted(
+                {p.version for p in self.pieces if p.version is not None}
+            ),
+            "started": self.started_wall,
+            "ended": self.ended_wall,
+        }
+
+
+def generated_length(prompt: str, seed: int, max_tokens: int) -> int:
+    """Return the tokens that ``prompt`` and ``seed`` lead to, with a long tail."""
+    source = random.Random(_digest(prompt, seed))
+    length = source.lognormvariate(math.log(MEDIAN_TOKENS), LENGTH_SIGMA)
+    return max(1, min(int(length), max_tokens))
+
+
+def generated_text(prompt: str, seed: int, start: int, count: int) -> str:
+    """Return the text of ``count`` tokens from the token ``start`` on."""
+    digest = _digest(prompt, seed)
+    words = []
+    for position in range(start, start + count):
+        choice = xxhash.xxh64_intdigest(str(position).encode(), seed=digest)
+        words.append(WORDS[choice % len(WORDS)] + " ")
+    return "".join(words)
+
+
+def _digest(prompt: str, seed: int) -> int:
+    return xxhash.xxh64_intdigest(f"{seed}:{prompt}".encode())
