--- a/standins/_generation.py
+++ b/standins/_generation.py
@@ -73,6 +73,7 @@
     credit: float = 0.0
     tokens: int = 0
     pieces: list[Piece] = field(default_factory=list)
+    versions: set[int] = field(default_factory=set)
     readers: int = 0
     unread_since: float = 0.0
     was_cut: bool = False
@@ -103,6 +104,8 @@
     def _generate(self, count: int, version: int | None) -> None:
         text = generated_text(self.prompt, self.seed, self.tokens, count)
         self.tokens += count
+        if version is not None:
+            self.versions.add(version)
         done = self.tokens >= self.length
         self.pieces.append(Piece(len(self.pieces), count, text, version, done))
         if done:
@@ -115,6 +118,11 @@
         self.ended_wall = wall_time()
         self.notify()
 
+    def forget(self) -> None:
+        """Drop the pieces; what the record needs stays."""
+        self.pieces = []
+        self.notify()
+
     def notify(self) -> None:
         """Wake the readers that wait."""
         self.changed.set()
@@ -129,9 +137,7 @@
             "state": self.state.value,
             "tokens": self.tokens,
             "length": self.length,
-            "versions": sorted(
-                {p.version for p in self.pieces if p.version is not None}
-            ),
+            "versions": sorted(self.versions),
             "started": self.started_wall,
             "ended": self.ended_wall,
         }
--- a/standins/_orders.py
+++ b/standins/_orders.py
@@ -38,9 +38,11 @@
 
     @model_validator(mode="after")
     def _check_aim(self) -> "Order":
-        aim = self.version if self.kind == "load_version" else self.name
-        if aim is None:
-            raise ValueError("load_version needs a version, other kinds a name")
+        is_version = self.kind == "load_version"
+        if is_version != (self.version is not None):
+            raise ValueError("a version goes with load_version and nothing else")
+        if is_version == (self.name is not None):
+            raise ValueError("a name goes with every kind but load_version")
         if not self.workload and self.kind != "set_role":
             raise ValueError("an order to load needs a workload")
         return self
@@ -53,6 +55,7 @@
     APPLIED = "applied"
     FAILED = "failed"
     SUPERSEDED = "superseded"
+    LOST = "lost"
 
 
 @dataclass
@@ -79,6 +82,19 @@
         }
 
 
+@dataclass
+class RunningLoad:
+    """A load in progress."""
+
+    accepted: AcceptedOrder
+    task: asyncio.Task[None]
+
+    def stop(self, state: OrderState) -> None:
+        """Stop the load and note how its order ended."""
+        self.task.cancel()
+        self.accepted.end(state)
+
+
 @dataclass
 class WorkloadState:
     """What an engine holds for one workload."""
@@ -94,7 +110,7 @@
     :param fencing: whether an old fencing number is refused.
     :param source: where weights come from.
     :param fail_next: tells whether the next load fails.
-    :param swapped: called with the workload after each load.
+    :param swapped: called with the workload after each load of a version.
     """
 
     def __init__(
@@ -113,12 +129,12 @@
         self._fail_next = fail_next
         self._swapped = swapped
         self._by_order: dict[str, AcceptedOrder] = {}
-        self._load_by_workload: dict[str, asyncio.Task[None]] = {}
+        self._load_by_aim: dict[tuple[str, OrderKind], RunningLoad] = {}
 
     @property
     def is_loading(self) -> bool:
         """Whether weights are being loaded."""
-        return bool(self._load_by_workload)
+        return bool(self._load_by_aim)
 
     def state(self, workload: str) -> WorkloadState:
         """Return the state of a workload; version 0 was never loaded."""
@@ -144,9 +160,9 @@
 
     def reset(self) -> None:
         """Forget everything, as a crash does; the record stays."""
-        for task in self._load_by_workload.values():
-            task.cancel()
-        self._load_by_workload.clear()
+        for load in self._load_by_aim.values():
+            load.stop(OrderState.LOST)
+        self._load_by_aim.clear()
         self._by_order.clear()
         self.by_workload.clear()
         self.role = "mixed"
@@ -157,29 +173,28 @@
             self.role = order.name or self.role
             accepted.end(OrderState.APPLIED)
             return
-        running = self._load_by_workload.get(order.workload)
+        aim = (order.workload, order.kind)
+        running = self._load_by_aim.get(aim)
         if running is not None:
-            running.cancel()
-        state.loading = order.version
+            running.stop(OrderState.SUPERSEDED)
+        if order.version is not None:
+            state.loading = order.version
         task = asyncio.create_task(self._load(accepted, state))
-        self._load_by_workload[order.workload] = task
+        self._load_by_aim[aim] = RunningLoad(accepted, task)
 
     async def _load(self, accepted: AcceptedOrder, state: WorkloadState) -> None:
         order = accepted.order
         try:
             await self._fetch(order)
-        except asyncio.CancelledError:
-            accepted.end(OrderState.SUPERSEDED)
-            raise
         except DownloadFailed:
             accepted.end(OrderState.FAILED)
         else:
             accepted.end(OrderState.APPLIED)
-            if order.version is not None:
-                state.version = order.version
-        state.loading = None
-        del self._load_by_workload[order.workload]
-        self._swapped(order.workload)
+            state.version = order.version or state.version
+        del self._load_by_aim[order.workload, order.kind]
+        if order.version is not None:
+            state.loading = None
+            self._swapped(order.workload)
 
     async def _fetch(self, order: Order) -> None:
         if order.version is None:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -316,7 +316,6 @@
             stream.earn(share, self._stamp(stream.workload))
             if not stream.is_open:
                 self._running.remove(stream)
-                stream.unread_since = loop_time()
         self._schedule()
         if not self._running and not self._queue:
             self._work.clear()
@@ -371,6 +370,7 @@
             self._running.remove(stream)
         if stream.is_open:
             stream.end(state)
+        stream.forget()
 
     def _drop_all(self) -> None:
         for stream in list(self.by_stream.values()):
--- a/standins/log.py
+++ b/standins/log.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's append-only log."""
 
 import asyncio
+import math
 from collections import deque
 from dataclasses import dataclass, field
 from typing import Any
@@ -138,7 +139,7 @@
         self._appends: deque[dict[str, Any]] = deque(maxlen=KEPT_APPENDS)
         self._refused = 0
         self._over_rate = 0
-        self._free_at = 0.0
+        self._free_at = float("-inf")
 
     async def append(self, stream: str, values: list[Any]) -> int:
         """Append the values and return the offset of the first.
@@ -265,7 +266,7 @@
         except LogUnavailable:
             return web.json_response({"appended": False}, status=503)
         except RateExceeded as error:
-            headers = {"Retry-After": f"{error.retry_after:.3f}"}
+            headers = {"Retry-After": str(math.ceil(error.retry_after))}
             return web.json_response({"appended": False}, status=429, headers=headers)
         return web.json_response({"offset": offset, "count": len(body.records)})
 
--- a/standins/weights.py
+++ b/standins/weights.py
@@ -24,7 +24,7 @@
 )
 
 CHUNK_BYTES = 64 * 1024
-RETRY_AFTER_SECONDS = 0.5
+RETRY_AFTER_SECONDS = 1
 KEPT_READS = 10_000
 
 
