--- a/standins/_orders.py
+++ b/standins/_orders.py
@@ -190,7 +190,8 @@
             accepted.end(OrderState.FAILED)
         else:
             accepted.end(OrderState.APPLIED)
-            state.version = order.version or state.version
+            if order.version is not None:
+                state.version = order.version
         del self._load_by_aim[order.workload, order.kind]
         if order.version is not None:
             state.loading = None
