--- /dev/null
+++ b/cranberryrun/api.py
@@ -0,0 +1,393 @@
+"""The HTTP API of a host, for operators, trainers and other callers."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import uuid
+from typing import Any
+
+from absl import logging
+from aiohttp import web
+
+from . import clock
+from .calls import Calls, problem_answer
+from .events import Events
+from .exceptions import (
+    CranberryrunError,
+    ForbiddenError,
+    InvalidInputError,
+    NotFoundError,
+    NotReadyError,
+    PeerError,
+    TooLargeError,
+    UnauthorizedError,
+)
+from .kernel import Service
+from .membership import Membership
+from .models import StepRequest, VersionAnnouncement, check_json
+from .peers import Peers
+from .resources import Resources
+from .settings import Settings
+from .steps import Steps
+from .traffic import Call, Traffic
+from .versions import Versions
+
+_JSON = "application/json"
+_NDJSON = "application/x-ndjson"
+_MAX_STEP = 2**53
+_EVENT_PAGE = 5_000
+
+
+class Api(Service):
+    """Listens on the host's API port. ``drain`` is asked for by operators too."""
+
+    name = "api"
+    requires = ("resources", "steps", "traffic", "calls", "versions", "event_pages")
+
+    def __init__(self, settings: Settings) -> None:
+        super().__init__()
+        self._settings = settings
+        self._role_by_digest = {
+            token.sha256: (token.name, frozenset(token.roles))
+            for token in settings.tokens
+        }
+        self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
+        self._in_flight = 0
+        self.accepting = False
+        self.drain_asked: Any = None
+
+    @property
+    def in_flight(self) -> int:
+        """How many requests are being answered."""
+        return self._in_flight
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        app = web.Application(
+            client_max_size=self._settings.limits.body_bytes,
+            middlewares=[self._middleware],
+        )
+        app.add_routes(self._routes())
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=1)
+        await self._runner.setup()
+        self._site = web.TCPSite(
+            self._runner, self._settings.ip, self._settings.api_port
+        )
+        await self._site.start()
+        self.accepting = True
+
+    async def stop_listening(self) -> None:
+        """Take no new connections; those that are open go on."""
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
+
+    async def stop(self) -> None:
+        """Close what is left."""
+        await super().stop()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def _routes(self) -> list[web.AbstractRouteDef]:
+        return [
+            web.get("/healthz", self._healthz),
+            web.get("/readyz", self._readyz),
+            web.get("/v1/hosts", self._hosts),
+            web.get("/v1/events", self._events),
+            web.get("/v1/timeline", self._timeline),
+            web.post("/v1/drain", self._drain),
+            web.post("/v1/workloads/{name}/versions", self._announce),
+            web.get("/v1/workloads/{name}/versions", self._newest),
+            web.post("/v1/workloads/{name}/steps/{step}/samples", self._step),
+            web.route("*", "/call/{service}/{path:.*}", self._call),
+            web.get("/v1/{kind}", self._list),
+            web.get("/v1/{kind}/{name}", self._get),
+            web.put("/v1/{kind}/{name}", self._put),
+            web.delete("/v1/{kind}/{name}", self._delete),
+        ]
+
+    @web.middleware
+    async def _middleware(self, request: web.Request, handler) -> web.StreamResponse:
+        self._in_flight += 1
+        try:
+            return await handler(request)
+        except CranberryrunError as error:
+            return _problem(error)
+        except web.HTTPRequestEntityTooLarge as error:
+            return _problem(TooLargeError(error.text or ""))
+        except web.HTTPException as error:
+            if error.status == 404:
+                return _problem(NotFoundError(f"there is no {request.path}"))
+            raise
+        except ConnectionError:
+            # The caller has gone, or must see that the answer is cut.
+            if request.transport is not None:
+                request.transport.abort()
+            return web.Response()
+        except Exception as error:
+            logging.exception("request %s failed", request.path)
+            return _problem(CranberryrunError(type(error).__name__))
+        finally:
+            self._in_flight -= 1
+
+    def _allow(self, request: web.Request, role: str) -> str:
+        """Return who calls; :raises UnauthorizedError, ForbiddenError:."""
+        if not self._role_by_digest:
+            return "anonymous"
+        header = request.headers.get("Authorization", "")
+        scheme, _, token = header.partition(" ")
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        known = self._role_by_digest.get(digest)
+        if scheme.lower() != "bearer" or known is None:
+            raise UnauthorizedError("a known bearer token is needed")
+        name, roles = known
+        if role not in roles:
+            raise ForbiddenError(f"the token of {name} is not for {role} calls")
+        return name
+
+    async def _healthz(self, request: web.Request) -> web.Response:
+        return web.json_response({"host": self._settings.id})
+
+    async def _readyz(self, request: web.Request) -> web.Response:
+        if not self.accepting:
+            raise NotReadyError("the host is stopping", retry_after=1)
+        self.kernel.get(Resources).kind("services")
+        return web.json_response({"host": self._settings.id, "ready": True})
+
+    async def _hosts(self, request: web.Request) -> web.Response:
+        self._allow(request, "operator")
+        membership = self.kernel.get(Membership)
+        live = set(membership.live_ids())
+        rows = [
+            {
+                "id": entry.id,
+                "zone": entry.zone,
+                "ip": entry.ip,
+                "api_port": entry.api_port,
+                "state": "live" if entry.id in live else "not live",
+                "offset": membership.offset_of(entry.id),
+            }
+            for entry in sorted(
+                membership.entry_by_id.values(), key=lambda entry: entry.id
+            )
+        ]
+        return web.json_response({"host": self._settings.id, "hosts": rows})
+
+    async def _events(self, request: web.Request) -> web.Response:
+        self._allow(request, "operator")
+        after = _integer(request.query.get("after", "-1"), "after")
+        events = self.kernel.get(Events).after(after)
+        return _json({"events": [event.as_dict() for event in events]})
+
+    async def _timeline(self, request: web.Request) -> web.Response:
+        """Merge the events of all hosts, in the order of their wall times."""
+        self._allow(request, "operator")
+        rows = [each.as_dict() for each in self.kernel.get(Events).after(-1)]
+        silent: list[str] = []
+        for peer in self.kernel.get(Membership).peers():
+            after = -1
+            while True:
+                try:
+                    page = await self.kernel.get(Peers).call(
+                        peer, "events", after, _EVENT_PAGE
+                    )
+                except PeerError:
+                    silent.append(peer.id)
+                    break
+                rows += json.loads(page.events)
+                if page.last == after:
+                    break
+                after = page.last
+        rows.sort(key=lambda row: (row["wall"], row["host"], row["n"]))
+        return _json({"events": rows, "silent": silent})
+
+    async def _drain(self, request: web.Request) -> web.Response:
+        self._allow(request, "operator")
+        if self.drain_asked is not None:
+            self.drain_asked()
+        return web.json_response({"host": self._settings.id, "draining": True})
+
+    async def _announce(self, request: web.Request) -> web.Response:
+        self._allow(request, "trainer")
+        body = check_json(VersionAnnouncement, await request.read())
+        logged = await self.kernel.get(Versions).announce(
+            request.match_info["name"], body.version
+        )
+        return web.json_response(
+            {"version": body.version, "logged": logged}, status=200 if logged else 202
+        )
+
+    async def _newest(self, request: web.Request) -> web.Response:
+        name = request.match_info["name"]
+        self.kernel.get(Resources).get("workloads", name)
+        newest = self.kernel.get(Versions).newest(name)
+        return web.json_response({"version": newest})
+
+    async def _step(self, request: web.Request) -> web.StreamResponse:
+        self._allow(request, "trainer")
+        steps = self.kernel.get(Steps)
+        workload = steps.check(request.match_info["name"])
+        step = _integer(request.match_info["step"], "step")
+        body = check_json(StepRequest, await request.read())
+        response = web.StreamResponse(headers={"Content-Type": _NDJSON})
+        await response.prepare(request)
+
+        async def send(event) -> None:
+            await response.write(event.model_dump_json().encode() + b"\n")
+
+        await steps.run(workload, step, body, send)
+        await response.write_eof()
+        return response
+
+    async def _call(self, request: web.Request) -> web.Response:
+        caller = self._allow(request, "caller")
+        name = request.match_info["service"]
+        resource = self.kernel.get(Traffic).service(name)
+        key = request.headers.get("Idempotency-Key")
+        if key is not None and not 1 <= len(key) <= 200:
+            raise InvalidInputError(
+                "the key must have 1 to 200 characters", field="Idempotency-Key"
+            )
+        path = request.match_info["path"]
+        if request.query_string:
+            path = f"{path}?{request.query_string}"
+        request_id = request.headers.get("X-Request-Id") or uuid.uuid4().hex
+        call = Call(
+            service=name,
+            method=request.method,
+            path=path,
+            request=request_id,
+            caller=caller,
+            deadline=clock.now() + _seconds_left(request, resource.spec.timeout),
+            headers=dict(request.headers),
+            body=await request.read(),
+            key=key,
+        )
+        sender = self.kernel.get(Calls if key is not None else Traffic)
+        try:
+            answer = await sender.send(call)
+        except CranberryrunError as error:
+            answer = problem_answer(error)
+        return web.Response(
+            status=answer.status,
+            headers=answer.headers | {"X-Request-Id": request_id},
+            body=answer.body,
+        )
+
+    async def _list(self, request: web.Request) -> web.StreamResponse:
+        self._allow(request, "operator")
+        resources = self.kernel.get(Resources)
+        kind = resources.kind(request.match_info["kind"])
+        if "watch" in request.query:
+            return await self._watch(request, kind)
+        rows, offset = resources.list(kind)
+        return _json({"kind": kind, "offset": offset, "items": rows})
+
+    async def _watch(self, request: web.Request, kind: str) -> web.StreamResponse:
+        text = request.query["watch"]
+        offset = _integer(text, "watch") if text else None
+        response = web.StreamResponse(headers={"Content-Type": _NDJSON})
+        watch = self.kernel.get(Resources).watch(kind, offset)
+        first = await anext(watch)
+        await response.prepare(request)
+        await response.write(json.dumps(first).encode() + b"\n")
+        async for event in watch:
+            if not self.accepting:
+                break
+            await response.write(json.dumps(event).encode() + b"\n")
+        await response.write_eof()
+        return response
+
+    async def _get(self, request: web.Request) -> web.Response:
+        self._allow(request, "operator")
+        resources = self.kernel.get(Resources)
+        resource = resources.get(request.match_info["kind"], request.match_info["name"])
+        return _resource(resources.describe(resource))
+
+    async def _put(self, request: web.Request) -> web.Response:
+        self._allow(request, "operator")
+        body = _json_object(await request.read())
+        unknown = set(body) - {"spec", "kind", "name", "metadata", "status"}
+        if unknown:
+            field = sorted(unknown)[0]
+            raise InvalidInputError(f"{field} is not known", field=field)
+        if "spec" not in body:
+            raise InvalidInputError("spec is missing", field="spec")
+        return await self._change(request, "put", body["spec"])
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        self._allow(request, "operator")
+        return await self._change(request, "delete", None)
+
+    async def _change(
+        self, request: web.Request, operation: str, spec: Any
+    ) -> web.Response:
+        resources = self.kernel.get(Resources)
+        resource = await resources.change(
+            operation,
+            request.match_info["kind"],
+            request.match_info["name"],
+            spec,
+            _if_match(request),
+            request.headers.get("Change-Id"),
+        )
+        if resource is None:
+            return web.json_response({"deleted": True})
+        return _resource(resources.describe(resource))
+
+
+def _resource(body: dict[str, Any]) -> web.Response:
+    response = _json(body)
+    response.headers["ETag"] = f'"{body["metadata"]["generation"]}"'
+    return response
+
+
+def _json(body: Any) -> web.Response:
+    return web.json_response(body, dumps=lambda data: json.dumps(data, default=str))
+
+
+def _problem(error: CranberryrunError) -> web.Response:
+    answer = problem_answer(error)
+    return web.Response(status=answer.status, headers=answer.headers, body=answer.body)
+
+
+def _json_object(body: bytes) -> dict[str, Any]:
+    try:
+        data = json.loads(body)
+    except (json.JSONDecodeError, UnicodeDecodeError) as error:
+        raise InvalidInputError(
+            f"the body is not JSON: {error}", field="body"
+        ) from None
+    if not isinstance(data, dict):
+        raise InvalidInputError("the body must be a JSON object", field="body")
+    return data
+
+
+def _integer(text: str, field: str) -> int:
+    try:
+        value = int(text)
+    except ValueError:
+        raise InvalidInputError(
+            f"{field} must be a whole number", field=field
+        ) from None
+    if not -1 <= value <= _MAX_STEP:
+        raise InvalidInputError(f"{field} is out of range", field=field)
+    return value
+
+
+def _if_match(request: web.Request) -> int | None:
+    if request.headers.get("If-None-Match") == "*":
+        return 0
+    text = request.headers.get("If-Match")
+    if text is None or text == "*":
+        return None
+    return _integer(text.strip().strip('"'), "If-Match")
+
+
+def _seconds_left(request: web.Request, limit: float) -> float:
+    text = request.headers.get("X-Deadline-Ms")
+    if text is None:
+        return limit
+    return min(limit, _integer(text, "X-Deadline-Ms") / 1000)
--- /dev/null
+++ b/cranberryrun/catalogue.py
@@ -0,0 +1,87 @@
+"""The catalogue of numbered events. Numbers are never used again for another."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+INFO = "info"
+WARNING = "warning"
+ERROR = "error"
+
+
+@dataclass(frozen=True, slots=True)
+class EventKind:
+    """One line of the catalogue."""
+
+    number: int
+    name: str
+    level: str
+    meaning: str
+
+
+def _kinds(*rows: tuple[int, str, str, str]) -> dict[str, EventKind]:
+    return {
+        name: EventKind(number, name, level, text) for number, name, level, text in rows
+    }
+
+
+EVENT_BY_NAME: dict[str, EventKind] = _kinds(
+    (100, "host_started", INFO, "The host serves its API."),
+    (101, "host_ready", INFO, "The host has a configuration and takes work."),
+    (102, "host_draining", INFO, "A planned stop began; no new work soon."),
+    (103, "host_stopped", INFO, "The host ended; nothing was in flight."),
+    (104, "drain_limit", WARNING, "The stop's limit passed with work in flight."),
+    (105, "host_paused", WARNING, "The process did not run for a while."),
+    (110, "peer_unreachable", WARNING, "A peer did not answer; it owns nothing now."),
+    (111, "peer_returned", INFO, "A peer answers again."),
+    (112, "host_list_lost", WARNING, "The platform's host list can't be read."),
+    (113, "host_list_back", INFO, "The platform's host list can be read again."),
+    (114, "target_leaving", INFO, "A target is leaving; it gets no new work."),
+    (200, "log_lost", WARNING, "The log can't be read; peers pass records on."),
+    (201, "log_back", INFO, "The log can be read again."),
+    (202, "change_asked", INFO, "An operator asked for a change."),
+    (203, "change_applied", INFO, "A change came into force at this host."),
+    (204, "change_rejected", INFO, "A change lost to an earlier one."),
+    (205, "change_unknown", WARNING, "A change's outcome is not known yet."),
+    (206, "snapshot_written", INFO, "A snapshot was appended to the log."),
+    (207, "snapshot_loaded", INFO, "The configuration came from a snapshot."),
+    (208, "records_from_peer", INFO, "Records came from a peer in a log outage."),
+    (209, "record_invalid", ERROR, "A record of the log has no valid form."),
+    (210, "snapshot_differs", ERROR, "A snapshot differs from this host's state."),
+    (300, "step_started", INFO, "A trainer's step began or went on at this host."),
+    (301, "step_done", INFO, "Every sample of the step was handed over."),
+    (302, "step_moved", INFO, "The trainer was told to call another host."),
+    (303, "step_cut", INFO, "The trainer's connection ended before the step."),
+    (304, "step_failed", WARNING, "The step can't go on at this host."),
+    (305, "sample_dispatched", INFO, "An engine was asked for a sample."),
+    (306, "sample_resumed", INFO, "A sample's stream was resumed."),
+    (307, "sample_whole", INFO, "A sample is whole."),
+    (308, "sample_stale", INFO, "A sample was over the bound and is made again."),
+    (309, "sample_lost", WARNING, "A sample's stream was lost and is made again."),
+    (310, "sample_unstamped", ERROR, "A sample had a piece without a version."),
+    (311, "group_handed", INFO, "A whole group was handed to the trainer."),
+    (312, "second_attempt", INFO, "A straggler is made on another engine too."),
+    (313, "hand_over_held", WARNING, "The view is too old to judge freshness."),
+    (314, "step_superseded", INFO, "Another host runs this step now."),
+    (400, "request_routed", INFO, "A request was sent to a target."),
+    (401, "request_answered", INFO, "A request was answered whole."),
+    (402, "request_refused", INFO, "A request was refused without being run."),
+    (403, "request_unknown", WARNING, "A request's outcome is not known."),
+    (404, "request_retried", INFO, "A request was sent to another target."),
+    (405, "target_failed", WARNING, "A target failed; it gets nothing for a while."),
+    (406, "target_back", INFO, "A target answers again."),
+    (410, "call_intent", INFO, "A keyed call's intent was recorded."),
+    (411, "call_first", INFO, "A keyed call is the first of its key."),
+    (412, "call_repeat", INFO, "A keyed call is a repeat; it is not run."),
+    (413, "call_outcome", INFO, "A keyed call's outcome was recorded."),
+    (414, "call_forwarded", INFO, "A keyed call went to the key's owner."),
+    (500, "version_announced", INFO, "A trainer announced a weight version."),
+    (501, "version_known", INFO, "This host knows of a newer weight version."),
+    (502, "order_sent", INFO, "An engine was ordered to load a version."),
+    (503, "order_refused", WARNING, "An engine refused an order."),
+    (504, "order_confirmed", INFO, "An engine runs the version it should."),
+    (505, "engine_put_right", WARNING, "An engine ran an older version again."),
+    (506, "load_failed", WARNING, "An engine failed to load a version."),
+    (507, "engine_out", WARNING, "An engine was taken out of use."),
+    (600, "usage_written", INFO, "Usage records were appended to the log."),
+)
--- /dev/null
+++ b/cranberryrun/events.py
@@ -0,0 +1,90 @@
+"""The time line of a host: a bounded ring of numbered events, also logged."""
+
+from __future__ import annotations
+
+import json
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from absl import logging
+
+from . import clock
+from .catalogue import ERROR, EVENT_BY_NAME, WARNING, EventKind
+from .kernel import Service
+
+_LEVEL_BY_NAME = {ERROR: logging.ERROR, WARNING: logging.WARNING}
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One event. ``wall`` is in seconds since 1970, ``loop`` in loop seconds."""
+
+    n: int
+    wall: float
+    loop: float
+    host: str
+    incarnation: int
+    kind: EventKind
+    fields: dict[str, Any] = field(default_factory=dict)
+
+    def as_dict(self) -> dict[str, Any]:
+        """Return the event as a JSON object."""
+        return {
+            "n": self.n,
+            "wall": round(self.wall, 6),
+            "loop": round(self.loop, 6),
+            "host": self.host,
+            "incarnation": self.incarnation,
+            "number": self.kind.number,
+            "event": self.kind.name,
+            **self.fields,
+        }
+
+
+class Events(Service):
+    """Takes events and keeps the newest ``ring`` of them.
+
+    Fields that link events over processes keep one name everywhere: ``step``,
+    ``request``, ``change``, ``offset``, ``stream``, ``engine``, ``workload``.
+    """
+
+    name = "events"
+
+    def __init__(self, host: str, incarnation: int, ring: int) -> None:
+        super().__init__()
+        self._host = host
+        self._incarnation = incarnation
+        self._ring: deque[Event] = deque(maxlen=ring)
+        self._next = 0
+
+    def emit(self, name: str, **fields: Any) -> None:
+        """Record the event called ``name`` in the catalogue."""
+        kind = EVENT_BY_NAME[name]
+        event = Event(
+            self._next,
+            clock.wall(),
+            clock.now(),
+            self._host,
+            self._incarnation,
+            kind,
+            fields,
+        )
+        self._next += 1
+        self._ring.append(event)
+        level = _LEVEL_BY_NAME.get(kind.level, logging.INFO)
+        if logging.get_verbosity() < level:
+            return
+        logging.log(level, "%s", json.dumps(event.as_dict(), default=str))
+
+    def after(self, n: int, limit: int = 10_000) -> Iterator[Event]:
+        """Yield at most ``limit`` kept events whose number is above ``n``."""
+        left = limit
+        for event in self._ring:
+            if event.n <= n:
+                continue
+            if left == 0:
+                return
+            left -= 1
+            yield event
--- /dev/null
+++ b/cranberryrun/exceptions.py
@@ -0,0 +1,275 @@
+"""The errors that cranberryrun raises, and how each one reads over HTTP.
+
+Every error carries a machine-readable ``code``. Those that reach a caller have
+an HTTP ``status`` and say whether the request was run: ``not_run`` is true only
+where it certainly was not; ``outcome`` is ``"unknown"`` where nobody can tell.
+"""
+
+from __future__ import annotations
+
+from typing import Any, ClassVar
+
+
+class CranberryrunError(Exception):
+    """Base of all errors of this package.
+
+    :param detail: what happened, for a person.
+    :param field: the path of the input field at fault, such as ``spec.url``.
+    :param retry_after: seconds after which asking again makes sense.
+    """
+
+    code: ClassVar[str] = "internal"
+    status: ClassVar[int] = 500
+    not_run: ClassVar[bool | None] = None
+    outcome: ClassVar[str | None] = None
+
+    def __init__(
+        self,
+        detail: str = "",
+        *,
+        field: str | None = None,
+        retry_after: float | None = None,
+        **extra: Any,
+    ) -> None:
+        super().__init__(detail or self.code)
+        self.detail = detail or self.code
+        self.field = field
+        self.retry_after = retry_after
+        self.extra = extra
+
+    def problem(self) -> dict[str, Any]:
+        """Return the RFC 9457 problem object of this error."""
+        body: dict[str, Any] = {
+            "type": f"urn:cranberryrun:error:{self.code}",
+            "title": self.code.replace("_", " "),
+            "status": self.status,
+            "code": self.code,
+            "detail": self.detail,
+        }
+        if self.field is not None:
+            body["field"] = self.field
+        if self.not_run is not None:
+            body["not_run"] = self.not_run
+        if self.outcome is not None:
+            body["outcome"] = self.outcome
+        if self.retry_after is not None:
+            body["retry_after"] = self.retry_after
+        return body | self.extra
+
+
+class SettingsError(CranberryrunError):
+    """The settings of a process are not valid."""
+
+    code = "settings_invalid"
+
+
+class KernelError(CranberryrunError):
+    """Services are registered or looked up wrongly."""
+
+    code = "kernel"
+
+
+class RequestError(CranberryrunError):
+    """The request itself can't be accepted; it was not run."""
+
+    code = "request_invalid"
+    status = 400
+    not_run = True
+
+
+class InvalidInputError(RequestError):
+    """A field of the input is not valid."""
+
+    code = "input_invalid"
+    status = 422
+
+
+class TooLargeError(RequestError):
+    """The body is over the limit."""
+
+    code = "too_large"
+    status = 413
+
+
+class UnauthorizedError(RequestError):
+    """The token is missing or unknown."""
+
+    code = "unauthorized"
+    status = 401
+
+
+class ForbiddenError(RequestError):
+    """The token's role may not do this."""
+
+    code = "forbidden"
+    status = 403
+
+
+class NotFoundError(RequestError):
+    """There is no such resource."""
+
+    code = "not_found"
+    status = 404
+
+
+class ConflictError(RequestError):
+    """Another change of the resource came first."""
+
+    code = "conflict"
+    status = 409
+
+
+class KeyReusedError(RequestError):
+    """An idempotency key came again with a different request."""
+
+    code = "key_reused"
+    status = 422
+
+
+class WatchExpiredError(RequestError):
+    """The offset to watch from is no longer kept; list again."""
+
+    code = "watch_expired"
+    status = 410
+
+
+class RefusedError(CranberryrunError):
+    """The request was refused before any part of it was run."""
+
+    code = "refused"
+    status = 503
+    not_run = True
+
+
+class NotReadyError(RefusedError):
+    """The host does not take work: it is starting or stopping."""
+
+    code = "not_ready"
+
+
+class OverloadedError(RefusedError):
+    """There is no room to finish the request before its deadline."""
+
+    code = "overloaded"
+
+
+class NoTargetError(RefusedError):
+    """No target may take the request now."""
+
+    code = "no_target"
+
+
+class LogUnavailableError(RefusedError):
+    """The log did not take the record, and certainly so."""
+
+    code = "log_unavailable"
+
+
+class TargetRefusedError(RefusedError):
+    """The target refused the request and said that it was not run."""
+
+    code = "target_refused"
+
+
+class TargetUnreachableError(RefusedError):
+    """No connection to the target; no byte of the request was sent."""
+
+    code = "target_unreachable"
+
+
+class DeadlineError(RefusedError):
+    """The deadline passed before the request was sent to a target."""
+
+    code = "deadline_exceeded"
+
+
+class OutcomeUnknownError(CranberryrunError):
+    """The request may or may not have been run."""
+
+    code = "outcome_unknown"
+    status = 504
+    outcome = "unknown"
+
+
+class AppendUnknownError(OutcomeUnknownError):
+    """A record may or may not have been appended to the log."""
+
+    code = "append_unknown"
+
+
+class TargetFailedError(OutcomeUnknownError):
+    """The target failed after part of the request had been sent to it."""
+
+    code = "target_failed"
+    status = 502
+
+
+class TruncatedAnswerError(TargetFailedError):
+    """The target's answer ended before it was whole."""
+
+    code = "answer_truncated"
+
+
+class EngineError(CranberryrunError):
+    """Base of what goes wrong with an engine's stream or order."""
+
+    code = "engine"
+    status = 502
+
+
+class UnstampedStreamError(EngineError):
+    """A piece of a stream carries no version stamp."""
+
+    code = "stream_unstamped"
+
+
+class StreamLostError(EngineError):
+    """The engine doesn't know the stream any more."""
+
+    code = "stream_lost"
+
+
+class StreamExistsError(EngineError):
+    """The engine already runs a stream of this id."""
+
+    code = "stream_exists"
+
+
+class StreamCutError(EngineError):
+    """The connection broke; the stream may be resumed."""
+
+    code = "stream_cut"
+
+
+class StaleFenceError(EngineError):
+    """The engine has already taken an order with a higher fencing number."""
+
+    code = "fence_stale"
+    status = 409
+
+
+class PeerError(CranberryrunError):
+    """A peer could not be reached or did not answer as agreed."""
+
+    code = "peer"
+    status = 502
+
+
+class LogReadError(CranberryrunError):
+    """The log could not be read."""
+
+    code = "log_read"
+    status = 503
+
+
+class LogGapError(LogReadError):
+    """Records that were not read yet are no longer kept."""
+
+    code = "log_gap"
+
+
+class HostListError(CranberryrunError):
+    """The platform's list could not be read."""
+
+    code = "host_list"
+    status = 503
--- /dev/null
+++ b/cranberryrun/health.py
@@ -0,0 +1,36 @@
+"""Whether a target may be used: failures take it out for a growing while."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from . import clock
+
+_FIRST_OUT_SECONDS = 0.5
+_MAX_OUT_SECONDS = 10.0
+
+
+@dataclass(slots=True)
+class Health:
+    """Counts a target's failures in a row, as this host saw them."""
+
+    failures: int = 0
+    out_until: float = 0.0
+
+    def usable(self) -> bool:
+        """Say whether the target may be sent work now."""
+        return clock.now() >= self.out_until
+
+    def failed(self) -> bool:
+        """Note a failure; say whether it was the first in a row."""
+        self.failures += 1
+        seconds = min(_MAX_OUT_SECONDS, _FIRST_OUT_SECONDS * 2 ** (self.failures - 1))
+        self.out_until = clock.now() + seconds
+        return self.failures == 1
+
+    def answered(self) -> bool:
+        """Note an answer; say whether the target had been failing."""
+        was_failing = self.failures > 0
+        self.failures = 0
+        self.out_until = 0.0
+        return was_failing
--- /dev/null
+++ b/cranberryrun/membership.py
@@ -0,0 +1,254 @@
+"""Which hosts and targets there are: the platform's list merged with peers' views."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+from typing import Literal
+
+import aiohttp
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from . import clock
+from .events import Events
+from .exceptions import HostListError
+from .http import HttpClients
+from .kernel import Service
+from .settings import Settings
+from .views import LEAVING, Fact, FactKind, Views
+
+_STEP_KEPT_MS = 2 * 3600 * 1000
+
+
+class HostEntry(BaseModel):
+    """One line of the platform's list; fields not named here are passed over."""
+
+    model_config = ConfigDict(extra="ignore")
+
+    id: str
+    kind: Literal["entry", "target"]
+    ip: str = ""
+    api_port: int = 0
+    peer_port: int = 0
+    zone: str = ""
+    incarnation: int = 0
+    state: Literal["live", "leaving"] = "live"
+
+
+class HostList(ABC):
+    """Reads the platform's list. Replace it for another platform."""
+
+    @abstractmethod
+    async def read(self) -> list[HostEntry]:
+        """Return the list; :raises HostListError: if it can't be read."""
+
+
+class HttpHostList(HostList):
+    """The list over HTTP, as ``docs/PLATFORM.md`` has it."""
+
+    def __init__(self, url: str, clients: HttpClients, timeout: float) -> None:
+        self._url = f"{url}/hosts"
+        self._clients = clients
+        self._timeout = aiohttp.ClientTimeout(total=timeout)
+
+    async def read(self) -> list[HostEntry]:
+        """See :meth:`HostList.read`."""
+        try:
+            async with self._clients.shared.get(
+                self._url, timeout=self._timeout
+            ) as answer:
+                if answer.status != 200:
+                    raise HostListError(f"the list answered {answer.status}")
+                body = await answer.json()
+                return [HostEntry.model_validate(row) for row in body["hosts"]]
+        except (
+            aiohttp.ClientError,
+            asyncio.TimeoutError,
+            ValidationError,
+            ValueError,
+            KeyError,
+        ) as error:
+            raise HostListError(f"the list can't be read: {error!r}") from None
+
+
+class Membership(Service):
+    """Keeps the list and the views. ``leaving`` is sticky for an incarnation."""
+
+    name = "membership"
+    requires = ("http", "events")
+
+    def __init__(self, settings: Settings, incarnation: int) -> None:
+        super().__init__()
+        self._settings = settings
+        self.incarnation = incarnation
+        self.views = Views()
+        self.entry_by_id: dict[str, HostEntry] = {}
+        self._target_by_id: dict[str, HostEntry] = {}
+        self._list_heard_at: float | None = None
+        self._peer_heard_at: float | None = None
+        self._host_list: HostList | None = None
+        self._waiters: set[asyncio.Event] = set()
+
+    def use_list(self, host_list: HostList) -> None:
+        """Read from ``host_list`` in place of the one in the settings."""
+        self._host_list = host_list
+
+    async def start(self) -> None:
+        """Take this host's own facts in and begin to poll the list."""
+        if self._host_list is None:
+            self._host_list = HttpHostList(
+                self._settings.host_list_url,
+                self.kernel.get(HttpClients),
+                self._settings.timing.peer_timeout,
+            )
+        self.learn([self._own(0)])
+        self.supervise(self._poll)
+
+    @property
+    def id(self) -> str:
+        """The id of this host."""
+        return self._settings.id
+
+    @property
+    def host_count(self) -> int:
+        """How many entry hosts are known, this one included."""
+        return len(self.entry_by_id) + (self.id not in self.entry_by_id)
+
+    def learn(self, facts: Iterable[Fact]) -> list[Fact]:
+        """Merge ``facts``, answer a wrong suspicion, and return the news."""
+        news = self.views.merge(facts, self.host_count)
+        for fact in news:
+            self._refute(fact)
+            if fact.kind is FactKind.TARGET and fact.value >= LEAVING:
+                self.kernel.get(Events).emit("target_leaving", target=fact.name)
+        if news:
+            for waiter in self._waiters:
+                waiter.set()
+        return news
+
+    def _refute(self, fact: Fact) -> None:
+        if fact.kind is not FactKind.HOST or fact.name != self.id:
+            return
+        if fact.incarnation == self.incarnation and fact.value % 2 == 1:
+            self.views.merge([self._own(fact.value + 1)], self.host_count)
+
+    def _own(self, value: int) -> Fact:
+        return Fact(FactKind.HOST, self.id, self.incarnation, value)
+
+    def watch(self) -> asyncio.Event:
+        """Return an event that is set at each piece of news; end with unwatch."""
+        waiter = asyncio.Event()
+        self._waiters.add(waiter)
+        return waiter
+
+    def unwatch(self, waiter: asyncio.Event) -> None:
+        """Stop setting ``waiter``."""
+        self._waiters.discard(waiter)
+
+    def say_leaving(self) -> None:
+        """Tell the others that this host is leaving."""
+        self.learn([self._own(LEAVING)])
+
+    def suspect(self, host_id: str) -> None:
+        """Note that a host did not answer; it may refute that."""
+        fact = self.views.get(FactKind.HOST, host_id)
+        if fact is None:
+            entry = self.entry_by_id.get(host_id)
+            incarnation = entry.incarnation if entry else 0
+            fact = Fact(FactKind.HOST, host_id, incarnation, 0)
+        if fact.value >= LEAVING or fact.value % 2 == 1:
+            return
+        self.learn([Fact(FactKind.HOST, host_id, fact.incarnation, fact.value + 1)])
+        self.kernel.get(Events).emit("peer_unreachable", peer=host_id)
+
+    def heard_from(self, host_id: str) -> None:
+        """Note that a peer answered just now."""
+        self._peer_heard_at = clock.now()
+
+    def heard_age(self) -> float:
+        """Return seconds since the list or any peer was heard."""
+        heard = [at for at in (self._list_heard_at, self._peer_heard_at) if at]
+        if not heard:
+            return float("inf")
+        return clock.now() - max(heard)
+
+    def _is_live(self, entry: HostEntry) -> bool:
+        fact = self.views.get(FactKind.HOST, entry.id)
+        if fact is None or fact.incarnation < entry.incarnation:
+            return entry.state == "live"
+        return fact.value < LEAVING and fact.value % 2 == 0
+
+    def peers(self) -> list[HostEntry]:
+        """Return the other entry hosts on the list, also those suspected."""
+        return [entry for key, entry in self.entry_by_id.items() if key != self.id]
+
+    def live_peers(self) -> list[HostEntry]:
+        """Return the other entry hosts that are neither leaving nor suspected."""
+        return [entry for entry in self.peers() if self._is_live(entry)]
+
+    def live_ids(self) -> list[str]:
+        """Return the ids of all live entry hosts, this one unless it is leaving."""
+        ids = [entry.id for entry in self.live_peers()]
+        own = self.views.get(FactKind.HOST, self.id)
+        if own is None or own.value < LEAVING:
+            ids.append(self.id)
+        return sorted(ids)
+
+    def target_leaving(self, target_id: str) -> bool:
+        """Say whether a target is leaving."""
+        fact = self.views.get(FactKind.TARGET, target_id)
+        entry = self._target_by_id.get(target_id)
+        incarnation = entry.incarnation if entry else 0
+        return (
+            fact is not None
+            and fact.value >= LEAVING
+            and fact.incarnation >= incarnation
+        )
+
+    def offset_of(self, host_id: str) -> int:
+        """Return the configuration offset that a host said it has applied."""
+        fact = self.views.get(FactKind.OFFSET, host_id)
+        entry = self.entry_by_id.get(host_id)
+        if fact is None or (entry and fact.incarnation < entry.incarnation):
+            return -1
+        return fact.value
+
+    async def _poll(self) -> None:
+        events = self.kernel.get(Events)
+        lost = False
+        while True:
+            try:
+                self.take_list(await self._host_list.read())
+                if lost:
+                    events.emit("host_list_back")
+                lost = False
+            except HostListError as error:
+                if not lost:
+                    events.emit("host_list_lost", error=error.detail)
+                lost = True
+            self._forget_old_steps()
+            await asyncio.sleep(self._settings.timing.list_poll)
+
+    def take_list(self, entries: list[HostEntry]) -> None:
+        """Take in what the platform's list says now."""
+        self._list_heard_at = clock.now()
+        self.entry_by_id = {each.id: each for each in entries if each.kind == "entry"}
+        self._target_by_id = {
+            each.id: each for each in entries if each.kind == "target"
+        }
+        facts: list[Fact] = []
+        for entry in entries:
+            if entry.state != "leaving":
+                continue
+            kind = FactKind.HOST if entry.kind == "entry" else FactKind.TARGET
+            if entry.id == self.id and entry.kind == "entry":
+                continue
+            facts.append(Fact(kind, entry.id, entry.incarnation, LEAVING))
+        self.learn(facts)
+
+    def _forget_old_steps(self) -> None:
+        oldest = int(clock.wall() * 1000) - _STEP_KEPT_MS
+        for fact in self.views.all():
+            if fact.kind is FactKind.STEP and fact.incarnation < oldest:
+                self.views.forget(fact.key)
--- /dev/null
+++ b/cranberryrun/peers.thrift
@@ -0,0 +1,65 @@
+// What hosts say to each other.
+
+// One fact of a view. Facts merge by the greater (incarnation, value).
+struct Fact {
+  1: i16 kind,
+  2: string name,
+  3: i64 incarnation,
+  4: i64 value,
+}
+
+struct Exchange {
+  1: string sender,
+  2: string zone,
+  3: list<Fact> facts,
+  4: bool full,
+  5: i64 offset,
+}
+
+struct Record {
+  1: i64 offset,
+  2: double time,
+  3: string value,
+}
+
+struct Records {
+  1: list<Record> records,
+  2: bool complete,
+}
+
+struct Snapshot {
+  1: bool ready,
+  2: string state,
+  3: list<Fact> facts,
+}
+
+struct KeyedCall {
+  1: string service_name,
+  2: string method,
+  3: string path,
+  4: string key,
+  5: string caller,
+  6: string request,
+  7: map<string, string> headers,
+  8: binary body,
+  9: double deadline_seconds,
+}
+
+struct KeyedReply {
+  1: i32 status,
+  2: map<string, string> headers,
+  3: binary body,
+}
+
+struct EventPage {
+  1: string events,
+  2: i64 last,
+}
+
+service Peer {
+  Exchange exchange(1: Exchange mine),
+  Records records(1: i64 start, 2: i32 limit),
+  Snapshot snapshot(),
+  KeyedReply call(1: KeyedCall call),
+  EventPage events(1: i64 after, 2: i32 limit),
+}
--- /dev/null
+++ b/cranberryrun/resources.py
@@ -0,0 +1,259 @@
+"""Declared resources: changing them, their status, and watching both."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import AsyncIterator
+from typing import Any
+
+from .configuration import Configuration
+from .engines import Engines
+from .exceptions import (
+    ConflictError,
+    CranberryrunError,
+    InvalidInputError,
+    NotFoundError,
+    NotReadyError,
+    WatchExpiredError,
+)
+from .kernel import Service
+from .membership import Membership
+from .models import KINDS, SPEC_BY_KIND, Change, check
+from .state import Outcome, Resource
+from .versions import Versions
+
+_STATUS_SECONDS = 0.5
+_ERROR_BY_CODE: dict[str, type[CranberryrunError]] = {
+    error.code: error for error in (ConflictError, InvalidInputError, NotFoundError)
+}
+
+
+class Resources(Service):
+    """The operators' side of the configuration."""
+
+    name = "resources"
+    requires = ("configuration", "engines", "versions", "membership")
+
+    def kind(self, kind: str) -> str:
+        """Return ``kind`` if there are such resources; :raises NotFoundError:."""
+        if kind not in KINDS:
+            raise NotFoundError(f"there are no {kind}; there are {', '.join(KINDS)}")
+        if not self.kernel.get(Configuration).ready.is_set():
+            raise NotReadyError("the host has no configuration yet", retry_after=1)
+        return kind
+
+    def get(self, kind: str, name: str) -> Resource:
+        """Return a resource; :raises NotFoundError:."""
+        resource = self.kernel.get(Configuration).state.get(self.kind(kind), name)
+        if resource is None:
+            raise NotFoundError(f"there is no {kind}/{name}")
+        return resource
+
+    def list(self, kind: str) -> tuple[list[dict[str, Any]], int]:
+        """Return all resources of ``kind`` and the offset to watch from."""
+        state = self.kernel.get(Configuration).state
+        rows = [self.describe(resource) for resource in state.list(self.kind(kind))]
+        return rows, state.offset
+
+    async def change(
+        self,
+        operation: str,
+        kind: str,
+        name: str,
+        spec: Any,
+        expected: int | None,
+        change_id: str | None,
+    ) -> Resource | None:
+        """Put or delete a resource and return it as it then is, None if deleted.
+
+        :param expected: the generation it must have now; None takes the known one.
+        :param change_id: the same id again gets the outcome of the first time.
+        """
+        self.kind(kind)
+        if operation == "put":
+            check(SPEC_BY_KIND[kind], spec, "spec")
+        configuration = self.kernel.get(Configuration)
+        if expected is None:
+            expected = configuration.state.generation(kind, name)
+        change = check(
+            Change,
+            {
+                "change_id": change_id or uuid.uuid4().hex,
+                "kind": kind,
+                "name": name,
+                "expected_generation": expected,
+                "operation": operation,
+                "spec": spec,
+                "host": self.kernel.get(Membership).id,
+            },
+        )
+        outcome = await configuration.submit(change)
+        _raise_rejected(change, outcome)
+        if operation == "delete":
+            return None
+        resource = configuration.state.by_key[kind, name]
+        if resource.change_id == change.change_id:
+            return resource
+        return Resource(
+            kind,
+            name,
+            outcome.generation,
+            SPEC_BY_KIND[kind].model_validate(spec),
+            outcome.offset,
+            resource.changed_at,
+            change.change_id,
+        )
+
+    def describe(self, resource: Resource) -> dict[str, Any]:
+        """Return ``resource`` with its status as a JSON object."""
+        return {
+            "kind": resource.kind,
+            "name": resource.name,
+            "metadata": {
+                "generation": resource.generation,
+                "offset": resource.offset,
+                "changed_at": resource.changed_at,
+                "change_id": resource.change_id,
+            },
+            "spec": resource.spec.model_dump(mode="json"),
+            "status": self.status(resource),
+        }
+
+    def status(self, resource: Resource) -> dict[str, Any]:
+        """Return the observed generation and the conditions of ``resource``."""
+        conditions = [self._in_force(resource)]
+        if resource.kind == "engines":
+            conditions += self._engine_conditions(resource)
+        if resource.kind == "workloads":
+            conditions += self._workload_conditions(resource)
+        if resource.kind == "services":
+            conditions += self._service_conditions(resource)
+        return {"observed_generation": resource.generation, "conditions": conditions}
+
+    def _in_force(self, resource: Resource) -> dict[str, Any]:
+        membership = self.kernel.get(Membership)
+        behind = [
+            peer.id
+            for peer in membership.live_peers()
+            if membership.offset_of(peer.id) < resource.offset
+        ]
+        if not behind:
+            return _condition("InForce", True, "AppliedEverywhere", "")
+        return _condition(
+            "InForce", False, "HostsBehind", f"not yet at {', '.join(sorted(behind))}"
+        )
+
+    def _engine_conditions(self, resource: Resource) -> list[dict[str, Any]]:
+        engine = self.kernel.get(Engines).by_name.get(resource.name)
+        if engine is None or engine.state is None:
+            return [_condition("Ready", False, "NotHeard", "no answer so far")]
+        leaving = self.kernel.get(Membership).target_leaving(resource.name)
+        if leaving:
+            return [_condition("Ready", False, "Leaving", "gets no new work")]
+        if not engine.health.usable():
+            return [_condition("Ready", False, "Failing", "out for a while")]
+        versions = ", ".join(
+            f"{workload}={row.version}"
+            for workload, row in sorted(engine.state.by_workload.items())
+        )
+        return [_condition("Ready", True, "Answers", versions)]
+
+    def _workload_conditions(self, resource: Resource) -> list[dict[str, Any]]:
+        newest = self.kernel.get(Versions).newest(resource.name)
+        engines = [
+            engine
+            for engine in self.kernel.get(Engines).by_name.values()
+            if engine.spec.pool == resource.spec.pool
+        ]
+        if not engines:
+            message = f"no engine is in pool {resource.spec.pool}"
+            return [_condition("EnginesCurrent", False, "NoEngines", message)]
+        behind = [
+            engine.name
+            for engine in engines
+            if (engine.version_of(resource.name) or 0) < newest
+        ]
+        if behind:
+            message = f"version {newest} not yet at {', '.join(sorted(behind))}"
+            return [_condition("EnginesCurrent", False, "Loading", message)]
+        message = f"version {newest}"
+        return [_condition("EnginesCurrent", True, "AllCurrent", message)]
+
+    def _service_conditions(self, resource: Resource) -> list[dict[str, Any]]:
+        membership = self.kernel.get(Membership)
+        if resource.spec.pool is not None:
+            usable = len(self.kernel.get(Engines).usable(resource.spec.pool))
+        else:
+            usable = sum(
+                not membership.target_leaving(target.id)
+                for target in resource.spec.targets
+            )
+        if usable:
+            return [_condition("Ready", True, "TargetsUsable", f"{usable} usable")]
+        return [_condition("Ready", False, "NoTargets", "no target may be used")]
+
+    async def watch(self, kind: str, offset: int | None) -> AsyncIterator[dict]:
+        """Yield each change after ``offset``, and each change of status.
+
+        With no offset: first every resource as it is.
+
+        :raises WatchExpiredError: changes after ``offset`` are no longer kept.
+        """
+        configuration = self.kernel.get(Configuration)
+        status_by_name: dict[str, Any] = {}
+        if offset is None:
+            offset = configuration.state.offset
+            for resource in configuration.state.list(kind):
+                status_by_name[resource.name] = self.status(resource)
+                yield _watch_event("current", offset, self.describe(resource))
+        if offset + 1 < configuration.first_kept():
+            raise WatchExpiredError(f"changes after {offset} are no longer kept")
+        while True:
+            for record in configuration.recent(offset + 1):
+                offset = record.offset
+                event = self._changed(kind, record.value, offset)
+                if event is not None:
+                    yield event
+            for resource in configuration.state.list(kind):
+                status = self.status(resource)
+                if status_by_name.get(resource.name) == status:
+                    continue
+                status_by_name[resource.name] = status
+                yield _watch_event("status", offset, self.describe(resource))
+            await configuration.wait_past(offset, _STATUS_SECONDS)
+            if offset + 1 < configuration.first_kept():
+                raise WatchExpiredError(f"changes after {offset} are no longer kept")
+
+    def _changed(self, kind: str, value: Any, offset: int) -> dict[str, Any] | None:
+        if not isinstance(value, dict) or value.get("kind") != kind:
+            return None
+        state = self.kernel.get(Configuration).state
+        outcome = state.outcome_by_change.get(value.get("change_id"))
+        if outcome is None or outcome.rejected or outcome.offset != offset:
+            return None
+        name = value["name"]
+        if value["operation"] == "delete":
+            return _watch_event("deleted", offset, {"kind": kind, "name": name})
+        resource = state.get(kind, name)
+        if resource is None or resource.offset != offset:
+            return None
+        return _watch_event("changed", offset, self.describe(resource))
+
+
+def _watch_event(event: str, offset: int, resource: dict) -> dict[str, Any]:
+    return {"event": event, "offset": offset, "resource": resource}
+
+
+def _condition(kind: str, holds: bool, reason: str, message: str) -> dict[str, Any]:
+    return {"type": kind, "status": holds, "reason": reason, "message": message}
+
+
+def _raise_rejected(change: Change, outcome: Outcome) -> None:
+    if outcome.rejected is None:
+        return
+    error = _ERROR_BY_CODE.get(outcome.rejected, ConflictError)
+    raise error(
+        f"{change.kind}/{change.name}: the change was rejected",
+        change_id=change.change_id,
+        generation=outcome.generation,
+    )
--- /dev/null
+++ b/cranberryrun/state.py
@@ -0,0 +1,213 @@
+"""The configuration as a function of the log's records, the same on every host."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import Any
+
+from pydantic import ValidationError
+from returns.result import Failure, Result, Success
+
+from .exceptions import (
+    ConflictError,
+    CranberryrunError,
+    InvalidInputError,
+    NotFoundError,
+)
+from .models import SPEC_BY_KIND, Change, Model, SnapshotRecord, VersionRecord, check
+
+Key = tuple[str, str]
+_MAX_OUTCOMES = 4_000
+
+
+@dataclass(frozen=True, slots=True)
+class Resource:
+    """A declared resource. ``offset`` is that of the record that made it so."""
+
+    kind: str
+    name: str
+    generation: int
+    spec: Any
+    offset: int
+    changed_at: float
+    change_id: str
+    deleted: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What became of a change: the resource, or the error that rejected it."""
+
+    offset: int
+    generation: int
+    rejected: str | None = None
+
+
+@dataclass(slots=True)
+class ConfigState:
+    """All resources and weight versions up to and with ``offset``."""
+
+    offset: int = -1
+    by_key: dict[Key, Resource] = field(default_factory=dict)
+    version_by_workload: dict[str, int] = field(default_factory=dict)
+    outcome_by_change: OrderedDict[str, Outcome] = field(default_factory=OrderedDict)
+
+    def get(self, kind: str, name: str) -> Resource | None:
+        """Return the resource if it is declared and not deleted."""
+        resource = self.by_key.get((kind, name))
+        if resource is None or resource.deleted:
+            return None
+        return resource
+
+    def list(self, kind: str) -> list[Resource]:
+        """Return the declared resources of ``kind`` by name."""
+        found = [
+            resource
+            for (each, _), resource in self.by_key.items()
+            if each == kind and not resource.deleted
+        ]
+        return sorted(found, key=lambda resource: resource.name)
+
+    def generation(self, kind: str, name: str) -> int:
+        """Return the generation a change must expect; 0 if there never was one."""
+        resource = self.by_key.get((kind, name))
+        return resource.generation if resource else 0
+
+    def apply(
+        self, offset: int, time: float, value: Any
+    ) -> Result[Resource | VersionRecord | None, CranberryrunError]:
+        """Apply the record at ``offset``; a record that was applied is passed over.
+
+        The result is a failure where the change loses or is not valid.
+        """
+        if offset <= self.offset:
+            return Success(None)
+        self.offset = offset
+        tag = value.get("record") if isinstance(value, dict) else None
+        try:
+            if tag == "change":
+                return self._apply_change(offset, time, Change.model_validate(value))
+            if tag == "version":
+                return self._apply_version(VersionRecord.model_validate(value))
+        except ValidationError as error:
+            return Failure(InvalidInputError(f"record {offset}: {error}"))
+        if tag == "snapshot":
+            return Success(None)
+        return Failure(InvalidInputError(f"record {offset} has no known form"))
+
+    def _apply_version(self, record: VersionRecord) -> Result[Any, CranberryrunError]:
+        known = self.version_by_workload.get(record.workload, -1)
+        self.version_by_workload[record.workload] = max(known, record.version)
+        return Success(record)
+
+    def _apply_change(
+        self, offset: int, time: float, change: Change
+    ) -> Result[Any, CranberryrunError]:
+        if change.change_id in self.outcome_by_change:
+            return Success(None)
+        key = (change.kind, change.name)
+        generation = self.generation(*key)
+        error = self._why_not(change, generation)
+        if error is not None:
+            self._remember(change.change_id, Outcome(offset, generation, error.code))
+            return Failure(error)
+        resource = Resource(
+            kind=change.kind,
+            name=change.name,
+            generation=generation + 1,
+            spec=self._spec(change),
+            offset=offset,
+            changed_at=time,
+            change_id=change.change_id,
+            deleted=change.operation == "delete",
+        )
+        self.by_key[key] = resource
+        self._remember(change.change_id, Outcome(offset, generation + 1))
+        return Success(resource)
+
+    def _why_not(self, change: Change, generation: int) -> CranberryrunError | None:
+        if change.expected_generation != generation:
+            return ConflictError(
+                f"{change.kind}/{change.name} is at generation {generation}, "
+                f"not {change.expected_generation}",
+                generation=generation,
+            )
+        if change.operation == "delete":
+            if self.get(change.kind, change.name) is None:
+                return NotFoundError(f"there is no {change.kind}/{change.name}")
+            return None
+        try:
+            check(SPEC_BY_KIND[change.kind], change.spec, "spec")
+        except InvalidInputError as error:
+            return error
+        return None
+
+    def _spec(self, change: Change) -> Model | None:
+        if change.operation == "delete":
+            return None
+        return SPEC_BY_KIND[change.kind].model_validate(change.spec)
+
+    def _remember(self, change_id: str, outcome: Outcome) -> None:
+        self.outcome_by_change[change_id] = outcome
+        while len(self.outcome_by_change) > _MAX_OUTCOMES:
+            self.outcome_by_change.popitem(last=False)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole state as a JSON object."""
+        resources = [
+            [
+                resource.kind,
+                resource.name,
+                resource.generation,
+                resource.spec.model_dump(mode="json") if resource.spec else None,
+                resource.offset,
+                resource.changed_at,
+                resource.change_id,
+                resource.deleted,
+            ]
+            for _, resource in sorted(self.by_key.items())
+        ]
+        outcomes = [
+            [change_id, outcome.offset, outcome.generation, outcome.rejected]
+            for change_id, outcome in self.outcome_by_change.items()
+        ]
+        return {
+            "resources": resources,
+            "versions": dict(sorted(self.version_by_workload.items())),
+            "outcomes": outcomes,
+        }
+
+    def snapshot(self, host: str) -> SnapshotRecord:
+        """Return the state as a record for the log or a peer."""
+        return SnapshotRecord(covers=self.offset, state=self.dump(), host=host)
+
+    @classmethod
+    def load(cls, snapshot: SnapshotRecord) -> ConfigState:
+        """Return the state that ``snapshot`` holds.
+
+        :raises InvalidInputError: if the snapshot is not whole.
+        """
+        state = cls(offset=snapshot.covers)
+        try:
+            for row in snapshot.state["resources"]:
+                kind, name, generation, spec, offset, changed_at, change_id, gone = row
+                model = SPEC_BY_KIND[kind]
+                state.by_key[kind, name] = Resource(
+                    kind,
+                    name,
+                    generation,
+                    None if spec is None else model.model_validate(spec),
+                    offset,
+                    changed_at,
+                    change_id,
+                    gone,
+                )
+            state.version_by_workload.update(snapshot.state["versions"])
+            for change_id, offset, generation, rejected in snapshot.state["outcomes"]:
+                state.outcome_by_change[change_id] = Outcome(
+                    offset, generation, rejected
+                )
+        except (KeyError, ValueError, TypeError) as error:
+            raise InvalidInputError(f"snapshot: {error!r}") from None
+        return state
--- /dev/null
+++ b/cranberryrun/views.py
@@ -0,0 +1,107 @@
+"""What a host knows of the others: facts that merge by a maximum.
+
+A fact never goes back, so the order and number of exchanges don't matter.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import IntEnum
+
+_SPREAD_FACTOR = 3
+LEAVING = 2**40
+
+
+class FactKind(IntEnum):
+    """What a fact speaks of.
+
+    ``HOST``: an even value is alive, an odd one suspected, :data:`LEAVING` or
+    more leaving. ``OFFSET``: the configuration offset a host has applied.
+    ``TARGET``: :data:`LEAVING` for a target that leaves. ``VERSION``: the newest
+    weight version of a workload. ``STEP``: the incarnation is when a host began
+    to run the step, in ms since 1970.
+    """
+
+    HOST = 1
+    OFFSET = 2
+    TARGET = 3
+    VERSION = 4
+    STEP = 5
+
+
+FactKey = tuple[FactKind, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Fact:
+    """One fact; of two with the same key the greater one holds."""
+
+    kind: FactKind
+    name: str
+    incarnation: int
+    value: int
+
+    @property
+    def key(self) -> FactKey:
+        """What the fact speaks of."""
+        return self.kind, self.name
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """What decides between two facts of one key."""
+        return self.incarnation, self.value
+
+
+class Views:
+    """The facts of a host, and which of them still have to be passed on."""
+
+    def __init__(self) -> None:
+        self.by_key: dict[FactKey, Fact] = {}
+        self._sends_left_by_key: dict[FactKey, int] = {}
+
+    def get(self, kind: FactKind, name: str) -> Fact | None:
+        """Return the fact of this key, if any."""
+        return self.by_key.get((kind, name))
+
+    def merge(self, facts: Iterable[Fact], hosts: int) -> list[Fact]:
+        """Take ``facts`` in and return those that were news.
+
+        :param hosts: how many hosts there are; news is passed on a number of
+            times that grows with its logarithm.
+        """
+        news: list[Fact] = []
+        for fact in facts:
+            known = self.by_key.get(fact.key)
+            if known is not None and known.rank >= fact.rank:
+                continue
+            self.by_key[fact.key] = fact
+            self._sends_left_by_key[fact.key] = _sends(hosts)
+            news.append(fact)
+        return news
+
+    def take(self, limit: int) -> list[Fact]:
+        """Return up to ``limit`` facts to pass on now, newest news first."""
+        by_need = sorted(self._sends_left_by_key.items(), key=lambda item: -item[1])
+        taken: list[Fact] = []
+        for key, left in by_need[:limit]:
+            taken.append(self.by_key[key])
+            if left <= 1:
+                del self._sends_left_by_key[key]
+                continue
+            self._sends_left_by_key[key] = left - 1
+        return taken
+
+    def all(self) -> list[Fact]:
+        """Return every fact."""
+        return list(self.by_key.values())
+
+    def forget(self, key: FactKey) -> None:
+        """Drop a fact that no host needs any more."""
+        self.by_key.pop(key, None)
+        self._sends_left_by_key.pop(key, None)
+
+
+def _sends(hosts: int) -> int:
+    return _SPREAD_FACTOR * math.ceil(math.log2(hosts + 1))
