Move the adapter of plain services behind a base class

Cause: tests need to stand in for a plain service without HTTP, and the traffic module held both routing and the HTTP exchange. Ruled out: patching the HTTP session in tests. Conclusion: one module, one job.

--- a/cranberryrun/api.py
+++ b/cranberryrun/api.py
@@ -28,9 +28,10 @@
 from .models import StepRequest, VersionAnnouncement, check_json
 from .peers import Peers
 from .resources import Resources
+from .services import Call
 from .settings import Settings
 from .steps import Steps
-from .traffic import Call, Traffic
+from .traffic import Traffic
 from .versions import Versions
 
 _JSON = "application/json"
--- a/cranberryrun/calls.py
+++ b/cranberryrun/calls.py
@@ -28,8 +28,9 @@
 from .membership import HostEntry, Membership
 from .peers import Peers, wire
 from .rendezvous import owner_of
+from .services import Answer, Call
 from .settings import Settings
-from .traffic import Answer, Call, Traffic
+from .traffic import Traffic
 
 _READ_LIMIT = 500
 _RETRY_SECONDS = 0.5
--- a/cranberryrun/traffic.py
+++ b/cranberryrun/traffic.py
@@ -6,16 +6,12 @@
 import json
 import random
 from collections import defaultdict
-from collections.abc import Mapping
 from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass, field
 
-import aiohttp
-import xxhash
-
 from . import clock
 from .configuration import Configuration
-from .engines import NOT_RUN_HEADER, Engines, StreamOrder
+from .engines import Engines, StreamOrder
 from .events import Events
 from .exceptions import (
     CranberryrunError,
@@ -37,56 +33,13 @@
 from .membership import Membership
 from .models import GroupRequest, ServiceSpec, ServiceTarget, check_json
 from .routing import Candidate, Need, RoutingPolicy
+from .services import Answer, Call, HttpServiceClient, ServiceClient
 from .settings import Settings
 from .state import Resource
 
 _MAX_ATTEMPTS = 3
 _RETRY_TOKENS_MAX = 20.0
 _RETRY_AFTER_SECONDS = 1.0
-_HOP_HEADERS = frozenset(
-    {
-        "authorization",
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "x-deadline-ms",
-        "x-request-id",
-    }
-)
-
-
-@dataclass(frozen=True, slots=True)
-class Call:
-    """One request of a caller. ``deadline`` is in the loop's time."""
-
-    service: str
-    method: str
-    path: str
-    request: str
-    caller: str
-    deadline: float
-    headers: Mapping[str, str] = field(default_factory=dict)
-    body: bytes = b""
-    key: str | None = None
-
-    def digest(self) -> str:
-        """Return what tells two requests with one key apart."""
-        head = f"{self.method} {self.path}\n".encode()
-        return xxhash.xxh3_128_hexdigest(head + self.body)
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """A target's whole answer."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
 
 
 @dataclass(slots=True)
@@ -94,6 +47,7 @@
     """A plain service's target as this host knows it."""
 
     target: ServiceTarget
+    client: ServiceClient
     health: Health = field(default_factory=Health)
     in_flight: int = 0
 
@@ -172,6 +126,14 @@
             lambda: RetryBudget(settings.limits.retry_share)
         )
 
+    def client_for(self, target: ServiceTarget) -> ServiceClient:
+        """Return a client; tests put another one here."""
+        return HttpServiceClient(
+            target,
+            self.kernel.get(HttpClients),
+            self._settings.timing.connect_timeout,
+        )
+
     def service(self, name: str) -> Resource:
         """Return the service; :raises NotFoundError, NotReadyError:."""
         configuration = self.kernel.get(Configuration)
@@ -247,7 +209,7 @@
         )
         state.in_flight += 1
         try:
-            answer = await self._exchange(state.target, call, repeatable)
+            answer = await state.client.send(call, repeatable)
         except TargetRefusedError:
             raise
         except (RefusedError, TargetFailedError) as error:
@@ -273,7 +235,7 @@
                 del by_id[target_id]
         for target_id, target in declared.items():
             if target_id not in by_id or by_id[target_id].target != target:
-                by_id[target_id] = TargetState(target)
+                by_id[target_id] = TargetState(target, self.client_for(target))
         return by_id
 
     def _choose_target(
@@ -297,42 +259,6 @@
             )
         return by_id[chosen.id]
 
-    async def _exchange(
-        self, target: ServiceTarget, call: Call, repeatable: bool
-    ) -> Answer:
-        clients = self.kernel.get(HttpClients)
-        session = clients.shared if repeatable else clients.once
-        left = max(0.001, call.deadline - clock.now())
-        timeout = aiohttp.ClientTimeout(
-            total=left, sock_connect=self._settings.timing.connect_timeout
-        )
-        headers = _forwarded(call.headers) | {
-            "X-Request-Id": call.request,
-            "X-Deadline-Ms": str(int(left * 1000)),
-        }
-        try:
-            async with session.request(
-                call.method,
-                f"{target.url}/{call.path}",
-                headers=headers,
-                data=call.body or None,
-                timeout=timeout,
-                allow_redirects=False,
-            ) as answer:
-                if answer.headers.get(NOT_RUN_HEADER) == "1":
-                    raise TargetRefusedError(
-                        f"{target.id} answered {answer.status}",
-                        retry_after=_RETRY_AFTER_SECONDS,
-                    )
-                body = await _whole_body(answer, target.id)
-                return Answer(answer.status, _forwarded(answer.headers), body)
-        except aiohttp.ConnectionTimeoutError as error:
-            raise TargetUnreachableError(str(error)) from None
-        except aiohttp.ClientConnectorError as error:
-            raise TargetUnreachableError(str(error)) from None
-        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
-            raise TargetFailedError(f"{target.id}: {error!r}") from None
-
     async def _to_engine(
         self, spec: ServiceSpec, call: Call, tried: set[str]
     ) -> Answer:
@@ -386,19 +312,3 @@
             row = {"text": piece.text, "tokens": piece.tokens, "done": piece.done}
             lines.append(json.dumps(row).encode() + b"\n")
     return b"".join(lines)
-
-
-async def _whole_body(answer: aiohttp.ClientResponse, target: str) -> bytes:
-    try:
-        return await answer.read()
-    except (aiohttp.ClientPayloadError, aiohttp.ClientConnectionError) as error:
-        raise TruncatedAnswerError(f"{target}: {error!r}") from None
-
-
-def _forwarded(headers: Mapping[str, str]) -> dict[str, str]:
-    """Return the headers that go on to the other side."""
-    return {
-        name: value
-        for name, value in headers.items()
-        if name.lower() not in _HOP_HEADERS and name.lower() != "content-encoding"
-    }
