--- a/cranberryrun/api.py
+++ b/cranberryrun/api.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import hashlib
+import asyncio
 import json
 import uuid
+from collections.abc import AsyncIterator, Mapping
 from typing import Any
 
 from absl import logging
@@ -14,21 +15,22 @@
 from .calls import Calls, problem_answer
 from .events import Events
 from .exceptions import (
+    CallerGoneError,
     CranberryrunError,
-    ForbiddenError,
     InvalidInputError,
     NotFoundError,
     NotReadyError,
     PeerError,
     TooLargeError,
-    UnauthorizedError,
 )
 from .kernel import Service
 from .membership import Membership
+from .metrics import CONTENT_TYPE, Metrics
 from .models import StepRequest, VersionAnnouncement, check_json
 from .peers import Peers
 from .resources import Resources
-from .services import Call
+from .security import Tokens, server_context
+from .services import Answer, Call, Sink
 from .settings import Settings
 from .steps import Steps
 from .traffic import Traffic
@@ -38,6 +40,7 @@
 _NDJSON = "application/x-ndjson"
 _MAX_STEP = 2**53
 _EVENT_PAGE = 5_000
+_MAX_ID_CHARACTERS = 200
 
 
 class Api(Service):
@@ -49,13 +52,13 @@
     def __init__(self, settings: Settings) -> None:
         super().__init__()
         self._settings = settings
-        self._role_by_digest = {
-            token.sha256: (token.name, frozenset(token.roles))
-            for token in settings.tokens
-        }
+        self._tokens = Tokens(settings.tokens)
         self._runner: web.AppRunner | None = None
         self._site: web.TCPSite | None = None
         self._in_flight = 0
+        self._latest_deadline = 0.0
+        self._idle_since = 0.0
+        self._stopping = asyncio.Event()
         self.accepting = False
         self.drain_asked: Any = None
 
@@ -64,21 +67,53 @@
         """How many requests are being answered."""
         return self._in_flight
 
+    @property
+    def latest_deadline(self) -> float:
+        """The latest deadline of any request so far, in the loop's time."""
+        return self._latest_deadline
+
+    def idle_for(self) -> float:
+        """Return for how long nothing was in flight, in seconds."""
+        return 0.0 if self._in_flight else clock.now() - self._idle_since
+
     async def start(self) -> None:
         """Begin to listen."""
+        self.kernel.get(Metrics).observe("in_flight", lambda: self._in_flight)
         app = web.Application(
             client_max_size=self._settings.limits.body_bytes,
             middlewares=[self._middleware],
         )
         app.add_routes(self._routes())
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=1)
+        app.on_response_prepare.append(self._end_connection)
+        # What a caller no longer waits for is ended: its place is another's.
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=1, handler_cancellation=True
+        )
         await self._runner.setup()
         self._site = web.TCPSite(
-            self._runner, self._settings.ip, self._settings.api_port
+            self._runner,
+            self._settings.ip,
+            self._settings.api_port,
+            ssl_context=server_context(self._settings.tls),
         )
         await self._site.start()
         self.accepting = True
 
+    async def _end_connection(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Have the caller open its next connection elsewhere if this host stops."""
+        request["head_sent"] = True
+        if self.accepting:
+            return
+        response.headers["Connection"] = "close"
+        response.force_close()
+
+    def say_unready(self) -> None:
+        """Have the balancer choose other hosts, and end the watches."""
+        self.accepting = False
+        self._stopping.set()
+
     async def stop_listening(self) -> None:
         """Take no new connections; those that are open go on."""
         if self._site is not None:
@@ -95,6 +130,7 @@
         return [
             web.get("/healthz", self._healthz),
             web.get("/readyz", self._readyz),
+            web.get("/metrics", self._metrics),
             web.get("/v1/hosts", self._hosts),
             web.get("/v1/events", self._events),
             web.get("/v1/timeline", self._timeline),
@@ -115,6 +151,8 @@
         try:
             return await handler(request)
         except CranberryrunError as error:
+            if request.get("head_sent"):
+                return _cut(request)
             return _problem(error)
         except web.HTTPRequestEntityTooLarge as error:
             return _problem(TooLargeError(error.text or ""))
@@ -123,30 +161,19 @@
                 return _problem(NotFoundError(f"there is no {request.path}"))
             raise
         except ConnectionError:
-            # The caller has gone, or must see that the answer is cut.
-            if request.transport is not None:
-                request.transport.abort()
-            return web.Response()
+            return _cut(request)
         except Exception as error:
             logging.exception("request %s failed", request.path)
+            if request.get("head_sent"):
+                return _cut(request)
             return _problem(CranberryrunError(type(error).__name__))
         finally:
             self._in_flight -= 1
+            self._idle_since = clock.now()
 
     def _allow(self, request: web.Request, role: str) -> str:
         """Return who calls; :raises UnauthorizedError, ForbiddenError:."""
-        if not self._role_by_digest:
-            return "anonymous"
-        header = request.headers.get("Authorization", "")
-        scheme, _, token = header.partition(" ")
-        digest = hashlib.sha256(token.encode()).hexdigest()
-        known = self._role_by_digest.get(digest)
-        if scheme.lower() != "bearer" or known is None:
-            raise UnauthorizedError("a known bearer token is needed")
-        name, roles = known
-        if role not in roles:
-            raise ForbiddenError(f"the token of {name} is not for {role} calls")
-        return name
+        return self._tokens.allow(request.headers.get("Authorization", ""), role)
 
     async def _healthz(self, request: web.Request) -> web.Response:
         return web.json_response({"host": self._settings.id})
@@ -157,6 +184,10 @@
         self.kernel.get(Resources).kind("services")
         return web.json_response({"host": self._settings.id, "ready": True})
 
+    async def _metrics(self, request: web.Request) -> web.Response:
+        body = self.kernel.get(Metrics).scrape()
+        return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE})
+
     async def _hosts(self, request: web.Request) -> web.Response:
         self._allow(request, "operator")
         membership = self.kernel.get(Membership)
@@ -242,39 +273,37 @@
         await response.write_eof()
         return response
 
-    async def _call(self, request: web.Request) -> web.Response:
+    async def _call(self, request: web.Request) -> web.StreamResponse:
+        call = await self._read_call(request)
+        self._latest_deadline = max(self._latest_deadline, call.deadline)
+        sink = ResponseSink(request, call.request)
+        try:
+            if call.key is not None:
+                answer = await self.kernel.get(Calls).send(call)
+            else:
+                answer = await self.kernel.get(Traffic).send(call, sink)
+        except CranberryrunError as error:
+            if sink.begun:
+                raise
+            answer = problem_answer(error)
+        if answer.streamed:
+            return await sink.end()
+        return _whole_response(answer, request)
+
+    async def _read_call(self, request: web.Request) -> Call:
         caller = self._allow(request, "caller")
         name = request.match_info["service"]
         resource = self.kernel.get(Traffic).service(name)
-        key = request.headers.get("Idempotency-Key")
-        if key is not None and not 1 <= len(key) <= 200:
-            raise InvalidInputError(
-                "the key must have 1 to 200 characters", field="Idempotency-Key"
-            )
-        path = request.match_info["path"]
-        if request.query_string:
-            path = f"{path}?{request.query_string}"
-        request_id = request.headers.get("X-Request-Id") or uuid.uuid4().hex
-        call = Call(
+        return Call(
             service=name,
             method=request.method,
-            path=path,
-            request=request_id,
+            path=_rest_of_path(request),
+            request=_request_id(request),
             caller=caller,
             deadline=clock.now() + _seconds_left(request, resource.spec.timeout),
-            headers=dict(request.headers),
+            headers=request.headers.copy(),
             body=await request.read(),
-            key=key,
-        )
-        sender = self.kernel.get(Calls if key is not None else Traffic)
-        try:
-            answer = await sender.send(call)
-        except CranberryrunError as error:
-            answer = problem_answer(error)
-        return web.Response(
-            status=answer.status,
-            headers=answer.headers | {"X-Request-Id": request_id},
-            body=answer.body,
+            key=_key(request),
         )
 
     async def _list(self, request: web.Request) -> web.StreamResponse:
@@ -294,13 +323,29 @@
         first = await anext(watch)
         await response.prepare(request)
         await response.write(json.dumps(first).encode() + b"\n")
-        async for event in watch:
-            if not self.accepting:
-                break
+        async for event in self._until_stopping(watch):
             await response.write(json.dumps(event).encode() + b"\n")
         await response.write_eof()
         return response
 
+    async def _until_stopping(self, source: AsyncIterator[Any]) -> AsyncIterator[Any]:
+        """Yield what ``source`` yields until the host begins to stop."""
+        stopping = asyncio.ensure_future(self._stopping.wait())
+        coming: asyncio.Future[Any] | None = None
+        try:
+            while True:
+                coming = asyncio.ensure_future(anext(source))
+                await asyncio.wait(
+                    {stopping, coming}, return_when=asyncio.FIRST_COMPLETED
+                )
+                if not coming.done() or _is_end(coming):
+                    return
+                yield coming.result()
+        finally:
+            stopping.cancel()
+            if coming is not None:
+                coming.cancel()
+
     async def _get(self, request: web.Request) -> web.Response:
         self._allow(request, "operator")
         resources = self.kernel.get(Resources)
@@ -339,6 +384,89 @@
         return _resource(resources.describe(resource))
 
 
+def _cut(request: web.Request) -> web.Response:
+    """Break the connection: the caller must see that the answer is not whole."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
+def _is_end(coming: asyncio.Future[Any]) -> bool:
+    return isinstance(coming.exception(), StopAsyncIteration)
+
+
+class ResponseSink(Sink):
+    """Sends an answer on to the caller while it comes, as fast as it is taken."""
+
+    def __init__(self, request: web.Request, request_id: str) -> None:
+        self._request = request
+        self._request_id = request_id
+        self._response: web.StreamResponse
+
+    async def begin(
+        self, status: int, headers: Mapping[str, str], length: int | None
+    ) -> None:
+        """See :meth:`Sink.begin`."""
+        self._response = web.StreamResponse(status=status, headers=headers)
+        self._response.headers["X-Request-Id"] = self._request_id
+        self._response.content_length = length
+        self.begun = True
+        try:
+            await self._response.prepare(self._request)
+        except ConnectionError:
+            raise CallerGoneError("the caller closed its connection") from None
+
+    async def write(self, data: bytes) -> None:
+        """See :meth:`Sink.write`."""
+        try:
+            await self._response.write(data)
+        except ConnectionError:
+            raise CallerGoneError("the caller closed its connection") from None
+
+    async def end(self) -> web.StreamResponse:
+        """End the answer, which is whole."""
+        await self._response.write_eof()
+        return self._response
+
+
+def _whole_response(answer: Answer, request: web.Request) -> web.Response:
+    response = web.Response(
+        status=answer.status, headers=answer.headers, body=answer.body or None
+    )
+    response.headers["X-Request-Id"] = _request_id(request)
+    if request.method == "HEAD" and answer.length is not None:
+        response.headers["Content-Length"] = str(answer.length)
+    return response
+
+
+def _rest_of_path(request: web.Request) -> str:
+    """Return what follows the service's name, encoded as the caller sent it."""
+    return request.rel_url.raw_path_qs.split("/", 3)[3]
+
+
+def _request_id(request: web.Request) -> str:
+    """Return the caller's id of the request, or one made here."""
+    if "request_id" not in request:
+        text = request.headers.get("X-Request-Id")
+        if text is not None and not 1 <= len(text) <= _MAX_ID_CHARACTERS:
+            raise InvalidInputError(
+                f"the id must have 1 to {_MAX_ID_CHARACTERS} characters",
+                field="X-Request-Id",
+            )
+        request["request_id"] = text or uuid.uuid4().hex
+    return request["request_id"]
+
+
+def _key(request: web.Request) -> str | None:
+    key = request.headers.get("Idempotency-Key")
+    if key is not None and not 1 <= len(key) <= _MAX_ID_CHARACTERS:
+        raise InvalidInputError(
+            f"the key must have 1 to {_MAX_ID_CHARACTERS} characters",
+            field="Idempotency-Key",
+        )
+    return key
+
+
 def _resource(body: dict[str, Any]) -> web.Response:
     response = _json(body)
     response.headers["ETag"] = f'"{body["metadata"]["generation"]}"'
--- a/cranberryrun/daemon.py
+++ b/cranberryrun/daemon.py
@@ -44,6 +44,7 @@
         """Start the host; SIGTERM and SIGINT begin a planned stop."""
         self.host = Host(self.settings)
         self.ended = asyncio.Event()
+        self._drain_task: asyncio.Task[None] | None = None
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._begin_drain)
@@ -51,6 +52,8 @@
         self.host.kernel.get(Api).drain_asked = self._begin_drain
 
     def _begin_drain(self) -> None:
+        if self._drain_task is not None:
+            return
         self._drain_task = asyncio.get_running_loop().create_task(self._drain())
 
     async def _drain(self) -> None:
--- a/cranberryrun/events.py
+++ b/cranberryrun/events.py
@@ -4,7 +4,7 @@
 
 import json
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -58,6 +58,7 @@
         self._incarnation = incarnation
         self._ring: deque[Event] = deque(maxlen=ring)
         self._next = 0
+        self.observers: list[Callable[[Event], None]] = []
 
     def emit(self, name: str, **fields: Any) -> None:
         """Record the event called ``name`` in the catalogue."""
@@ -73,6 +74,8 @@
         )
         self._next += 1
         self._ring.append(event)
+        for observer in self.observers:
+            observer(event)
         level = _LEVEL_BY_NAME.get(kind.level, logging.INFO)
         if logging.get_verbosity() < level:
             return
--- a/cranberryrun/exceptions.py
+++ b/cranberryrun/exceptions.py
@@ -191,6 +191,22 @@
     outcome = "unknown"
 
 
+class CallUnrecordedError(OutcomeUnknownError):
+    """A keyed call was not run; an earlier one of its key may have been."""
+
+    code = "call_unrecorded"
+    status = 503
+
+
+class AnswerNotKeptError(CranberryrunError):
+    """A keyed call was run before; its answer can't be given again."""
+
+    code = "answer_not_kept"
+    status = 410
+    not_run = False
+    outcome = "run"
+
+
 class AppendUnknownError(OutcomeUnknownError):
     """A record may or may not have been appended to the log."""
 
@@ -204,12 +220,26 @@
     status = 502
 
 
+class TargetTimeoutError(TargetFailedError):
+    """The target was silent for too long, or the deadline passed."""
+
+    code = "target_timeout"
+    status = 504
+
+
 class TruncatedAnswerError(TargetFailedError):
     """The target's answer ended before it was whole."""
 
     code = "answer_truncated"
 
 
+class CallerGoneError(CranberryrunError):
+    """The caller closed its connection; nobody takes the answer."""
+
+    code = "caller_gone"
+    status = 499
+
+
 class EngineError(CranberryrunError):
     """Base of what goes wrong with an engine's stream or order."""
 
--- a/cranberryrun/health.py
+++ b/cranberryrun/health.py
@@ -8,19 +8,25 @@
 
 _FIRST_OUT_SECONDS = 0.5
 _MAX_OUT_SECONDS = 10.0
+_REFUSALS_OUT = 3
 
 
 @dataclass(slots=True)
 class Health:
-    """Counts a target's failures in a row, as this host saw them."""
+    """A circuit breaker by a target's failures in a row, as this host saw them."""
 
     failures: int = 0
+    refusals: int = 0
     out_until: float = 0.0
 
     def usable(self) -> bool:
         """Say whether the target may be sent work now."""
         return clock.now() >= self.out_until
 
+    def probing(self) -> bool:
+        """Say whether the target has yet to show that it answers again."""
+        return self.failures > 0
+
     def failed(self) -> bool:
         """Note a failure; say whether it was the first in a row."""
         self.failures += 1
@@ -28,9 +34,18 @@
         self.out_until = clock.now() + seconds
         return self.failures == 1
 
+    def refused(self) -> bool:
+        """Note a refusal; several in a row count as a failure."""
+        self.refusals += 1
+        if self.refusals < _REFUSALS_OUT:
+            return False
+        self.refusals = 0
+        return self.failed()
+
     def answered(self) -> bool:
         """Note an answer; say whether the target had been failing."""
         was_failing = self.failures > 0
         self.failures = 0
+        self.refusals = 0
         self.out_until = 0.0
         return was_failing
--- a/cranberryrun/host.py
+++ b/cranberryrun/host.py
@@ -15,9 +15,12 @@
 from .kernel import Kernel, Service
 from .log import HttpLog
 from .membership import Membership
+from .metrics import Metrics
+from .pauses import Pauses
 from .peers import EventPages, Peers
 from .resources import Resources
 from .routing import BoundedAffinity, TwoChoices
+from .security import target_context
 from .settings import Settings
 from .steps import Steps
 from .traffic import Traffic
@@ -25,6 +28,9 @@
 from .weights import Weights
 
 _DRAIN_TICK_SECONDS = 0.05
+_QUIET_SECONDS = 0.3
+_DEADLINE_SLACK_SECONDS = 1.0
+_RECORD_SECONDS = 2.0
 
 
 class Host:
@@ -48,7 +54,8 @@
         by_name = {service.name: service for service in replaced}
         for service in self._services(rng):
             self.kernel.register(by_name.get(service.name, service))
-        self._draining = False
+        self._started = asyncio.Event()
+        self._drain_task: asyncio.Task[None] | None = None
 
     def _services(self, rng: random.Random) -> list[Service]:
         settings = self.settings
@@ -56,10 +63,12 @@
         policy = BoundedAffinity(TwoChoices(rng))
         return [
             Events(settings.id, self.incarnation, settings.limits.event_ring),
-            HttpClients(timing.connect_timeout),
+            Metrics(settings.id),
+            HttpClients(timing.connect_timeout, target_context(settings.tls)),
             HttpLog(settings.log, timing.log_timeout),
             Membership(settings, self.incarnation),
             Peers(settings, rng),
+            Pauses(settings),
             EventPages(),
             Configuration(settings, rng),
             Engines(settings),
@@ -75,6 +84,7 @@
     async def start(self) -> None:
         """Start all services and serve the API."""
         await self.kernel.start()
+        self._started.set()
         self.kernel.get(Events).emit(
             "host_started", zone=self.settings.zone, api_port=self.settings.api_port
         )
@@ -86,25 +96,45 @@
 
     async def drain(self) -> None:
         """Stop as planned: no new work, nothing in flight is cut off."""
-        if self._draining:
-            return
-        self._draining = True
+        if self._drain_task is None:
+            self._drain_task = asyncio.get_running_loop().create_task(self._drain())
+        await asyncio.shield(self._drain_task)
+
+    async def _drain(self) -> None:
+        await self._started.wait()
         api = self.kernel.get(Api)
-        events = self.kernel.get(Events)
-        events.emit("host_draining", in_flight=api.in_flight)
-        api.accepting = False
+        self.kernel.get(Events).emit("host_draining", in_flight=api.in_flight)
+        limit = clock.now() + self.settings.timing.drain_limit
+        api.say_unready()
         self.kernel.get(Membership).say_leaving()
         await self.kernel.get(Peers).spread_now()
         await asyncio.sleep(self.settings.timing.balancer_lag)
         self.kernel.get(Steps).move_all()
         await api.stop_listening()
-        await self._wait_idle(api)
+        await self._wait_idle(limit)
+        await self._wait_recorded(limit)
         await self.stop()
 
-    async def _wait_idle(self, api: Api) -> None:
-        limit = clock.now() + self.settings.timing.drain_limit
-        while api.in_flight:
-            if clock.now() > limit:
-                self.kernel.get(Events).emit("drain_limit", in_flight=api.in_flight)
+    async def _wait_idle(self, limit: float) -> None:
+        """Wait until nothing is in flight; a request may take until its deadline."""
+        api = self.kernel.get(Api)
+        calls = self.kernel.get(Calls)
+        while calls.in_flight or api.idle_for() < _QUIET_SECONDS:
+            latest = max(limit, api.latest_deadline + _DEADLINE_SLACK_SECONDS)
+            if clock.now() > latest:
+                self._note_limit(api.in_flight + calls.in_flight)
                 return
             await asyncio.sleep(_DRAIN_TICK_SECONDS)
+
+    async def _wait_recorded(self, limit: float) -> None:
+        """Wait until the ends of keyed calls are in the log, within the limit."""
+        calls = self.kernel.get(Calls)
+        latest = max(limit, clock.now() + _RECORD_SECONDS)
+        while calls.recording:
+            if clock.now() > latest:
+                self._note_limit(calls.recording)
+                return
+            await asyncio.sleep(_DRAIN_TICK_SECONDS)
+
+    def _note_limit(self, left: int) -> None:
+        self.kernel.get(Events).emit("drain_limit", in_flight=left)
--- a/cranberryrun/http.py
+++ b/cranberryrun/http.py
@@ -2,35 +2,52 @@
 
 from __future__ import annotations
 
+import ssl
+
 import aiohttp
 
 from .kernel import Service
 
 
 class HttpClients(Service):
-    """Holds two sessions.
+    """Holds two sessions; neither keeps cookies.
 
     ``shared`` keeps connections open. ``once`` opens a new connection for each
-    request: the library sends a request again by itself when a kept connection
-    turns out to be closed, which a request that may not be repeated can't have.
+    request and never sends one again: the library repeats idempotent methods by
+    itself when a connection breaks, which a request that may not be repeated
+    can't have.
+
+    :param connect_timeout: in seconds.
+    :param tls: what the certificates of targets are checked with.
     """
 
     name = "http"
 
-    def __init__(self, connect_timeout: float) -> None:
+    def __init__(self, connect_timeout: float, tls: ssl.SSLContext | None = None):
         super().__init__()
         self._connect_timeout = connect_timeout
+        self._tls = tls
         self.shared: aiohttp.ClientSession
         self.once: aiohttp.ClientSession
 
     async def start(self) -> None:
         """Open the sessions."""
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._connect_timeout)
-        self.shared = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0), timeout=timeout
+        self.shared = self._session(keep=True)
+        self.once = self._session(keep=False)
+        # There is no public switch for this; a test counts what arrives.
+        self.once._retry_connection = False
+
+    def _session(self, keep: bool) -> aiohttp.ClientSession:
+        connector = aiohttp.TCPConnector(
+            limit=0, force_close=not keep, ssl=self._tls or True
         )
-        self.once = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True), timeout=timeout
+        return aiohttp.ClientSession(
+            connector=connector,
+            # Callers share the sessions; one's cookies are not another's.
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=self._connect_timeout
+            ),
         )
 
     async def stop(self) -> None:
--- a/cranberryrun/ledger.py
+++ b/cranberryrun/ledger.py
@@ -2,49 +2,166 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, Literal
+
+from pydantic import Field, TypeAdapter, ValidationError
+
+from .log import Record
+from .models import Model
+
+_MAX_CACHED_CHARACTERS = 4 * 1024 * 1024
+
+
+class AnswerRecord(Model):
+    """A recorded answer. ``body`` is in base64, None if it was too large."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: str | None = None
+
+
+class IntentRecord(Model):
+    """Asks for the right to run the call of ``key``."""
+
+    record: Literal["intent"] = "intent"
+    key: str
+    id: str
+    digest: str
+
+
+class OutcomeRecord(Model):
+    """The intent ``id`` was run and answered."""
+
+    record: Literal["outcome"] = "outcome"
+    key: str
+    id: str
+    answer: AnswerRecord
+
+
+class LostRecord(Model):
+    """The intent ``id`` may have been run; its answer will never be known."""
+
+    record: Literal["lost"] = "lost"
+    key: str
+    id: str
+
+
+class ReleaseRecord(Model):
+    """The intent ``id`` was certainly not run and never will be."""
+
+    record: Literal["release"] = "release"
+    key: str
+    id: str
+
+
+CallRecord = Annotated[
+    IntentRecord | OutcomeRecord | LostRecord | ReleaseRecord,
+    Field(discriminator="record"),
+]
+_CALL_RECORD: TypeAdapter[CallRecord] = TypeAdapter(CallRecord)
 
 
 @dataclass(slots=True)
 class KeyEntry:
-    """What is known of one key. ``holder`` is the intent that may run, if any."""
+    """What is known of one key. ``holder`` is the intent that may run, if any.
+
+    ``since`` is the log's time of the holder's intent. ``outcome_offset`` is
+    where the outcome stands; ``lost`` says that there will be none.
+    """
 
     holder: str | None
     digest: str
-    outcome: dict[str, Any] | None = None
+    since: float
+    outcome_offset: int | None = None
+    lost: bool = False
+
+    @property
+    def settled(self) -> bool:
+        """Whether nothing more will be known of the holder."""
+        return self.outcome_offset is not None or self.lost
+
+
+def parse(value: object) -> CallRecord | None:
+    """Return a record of a known form, None for any other."""
+    try:
+        return _CALL_RECORD.validate_python(value)
+    except ValidationError:
+        return None
 
 
 class Ledger:
     """The first intent of a key holds it until it is released or has an outcome.
 
-    Records: ``intent`` (key, id, digest), ``outcome`` (key, id, answer) and
-    ``release`` (key, id), the last for an intent that was certainly not run.
+    Every reader of the stream comes to the same holder, since only the records
+    and the log's own times decide. Keys whose intent is older than ``window``
+    seconds are forgotten; the log must keep records for longer than that.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, window: float) -> None:
+        self._window = window
+        self._newest = 0.0
+        self._cached_characters = 0
+        self._answer_by_offset: OrderedDict[int, AnswerRecord] = OrderedDict()
         self.offset = -1
         self.by_key: dict[str, KeyEntry] = {}
 
-    def apply(self, offset: int, value: Any) -> None:
-        """Apply the record at ``offset``; records of no known form change nothing."""
-        if offset <= self.offset:
-            return
-        self.offset = offset
-        if not isinstance(value, dict):
+    def skip_to(self, offset: int) -> None:
+        """Note that there are no records up to ``offset`` any more."""
+        self.offset = max(self.offset, offset)
+
+    def apply(self, record: Record) -> CallRecord | None:
+        """Apply ``record`` and return it; those of no known form change nothing."""
+        if record.offset <= self.offset:
+            return None
+        self.offset = record.offset
+        self._newest = max(self._newest, record.time)
+        self._forget_old()
+        parsed = parse(record.value)
+        if isinstance(parsed, IntentRecord):
+            self._take_intent(parsed)
+        elif parsed is not None:
+            self._take_end(parsed)
+        return parsed
+
+    def _forget_old(self) -> None:
+        oldest = self._newest - self._window
+        while self.by_key:
+            key = next(iter(self.by_key))
+            if self.by_key[key].since >= oldest:
+                return
+            del self.by_key[key]
+
+    def _take_intent(self, record: IntentRecord) -> None:
+        entry = self.by_key.get(record.key)
+        if entry is not None and entry.holder is not None:
             return
-        kind, key = value.get("record"), value.get("key")
-        entry = self.by_key.get(key)
-        if kind == "intent":
-            if entry is None:
-                self.by_key[key] = KeyEntry(value["id"], value["digest"])
-            elif entry.holder is None:
-                entry.holder = value["id"]
-                entry.digest = value["digest"]
+        # The newest intents stand last, so the old ones are found first.
+        self.by_key.pop(record.key, None)
+        self.by_key[record.key] = KeyEntry(record.id, record.digest, self._newest)
+
+    def _take_end(self, record: OutcomeRecord | LostRecord | ReleaseRecord) -> None:
+        entry = self.by_key.get(record.key)
+        if entry is None or entry.holder != record.id:
             return
-        if entry is None or entry.holder != value.get("id") or entry.outcome:
+        if entry.outcome_offset is not None:
             return
-        if kind == "outcome":
-            entry.outcome = value["answer"]
-        elif kind == "release":
+        if isinstance(record, OutcomeRecord):
+            entry.outcome_offset = self.offset
+            self._cache(record.answer)
+        elif isinstance(record, LostRecord):
+            entry.lost = True
+        elif not entry.lost:
             entry.holder = None
+
+    def _cache(self, answer: AnswerRecord) -> None:
+        self._answer_by_offset[self.offset] = answer
+        self._cached_characters += len(answer.body or "")
+        while self._cached_characters > _MAX_CACHED_CHARACTERS:
+            _, oldest = self._answer_by_offset.popitem(last=False)
+            self._cached_characters -= len(oldest.body or "")
+
+    def cached(self, offset: int) -> AnswerRecord | None:
+        """Return the answer recorded at ``offset`` if it is still held here."""
+        return self._answer_by_offset.get(offset)
--- a/cranberryrun/membership.py
+++ b/cranberryrun/membership.py
@@ -162,13 +162,20 @@
         self.learn([Fact(FactKind.HOST, host_id, fact.incarnation, fact.value + 1)])
         self.kernel.get(Events).emit("peer_unreachable", peer=host_id)
 
+    def suspected(self, host_id: str) -> bool:
+        """Say whether a host did not answer when it was last asked."""
+        fact = self.views.get(FactKind.HOST, host_id)
+        return fact is not None and fact.value < LEAVING and fact.value % 2 == 1
+
     def heard_from(self, host_id: str) -> None:
         """Note that a peer answered just now."""
         self._peer_heard_at = clock.now()
 
     def heard_age(self) -> float:
         """Return seconds since the list or any peer was heard."""
-        heard = [at for at in (self._list_heard_at, self._peer_heard_at) if at]
+        heard = [
+            at for at in (self._list_heard_at, self._peer_heard_at) if at is not None
+        ]
         if not heard:
             return float("inf")
         return clock.now() - max(heard)
@@ -219,7 +226,7 @@
         lost = False
         while True:
             try:
-                self.take_list(await self._host_list.read())
+                await self.read_list()
                 if lost:
                     events.emit("host_list_back")
                 lost = False
@@ -230,6 +237,10 @@
             self._forget_old_steps()
             await asyncio.sleep(self._settings.timing.list_poll)
 
+    async def read_list(self) -> None:
+        """Read the platform's list now; :raises HostListError:."""
+        self.take_list(await self._host_list.read())
+
     def take_list(self, entries: list[HostEntry]) -> None:
         """Take in what the platform's list says now."""
         self._list_heard_at = clock.now()
--- /dev/null
+++ b/cranberryrun/metrics.py
@@ -0,0 +1,217 @@
+"""Metrics by OpenTelemetry, scraped as Prometheus text at ``/metrics``."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, generate_latest
+
+from .events import Event, Events
+from .kernel import Service
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+_LATENCY_BOUNDS_SECONDS = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+)
+_STEP_OUTCOME_BY_EVENT = {
+    "step_started": "started",
+    "step_done": "done",
+    "step_moved": "moved",
+    "step_cut": "cut",
+    "step_failed": "failed",
+    "step_superseded": "superseded",
+}
+_SAMPLE_OUTCOME_BY_EVENT = {
+    "sample_dispatched": "dispatched",
+    "sample_resumed": "resumed",
+    "sample_whole": "whole",
+    "sample_stale": "stale",
+    "sample_lost": "lost",
+    "sample_unstamped": "unstamped",
+}
+_CALL_OUTCOME_BY_EVENT = {
+    "call_first": "first",
+    "call_repeat": "repeat",
+    "call_forwarded": "forwarded",
+    "call_outcome": "recorded",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class MetricKind:
+    """One metric as ``docs/METRICS.md`` lists it. ``labels`` are its attributes."""
+
+    name: str
+    form: str
+    labels: tuple[str, ...]
+    meaning: str
+
+
+METRIC_BY_KEY: dict[str, MetricKind] = {
+    "requests": MetricKind(
+        "cranberryrun_requests",
+        "counter",
+        ("service", "outcome"),
+        "Requests by outcome: answered, refused, unknown or caller_gone.",
+    ),
+    "request_seconds": MetricKind(
+        "cranberryrun_request_seconds",
+        "histogram",
+        ("service",),
+        "Seconds from a request's admission queue to the end of its answer.",
+    ),
+    "retries": MetricKind(
+        "cranberryrun_retries",
+        "counter",
+        ("service",),
+        "Requests that were sent again.",
+    ),
+    "calls": MetricKind(
+        "cranberryrun_keyed_calls",
+        "counter",
+        ("kind",),
+        "Keyed calls: first, repeat, forwarded, and outcomes recorded.",
+    ),
+    "steps": MetricKind(
+        "cranberryrun_steps",
+        "counter",
+        ("outcome",),
+        "Steps: started, done, moved, cut, failed or superseded.",
+    ),
+    "samples": MetricKind(
+        "cranberryrun_samples",
+        "counter",
+        ("outcome",),
+        "Samples: dispatched, resumed, whole, stale, lost or unstamped.",
+    ),
+    "queue": MetricKind(
+        "cranberryrun_queue",
+        "gauge",
+        ("service",),
+        "Requests that wait for a place.",
+    ),
+    "in_flight": MetricKind(
+        "cranberryrun_in_flight",
+        "gauge",
+        (),
+        "HTTP requests that are being answered.",
+    ),
+    "peers": MetricKind(
+        "cranberryrun_peers", "gauge", (), "Other entry hosts that are live."
+    ),
+    "config_offset": MetricKind(
+        "cranberryrun_config_offset",
+        "gauge",
+        (),
+        "Offset of the last configuration record that was applied.",
+    ),
+    "log_up": MetricKind(
+        "cranberryrun_log_up", "gauge", (), "1 if the log can be read, else 0."
+    ),
+    "loop_lag": MetricKind(
+        "cranberryrun_event_loop_lag_seconds",
+        "gauge",
+        (),
+        "How late the event loop's last tick came.",
+    ),
+}
+
+
+class Metrics(Service):
+    """Counts what happens at this host; gauges are read when scraped."""
+
+    name = "metrics"
+    requires = ("events",)
+
+    def __init__(self, host: str) -> None:
+        super().__init__()
+        self._registry = CollectorRegistry()
+        self._reader = PrometheusMetricReader(
+            scope_info_enabled=False, registry=self._registry
+        )
+        self._provider = MeterProvider(
+            [self._reader],
+            resource=Resource({"service.name": "cranberryrun", "host.name": host}),
+            shutdown_on_exit=False,
+        )
+        self._meter = self._provider.get_meter("cranberryrun")
+        self._counter_by_key = {
+            key: self._meter.create_counter(kind.name, description=kind.meaning)
+            for key, kind in METRIC_BY_KEY.items()
+            if kind.form == "counter"
+        }
+        seconds = METRIC_BY_KEY["request_seconds"]
+        self._latency = self._meter.create_histogram(
+            seconds.name,
+            description=seconds.meaning,
+            explicit_bucket_boundaries_advisory=_LATENCY_BOUNDS_SECONDS,
+        )
+
+    async def start(self) -> None:
+        """Count events from now on."""
+        self.kernel.get(Events).observers.append(self._count)
+
+    async def stop(self) -> None:
+        """Stop counting."""
+        await super().stop()
+        self._provider.shutdown()
+
+    def _count(self, event: Event) -> None:
+        name = event.kind.name
+        if name in _STEP_OUTCOME_BY_EVENT:
+            self._add("steps", outcome=_STEP_OUTCOME_BY_EVENT[name])
+        if name in _SAMPLE_OUTCOME_BY_EVENT:
+            self._add("samples", outcome=_SAMPLE_OUTCOME_BY_EVENT[name])
+        if name in _CALL_OUTCOME_BY_EVENT:
+            self._add("calls", kind=_CALL_OUTCOME_BY_EVENT[name])
+
+    def _add(self, key: str, **labels: str) -> None:
+        self._counter_by_key[key].add(1, labels)
+
+    def request(self, service: str, outcome: str, seconds: float) -> None:
+        """Count a request that took ``seconds``."""
+        self._add("requests", service=service, outcome=outcome)
+        self._latency.record(seconds, {"service": service})
+
+    def retry(self, service: str) -> None:
+        """Count a request that was sent again."""
+        self._add("retries", service=service)
+
+    def observe(
+        self, key: str, read: Callable[[], float | Mapping[str, float]]
+    ) -> None:
+        """Read a gauge by ``read``: one value, or values by the gauge's label."""
+        kind = METRIC_BY_KEY[key]
+
+        def observations(options: CallbackOptions) -> Iterable[Observation]:
+            value = read()
+            if not isinstance(value, Mapping):
+                return [Observation(value)]
+            label = kind.labels[0]
+            return [Observation(each, {label: name}) for name, each in value.items()]
+
+        self._meter.create_observable_gauge(
+            kind.name, callbacks=[observations], description=kind.meaning
+        )
+
+    def scrape(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/cranberryrun/pauses.py
@@ -0,0 +1,91 @@
+"""Pauses of the process: noticed, and views renewed before new work is sent."""
+
+from __future__ import annotations
+
+import asyncio
+
+from . import clock
+from .events import Events
+from .exceptions import HostListError
+from .kernel import Service
+from .membership import Membership
+from .peers import Peers
+from .settings import Settings
+
+_TICK_SECONDS = 0.25
+_PAUSE_SECONDS = 1.0
+
+
+class Pauses(Service):
+    """Watches the loop's clock for jumps, which a stopped process shows.
+
+    ``lag`` is how late the last tick came, in seconds.
+    """
+
+    name = "pauses"
+    requires = ("membership", "peers", "events")
+
+    def __init__(self, settings: Settings) -> None:
+        super().__init__()
+        self._settings = settings
+        self._ticked_at: float | None = None
+        self._renewal: asyncio.Task[None] | None = None
+        self._renewed_at = float("-inf")
+        self._paused = False
+        self.lag = 0.0
+
+    async def start(self) -> None:
+        """Begin to tick."""
+        self._ticked_at = clock.now()
+        self.supervise(self._tick)
+
+    async def _tick(self) -> None:
+        while True:
+            self._check()
+            await asyncio.sleep(_TICK_SECONDS)
+
+    def _check(self) -> None:
+        """Note a pause since the last tick; also called before the tick runs."""
+        now = clock.now()
+        self.lag = max(0.0, now - self._ticked_at - _TICK_SECONDS)
+        self._ticked_at = now
+        if self.lag < _PAUSE_SECONDS:
+            return
+        self._paused = True
+        self.kernel.get(Events).emit("host_paused", seconds=round(self.lag, 3))
+
+    async def renew_if_old(self) -> None:
+        """Return at once if the views are fresh, else once they were renewed.
+
+        With neither the list nor a peer to be heard, work goes on by the views
+        that there are; the next attempt follows after the limit for old views.
+        """
+        if clock.now() - (self._ticked_at or 0.0) > _PAUSE_SECONDS:
+            self._check()
+        if self._renewal is None and not self._needed():
+            return
+        if self._renewal is None:
+            self._renewal = self.spawn(self._renew())
+        await asyncio.shield(self._renewal)
+
+    def _needed(self) -> bool:
+        if self._paused:
+            return True
+        limit = self._settings.timing.view_limit
+        if clock.now() - self._renewed_at < limit:
+            return False
+        return self.kernel.get(Membership).heard_age() > limit
+
+    async def _renew(self) -> None:
+        self._paused = False
+        try:
+            await asyncio.gather(self._read_list(), self.kernel.get(Peers).spread_now())
+        finally:
+            self._renewed_at = clock.now()
+            self._renewal = None
+
+    async def _read_list(self) -> None:
+        try:
+            await self.kernel.get(Membership).read_list()
+        except HostListError:
+            return
--- a/cranberryrun/peers.py
+++ b/cranberryrun/peers.py
@@ -20,6 +20,7 @@
 from .exceptions import PeerError
 from .kernel import Service
 from .membership import HostEntry, Membership
+from .security import peer_client_context, peer_server_context
 from .settings import Settings
 from .views import Fact, FactKind
 
@@ -94,6 +95,7 @@
         )
         self.handler_by_call: dict[str, Any] = {}
         self._rounds = 0
+        self._tls = peer_client_context(settings.tls)
 
     async def start(self) -> None:
         """Listen, then begin to exchange views."""
@@ -105,6 +107,7 @@
             client_timeout=_SERVER_IDLE_MS,
             loop=asyncio.get_running_loop(),
             socket_family=socket.AF_INET,
+            ssl_context=peer_server_context(self._settings.tls),
         )
         self._server.trans.listen()
         self._server.server = await self._server.trans.accept(self._server.handle)
@@ -181,6 +184,7 @@
             address[1],
             timeout=_SERVER_IDLE_MS,
             connect_timeout=int(limit * 1000),
+            ssl_context=self._tls,
         )
 
     async def exchange_with(self, entry: HostEntry, full: bool = False) -> bool:
--- a/cranberryrun/peers.thrift
+++ b/cranberryrun/peers.thrift
@@ -33,6 +33,11 @@
   3: list<Fact> facts,
 }
 
+struct Header {
+  1: string name,
+  2: string value,
+}
+
 struct KeyedCall {
   1: string service_name,
   2: string method,
@@ -40,14 +45,14 @@
   4: string key,
   5: string caller,
   6: string request,
-  7: map<string, string> headers,
+  7: list<Header> headers,
   8: binary body,
   9: double deadline_seconds,
 }
 
 struct KeyedReply {
   1: i32 status,
-  2: map<string, string> headers,
+  2: list<Header> headers,
   3: binary body,
 }
 
--- /dev/null
+++ b/cranberryrun/security.py
@@ -0,0 +1,106 @@
+"""Who may call: bearer tokens by role, and TLS towards callers and between hosts."""
+
+from __future__ import annotations
+
+import hashlib
+import ssl
+from collections.abc import Iterable
+
+from .exceptions import ForbiddenError, SettingsError, UnauthorizedError
+from .settings import TlsSettings, TokenSettings
+
+ANONYMOUS = "anonymous"
+
+
+class Tokens:
+    """Checks bearer tokens by their digests; the tokens are not kept.
+
+    With no tokens in the settings everybody may do everything.
+    """
+
+    def __init__(self, tokens: Iterable[TokenSettings]) -> None:
+        self._token_by_digest = {token.sha256: token for token in tokens}
+
+    def allow(self, header: str, role: str) -> str:
+        """Return the name of the token in an ``Authorization`` header.
+
+        :raises UnauthorizedError: if the token is missing or unknown.
+        :raises ForbiddenError: if it is not for ``role``.
+        """
+        if not self._token_by_digest:
+            return ANONYMOUS
+        scheme, _, text = header.partition(" ")
+        digest = hashlib.sha256(text.strip().encode()).hexdigest()
+        token = self._token_by_digest.get(digest)
+        if scheme.lower() != "bearer" or token is None:
+            raise UnauthorizedError("a known bearer token is needed")
+        if role not in token.roles:
+            raise ForbiddenError(f"the token of {token.name} is not for {role} calls")
+        return token.name
+
+
+def server_context(tls: TlsSettings | None) -> ssl.SSLContext | None:
+    """Return what the HTTP side serves TLS with, None for plain HTTP.
+
+    :raises SettingsError: if the files are not a certificate and its key.
+    """
+    if tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    _load_own(context, tls)
+    return context
+
+
+def target_context(tls: TlsSettings | None) -> ssl.SSLContext | None:
+    """Return what the certificates of targets are checked with.
+
+    The authority of the settings counts besides those of the system.
+    """
+    if tls is None or tls.authority is None:
+        return None
+    context = ssl.create_default_context()
+    _load_authority(context, tls)
+    return context
+
+
+def peer_server_context(tls: TlsSettings | None) -> ssl.SSLContext | None:
+    """Return what a host serves its peers with: they must show a certificate."""
+    if tls is None or tls.authority is None:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    return _mutual(context, tls)
+
+
+def peer_client_context(tls: TlsSettings | None) -> ssl.SSLContext | None:
+    """Return what a host calls its peers with: both sides show a certificate."""
+    if tls is None or tls.authority is None:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    # Hosts are replaced at any time and talk by IP: the authority, which signs
+    # certificates of hosts only, says who is a host.
+    context.check_hostname = False
+    return _mutual(context, tls)
+
+
+def _mutual(context: ssl.SSLContext, tls: TlsSettings) -> ssl.SSLContext:
+    context.verify_mode = ssl.CERT_REQUIRED
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    _load_own(context, tls)
+    _load_authority(context, tls)
+    return context
+
+
+def _load_own(context: ssl.SSLContext, tls: TlsSettings) -> None:
+    try:
+        context.load_cert_chain(tls.certificate, tls.key)
+    except (OSError, ssl.SSLError) as error:
+        raise SettingsError(
+            f"tls.certificate, tls.key: {error}", field="tls.certificate"
+        ) from None
+
+
+def _load_authority(context: ssl.SSLContext, tls: TlsSettings) -> None:
+    try:
+        context.load_verify_locations(tls.authority)
+    except (OSError, ssl.SSLError) as error:
+        raise SettingsError(f"tls.authority: {error}", field="tls.authority") from None
--- a/cranberryrun/settings.py
+++ b/cranberryrun/settings.py
@@ -50,6 +50,7 @@
     stream_idle: float = Field(default=15.0, gt=0)
     stream_linger: float = Field(default=20.0, gt=0)
     usage: float = Field(default=60.0, gt=0)
+    key_window: float = Field(default=86_400.0, gt=0)
     snapshot_check: float = Field(default=5.0, gt=0)
 
 
@@ -64,6 +65,7 @@
     weight_loads_at_once: int = Field(default=4, ge=1)
     away_share: float = Field(default=0.5, gt=0, le=1)
     retry_share: float = Field(default=0.1, ge=0, le=1)
+    keys_per_partition: int = Field(default=200_000, ge=1)
     key_partitions: int = Field(default=8, ge=1, le=1024)
 
 
--- a/cranberryrun/traffic.py
+++ b/cranberryrun/traffic.py
@@ -3,115 +3,52 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 from collections import defaultdict
-from contextlib import aclosing, asynccontextmanager
-from dataclasses import dataclass, field
 
 from . import clock
+from .admission import Admission
 from .configuration import Configuration
-from .engines import Engines, StreamOrder
+from .engines import Engine, Engines
 from .events import Events
 from .exceptions import (
+    CallerGoneError,
     CranberryrunError,
     DeadlineError,
     NoTargetError,
     NotFoundError,
     NotReadyError,
-    OverloadedError,
     RefusedError,
-    StreamCutError,
+    RequestError,
     TargetFailedError,
     TargetRefusedError,
+    TargetTimeoutError,
     TargetUnreachableError,
-    TruncatedAnswerError,
 )
-from .health import Health
+from .generations import generate, order_for
 from .http import HttpClients
 from .kernel import Service
 from .membership import Membership
+from .metrics import Metrics
 from .models import GroupRequest, ServiceSpec, ServiceTarget, check_json
-from .routing import Candidate, Need, RoutingPolicy
-from .services import Answer, Call, HttpServiceClient, ServiceClient
+from .pauses import Pauses
+from .retries import Attempts, RetryBudget
+from .routing import Need, RoutingPolicy
+from .services import Answer, Call, HttpServiceClient, ServiceClient, Sink
 from .settings import Settings
 from .state import Resource
+from .targets import Targets, TargetState
 
-_MAX_ATTEMPTS = 3
-_RETRY_TOKENS_MAX = 20.0
 _RETRY_AFTER_SECONDS = 1.0
-
-
-@dataclass(slots=True)
-class TargetState:
-    """A plain service's target as this host knows it."""
-
-    target: ServiceTarget
-    client: ServiceClient
-    health: Health = field(default_factory=Health)
-    in_flight: int = 0
-
-    def candidate(self) -> Candidate:
-        """Return the target as a candidate of a routing policy."""
-        return Candidate(
-            id=self.target.id, zone=self.target.zone, in_flight=self.in_flight
-        )
-
-
-@dataclass(slots=True)
-class RetryBudget:
-    """Lets retries be a share of the requests sent."""
-
-    share: float
-    tokens: float = _RETRY_TOKENS_MAX / 2
-
-    def sent(self) -> None:
-        """Note a first attempt."""
-        self.tokens = min(_RETRY_TOKENS_MAX, self.tokens + self.share)
-
-    def take(self) -> bool:
-        """Take one retry, if there is one left."""
-        if self.tokens < 1:
-            return False
-        self.tokens -= 1
-        return True
-
-
-class Admission:
-    """Bounds how many requests of a service run here, and how many wait."""
-
-    def __init__(self, concurrency: int, queue: int) -> None:
-        self._slots = asyncio.Semaphore(concurrency)
-        self._queue = queue
-        self._waiting = 0
-
-    @asynccontextmanager
-    async def enter(self, deadline: float):
-        """Hold one place; :raises OverloadedError: if none comes free in time."""
-        if self._slots.locked() and self._waiting >= self._queue:
-            raise OverloadedError("the queue is full", retry_after=_RETRY_AFTER_SECONDS)
-        self._waiting += 1
-        try:
-            async with asyncio.timeout(max(0.0, deadline - clock.now())):
-                await self._slots.acquire()
-        except TimeoutError:
-            raise OverloadedError(
-                "no place came free before the deadline",
-                retry_after=_RETRY_AFTER_SECONDS,
-            ) from None
-        finally:
-            self._waiting -= 1
-        try:
-            yield
-        finally:
-            self._slots.release()
+_PREFIX_CHARACTERS = 256
+_ATTEMPT_SHARE = 1 / 3
 
 
 class Traffic(Service):
     """Sends each request to one usable target; again only where that is safe."""
 
     name = "traffic"
-    requires = ("configuration", "membership", "engines", "http", "events")
+    requires = ("configuration", "engines", "http", "events", "pauses", "metrics")
 
     def __init__(
         self, settings: Settings, policy: RoutingPolicy, rng: random.Random
@@ -120,12 +57,22 @@
         self._settings = settings
         self._policy = policy
         self._rng = rng
-        self._targets_by_service: dict[str, dict[str, TargetState]] = {}
-        self._admission_by_service: dict[str, tuple[int, Admission]] = {}
+        self._targets_by_service: dict[str, Targets] = {}
+        self._admission_by_service: dict[str, Admission] = {}
         self._budget_by_service: dict[str, RetryBudget] = defaultdict(
             lambda: RetryBudget(settings.limits.retry_share)
         )
 
+    async def start(self) -> None:
+        """Let the queue be measured."""
+        self.kernel.get(Metrics).observe("queue", self._waiting)
+
+    def _waiting(self) -> dict[str, int]:
+        return {
+            service: admission.waiting
+            for service, admission in self._admission_by_service.items()
+        }
+
     def client_for(self, target: ServiceTarget) -> ServiceClient:
         """Return a client; tests put another one here."""
         return HttpServiceClient(
@@ -145,170 +92,195 @@
         return resource
 
     def _admission(self, resource: Resource) -> Admission:
-        known = self._admission_by_service.get(resource.name)
-        if known is None or known[0] != resource.offset:
+        admission = self._admission_by_service.get(resource.name)
+        if admission is None:
             admission = Admission(
                 resource.spec.concurrency, self._settings.limits.queue
             )
-            known = (resource.offset, admission)
-            self._admission_by_service[resource.name] = known
-        return known[1]
+            self._admission_by_service[resource.name] = admission
+        admission.resize(resource.spec.concurrency)
+        return admission
 
-    async def send(self, call: Call) -> Answer:
-        """Return the target's whole answer to ``call``.
+    async def send(self, call: Call, sink: Sink | None = None) -> Answer:
+        """Return the target's answer to ``call``; a large one goes to ``sink``.
+
+        Without a sink the answer is whole. If a sink was begun when this raises,
+        the answer is cut and must be seen to be.
 
         :raises RefusedError: no part of it was run.
         :raises OutcomeUnknownError: it may have been run.
         """
         resource = self.service(call.service)
-        events = self.kernel.get(Events)
+        began = clock.now()
         try:
             async with self._admission(resource).enter(call.deadline):
-                answer = await self._attempts(resource.spec, call)
-        except RefusedError as error:
-            events.emit("request_refused", request=call.request, error=error.code)
-            raise
+                answer = await self._attempts(resource.spec, call, sink)
         except CranberryrunError as error:
-            events.emit("request_unknown", request=call.request, error=error.code)
+            self._note_failure(call, error, clock.now() - began)
             raise
-        events.emit("request_answered", request=call.request, status=answer.status)
+        self.kernel.get(Events).emit(
+            "request_answered", request=call.request, status=answer.status
+        )
+        self._measure(call, "answered", clock.now() - began)
         return answer
 
-    async def _attempts(self, spec: ServiceSpec, call: Call) -> Answer:
+    def _note_failure(
+        self, call: Call, error: CranberryrunError, seconds: float
+    ) -> None:
+        refused = isinstance(error, (RefusedError, RequestError))
+        name = "request_refused" if refused else "request_unknown"
+        self.kernel.get(Events).emit(name, request=call.request, error=error.code)
+        if isinstance(error, CallerGoneError):
+            self._measure(call, "caller_gone", seconds)
+            return
+        self._measure(call, "refused" if refused else "unknown", seconds)
+
+    def _measure(self, call: Call, outcome: str, seconds: float) -> None:
+        self.kernel.get(Metrics).request(call.service, outcome, seconds)
+
+    async def _attempts(
+        self, spec: ServiceSpec, call: Call, sink: Sink | None
+    ) -> Answer:
         repeatable = call.method in spec.repeatable and call.key is None
-        budget = self._budget_by_service[call.service]
-        budget.sent()
+        attempts = Attempts(repeatable, self._budget_by_service[call.service])
         tried: set[str] = set()
-        attempt = 0
         while True:
-            attempt += 1
             try:
-                return await self._attempt(spec, call, repeatable, tried)
-            except NoTargetError:
-                raise
-            except (RefusedError, TargetFailedError) as error:
-                safe = isinstance(error, RefusedError) or repeatable
+                return await self._attempt(spec, call, repeatable, tried, sink)
+            except CranberryrunError as error:
+                cut = sink is not None and sink.begun
                 late = clock.now() >= call.deadline
-                if not safe or late or attempt >= _MAX_ATTEMPTS or not budget.take():
-                    raise
-                self.kernel.get(Events).emit(
-                    "request_retried", request=call.request, error=error.code
-                )
+                if not attempts.may_repeat(error) or cut or late:
+                    raise attempts.verdict(error) from None
+                self._note_retry(call, error)
+            if len(tried) == attempts.count:
+                continue
+            await asyncio.sleep(attempts.pause(self._rng))
+
+    def _note_retry(self, call: Call, error: CranberryrunError) -> None:
+        self.kernel.get(Events).emit(
+            "request_retried", request=call.request, error=error.code
+        )
+        self.kernel.get(Metrics).retry(call.service)
 
     async def _attempt(
-        self, spec: ServiceSpec, call: Call, repeatable: bool, tried: set[str]
+        self,
+        spec: ServiceSpec,
+        call: Call,
+        repeatable: bool,
+        tried: set[str],
+        sink: Sink | None,
     ) -> Answer:
+        await self.kernel.get(Pauses).renew_if_old()
         if clock.now() >= call.deadline:
             raise DeadlineError("the deadline passed before the request was sent")
         if spec.pool is not None:
-            return await self._to_engine(spec, call, tried)
+            return await self._to_engine(spec, call, tried, sink)
         state = self._choose_target(spec, call, tried)
         tried.add(state.target.id)
         self.kernel.get(Events).emit(
             "request_routed", request=call.request, target=state.target.id
         )
-        state.in_flight += 1
+        least = spec.timeout
+        if repeatable:
+            least = max(self._silence, spec.timeout * _ATTEMPT_SHARE)
+        patience = state.patience(least)
+        return await self._to_target(state, call, repeatable, patience, sink)
+
+    @property
+    def _silence(self) -> float:
+        return self._settings.timing.suspect_after
+
+    async def _to_target(
+        self,
+        state: TargetState,
+        call: Call,
+        repeatable: bool,
+        patience: float,
+        sink: Sink | None,
+    ) -> Answer:
+        began = clock.now()
+        state.sent()
         try:
-            answer = await state.client.send(call, repeatable)
-        except TargetRefusedError:
-            raise
-        except (RefusedError, TargetFailedError) as error:
-            self._failed(state, error)
+            answer = await state.client.send(call, repeatable, patience, sink)
+        except CranberryrunError as error:
+            self._note_error(state, error, clock.now() - began)
             raise
         finally:
-            state.in_flight -= 1
-        if state.health.answered():
+            state.ended()
+        if state.answered(clock.now() - began):
             self.kernel.get(Events).emit("target_back", target=state.target.id)
         return answer
 
-    def _failed(self, state: TargetState, error: CranberryrunError) -> None:
-        if state.health.failed():
+    def _note_error(
+        self, state: TargetState, error: CranberryrunError, seconds: float
+    ) -> None:
+        """Judge the target by ``error``; a caller's short deadline is not its fault."""
+        if isinstance(error, TargetRefusedError):
+            failing = state.health.refused()
+        elif isinstance(error, TargetTimeoutError):
+            state.took(seconds)
+            failing = seconds >= self._silence and state.health.failed()
+        elif isinstance(error, (TargetUnreachableError, TargetFailedError)):
+            failing = state.health.failed()
+        else:
+            return
+        if failing:
             self.kernel.get(Events).emit(
                 "target_failed", target=state.target.id, error=error.detail
             )
 
-    def _targets(self, spec: ServiceSpec, service: str) -> dict[str, TargetState]:
-        by_id = self._targets_by_service.setdefault(service, {})
-        declared = {target.id: target for target in spec.targets}
-        for target_id in list(by_id):
-            if target_id not in declared:
-                del by_id[target_id]
-        for target_id, target in declared.items():
-            if target_id not in by_id or by_id[target_id].target != target:
-                by_id[target_id] = TargetState(target, self.client_for(target))
-        return by_id
-
     def _choose_target(
         self, spec: ServiceSpec, call: Call, tried: set[str]
     ) -> TargetState:
-        membership = self.kernel.get(Membership)
-        by_id = self._targets(spec, call.service)
-        staying = [
-            state
-            for state in by_id.values()
-            if not membership.target_leaving(state.target.id)
-            and state.target.id not in tried
-        ]
-        usable = [state for state in staying if state.health.usable()]
-        candidates = [state.candidate() for state in usable or staying]
-        chosen = self._policy.choose(candidates, Need(self._settings.zone))
-        if chosen is None:
-            raise NoTargetError(
-                f"no target of {call.service} may be used",
-                retry_after=_RETRY_AFTER_SECONDS,
-            )
-        return by_id[chosen.id]
+        targets = self._targets_by_service.get(call.service)
+        if targets is None:
+            targets = Targets(self.client_for, self._silence)
+            self._targets_by_service[call.service] = targets
+        targets.declare(spec.targets)
+        leaving = self.kernel.get(Membership).target_leaving
+        return targets.choose(self._policy, self._settings.zone, leaving, tried)
 
     async def _to_engine(
-        self, spec: ServiceSpec, call: Call, tried: set[str]
+        self, spec: ServiceSpec, call: Call, tried: set[str], sink: Sink | None
     ) -> Answer:
         """Generate an answer on an engine of the service's pool."""
-        prompt = check_json(GroupRequest, call.body)
+        request = check_json(GroupRequest, call.body)
         engines = self.kernel.get(Engines)
-        usable = [
-            engine for engine in engines.usable(spec.pool) if engine.name not in tried
-        ]
-        chosen = self._policy.choose(
-            [engine.candidate() for engine in usable],
-            Need(self._settings.zone, prompt.prompt),
-        )
-        if chosen is None:
-            raise NoTargetError(
-                f"no engine of pool {spec.pool} may be used",
-                retry_after=_RETRY_AFTER_SECONDS,
-            )
-        tried.add(chosen.id)
-        engine = engines.by_name[chosen.id]
-        order = StreamOrder(
-            stream=f"call.{call.request}.{len(tried)}",
-            workload=call.service,
-            prompt=prompt.prompt,
-            max_tokens=prompt.max_tokens,
-            seed=prompt.seed,
-            priority=spec.priority,
+        engine = self._choose_engine(spec.pool, request.prompt, tried)
+        tried.add(engine.name)
+        self.kernel.get(Events).emit(
+            "request_routed", request=call.request, engine=engine.name
         )
+        order = order_for(call, spec, request)
         engine.in_flight += 1
         try:
-            async with asyncio.timeout(max(0.001, call.deadline - clock.now())):
-                lines = await _generate(engine.client, order)
-        except StreamCutError as error:
-            engines.failed(engine, error)
-            raise TruncatedAnswerError(error.detail) from None
+            return await generate(engine, order, call.deadline, sink)
         except TargetUnreachableError as error:
             engines.failed(engine, error)
             raise
-        except TimeoutError:
-            await engine.client.cancel(order.stream)
-            raise TargetFailedError("the deadline passed while generating") from None
+        except TargetRefusedError:
+            raise
+        except BaseException as error:
+            # Nobody takes the rest, the caller's task having been cancelled, too.
+            self.spawn(engine.client.cancel(order.stream))
+            if isinstance(error, TargetFailedError) and clock.now() < call.deadline:
+                engines.failed(engine, error)
+            raise
         finally:
             engine.in_flight -= 1
-        return Answer(200, {"Content-Type": "application/x-ndjson"}, lines)
-
 
-async def _generate(client, order: StreamOrder) -> bytes:
-    lines: list[bytes] = []
-    async with aclosing(client.generate(order)) as pieces:
-        async for piece in pieces:
-            row = {"text": piece.text, "tokens": piece.tokens, "done": piece.done}
-            lines.append(json.dumps(row).encode() + b"\n")
-    return b"".join(lines)
+    def _choose_engine(self, pool: str, prompt: str, tried: set[str]) -> Engine:
+        engines = self.kernel.get(Engines)
+        usable = engines.usable(pool)
+        untried = [engine for engine in usable if engine.name not in tried]
+        chosen = self._policy.choose(
+            [engine.candidate() for engine in untried or usable],
+            Need(self._settings.zone, prompt[:_PREFIX_CHARACTERS]),
+        )
+        if chosen is None:
+            raise NoTargetError(
+                f"no engine of pool {pool} may be used",
+                retry_after=_RETRY_AFTER_SECONDS,
+            )
+        return engines.by_name[chosen.id]
--- /dev/null
+++ b/tests/doubles.py
@@ -0,0 +1,385 @@
+"""Small stand-ins for parts of a host, and a raw target that counts what comes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from contextlib import suppress
+from typing import Any
+
+from cranberryrun.configuration import Configuration
+from cranberryrun.engines import Engine, EngineClient, Engines, Piece, StreamOrder
+from cranberryrun.events import Events
+from cranberryrun.exceptions import (
+    AppendUnknownError,
+    LogReadError,
+    LogUnavailableError,
+    StreamCutError,
+)
+from cranberryrun.http import HttpClients
+from cranberryrun.kernel import Kernel, Service
+from cranberryrun.log import Batch, Log, Record
+from cranberryrun.membership import Membership
+from cranberryrun.metrics import Metrics
+from cranberryrun.models import EngineSpec, ServiceSpec, ServiceTarget
+from cranberryrun.pauses import Pauses
+from cranberryrun.routing import BoundedAffinity, TwoChoices
+from cranberryrun.services import Answer, Call, ServiceClient, Sink
+from cranberryrun.settings import Settings, parse_settings
+from cranberryrun.state import ConfigState, Resource
+from cranberryrun.traffic import Traffic
+
+Script = Callable[[asyncio.StreamWriter], Awaitable[None]]
+
+
+def settings(host: str = "h1", **changes: Any) -> Settings:
+    """Return valid settings of a host on loopback."""
+    data = {
+        "id": host,
+        "incarnation": 1,
+        "zone": "z1",
+        "api_port": 0,
+        "peer_port": 0,
+        "log": {"url": "http://127.0.0.1:1"},
+        "host_list_url": "http://127.0.0.1:1",
+    }
+    return parse_settings(data | changes)
+
+
+class RawTarget:
+    """Speaks HTTP/1.1 by hand: what it was sent is known to the byte."""
+
+    def __init__(self, *scripts: Script) -> None:
+        self._scripts = list(scripts)
+        self.connections = 0
+        self.received = bytearray()
+        self.requests: list[tuple[str, bytes]] = []
+        self._server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> RawTarget:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *error: Any) -> None:
+        self._server.close()
+
+    @property
+    def url(self) -> str:
+        """Base of its paths."""
+        return f"http://127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    def target(self, name: str = "t1", zone: str = "z1") -> ServiceTarget:
+        """Return it as a declared target."""
+        return ServiceTarget(id=name, url=self.url, zone=zone)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        with suppress(EOFError, ConnectionError, asyncio.CancelledError):
+            while not writer.is_closing():
+                await self._serve_one(reader, writer)
+        writer.close()
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.received += head
+        length = 0
+        for line in head.lower().split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                length = int(line.split(b":")[1])
+        body = await reader.readexactly(length)
+        self.received += body
+        self.requests.append((head.decode(), body))
+        script = self._scripts.pop(0) if len(self._scripts) > 1 else self._scripts[0]
+        await script(writer)
+        await writer.drain()
+
+
+def answer(body: bytes = b"ok", status: str = "200 OK", *headers: str) -> Script:
+    """Answer with ``body``."""
+
+    async def script(writer: asyncio.StreamWriter) -> None:
+        lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", *headers]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    return script
+
+
+def head(status: str, *headers: str) -> Script:
+    """Answer with just a head."""
+
+    async def script(writer: asyncio.StreamWriter) -> None:
+        writer.write("\r\n".join([f"HTTP/1.1 {status}", *headers, "", ""]).encode())
+
+    return script
+
+
+def refuse() -> Script:
+    """Refuse truly."""
+    return answer(b"", "503 Service Unavailable", "X-Not-Run: 1")
+
+
+async def drop(writer: asyncio.StreamWriter) -> None:
+    """Close without an answer."""
+    writer.close()
+
+
+async def hang(writer: asyncio.StreamWriter) -> None:
+    """Never answer."""
+    await asyncio.sleep(3600)
+
+
+def cut(body: bytes, missing: int) -> Script:
+    """Answer with a body that lacks its last ``missing`` bytes."""
+
+    async def script(writer: asyncio.StreamWriter) -> None:
+        length = len(body) + missing
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n".encode())
+        writer.write(body)
+        await writer.drain()
+        writer.close()
+
+    return script
+
+
+class ListSink(Sink):
+    """Keeps what it is given."""
+
+    def __init__(self) -> None:
+        self.parts: list[bytes] = []
+        self.length: int | None = None
+
+    async def begin(
+        self, status: int, headers: Mapping[str, str], length: int | None
+    ) -> None:
+        self.begun = True
+        self.length = length
+
+    async def write(self, data: bytes) -> None:
+        self.parts.append(data)
+
+
+class StubConfiguration(Configuration):
+    """A configuration that tests write to."""
+
+    def __init__(self) -> None:
+        Service.__init__(self)
+        self.state = ConfigState()
+        self.ready = asyncio.Event()
+        self.ready.set()
+        self.log_up = True
+
+    async def start(self) -> None:
+        return
+
+    def declare(self, name: str, spec: ServiceSpec) -> None:
+        """Declare a service."""
+        resource = Resource("services", name, 1, spec, 0, 0.0, "c1")
+        self.state.by_key["services", name] = resource
+
+
+class StubMembership(Membership):
+    """A membership that polls nothing."""
+
+    async def start(self) -> None:
+        self.take_list([])
+
+
+class StubPauses(Pauses):
+    """Never paused."""
+
+    async def start(self) -> None:
+        return
+
+    async def renew_if_old(self) -> None:
+        return
+
+
+class StubEngines(Engines):
+    """Engines that tests put in."""
+
+    async def start(self) -> None:
+        return
+
+    def add(self, name: str, client: EngineClient, pool: str = "p1") -> Engine:
+        """Add an engine of ``pool``."""
+        spec = EngineSpec(url="http://127.0.0.1:1", zone="z1", pool=pool)
+        self.by_name[name] = Engine(name, spec, 0, client)
+        return self.by_name[name]
+
+
+class StubTraffic(Traffic):
+    """Traffic whose clients tests may replace, by target id."""
+
+    client_by_id: dict[str, ServiceClient] = {}
+
+    def client_for(self, target: ServiceTarget) -> ServiceClient:
+        return self.client_by_id.get(target.id) or super().client_for(target)
+
+
+class TrafficHost:
+    """The part of a host that sends requests on."""
+
+    def __init__(self, **changes: Any) -> None:
+        made = settings(**changes)
+        self.settings = made
+        rng = random.Random(7)
+        self.kernel = Kernel()
+        self.configuration = StubConfiguration()
+        self.membership = StubMembership(made, 1)
+        self.engines = StubEngines(made)
+        self.traffic = StubTraffic(made, BoundedAffinity(TwoChoices(rng)), rng)
+        self.events = Events(made.id, 1, 1000)
+        self.metrics = Metrics(made.id)
+        self.traffic.client_by_id = {}
+        for service in (
+            self.events,
+            self.metrics,
+            HttpClients(made.timing.connect_timeout),
+            self.configuration,
+            self.membership,
+            StubPauses(made),
+            self.engines,
+            self.traffic,
+        ):
+            self.kernel.register(service)
+
+    async def __aenter__(self) -> TrafficHost:
+        # The stubs stand without what the real services require.
+        for service in self.kernel._by_name.values():
+            await service.start()
+            self.kernel._started.append(service)
+        return self
+
+    async def __aexit__(self, *error: Any) -> None:
+        await self.kernel.stop()
+
+    def declare(self, *targets: ServiceTarget, **fields: Any) -> None:
+        """Declare the service ``s``."""
+        spec = ServiceSpec(targets=list(targets), **fields)
+        self.configuration.declare("s", spec)
+
+    async def send(
+        self, method: str = "GET", sink: Sink | None = None, **fields: Any
+    ) -> Answer:
+        """Send a request to the service ``s``."""
+        return await self.traffic.send(call(method, **fields), sink)
+
+    def seen(self, name: str) -> list[dict[str, Any]]:
+        """Return the events called ``name``."""
+        rows = [event.as_dict() for event in self.events.after(-1)]
+        return [row for row in rows if row["event"] == name]
+
+
+def call(method: str = "GET", seconds: float = 5.0, **fields: Any) -> Call:
+    """Return a call to the service ``s``."""
+    values = {
+        "service": "s",
+        "path": "x",
+        "request": "r1",
+        "caller": "c1",
+        "deadline": asyncio.get_running_loop().time() + seconds,
+    }
+    return Call(method=method, **(values | fields))
+
+
+class MemoryLog(Log):
+    """A log in memory; several hosts may share its ``streams``.
+
+    ``lose`` appends take effect but have no answer; ``delay`` ones take effect
+    that much later, and have no answer either.
+    """
+
+    def __init__(self, streams: dict[str, list[Record]] | None = None) -> None:
+        super().__init__()
+        self.streams = {} if streams is None else streams
+        self.down = False
+        self.lose = 0
+        self.delay = 0.0
+        self.appends = 0
+        self.clock = 0.0
+
+    async def append(self, stream: str, values: list[Any]) -> int:
+        await asyncio.sleep(0.001)
+        if self.down:
+            raise LogUnavailableError("down")
+        self.appends += 1
+        if self.delay:
+            later = asyncio.get_running_loop()
+            later.call_later(self.delay, self._add, stream, values)
+            raise AppendUnknownError("slow")
+        offset = self._add(stream, values)
+        if self.lose:
+            self.lose -= 1
+            raise AppendUnknownError("lost")
+        return offset
+
+    def _add(self, stream: str, values: list[Any]) -> int:
+        records = self.streams.setdefault(stream, [])
+        offset = records[-1].offset + 1 if records else 0
+        for n, value in enumerate(values):
+            records.append(Record(offset + n, self.clock, value))
+        return offset
+
+    async def read(self, stream: str, start: int, limit: int, wait: float) -> Batch:
+        ends_at = asyncio.get_running_loop().time() + wait
+        while True:
+            await asyncio.sleep(0.001)
+            if self.down:
+                raise LogReadError("down")
+            kept = self.streams.get(stream, [])
+            rows = [record for record in kept if record.offset >= start][:limit]
+            late = asyncio.get_running_loop().time() >= ends_at
+            if rows or late:
+                first = kept[0].offset if kept else 0
+                after = rows[-1].offset + 1 if rows else start
+                return Batch(rows, first, after)
+            await asyncio.sleep(0.01)
+
+
+class ScriptedEngine(EngineClient):
+    """Gives ``total`` pieces, one a tenth of a second; breaks where it is told to.
+
+    :param cuts: the connection breaks before each of these numbers, once each.
+    """
+
+    def __init__(self, total: int, cuts: set[int] | None = None) -> None:
+        self.total = total
+        self.cuts = cuts or set()
+        self.started: list[StreamOrder] = []
+        self.resumed: list[int] = []
+        self.cancelled: list[str] = []
+
+    async def generate(self, order: StreamOrder) -> AsyncIterator[Piece]:
+        self.started.append(order)
+        async for piece in self._from(0):
+            yield piece
+
+    async def resume(self, stream: str, start: int) -> AsyncIterator[Piece]:
+        self.resumed.append(start)
+        async for piece in self._from(start):
+            yield piece
+
+    async def _from(self, start: int) -> AsyncIterator[Piece]:
+        for seq in range(start, self.total):
+            await asyncio.sleep(0.1)
+            if seq in self.cuts:
+                self.cuts.discard(seq)
+                raise StreamCutError("cut")
+            yield Piece(seq, 1, f"{seq} ", 3, seq == self.total - 1)
+
+    async def cancel(self, stream: str) -> None:
+        self.cancelled.append(stream)
+
+    async def load(self) -> Any:
+        raise NotImplementedError
+
+    async def state(self) -> Any:
+        raise NotImplementedError
+
+    async def order(self, order: Any) -> None:
+        raise NotImplementedError
--- /dev/null
+++ b/tests/test_traffic.py
@@ -0,0 +1,458 @@
+"""Tests of request traffic: where a request goes, and what is said when it fails."""
+
+import asyncio
+import random
+import unittest
+
+from cranberryrun.exceptions import (
+    CallerGoneError,
+    DeadlineError,
+    InvalidInputError,
+    NoTargetError,
+    NotFoundError,
+    TargetFailedError,
+    TargetRefusedError,
+    TargetTimeoutError,
+    TargetUnreachableError,
+    TruncatedAnswerError,
+)
+from cranberryrun.models import ServiceTarget
+from cranberryrun.pauses import Pauses
+from cranberryrun.peers import Peers
+from cranberryrun.retries import Attempts, RetryBudget
+from cranberryrun.routing import TwoChoices
+from cranberryrun.services import Answer, Call, ServiceClient, Sink
+from cranberryrun.targets import Targets
+from cranberryrun.views import LEAVING, Fact, FactKind
+
+from .doubles import (
+    ListSink,
+    RawTarget,
+    ScriptedEngine,
+    StubMembership,
+    TrafficHost,
+    answer,
+    drop,
+    refuse,
+    settings,
+)
+from .virtual import VirtualTimeTestCase
+
+PROMPT = b'{"group": "g", "prompt": "hello", "samples": 1}'
+
+
+class ScriptedClient(ServiceClient):
+    """Takes ``seconds`` for each request, then answers or raises what is next."""
+
+    def __init__(self, seconds: float = 0.1, *script: Exception | None) -> None:
+        self.seconds = seconds
+        self.script = list(script)
+        self.calls: list[Call] = []
+
+    async def send(
+        self, call: Call, repeatable: bool, patience: float, sink: Sink | None = None
+    ) -> Answer:
+        self.calls.append(call)
+        left = call.deadline - asyncio.get_running_loop().time()
+        try:
+            async with asyncio.timeout(min(left, patience)):
+                await asyncio.sleep(self.seconds)
+        except TimeoutError:
+            raise TargetTimeoutError("silent") from None
+        error = self.script.pop(0) if self.script else None
+        if error is not None:
+            raise error
+        return Answer(200, {}, b"ok")
+
+
+def target(name: str, zone: str = "z1") -> ServiceTarget:
+    """Return a declared target."""
+    return ServiceTarget(id=name, url="http://127.0.0.1:1", zone=zone)
+
+
+class RoutingTests(VirtualTimeTestCase):
+    """Which target gets a request, on the virtual clock."""
+
+    async def asyncSetUp(self) -> None:
+        self.host = TrafficHost()
+        await self.host.__aenter__()
+        self.addAsyncCleanup(self.host.__aexit__)
+
+    def _clients(self, **clients: ScriptedClient) -> None:
+        self.host.traffic.client_by_id.update(clients)
+        targets = [target(name, f"z{name[-1]}") for name in clients]
+        self.host.declare(*targets)
+
+    async def test_same_zone_first_then_any(self) -> None:
+        near, far = ScriptedClient(), ScriptedClient()
+        self._clients(t1=near, t2=far)
+        for _ in range(10):
+            await self.host.send()
+        self.assertEqual((len(near.calls), len(far.calls)), (10, 0))
+
+    async def test_leaving_target_gets_nothing(self) -> None:
+        near, far = ScriptedClient(), ScriptedClient()
+        self._clients(t1=near, t2=far)
+        self.host.membership.learn([Fact(FactKind.TARGET, "t1", 0, LEAVING)])
+        for _ in range(10):
+            await self.host.send()
+        self.assertEqual((len(near.calls), len(far.calls)), (0, 10))
+        self.host.membership.learn([Fact(FactKind.TARGET, "t2", 0, LEAVING)])
+        with self.assertRaises(NoTargetError) as caught:
+            await self.host.send()
+        self.assertTrue(caught.exception.problem()["not_run"])
+        self.assertTrue(caught.exception.retry_after)
+
+    async def test_silent_target_gets_nothing_after_a_few_seconds(self) -> None:
+        silent, good = ScriptedClient(seconds=3600), ScriptedClient()
+        self._clients(t1=silent, t2=good)
+        first = asyncio.create_task(self.host.send("POST", seconds=60))
+        await asyncio.sleep(4)
+        for _ in range(20):
+            await self.host.send("POST")
+        self.assertEqual((len(silent.calls), len(good.calls)), (1, 20))
+        first.cancel()
+
+    async def test_reading_leaves_a_silent_target_in_time(self) -> None:
+        silent, good = ScriptedClient(seconds=3600), ScriptedClient()
+        self._clients(t1=silent, t2=good)
+        got = await self.host.send("GET", seconds=10)
+        self.assertEqual(got.status, 200)
+        self.assertLess(self.now(), 5)
+
+    async def test_slow_service_is_not_taken_for_silent(self) -> None:
+        slow = ScriptedClient(seconds=8)
+        self._clients(t1=slow)
+        tasks = []
+        for _ in range(5):
+            tasks.append(asyncio.create_task(self.host.send("POST", seconds=60)))
+            await asyncio.sleep(4)
+        answers = await asyncio.gather(*tasks)
+        self.assertEqual([each.status for each in answers], [200] * 5)
+
+    async def test_breaker_opens_probes_and_closes(self) -> None:
+        failing = ScriptedClient(0.1, *[TargetFailedError("x")] * 2)
+        good = ScriptedClient()
+        self._clients(t1=failing, t2=good)
+        with self.assertRaises(TargetFailedError):
+            await self.host.send("POST")
+        await self.host.send("POST")
+        self.assertEqual(len(failing.calls), 1)
+        await asyncio.sleep(1)
+        results = await asyncio.gather(
+            *[self.host.send("POST") for _ in range(5)], return_exceptions=True
+        )
+        self.assertEqual(len(failing.calls), 2)
+        failures = [each for each in results if isinstance(each, Exception)]
+        self.assertEqual(len(failures), 1)
+        await asyncio.sleep(5)
+        await self.host.send("POST")
+        self.assertEqual(len(self.host.seen("target_failed")), 1)
+        self.assertEqual(len(self.host.seen("target_back")), 1)
+
+    async def test_only_failing_targets_are_probed_one_at_a_time(self) -> None:
+        failing = ScriptedClient(1, TargetFailedError("x"))
+        self._clients(t1=failing)
+        with self.assertRaises(TargetFailedError):
+            await self.host.send("POST")
+        results = await asyncio.gather(
+            *[self.host.send("POST") for _ in range(5)], return_exceptions=True
+        )
+        refused = [each for each in results if isinstance(each, NoTargetError)]
+        self.assertEqual((len(refused), len(failing.calls)), (4, 2))
+
+    async def test_one_refusal_does_not_take_a_target_out(self) -> None:
+        busy = ScriptedClient(0.1, TargetRefusedError("busy"))
+        self._clients(t1=busy)
+        self.assertEqual((await self.host.send("POST")).status, 200)
+        self.assertEqual(len(busy.calls), 2)
+
+    async def test_short_deadline_of_a_caller_blames_no_target(self) -> None:
+        self._clients(t1=ScriptedClient(seconds=1))
+        for _ in range(5):
+            with self.assertRaises(TargetTimeoutError):
+                await self.host.send("POST", seconds=0.5)
+        self.assertEqual(self.host.seen("target_failed"), [])
+        with self.assertRaises(DeadlineError):
+            await self.host.send("POST", seconds=0)
+
+    async def test_unknown_service(self) -> None:
+        with self.assertRaises(NotFoundError):
+            await self.host.send(service="none")
+
+    async def test_deadline_is_carried_through(self) -> None:
+        client = ScriptedClient()
+        self._clients(t1=client)
+        await self.host.send(seconds=2)
+        self.assertEqual(client.calls[0].deadline, 2)
+
+    async def test_removed_target_is_forgotten(self) -> None:
+        targets = Targets(lambda each: ScriptedClient(), 3)
+        targets.declare([target("t1"), target("t2")])
+        kept = targets.by_id["t1"]
+        targets.declare([target("t1")])
+        self.assertEqual(targets.by_id, {"t1": kept})
+        policy = TwoChoices(random.Random(1))
+        self.assertIs(targets.choose(policy, "z1", lambda each: False, {"t1"}), kept)
+
+
+class RetryTests(VirtualTimeTestCase):
+    """When a request is sent again, and what is said in the end."""
+
+    async def asyncSetUp(self) -> None:
+        self.host = TrafficHost()
+        await self.host.__aenter__()
+        self.addAsyncCleanup(self.host.__aexit__)
+        self.first = ScriptedClient()
+        self.second = ScriptedClient()
+        self.host.traffic.client_by_id = {"t1": self.first, "t2": self.second}
+        self.host.declare(target("t1", "z1"), target("t2", "z2"))
+
+    def _counts(self) -> tuple[int, int]:
+        return len(self.first.calls), len(self.second.calls)
+
+    async def test_what_was_not_run_goes_to_another(self) -> None:
+        for error in (TargetRefusedError("x"), TargetUnreachableError("x")):
+            self.first.script = [error]
+            self.assertEqual((await self.host.send("POST")).status, 200)
+            await asyncio.sleep(20)
+        self.assertEqual(self._counts(), (2, 2))
+        self.assertEqual(len(self.host.seen("request_retried")), 2)
+
+    async def test_what_may_have_run_is_repeated_only_if_declared(self) -> None:
+        self.first.script = [TargetFailedError("x")]
+        with self.assertRaises(TargetFailedError):
+            await self.host.send("POST")
+        self.assertEqual(self._counts(), (1, 0))
+        await asyncio.sleep(20)
+        self.first.script = [TargetFailedError("x")]
+        self.assertEqual((await self.host.send("GET")).status, 200)
+        self.assertEqual(self._counts(), (2, 1))
+
+    async def test_keyed_call_is_never_repeated_after_a_failure(self) -> None:
+        self.first.script = [TargetFailedError("x")]
+        with self.assertRaises(TargetFailedError):
+            await self.host.send("GET", key="k")
+        self.assertEqual(self._counts(), (1, 0))
+
+    async def test_later_refusal_does_not_hide_an_earlier_run(self) -> None:
+        for later in (TargetRefusedError("x"), TargetUnreachableError("x")):
+            with self.subTest(later.code):
+                self.first.script = [TargetFailedError("x")]
+                self.second.script = [later] * 3
+                with self.assertRaises(TargetFailedError) as caught:
+                    await self.host.send("GET")
+                self.assertNotIn("not_run", caught.exception.problem())
+                await asyncio.sleep(20)
+
+    async def test_no_target_left_does_not_hide_an_earlier_run(self) -> None:
+        self.first.script = [TargetFailedError("x")]
+
+        def leave(*error: object) -> None:
+            facts = [Fact(FactKind.TARGET, each, 0, LEAVING) for each in ("t1", "t2")]
+            self.host.membership.learn(facts)
+
+        asyncio.get_running_loop().call_later(0.05, leave)
+        with self.assertRaises(TargetFailedError):
+            await self.host.send("GET")
+
+    async def test_budget_bounds_retries_in_an_outage(self) -> None:
+        self.first.script = [TargetUnreachableError("x")] * 1000
+        self.second.script = [TargetUnreachableError("x")] * 1000
+        sent = 300
+        for _ in range(sent):
+            with self.assertRaises((TargetUnreachableError, NoTargetError)):
+                await self.host.send("GET")
+        share = self.host.settings.limits.retry_share
+        self.assertLessEqual(sum(self._counts()), sent * (1 + share) + 10)
+
+    def test_attempts_end(self) -> None:
+        attempts = Attempts(True, RetryBudget(1.0))
+        errors = [TargetFailedError("x") for _ in range(3)]
+        self.assertEqual(
+            [attempts.may_repeat(error) for error in errors], [True, True, False]
+        )
+        self.assertIs(attempts.verdict(TargetRefusedError("x")), errors[2])
+        gone = CallerGoneError("x")
+        self.assertIs(attempts.verdict(gone), gone)
+        self.assertFalse(Attempts(True, RetryBudget(1.0)).may_repeat(gone))
+
+
+class EngineTrafficTests(VirtualTimeTestCase):
+    """Requests that an engine of a pool answers."""
+
+    async def asyncSetUp(self) -> None:
+        self.host = TrafficHost()
+        await self.host.__aenter__()
+        self.addAsyncCleanup(self.host.__aexit__)
+
+    def _declare(self, *engines: ScriptedEngine, **fields: object) -> None:
+        for n, engine in enumerate(engines):
+            self.host.engines.add(f"e{n}", engine)
+        self.host.declare(pool="p1", **fields)
+
+    async def test_pieces_are_passed_on_as_they_come(self) -> None:
+        self._declare(ScriptedEngine(5))
+        sink = ListSink()
+        task = asyncio.create_task(self.host.send("POST", body=PROMPT, sink=sink))
+        await asyncio.sleep(0.35)
+        self.assertEqual(len(sink.parts), 3)
+        self.assertTrue((await task).streamed)
+        self.assertEqual(len(sink.parts), 5)
+
+    async def test_cut_stream_is_resumed_without_a_gap_or_a_double(self) -> None:
+        engine = ScriptedEngine(6, cuts={0, 2, 5})
+        self._declare(engine)
+        got = await self.host.send("POST", body=PROMPT, seconds=60)
+        texts = [line.split(b'"')[3] for line in got.body.splitlines()]
+        self.assertEqual(b"".join(texts), b"0 1 2 3 4 5 ")
+        self.assertEqual(engine.resumed, [0, 2, 5])
+        self.assertEqual((len(engine.started), engine.cancelled), (1, []))
+
+    async def test_stream_that_stays_cut_breaks_the_answer(self) -> None:
+        class Broken(ScriptedEngine):
+            async def resume(self, stream, start):
+                self.cuts.add(start)
+                async for piece in super().resume(stream, start):
+                    yield piece
+
+        engine = Broken(6, cuts={3})
+        self._declare(engine, repeatable=["POST"])
+        sink = ListSink()
+        with self.assertRaises(TruncatedAnswerError):
+            await self.host.send("POST", body=PROMPT, sink=sink, seconds=60)
+        await asyncio.sleep(0)
+        self.assertEqual((len(sink.parts), len(engine.started)), (3, 1))
+        self.assertEqual(engine.cancelled, [engine.started[0].stream])
+
+    async def test_stream_is_cancelled_when_the_caller_goes(self) -> None:
+        class GoneSink(ListSink):
+            async def write(self, data: bytes) -> None:
+                raise CallerGoneError("gone")
+
+        engine = ScriptedEngine(50)
+        self._declare(engine)
+        with self.assertRaises(CallerGoneError):
+            await self.host.send("POST", body=PROMPT, sink=GoneSink())
+        task = asyncio.create_task(self.host.send("POST", body=PROMPT))
+        await asyncio.sleep(0.5)
+        task.cancel()
+        await asyncio.sleep(0.1)
+        self.assertEqual(engine.cancelled, [order.stream for order in engine.started])
+        self.assertEqual(self.host.engines.by_name["e0"].in_flight, 0)
+
+    async def test_stream_is_cancelled_at_the_deadline(self) -> None:
+        engine = ScriptedEngine(50)
+        self._declare(engine)
+        with self.assertRaises(TargetFailedError):
+            await self.host.send("POST", body=PROMPT, seconds=1)
+        await asyncio.sleep(0)
+        self.assertEqual(len(engine.cancelled), 1)
+        self.assertTrue(self.host.engines.by_name["e0"].health.usable())
+
+    async def test_equal_requests_never_share_a_stream(self) -> None:
+        engine = ScriptedEngine(2)
+        self._declare(engine)
+        await asyncio.gather(
+            *[self.host.send("POST", body=PROMPT, request="same") for _ in range(3)]
+        )
+        self.assertEqual(len({order.stream for order in engine.started}), 3)
+
+    async def test_equal_prompts_go_to_one_engine(self) -> None:
+        engines = [ScriptedEngine(1) for _ in range(4)]
+        self._declare(*engines)
+        for _ in range(8):
+            await self.host.send("POST", body=PROMPT)
+        self.assertEqual(
+            sorted(len(engine.started) for engine in engines), [0, 0, 0, 8]
+        )
+
+    async def test_bad_prompt_names_its_field(self) -> None:
+        self._declare(ScriptedEngine(1))
+        with self.assertRaises(InvalidInputError) as caught:
+            await self.host.send("POST", body=b'{"group": "g"}')
+        self.assertTrue(caught.exception.problem()["not_run"])
+
+
+class PauseTests(VirtualTimeTestCase):
+    """Views are renewed before work goes on after a pause."""
+
+    async def test_old_views_are_renewed_once(self) -> None:
+        reads = 0
+
+        class CountingMembership(StubMembership):
+            async def read_list(self) -> None:
+                nonlocal reads
+                reads += 1
+                await asyncio.sleep(0.5)
+                self.take_list([])
+
+        host = TrafficHost()
+        pauses = Pauses(host.settings)
+        membership = CountingMembership(host.settings, 1)
+        for service in (pauses, membership, _SilentPeers()):
+            host.kernel._by_name[service.name] = service
+            service.attach(host.kernel)
+        async with host:
+            await pauses.renew_if_old()
+            self.assertEqual(reads, 0)
+            await asyncio.sleep(host.settings.timing.view_limit + 1)
+            await asyncio.gather(*[pauses.renew_if_old() for _ in range(9)])
+            self.assertEqual(reads, 1)
+            # A process that did not run sees the clock jump between two ticks.
+            pauses._ticked_at -= 60
+            await pauses.renew_if_old()
+            self.assertEqual(reads, 2)
+            self.assertEqual(len(host.seen("host_paused")), 1)
+
+
+class _SilentPeers(Peers):
+    """No peer answers."""
+
+    def __init__(self) -> None:
+        super().__init__(settings(), random.Random(1))
+
+    async def start(self) -> None:
+        return
+
+    async def spread_now(self) -> list[str]:
+        return []
+
+
+class WireTests(unittest.IsolatedAsyncioTestCase):
+    """Whole requests against targets that count what they were sent."""
+
+    async def test_refusals_and_failures_at_raw_targets(self) -> None:
+        async with TrafficHost() as host:
+            async with RawTarget(refuse()) as first, RawTarget(answer()) as second:
+                host.declare(first.target("t1"), second.target("t2", "z2"))
+                self.assertEqual((await host.send("POST", body=b"{}")).body, b"ok")
+                self.assertEqual(len(first.requests), 1)
+                self.assertEqual(len(second.requests), 1)
+            async with RawTarget(drop) as first, RawTarget(answer()) as second:
+                host.declare(first.target("t1"), second.target("t2", "z2"))
+                with self.assertRaises(TargetFailedError):
+                    await host.send("DELETE")
+                self.assertEqual(len(first.requests) + len(second.requests), 1)
+
+    async def test_answers_out_of_order_stay_with_their_requests(self) -> None:
+        rng = random.Random(3)
+
+        def echo(target: RawTarget):
+            async def script(writer: asyncio.StreamWriter) -> None:
+                path = target.requests[-1][0].split()[1].encode()
+                await asyncio.sleep(rng.uniform(0, 0.05))
+                await answer(path)(writer)
+
+            return script
+
+        async with TrafficHost() as host:
+            target = RawTarget(drop)
+            target._scripts = [echo(target)]
+            async with target:
+                host.declare(target.target())
+                paths = [f"p/{n}" for n in range(40)]
+                answers = await asyncio.gather(
+                    *[host.send(path=each) for each in paths]
+                )
+        self.assertEqual([got.body.decode()[1:] for got in answers], paths)
