Put the decisions of steps and weight loads behind base classes

Cause: stragglers, freshness, pacing and budgets could not be exchanged or driven without a host. Each is now a policy over plain data classes, with its baseline beside it.

--- a/cranberryrun/samples.py
+++ b/cranberryrun/samples.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from contextlib import aclosing
 from dataclasses import dataclass, field
 
@@ -18,6 +19,7 @@
 )
 from .models import Placement, Sample, VersionSpan
 
+TooOld = Callable[[int | None, int], bool]
 _MAX_RESUMES = 5
 _RESUME_PAUSE_SECONDS = 0.2
 
@@ -48,6 +50,7 @@
     stream: str
     pieces: list[Piece] = field(default_factory=list)
     began_at: float = 0.0
+    newest_at_dispatch: int = -1
 
     @property
     def oldest(self) -> int | None:
@@ -103,13 +106,13 @@
     attempt: Attempt,
     order: StreamOrder,
     engines: Engines,
-    oldest_allowed: object,
+    too_old: TooOld,
     resume: bool,
 ) -> Sample:
     """Run or resume the attempt's stream until it is whole, through cuts.
 
-    :param oldest_allowed: a callable that returns the oldest version that may be
-        handed over now.
+    :param too_old: says whether a sample with this oldest version, begun when
+        this version was the newest, may no longer be handed over.
     :param resume: whether the stream should be there already.
     :raises TooOldError: a piece is older than that.
     :raises StreamLostError, UnstampedStreamError: the sample must be made again.
@@ -121,7 +124,7 @@
     try:
         while True:
             try:
-                await _read(attempt, order, oldest_allowed, resume)
+                await _read(attempt, order, too_old, resume)
                 engines.answered(engine)
                 return attempt.sample()
             except StreamExistsError:
@@ -143,7 +146,7 @@
 
 
 async def _read(
-    attempt: Attempt, order: StreamOrder, oldest_allowed, resume: bool
+    attempt: Attempt, order: StreamOrder, too_old: TooOld, resume: bool
 ) -> None:
     client = attempt.engine.client
     if resume:
@@ -155,5 +158,5 @@
             attempt.pieces.append(piece)
             if piece.version is None:
                 raise UnstampedStreamError(f"piece {piece.seq} has no version")
-            if piece.version < oldest_allowed():
+            if too_old(attempt.oldest, attempt.newest_at_dispatch):
                 raise TooOldError(f"version {piece.version} is too old")
--- a/cranberryrun/steps.py
+++ b/cranberryrun/steps.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 from typing import Any
 
 from . import clock
+from .budgets import BudgetPolicy, DeclaredRate, Demand
 from .configuration import Configuration
 from .engines import Engine, Engines, StreamOrder
 from .events import Events
@@ -21,6 +22,7 @@
     StreamLostError,
     UnstampedStreamError,
 )
+from .freshness import AtHandOver, FreshnessPolicy, SampleAge
 from .kernel import Service
 from .membership import Membership
 from .models import (
@@ -37,16 +39,30 @@
 from .samples import Attempt, Slot, TooOldError, collect
 from .settings import Settings
 from .state import Resource
+from .stragglers import (
+    SecondAttempts,
+    SlotProgress,
+    StepProgress,
+    StragglerPolicy,
+)
 from .versions import Versions
 from .views import Fact, FactKind
 
 Send = Callable[[Any], Awaitable[None]]
 _TICK_SECONDS = 0.25
 _NO_ENGINE_PAUSE_SECONDS = 0.2
-_STRAGGLER_FACTOR = 2.0
 _MOVED_RETRY_SECONDS = 0.2
 
 
+@dataclass(frozen=True, slots=True)
+class StepPolicies:
+    """The decisions of steps that can be exchanged."""
+
+    stragglers: StragglerPolicy = field(default_factory=SecondAttempts)
+    freshness: FreshnessPolicy = field(default_factory=AtHandOver)
+    budget: BudgetPolicy = field(default_factory=DeclaredRate)
+
+
 class StepRun:
     """One step at this host, for one call of its trainer."""
 
@@ -70,9 +86,11 @@
         self._began_ms = self._begin_ms()
         self._deadline = clock.now() + request.deadline_seconds
         self._slots_by_key = _missing(request)
+        self._total = len(self._slots_by_key)
         self._whole_by_key: dict[tuple[str, int], Sample] = {}
         self._attempts_by_key: dict[tuple[str, int], list[Attempt]] = {}
         self._makers_by_key: dict[tuple[str, int], set[asyncio.Task[Any]]] = {}
+        self._dispatched_by_key: dict[tuple[str, int], int] = {}
         self._durations: list[float] = []
         self._news = asyncio.Event()
         self._moving = asyncio.Event()
@@ -94,8 +112,13 @@
             for engine in self._engines.by_name.values()
             if engine.spec.pool == spec.pool
         ]
-        mean_slots = sum(slots) / len(slots) if slots else 1
-        return max(1, math.ceil(spec.rate / spec.trainers * mean_slots))
+        demand = Demand(
+            rate=spec.rate,
+            trainers=spec.trainers,
+            slots=sum(slots) / len(slots) if slots else 1,
+            pool_slots=sum(slots),
+        )
+        return self._steps.policies.budget.streams(demand)
 
     def move(self) -> None:
         """Tell the trainer to call another host."""
@@ -209,7 +232,11 @@
         if self._versions.view_age() > self._steps.view_limit:
             self._events.emit("hand_over_held", step=self._name, group=group)
             return
-        stale = [key for key in keys if self._is_stale(self._whole_by_key[key])]
+        stale = [
+            key
+            for key in keys
+            if self._is_stale(self._whole_by_key[key], self._dispatched_by_key[key])
+        ]
         for key in stale:
             self._events.emit("sample_stale", step=self._name, slot=key)
             del self._whole_by_key[key]
@@ -231,9 +258,15 @@
         newest = self._versions.newest(self._workload.name)
         return newest - self._workload.spec.freshness_bound
 
-    def _is_stale(self, sample: Sample) -> bool:
+    def _is_stale(self, sample: Sample, newest_at_dispatch: int) -> bool:
         oldest = min(span.version for span in sample.versions)
-        return oldest < self._oldest_allowed()
+        return self._too_old(oldest, newest_at_dispatch)
+
+    def _too_old(self, oldest: int | None, newest_at_dispatch: int) -> bool:
+        newest = self._versions.newest(self._workload.name)
+        age = SampleAge(oldest, newest, newest_at_dispatch)
+        bound = self._workload.spec.freshness_bound
+        return self._steps.policies.freshness.too_old(age, bound)
 
     async def _make(self, slot: Slot, placement: Placement | None) -> None:
         """Make the slot's sample, again and again until it is whole."""
@@ -267,7 +300,7 @@
                 attempt,
                 self._order(attempt),
                 self._engines,
-                self._oldest_allowed,
+                self._too_old,
                 resume,
             )
             whole = True
@@ -285,6 +318,7 @@
         if slot.key in self._whole_by_key or slot.key not in self._slots_by_key:
             return
         self._whole_by_key[slot.key] = sample
+        self._dispatched_by_key[slot.key] = attempt.newest_at_dispatch
         self._durations.append(clock.now() - attempt.began_at)
         self._events.emit(
             "sample_whole", step=self._name, slot=slot.key, stream=attempt.stream
@@ -308,7 +342,7 @@
         if not placement.stream.startswith(self._stream_prefix(slot)):
             return None
         self._events.emit("sample_resumed", step=self._name, stream=placement.stream)
-        return Attempt(slot, engine, placement.stream, began_at=clock.now())
+        return self._attempt(slot, engine, placement.stream)
 
     async def _new_attempt(self, slot: Slot) -> Attempt:
         engine = await self._engine_for(slot)
@@ -321,7 +355,13 @@
             engine=engine.name,
             stream=stream,
         )
-        return Attempt(slot, engine, stream, began_at=clock.now())
+        return self._attempt(slot, engine, stream)
+
+    def _attempt(self, slot: Slot, engine: Engine, stream: str) -> Attempt:
+        newest = self._versions.newest(self._workload.name)
+        return Attempt(
+            slot, engine, stream, began_at=clock.now(), newest_at_dispatch=newest
+        )
 
     def _stream_prefix(self, slot: Slot) -> str:
         step = self._name.replace("/", ".")
@@ -358,24 +398,35 @@
         )
 
     def _help_stragglers(self) -> None:
-        """Start a second attempt for the last few slots that run far too long."""
-        missing = [
-            key
+        progress = self._progress()
+        for key in self._steps.policies.stragglers.second_attempts(progress):
+            self._events.emit("second_attempt", step=self._name, slot=key)
+            self._start_maker(self._slots_by_key[key])
+
+    def _progress(self) -> StepProgress:
+        running = [
+            SlotProgress(
+                key=key,
+                attempts=max(len(rows), len(self._makers_by_key[key])),
+                elapsed=clock.now() - rows[0].began_at,
+            )
             for key, rows in self._attempts_by_key.items()
             if rows and key not in self._whole_by_key
         ]
-        if not self._durations or len(missing) > max(1, len(self._durations) // 8):
-            return
-        typical = sorted(self._durations)[len(self._durations) // 2]
-        for key in missing:
-            attempts = self._attempts_by_key[key]
-            elapsed = clock.now() - attempts[0].began_at
-            if len(attempts) > 1 or len(self._makers_by_key[key]) > 1:
-                continue
-            if elapsed < typical * _STRAGGLER_FACTOR:
-                continue
-            self._events.emit("second_attempt", step=self._name, slot=key)
-            self._start_maker(attempts[0].slot)
+        missing = len(self._slots_by_key) - len(self._whole_by_key)
+        return StepProgress(
+            total=self._total,
+            whole=self._total - missing,
+            waiting=missing - len(running),
+            running=running,
+            idle_slots=self._idle_slots(),
+            durations=self._durations,
+            spent=sum(self._durations) + sum(each.elapsed for each in running),
+        )
+
+    def _idle_slots(self) -> int:
+        engines = self._engines.usable(self._workload.spec.pool)
+        return sum(max(0, each.spec.slots - each.in_flight) for each in engines)
 
 
 def _missing(request: StepRequest) -> dict[tuple[str, int], Slot]:
@@ -399,10 +450,15 @@
     requires = ("engines", "versions", "configuration")
 
     def __init__(
-        self, settings: Settings, policy: RoutingPolicy, rng: random.Random
+        self,
+        settings: Settings,
+        policy: RoutingPolicy,
+        rng: random.Random,
+        policies: StepPolicies | None = None,
     ) -> None:
         super().__init__()
         self.policy = policy
+        self.policies = policies or StepPolicies()
         self.zone = settings.zone
         self.checkpoint_seconds = settings.timing.checkpoint
         self.view_limit = settings.timing.view_limit
--- a/cranberryrun/weights.py
+++ b/cranberryrun/weights.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections import defaultdict
 
 from .configuration import Configuration
@@ -12,6 +11,7 @@
 from .exceptions import CranberryrunError, StaleFenceError
 from .kernel import Service
 from .membership import Membership
+from .pacing import PacingPolicy, Rollout, RolloutEngine, StaggeredLoads
 from .rendezvous import owner_of, score
 from .settings import Settings
 from .state import Resource
@@ -34,9 +34,13 @@
     name = "weights"
     requires = ("engines", "versions")
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, pacing: PacingPolicy | None = None) -> None:
         super().__init__()
         self._settings = settings
+        limits = settings.limits
+        self._pacing = pacing or StaggeredLoads(
+            limits.weight_loads_at_once, limits.away_share
+        )
         self._orders_by_want: dict[tuple[str, str, int], int] = defaultdict(int)
         self._confirmed: dict[tuple[str, str], int] = {}
 
@@ -93,14 +97,25 @@
 
     def _may_load(self, workload: Resource, behind: list[Engine]) -> list[Engine]:
         """Return the engines of ``behind`` that may be loading now."""
+        behind_by_name = {engine.name: engine for engine in behind}
         pool = [
             engine
             for engine in self.kernel.get(Engines).by_name.values()
             if engine.spec.pool == workload.spec.pool
         ]
-        share = math.floor(len(pool) * self._settings.limits.away_share)
-        most = max(1, min(share, self._settings.limits.weight_loads_at_once))
-        return behind[:most]
+        pool.sort(key=lambda engine: score(engine.name, workload.name))
+        rollout = Rollout(
+            [
+                RolloutEngine(
+                    each.name,
+                    seen=each.state is not None,
+                    loaded=each.name not in behind_by_name,
+                )
+                for each in pool
+            ]
+        )
+        names = self._pacing.may_load(rollout)
+        return [behind_by_name[name] for name in names if name in behind_by_name]
 
     async def _order(self, engine: Engine, workload: str, version: int) -> None:
         loaded = engine.state.by_workload.get(workload) if engine.state else None
