--- /dev/null
+++ b/cranberryrun/ctl.py
@@ -0,0 +1,65 @@
+"""``cranberryctl``: the operators' command line. It talks HTTP to the hosts."""
+
+from __future__ import annotations
+
+import click
+from click.shell_completion import get_completion_class
+
+from . import ctl_fleet, ctl_resources
+from .ctl_control import Control
+
+_PROGRAM = "cranberryctl"
+_SHELLS = ("bash", "zsh", "fish")
+
+
+@click.group(context_settings={"auto_envvar_prefix": "CRANBERRYCTL"})
+@click.option(
+    "--host",
+    "hosts",
+    multiple=True,
+    envvar="CRANBERRYCTL_HOST",
+    default=("http://127.0.0.1:8080",),
+    show_default=True,
+    help="Base URL of an entry host; the next one is tried if it fails.",
+)
+@click.option("--token", help="Bearer token with the operator role.")
+@click.option(
+    "--output",
+    type=click.Choice(["table", "json"]),
+    default="table",
+    show_default=True,
+)
+@click.option("--timeout", type=float, default=30.0, show_default=True, help="Seconds.")
+@click.option("--ca", help="File of the authority of the hosts' certificates.")
+@click.version_option(package_name="cranberryrun")
+@click.pass_context
+def main(
+    context: click.Context,
+    hosts: tuple[str, ...],
+    token: str | None,
+    output: str,
+    timeout: float,
+    ca: str | None,
+) -> None:
+    """Declare and watch cranberryrun's resources, and see what the hosts do.
+
+    Exit codes: 0 done, 1 failed, 2 wrong usage or input, 3 not found,
+    4 conflict, 5 unavailable or refused, 6 outcome unknown.
+    """
+    context.obj = Control(hosts, token, output, timeout, ca)
+
+
+@main.command()
+@click.argument("shell", type=click.Choice(_SHELLS))
+def completion(shell: str) -> None:
+    """Print the completion script of SHELL, for its start-up file."""
+    kind = get_completion_class(shell)
+    click.echo(kind(main, {}, _PROGRAM, "_CRANBERRYCTL_COMPLETE").source())
+
+
+for _command in (*ctl_resources.COMMANDS, *ctl_fleet.COMMANDS):
+    main.add_command(_command)
+
+
+if __name__ == "__main__":
+    main(prog_name=_PROGRAM)
--- a/cranberryrun/exceptions.py
+++ b/cranberryrun/exceptions.py
@@ -273,3 +273,48 @@
 
     code = "host_list"
     status = 503
+
+
+class ControlError(CranberryrunError):
+    """Base of what ``cranberryctl`` reports by itself."""
+
+    code = "control"
+
+
+class UsageError(ControlError):
+    """The command line or an input file is not valid; nothing was sent."""
+
+    code = "usage"
+
+
+class ProblemAnswerError(ControlError):
+    """A host answered with a problem.
+
+    :param problem: the problem object of the answer.
+    """
+
+    code = "problem_answer"
+
+    def __init__(self, answer_status: int, problem: dict[str, Any]) -> None:
+        super().__init__(str(problem.get("detail") or f"status {answer_status}"))
+        self.answer_status = answer_status
+        self.body = problem
+        self.answer_code = str(problem.get("code", ""))
+
+
+class HostsUnreachableError(ControlError):
+    """None of the hosts could be reached; nothing was sent."""
+
+    code = "hosts_unreachable"
+
+
+class ChangeUnknownError(ControlError):
+    """A change was sent and its outcome was not learnt in time."""
+
+    code = "change_unknown"
+
+
+class NotInForceError(ControlError):
+    """A change was made but did not come into force everywhere in time."""
+
+    code = "not_in_force"
