Add the experiment tool: real hosts over fakes on the virtual clock

Cause: the policies had no measurement. Ruled out: a home-made model of the services; the real ones run, only the borders (log, host list, peers, engines, clients) are fakes.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,90 @@
+"""The experiment tool's command line."""
+
+from __future__ import annotations
+
+import time
+
+import click
+
+from .alternatives import POLICIES_BY_NAME
+from .deployments import DEPLOYMENT_BY_NAME, SCENARIO_BY_NAME
+from .report import write
+from .running import Trial, run_trials
+
+_SEEDS = (1, 2, 3, 4, 5)
+_FEW_SEEDS = (1, 2, 3)
+_CURVE_WEIGHTS = (0.0, 0.25, 0.5, 0.75, 1.0)
+
+
+def comparison_trials() -> list[Trial]:
+    """Return the runs of the full comparison."""
+    trials: list[Trial] = []
+    for deployment in DEPLOYMENT_BY_NAME:
+        for policies in POLICIES_BY_NAME:
+            main = policies in ("adopted", "naive")
+            for seed in _SEEDS if main else _FEW_SEEDS:
+                trials.append(Trial(deployment, "healthy", policies, seed))
+        for policies in ("adopted", "naive"):
+            for scenario in ("lost", "faults"):
+                for seed in _FEW_SEEDS:
+                    trials.append(Trial(deployment, scenario, policies, seed))
+        for policies in ("adopted", "no-admission", "unlimited-retries"):
+            trials.append(Trial(deployment, "surge", policies, 1))
+    return trials
+
+
+def curve_trials() -> list[Trial]:
+    """Return the runs of the curve over the declared idle weight."""
+    return [
+        Trial(deployment, "healthy", "adopted", seed, weight)
+        for deployment in DEPLOYMENT_BY_NAME
+        for weight in _CURVE_WEIGHTS
+        for seed in _FEW_SEEDS
+    ]
+
+
+def _report(name: str, trials: list[Trial], workers: int) -> None:
+    began = time.perf_counter()
+    click.echo(write(name, run_trials(trials, workers)))
+    click.echo(f"{len(trials)} runs in {time.perf_counter() - began:.0f} s", err=True)
+
+
+@click.group(invoke_without_command=True)
+@click.option("--workers", default=2, show_default=True)
+@click.pass_context
+def main(context: click.Context, workers: int) -> None:
+    """Run the whole comparison, or one part of it."""
+    context.obj = workers
+    if context.invoked_subcommand is not None:
+        return
+    _report("comparison", comparison_trials(), workers)
+    _report("curve", curve_trials(), workers)
+
+
+@main.command()
+@click.pass_obj
+def curve(workers: int) -> None:
+    """Show what a workload's declared idle weight does."""
+    _report("curve", curve_trials(), workers)
+
+
+@main.command()
+@click.argument("deployment", type=click.Choice(list(DEPLOYMENT_BY_NAME)))
+@click.argument("scenario", type=click.Choice(list(SCENARIO_BY_NAME)))
+@click.argument("policies", type=click.Choice(list(POLICIES_BY_NAME)), nargs=-1)
+@click.option("--seeds", default=1, show_default=True)
+@click.pass_obj
+def trial(
+    workers: int, deployment: str, scenario: str, policies: tuple[str, ...], seeds: int
+) -> None:
+    """Run some policies against each other."""
+    trials = [
+        Trial(deployment, scenario, each, seed)
+        for each in policies
+        for seed in range(1, seeds + 1)
+    ]
+    _report("trial", trials, workers)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/alternatives.py
@@ -0,0 +1,104 @@
+"""Baselines: the simple way to decide, behind the package's base classes."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field, replace
+
+from cranberryrun.budgets import BudgetPolicy, DeclaredRate
+from cranberryrun.freshness import AtDispatch, AtHandOver, FreshnessPolicy
+from cranberryrun.pacing import AllAtOnce, PacingPolicy, StaggeredLoads
+from cranberryrun.routing import (
+    BoundedAffinity,
+    Candidate,
+    Need,
+    RoutingPolicy,
+    TwoChoices,
+)
+from cranberryrun.stragglers import NoSecondAttempts, SecondAttempts, StragglerPolicy
+
+
+class RandomChoice(RoutingPolicy):
+    """Any candidate."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(self, candidates: Sequence[Candidate], need: Need) -> Candidate | None:
+        """See :meth:`RoutingPolicy.choose`."""
+        return self._rng.choice(candidates) if candidates else None
+
+
+class RoundRobin(RoutingPolicy):
+    """Each candidate in its turn."""
+
+    def __init__(self) -> None:
+        self._turn = 0
+
+    def choose(self, candidates: Sequence[Candidate], need: Need) -> Candidate | None:
+        """See :meth:`RoutingPolicy.choose`."""
+        if not candidates:
+            return None
+        self._turn += 1
+        return sorted(candidates, key=lambda each: each.id)[
+            self._turn % len(candidates)
+        ]
+
+
+class LeastReported(RoutingPolicy):
+    """The candidate whose own, late report is the lowest."""
+
+    def choose(self, candidates: Sequence[Candidate], need: Need) -> Candidate | None:
+        """See :meth:`RoutingPolicy.choose`."""
+        return min(candidates, key=lambda each: each.reported, default=None)
+
+
+def _adopted_routing(rng: random.Random) -> RoutingPolicy:
+    return BoundedAffinity(TwoChoices(rng))
+
+
+@dataclass(frozen=True, slots=True)
+class PolicySet:
+    """The decisions of one run. ``routing`` makes a policy for one host."""
+
+    name: str
+    routing: Callable[[random.Random], RoutingPolicy] = _adopted_routing
+    stragglers: StragglerPolicy = field(default_factory=SecondAttempts)
+    freshness: FreshnessPolicy = field(default_factory=AtHandOver)
+    budget: BudgetPolicy = field(default_factory=DeclaredRate)
+    pacing: PacingPolicy | None = None
+    concurrency: int = 64
+    queue: int = 256
+    retry_share: float = 0.1
+    idle_weight: float | None = None
+
+    def with_idle_weight(self, idle_weight: float) -> PolicySet:
+        """Return the same policies for workloads that declare ``idle_weight``."""
+        return replace(self, idle_weight=idle_weight)
+
+    def pacing_for(self, at_once: int, away_share: float) -> PacingPolicy:
+        """Return the pacing policy with a deployment's limits."""
+        return self.pacing or StaggeredLoads(at_once, away_share)
+
+
+ADOPTED = PolicySet("adopted")
+NAIVE = PolicySet(
+    "naive",
+    routing=RandomChoice,
+    stragglers=NoSecondAttempts(),
+    pacing=AllAtOnce(),
+)
+BASELINES = (
+    NAIVE,
+    replace(ADOPTED, name="random-routing", routing=RandomChoice),
+    replace(ADOPTED, name="round-robin", routing=lambda rng: RoundRobin()),
+    replace(ADOPTED, name="least-reported", routing=lambda rng: LeastReported()),
+    replace(ADOPTED, name="no-affinity", routing=TwoChoices),
+    replace(ADOPTED, name="no-second-attempts", stragglers=NoSecondAttempts()),
+    replace(ADOPTED, name="freshness-at-dispatch", freshness=AtDispatch()),
+    replace(ADOPTED, name="all-at-once", pacing=AllAtOnce()),
+    replace(ADOPTED, name="no-admission", concurrency=100_000, queue=1_000_000),
+    replace(ADOPTED, name="unlimited-retries", retry_share=1.0),
+)
+POLICIES_BY_NAME = {each.name: each for each in (ADOPTED, *BASELINES)}
--- /dev/null
+++ b/bench/deployments.py
@@ -0,0 +1,118 @@
+"""The sizes of the two deployments, and the faults that a run may meet."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+
+
+@dataclass(frozen=True, slots=True)
+class WorkloadSize:
+    """A workload: its trainers, and what each of their steps asks for.
+
+    ``rate`` is in engines, ``version_every`` and ``train_seconds`` in seconds.
+    """
+
+    name: str
+    trainers: int
+    rate: float
+    freshness_bound: int
+    groups: int = 6
+    samples: int = 4
+    version_every: float = 150.0
+    train_seconds: float = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """One deployment. Latencies are one way, in seconds; request rates a second."""
+
+    name: str
+    zone_seconds: float
+    client_seconds: float
+    idle_weight: float
+    workloads: tuple[WorkloadSize, ...]
+    pool: str = "rollout"
+    portal_pool: str = "portal"
+    rollout_engines: int = 6
+    portal_engines: int = 3
+    slots: int = 8
+    tokens_per_second: float = 1000.0
+    alone_tokens_per_second: float = 200.0
+    portal_rate: float = 4.0
+    shared_rate: float = 0.5
+
+
+MUSHI = Deployment(
+    name="mushi",
+    zone_seconds=0.001,
+    client_seconds=0.001,
+    idle_weight=0.8,
+    workloads=(
+        WorkloadSize("denoise", trainers=2, rate=4.0, freshness_bound=2),
+        WorkloadSize("stack", trainers=1, rate=2.0, freshness_bound=2),
+    ),
+)
+LAKESHORE = Deployment(
+    name="lakeshore",
+    zone_seconds=0.0015,
+    client_seconds=0.003,
+    idle_weight=0.2,
+    workloads=(
+        WorkloadSize("pathways", trainers=2, rate=4.0, freshness_bound=1),
+        WorkloadSize("waitlist", trainers=1, rate=2.0, freshness_bound=1),
+    ),
+)
+DEPLOYMENT_BY_NAME = {each.name: each for each in (MUSHI, LAKESHORE)}
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Something that goes wrong ``at`` a time and ends ``after`` seconds.
+
+    ``kind`` is crash, slow (an engine), log, host or zone; ``factor`` is the
+    part of its speed that a slow engine keeps.
+    """
+
+    kind: str
+    target: str
+    at: float
+    after: float
+    factor: float = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """What happens during a run of ``seconds``.
+
+    ``surge`` is when the portal's requests rise, for how long and how many times.
+    """
+
+    name: str
+    seconds: float = 600.0
+    faults: tuple[Fault, ...] = ()
+    surge: tuple[float, float, float] | None = None
+
+
+HEALTHY = Scenario("healthy")
+LOST = Scenario(
+    "lost",
+    faults=(
+        Fault("crash", "rollout-1", 150, 450),
+        Fault("crash", "portal-1", 150, 450),
+        Fault("log", "", 150, 300),
+    ),
+)
+FAULTS = Scenario(
+    "faults",
+    faults=(
+        Fault("slow", "rollout-2", 60, 240),
+        Fault("crash", "rollout-3", 120, 30),
+        Fault("log", "", 200, 90),
+        Fault("host", "host-2", 250, 60),
+        Fault("zone", ZONES[2], 400, 60),
+    ),
+)
+SURGE = Scenario("surge", seconds=240.0, surge=(60.0, 40.0, 25.0))
+SCENARIO_BY_NAME = {each.name: each for each in (HEALTHY, LOST, FAULTS, SURGE)}
