Route by the least load of all zones, and bound affinity by streams

Cause: the nearest engines were filled to their last slot before the others got any, so a step's samples ran batched beside idle engines. Ruled out: two random choices and a bound relative to the mean load, both kept in bench as nearest-roomy and mean-bound.

--- a/bench/alternatives.py
+++ b/bench/alternatives.py
@@ -9,12 +9,13 @@
 from cranberryrun.budgets import BudgetPolicy, DeclaredRate
 from cranberryrun.freshness import AtDispatch, AtHandOver, FreshnessPolicy
 from cranberryrun.pacing import AllAtOnce, PacingPolicy, StaggeredLoads
+from cranberryrun.rendezvous import ranked
 from cranberryrun.routing import (
     BoundedAffinity,
     Candidate,
+    LeastLoaded,
     Need,
     RoutingPolicy,
-    TwoChoices,
 )
 from cranberryrun.stragglers import NoSecondAttempts, SecondAttempts, StragglerPolicy
 
@@ -54,8 +55,42 @@
         return min(candidates, key=lambda each: each.reported, default=None)
 
 
+class NearestRoomy(RoutingPolicy):
+    """The less loaded of two random candidates, the same zone's while they last."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(self, candidates: Sequence[Candidate], need: Need) -> Candidate | None:
+        """See :meth:`RoutingPolicy.choose`."""
+        near = [each for each in candidates if each.zone == need.zone]
+        pool = [each for each in near if each.load < 1] or list(candidates)
+        drawn = self._rng.sample(pool, min(2, len(pool)))
+        return min(drawn, key=lambda each: each.load, default=None)
+
+
+class MeanBound(RoutingPolicy):
+    """The prefix's favourite unless it is loaded over a bound of the mean."""
+
+    def __init__(self, rng: random.Random, bound: float = 1.25) -> None:
+        self._otherwise = NearestRoomy(rng)
+        self._bound = bound
+
+    def choose(self, candidates: Sequence[Candidate], need: Need) -> Candidate | None:
+        """See :meth:`RoutingPolicy.choose`."""
+        if need.prefix is None or not candidates:
+            return self._otherwise.choose(candidates, need)
+        by_id = {each.id: each for each in candidates}
+        mean = sum(each.load for each in candidates) / len(candidates)
+        bound = max(1.0 / candidates[0].slots, mean * self._bound)
+        for each_id in ranked(by_id, need.prefix):
+            if by_id[each_id].load <= bound:
+                return by_id[each_id]
+        return self._otherwise.choose(candidates, need)
+
+
 def _adopted_routing(rng: random.Random) -> RoutingPolicy:
-    return BoundedAffinity(TwoChoices(rng))
+    return BoundedAffinity(LeastLoaded(rng))
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +129,9 @@
     replace(ADOPTED, name="random-routing", routing=RandomChoice),
     replace(ADOPTED, name="round-robin", routing=lambda rng: RoundRobin()),
     replace(ADOPTED, name="least-reported", routing=lambda rng: LeastReported()),
-    replace(ADOPTED, name="no-affinity", routing=TwoChoices),
+    replace(ADOPTED, name="mean-bound", routing=MeanBound),
+    replace(ADOPTED, name="nearest-roomy", routing=NearestRoomy),
+    replace(ADOPTED, name="no-affinity", routing=LeastLoaded),
     replace(ADOPTED, name="no-second-attempts", stragglers=NoSecondAttempts()),
     replace(ADOPTED, name="freshness-at-dispatch", freshness=AtDispatch()),
     replace(ADOPTED, name="all-at-once", pacing=AllAtOnce()),
--- a/bench/clients.py
+++ b/bench/clients.py
@@ -92,6 +92,7 @@
     alone_tokens_per_second: float
     client_seconds: float
     calls_by_host: dict[str, set[asyncio.Task[None]]]
+    seed: int
     measures: list[StepMeasure] = field(default_factory=list)
     handed: list[tuple[str, Sample]] = field(default_factory=list)
     waits: list[tuple[float, float]] = field(default_factory=list)
@@ -109,7 +110,7 @@
         return [
             GroupRequest(
                 group=f"g{number}",
-                prompt=f"{self.name}/{self._step}/{number}",
+                prompt=f"{self.seed}/{self.name}/{self._step}/{number}",
                 samples=self.size.samples,
                 max_tokens=_MAX_TOKENS,
                 seed=number * 1000,
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -270,6 +270,7 @@
                         size.alone_tokens_per_second,
                         size.client_seconds,
                         self.calls_by_host,
+                        self._seed,
                     )
                 )
         for service, rate in (
--- a/cranberryrun/host.py
+++ b/cranberryrun/host.py
@@ -17,7 +17,7 @@
 from .membership import Membership
 from .peers import EventPages, Peers
 from .resources import Resources
-from .routing import BoundedAffinity, TwoChoices
+from .routing import BoundedAffinity, LeastLoaded
 from .settings import Settings
 from .steps import Steps
 from .traffic import Traffic
@@ -53,7 +53,7 @@
     def _services(self, rng: random.Random) -> list[Service]:
         settings = self.settings
         timing = settings.timing
-        policy = BoundedAffinity(TwoChoices(rng))
+        policy = BoundedAffinity(LeastLoaded(rng))
         return [
             Events(settings.id, self.incarnation, settings.limits.event_ring),
             HttpClients(timing.connect_timeout),
--- a/cranberryrun/routing.py
+++ b/cranberryrun/routing.py
@@ -7,9 +7,11 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from .rendezvous import ranked
+from .rendezvous import owner_of
 
-_LOAD_BOUND = 1.25
+_DRAWN = 8
+_MARGIN = 1.0
+_ZONE_MARGIN = 0.5
 _REPORT_HALF_LIFE_SECONDS = 2.0
 
 
@@ -53,40 +55,51 @@
         """Return the candidate to use; None if there is none."""
 
 
-class TwoChoices(RoutingPolicy):
-    """The less loaded of two random candidates, the same zone's first."""
+class LeastLoaded(RoutingPolicy):
+    """The least loaded of a few random candidates.
 
-    def __init__(self, rng: random.Random) -> None:
+    A candidate in the same zone may have a little more to do than the others.
+
+    :param drawn: how many candidates are compared.
+    """
+
+    def __init__(self, rng: random.Random, drawn: int = _DRAWN) -> None:
         self._rng = rng
+        self._drawn = drawn
 
     def choose(self, candidates: Sequence[Candidate], need: Need) -> Candidate | None:
         """See :meth:`RoutingPolicy.choose`."""
-        near = [each for each in candidates if each.zone == need.zone]
-        roomy = [each for each in near if each.load < 1]
-        pool = roomy or list(candidates)
-        if not pool:
-            return None
-        drawn = self._rng.sample(pool, min(2, len(pool)))
-        return min(drawn, key=lambda each: each.load)
+        drawn = self._rng.sample(candidates, min(self._drawn, len(candidates)))
+        return min(drawn, key=lambda each: _cost(each, need), default=None)
 
 
 class BoundedAffinity(RoutingPolicy):
-    """The prefix's favourite by rendezvous hash, unless it is loaded over a bound.
+    """The prefix's favourite by rendezvous hash, unless others have less to do.
 
     Without a prefix, what ``otherwise`` chooses.
+
+    :param margin: how many streams more than the least loaded the favourite may
+        have.
     """
 
-    def __init__(self, otherwise: RoutingPolicy) -> None:
+    def __init__(self, otherwise: RoutingPolicy, margin: float = _MARGIN) -> None:
         self._otherwise = otherwise
+        self._margin = margin
 
     def choose(self, candidates: Sequence[Candidate], need: Need) -> Candidate | None:
         """See :meth:`RoutingPolicy.choose`."""
         if need.prefix is None or not candidates:
             return self._otherwise.choose(candidates, need)
-        by_id = {each.id: each for each in candidates}
-        mean = sum(each.load for each in candidates) / len(candidates)
-        bound = max(1.0 / candidates[0].slots, mean * _LOAD_BOUND)
-        for each_id in ranked(by_id, need.prefix):
-            if by_id[each_id].load <= bound:
-                return by_id[each_id]
-        return self._otherwise.choose(candidates, need)
+        least = min(each.load for each in candidates)
+        roomy = {
+            each.id: each
+            for each in candidates
+            if each.load <= least + self._margin / each.slots
+        }
+        favourite = owner_of(roomy, need.prefix)
+        return roomy[favourite] if favourite is not None else None
+
+
+def _cost(candidate: Candidate, need: Need) -> float:
+    far = 0.0 if candidate.zone == need.zone else _ZONE_MARGIN / candidate.slots
+    return candidate.load + far
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,70 @@
+"""Tests of the routing policies."""
+
+import random
+import unittest
+
+from cranberryrun.rendezvous import owner_of
+from cranberryrun.routing import BoundedAffinity, Candidate, LeastLoaded, Need
+
+
+def candidates(*in_flight: int) -> list[Candidate]:
+    """Return candidates of eight slots, in three zones by turns."""
+    return [
+        Candidate(f"e{number}", f"zone-{number % 3}", slots=8, in_flight=count)
+        for number, count in enumerate(in_flight)
+    ]
+
+
+class LeastLoadedTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.policy = LeastLoaded(random.Random(1))
+
+    def test_none_of_none(self) -> None:
+        self.assertIsNone(self.policy.choose([], Need("zone-0")))
+
+    def test_least_loaded_wins_over_the_zone(self) -> None:
+        chosen = self.policy.choose(candidates(3, 1, 3), Need("zone-0"))
+        self.assertEqual(chosen.id, "e1")
+
+    def test_zone_decides_between_equals(self) -> None:
+        chosen = self.policy.choose(candidates(2, 2, 2), Need("zone-2"))
+        self.assertEqual(chosen.id, "e2")
+
+    def test_late_report_counts_less(self) -> None:
+        fresh = Candidate("fresh", "z", slots=8, reported=8, report_age=0.0)
+        late = Candidate("late", "z", slots=8, reported=8, report_age=20.0)
+        self.assertIs(self.policy.choose([fresh, late], Need("z")), late)
+
+    def test_a_step_spreads_over_a_pool(self) -> None:
+        pool = candidates(0, 0, 0, 0, 0, 0)
+        for number in range(24):
+            self.policy.choose(pool, Need(f"zone-{number % 3}")).in_flight += 1
+        self.assertEqual({each.in_flight for each in pool}, {4})
+
+
+class BoundedAffinityTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.policy = BoundedAffinity(LeastLoaded(random.Random(1)))
+
+    def test_favourite_of_idle_ones(self) -> None:
+        pool = candidates(0, 0, 0, 0)
+        chosen = self.policy.choose(pool, Need("zone-0", "a prompt"))
+        self.assertEqual(chosen.id, owner_of([each.id for each in pool], "a prompt"))
+
+    def test_loaded_favourite_is_passed_over(self) -> None:
+        pool = candidates(0, 0, 0, 0)
+        favourite = self.policy.choose(pool, Need("zone-0", "a prompt"))
+        favourite.in_flight = 3
+        chosen = self.policy.choose(pool, Need("zone-0", "a prompt"))
+        self.assertNotEqual(chosen.id, favourite.id)
+
+    def test_no_favourite_is_far_over_the_least(self) -> None:
+        pool = candidates(0, 0, 0, 0, 0, 0)
+        for number in range(48):
+            need = Need("zone-0", f"prompt {number // 8}")
+            self.policy.choose(pool, need).in_flight += 1
+        counts = [each.in_flight for each in pool]
+        self.assertLessEqual(max(counts) - min(counts), 2)
+
+    def test_none_of_none(self) -> None:
+        self.assertIsNone(self.policy.choose([], Need("zone-0", "a prompt")))
