--- a/cranberryrun/host.py
+++ b/cranberryrun/host.py
@@ -19,7 +19,7 @@
 from .pauses import Pauses
 from .peers import EventPages, Peers
 from .resources import Resources
-from .routing import BoundedAffinity, TwoChoices
+from .routing import BoundedAffinity, LeastLoaded
 from .security import target_context
 from .settings import Settings
 from .steps import Steps
@@ -60,7 +60,7 @@
     def _services(self, rng: random.Random) -> list[Service]:
         settings = self.settings
         timing = settings.timing
-        policy = BoundedAffinity(TwoChoices(rng))
+        policy = BoundedAffinity(LeastLoaded(rng))
         return [
             Events(settings.id, self.incarnation, settings.limits.event_ring),
             Metrics(settings.id),
--- a/tests/doubles.py
+++ b/tests/doubles.py
@@ -24,7 +24,7 @@
 from cranberryrun.metrics import Metrics
 from cranberryrun.models import EngineSpec, ServiceSpec, ServiceTarget
 from cranberryrun.pauses import Pauses
-from cranberryrun.routing import BoundedAffinity, TwoChoices
+from cranberryrun.routing import BoundedAffinity, LeastLoaded
 from cranberryrun.services import Answer, Call, ServiceClient, Sink
 from cranberryrun.settings import Settings, parse_settings
 from cranberryrun.state import ConfigState, Resource
@@ -232,7 +232,7 @@
         self.configuration = StubConfiguration()
         self.membership = StubMembership(made, 1)
         self.engines = StubEngines(made)
-        self.traffic = StubTraffic(made, BoundedAffinity(TwoChoices(rng)), rng)
+        self.traffic = StubTraffic(made, BoundedAffinity(LeastLoaded(rng)), rng)
         self.events = Events(made.id, 1, 1000)
         self.metrics = Metrics(made.id)
         self.traffic.client_by_id = {}
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -20,7 +20,7 @@
 from cranberryrun.pauses import Pauses
 from cranberryrun.peers import Peers
 from cranberryrun.retries import Attempts, RetryBudget
-from cranberryrun.routing import TwoChoices
+from cranberryrun.routing import LeastLoaded
 from cranberryrun.services import Answer, Call, ServiceClient, Sink
 from cranberryrun.targets import Targets
 from cranberryrun.views import LEAVING, Fact, FactKind
@@ -192,7 +192,7 @@
         kept = targets.by_id["t1"]
         targets.declare([target("t1")])
         self.assertEqual(targets.by_id, {"t1": kept})
-        policy = TwoChoices(random.Random(1))
+        policy = LeastLoaded(random.Random(1))
         self.assertIs(targets.choose(policy, "z1", lambda each: False, {"t1"}), kept)
 
 
