Remember a key for a window after its last intent, not after its holder

Cause: a property test over random orders of records showed two readers that disagree: a key that is asked for again and again came to another holder for a reader that began after the first intents had left the log (holders a and b in one history). So a call repeated for longer than a window could be run twice. Change: each intent of a key renews it; the log keeps twice the window. Ruled out: a longer retention alone, which only makes the phases longer.

--- a/cranberryrun/ledger.py
+++ b/cranberryrun/ledger.py
@@ -67,7 +67,7 @@
 class KeyEntry:
     """What is known of one key. ``holder`` is the intent that may run, if any.
 
-    ``since`` is the log's time of the holder's intent. ``outcome_offset`` is
+    ``since`` is the log's time of the newest intent. ``outcome_offset`` is
     where the outcome stands; ``lost`` says that there will be none.
     """
 
@@ -95,8 +95,8 @@
     """The first intent of a key holds it until it is released or has an outcome.
 
     Every reader of the stream comes to the same holder, since only the records
-    and the log's own times decide. Keys whose intent is older than ``window``
-    seconds are forgotten; the log must keep records for longer than that.
+    and the log's own times decide. A key is forgotten ``window`` seconds after
+    its last intent; the log must keep records for twice as long.
     """
 
     def __init__(self, window: float) -> None:
@@ -134,12 +134,14 @@
             del self.by_key[key]
 
     def _take_intent(self, record: IntentRecord) -> None:
-        entry = self.by_key.get(record.key)
-        if entry is not None and entry.holder is not None:
-            return
         # The newest intents stand last, so the old ones are found first.
-        self.by_key.pop(record.key, None)
-        self.by_key[record.key] = KeyEntry(record.id, record.digest, self._newest)
+        entry = self.by_key.pop(record.key, None)
+        if entry is None or entry.holder is None:
+            entry = KeyEntry(record.id, record.digest, self._newest)
+        # A repeat keeps the key: a reader that began later must not take it for
+        # the first, which it would if only the holder's age counted.
+        entry.since = self._newest
+        self.by_key[record.key] = entry
 
     def _take_end(self, record: OutcomeRecord | LostRecord | ReleaseRecord) -> None:
         entry = self.by_key.get(record.key)
