Add fakes that run several hosts on the virtual clock

Cause: promises over several hosts could only be tried with real processes. Ruled out: a simulator of its own; the stand-ins' behaviour is used in process. Conclusion: killed, paused and cut-off hosts can be modelled in one event loop.

--- /dev/null
+++ b/tests/fakes_network.py
@@ -0,0 +1,185 @@
+"""An in-memory network between hosts, platform, targets and clients."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from cranberryrun.exceptions import PeerError
+from cranberryrun.membership import HostEntry
+from cranberryrun.peers import PeerHandler, Peers
+from cranberryrun.settings import Settings
+
+from .fakes_loop import start_for
+
+DELAY_SECONDS = 0.001
+
+
+class NetworkError(Exception):
+    """A request over the network had no answer."""
+
+
+class Unreachable(NetworkError):
+    """There was no connection; nothing was delivered."""
+
+
+class Broken(NetworkError):
+    """The connection ended, or no answer came in time."""
+
+
+class TimedOut(Broken):
+    """The connection stood, but no answer came in time."""
+
+
+class Network:
+    """Carries requests between named places.
+
+    A cut swallows what is sent, as a partition does. A dead place refuses
+    connections and breaks those it had.
+    """
+
+    def __init__(self, loop: Any) -> None:
+        self.loop = loop
+        self.dead: set[str] = set()
+        self._cuts: set[frozenset[str]] = set()
+        self.delay_by_link: dict[frozenset[str], float] = {}
+        self._waiting_by_place: dict[str, set[asyncio.Future[Any]]] = defaultdict(set)
+        self._tasks_by_place: dict[str, set[asyncio.Task[Any]]] = defaultdict(set)
+
+    def cut(self, one: str, other: str) -> None:
+        """Swallow what goes between two places."""
+        self._cuts.add(frozenset((one, other)))
+
+    def mend(self) -> None:
+        """End all cuts."""
+        self._cuts.clear()
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Say whether nothing gets through between two places."""
+        return frozenset((one, other)) in self._cuts
+
+    def reaches(self, one: str, other: str) -> bool:
+        """Say whether both places run and nothing is cut between them."""
+        if self.dead & {one, other} or self.loop.paused & {one, other}:
+            return False
+        return not self.is_cut(one, other)
+
+    def delay(self, one: str, other: str) -> float:
+        """Return the one-way delay between two places, in seconds."""
+        return self.delay_by_link.get(frozenset((one, other)), DELAY_SECONDS)
+
+    def kill(self, place: str) -> None:
+        """End a place: its work stops and its connections break."""
+        self.dead.add(place)
+        self.loop.pause(place)
+        for future in list(self._waiting_by_place.pop(place, ())):
+            if not future.done():
+                future.set_exception(Broken(f"{place} died"))
+        for task in list(self._tasks_by_place.pop(place, ())):
+            task.cancel()
+
+    def track(self, place: str, task: asyncio.Task[Any]) -> None:
+        """Cancel ``task`` when ``place`` dies."""
+        tasks = self._tasks_by_place[place]
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+
+    def wait_at(self, place: str) -> asyncio.Future[Any]:
+        """Return a future that fails with :class:`Broken` when ``place`` dies."""
+        future = self.loop.create_future()
+        waiting = self._waiting_by_place[place]
+        waiting.add(future)
+        future.add_done_callback(waiting.discard)
+        return future
+
+    async def carry(
+        self,
+        source: str,
+        target: str,
+        work: Callable[[], Awaitable[Any]],
+        timeout: float,
+        connect: float = 1.0,
+    ) -> Any:
+        """Have ``work`` done at ``target`` and return its result.
+
+        :raises Unreachable: no connection within ``connect`` seconds.
+        :raises Broken: it may have been done.
+        """
+        if source in self.dead:
+            await self.loop.create_future()
+        await asyncio.sleep(0)
+        if target in self.dead:
+            raise Unreachable(f"{target} refuses connections")
+        if self.is_cut(source, target):
+            await asyncio.sleep(min(connect, timeout))
+            raise Unreachable(f"{target} does not answer")
+        answered = self.wait_at(target)
+        start_for("", self._serve(source, target, work, answered))
+        try:
+            async with asyncio.timeout(timeout):
+                return await answered
+        except TimeoutError:
+            raise TimedOut(f"no answer of {target} in time") from None
+
+    async def _serve(
+        self,
+        source: str,
+        target: str,
+        work: Callable[[], Awaitable[Any]],
+        answered: asyncio.Future[Any],
+    ) -> None:
+        await asyncio.sleep(self.delay(source, target))
+        if target in self.dead or self.is_cut(source, target):
+            return
+        task = start_for(target, _awaited(work))
+        result, error = None, None
+        try:
+            result = await task
+        except Exception as failure:
+            error = failure
+        await asyncio.sleep(self.delay(source, target))
+        if answered.done() or self.is_cut(source, target):
+            return
+        if error is None:
+            answered.set_result(result)
+        else:
+            answered.set_exception(error)
+
+
+async def _awaited(work: Callable[[], Awaitable[Any]]) -> Any:
+    return await work()
+
+
+class FakePeers(Peers):
+    """Peers over the in-memory network."""
+
+    def __init__(self, settings: Settings, rng: Any, network: Network) -> None:
+        super().__init__(settings, rng)
+        self._network = network
+        self._serving = PeerHandler(self)
+        self.peers_by_id: dict[str, "FakePeers"] = {}
+
+    async def start(self) -> None:
+        """Begin to exchange views."""
+        self.supervise(self._exchange_forever)
+
+    async def call(
+        self, entry: HostEntry, method: str, *args: Any, timeout: float | None = None
+    ) -> Any:
+        """See :meth:`Peers.call`."""
+        target = self.peers_by_id.get(entry.id)
+        if target is None:
+            raise PeerError(f"{entry.id}: not started")
+        limit = timeout or self._settings.timing.peer_timeout
+
+        async def serve() -> Any:
+            return await getattr(target._serving, method)(*args)
+
+        try:
+            return await self._network.carry(
+                self._settings.id, entry.id, serve, limit, limit
+            )
+        except NetworkError as error:
+            raise PeerError(f"{entry.id}: {method}: {error!r}") from None
+        except KeyError as error:
+            raise PeerError(f"{entry.id}: {method}: no handler {error}") from None
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -5,6 +5,8 @@
 
 import looptime
 
+from .fakes_loop import HostLoop
+
 
 class VirtualTimeTestCase(unittest.IsolatedAsyncioTestCase):
     """Run each test on a loop whose clock advances only when all tasks wait."""
@@ -18,3 +20,10 @@
     def now(self) -> float:
         """Return the virtual time, in seconds."""
         return asyncio.get_running_loop().time()
+
+
+class HostTestCase(unittest.IsolatedAsyncioTestCase):
+    """Run each test on a virtual clock on which single hosts can be paused."""
+
+    def _setupAsyncioRunner(self) -> None:
+        self._asyncioRunner = asyncio.Runner(debug=False, loop_factory=HostLoop)
