--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -48,6 +48,7 @@
 TARGETS = ("portal-1", "portal-2", "portal-3")
 PROBE_SECONDS = 0.5
 READY_SECONDS = 30.0
+FLUSH_SECONDS = 0.1
 POINT_BY_EVENT = {
     "change_asked": "declare",
     "change_applied": "apply",
@@ -270,6 +271,8 @@
         draining = start_for(name, host.drain())
         while not draining.done() and name not in self.ended:
             await asyncio.sleep(0.05)
+        # The kernel delivers what a process sent before it ended.
+        await asyncio.sleep(FLUSH_SECONDS)
         if name not in self.ended:
             self._end(name)
         self.list.delete(name)
--- a/tests/fakes_clients.py
+++ b/tests/fakes_clients.py
@@ -24,7 +24,7 @@
 
 from .fakes import World
 from .fakes_loop import start_for
-from .fakes_network import Broken, NetworkError, TimedOut
+from .fakes_network import Broken, Channel, NetworkError, TimedOut
 
 WORKLOAD = "denoiser"
 SERVICE = "portal"
@@ -75,6 +75,9 @@
         self._request = request
         self.events: asyncio.Queue[Any] = asyncio.Queue()
         self.is_open = True
+        self._channel = Channel(
+            trainer.world.network, host, trainer.name, self._deliver
+        )
 
     async def send(self, event: Any) -> None:
         """Take one event of the host."""
@@ -84,14 +87,7 @@
         if isinstance(event, GroupEvent):
             self._note_handed(event)
             world.reach("hand_over", self._host)
-        self._later(event.model_copy(deep=True))
-
-    def _later(self, item: Any) -> None:
-        network = self._trainer.world.network
-        if network.is_cut(self._host, self._trainer.name):
-            return
-        delay = network.delay(self._host, self._trainer.name)
-        network.loop.call_later(delay, self._deliver, item)
+        self._channel.send(event.model_copy(deep=True))
 
     def _deliver(self, item: Any) -> None:
         if self.is_open:
@@ -99,7 +95,7 @@
 
     def end(self, error: Exception | None) -> None:
         """Note that the host ended the answer."""
-        self._later(error or Broken("the answer has ended"))
+        self._channel.send(error or Broken("the answer has ended"))
 
     def close(self) -> None:
         """End the connection from the trainer's side."""
--- a/tests/fakes_network.py
+++ b/tests/fakes_network.py
@@ -1,7 +1,7 @@
 """An in-memory network between hosts, platform, targets and clients."""
 
 import asyncio
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -146,6 +146,31 @@
             answered.set_exception(error)
 
 
+class Channel:
+    """One direction of a connection: what is sent arrives in its order."""
+
+    def __init__(
+        self, network: Network, source: str, target: str, take: Callable[[Any], None]
+    ) -> None:
+        self._network = network
+        self._source = source
+        self._target = target
+        self._take = take
+        self._under_way: deque[Any] = deque()
+
+    def send(self, item: Any) -> None:
+        """Have ``item`` arrive after the delay, unless the connection is cut."""
+        if self._network.is_cut(self._source, self._target):
+            return
+        self._under_way.append(item)
+        delay = self._network.delay(self._source, self._target)
+        # Timers for the same moment fire in no fixed order.
+        self._network.loop.call_later(delay, self._arrive)
+
+    def _arrive(self) -> None:
+        self._take(self._under_way.popleft())
+
+
 async def _awaited(work: Callable[[], Awaitable[Any]]) -> Any:
     return await work()
 
--- a/tests/fakes_targets.py
+++ b/tests/fakes_targets.py
@@ -43,7 +43,7 @@
 from standins.service import Answer as ServiceAnswer, ServiceStandin
 
 from .fakes_loop import start_for
-from .fakes_network import Broken, Network, Unreachable
+from .fakes_network import Broken, Channel, Network, Unreachable
 
 ORDER_TIMEOUT_SECONDS = 2.0
 IDLE_SECONDS = 15.0
@@ -131,7 +131,8 @@
         if not self._network.reaches(self._host, self._engine.id):
             await asyncio.sleep(1)
             raise TargetUnreachableError(f"{self._engine.id} does not answer")
-        pump = start_for("", self._pump(stream, start, pieces))
+        channel = Channel(self._network, self._engine.id, self._host, pieces.put_nowait)
+        pump = start_for("", self._pump(stream, start, channel))
         self._network.track(self._host, pump)
         try:
             while True:
@@ -148,27 +149,16 @@
         finally:
             pump.cancel()
 
-    async def _pump(
-        self, stream: str, start: int, pieces: "asyncio.Queue[Any]"
-    ) -> None:
+    async def _pump(self, stream: str, start: int, channel: Channel) -> None:
         try:
-            async for piece in self._engine.read(stream, start):
-                self._deliver(
-                    pieces,
-                    Piece(
-                        piece.seq, piece.tokens, piece.text, piece.version, piece.done
-                    ),
+            async for row in self._engine.read(stream, start):
+                channel.send(
+                    Piece(row.seq, row.tokens, row.text, row.version, row.done)
                 )
         except UnknownStream:
-            self._deliver(pieces, StreamLostError("the engine doesn't know it"))
+            channel.send(StreamLostError("the engine doesn't know it"))
         except ConnectionBroken:
-            self._deliver(pieces, StreamCutError("the stream was cut"))
-
-    def _deliver(self, pieces: "asyncio.Queue[Any]", piece: Any) -> None:
-        if self._network.is_cut(self._host, self._engine.id):
-            return
-        delay = self._network.delay(self._host, self._engine.id)
-        self._network.loop.call_later(delay, pieces.put_nowait, piece)
+            channel.send(StreamCutError("the stream was cut"))
 
     async def cancel(self, stream: str) -> None:
         """See :meth:`EngineClient.cancel`."""
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -27,7 +27,7 @@
 )
 from .fakes_loop import HostLoop, start_for
 from .history import Violation, check_all
-from .matrix_faults import FAULT_BY_NAME, last
+from .matrix_faults import FAULT_BY_NAME, begin_later, undo_later
 
 STEPS = (
     "declare append read_back apply admit dispatch stream finish hand_over "
@@ -84,36 +84,32 @@
         async with World(f"{self.seed}/{self.name}", **options) as world:
             story = Story(world)
             await story.begin()
-            reached = self._arm(world)
+            faults_at_work = self._arm(world)
             await story.tell()
-            if not reached.is_set():
+            for task in faults_at_work:
+                await task
+            await asyncio.sleep(SETTLE_SECONDS)
+            if not faults_at_work:
                 self.violations.append(Violation("matrix", "step not reached", 0.0))
             world.note_truth()
             self.violations += check_all(world.history)
             if self.violations:
                 self.timeline = world.timeline()
 
-    def _arm(self, world: World) -> asyncio.Event:
-        reached = asyncio.Event()
+    def _arm(self, world: World) -> list[asyncio.Task[None]]:
+        """Begin the faults when a host comes to the step; return their tasks."""
+        tasks: list[asyncio.Task[None]] = []
 
         def begin(place: str) -> None:
-            reached.set()
-            for n, name in enumerate(self.faults):
-                delay = world.rng.uniform(0, 3) if n else 0.0
-                start_for("", _later(delay, world, name, place))
-            if len(self.faults) == 1:
-                return
+            first, *others = (FAULT_BY_NAME[name] for name in self.faults)
+            first.begin(world, place)
+            tasks.append(start_for("", undo_later(world, first, place)))
+            for fault in others:
+                tasks.append(start_for("", begin_later(world, fault, place)))
 
         after = 0 if self.step in RARE_STEPS else world.rng.randrange(3)
         world.arm(self.step, begin, after)
-        return reached
-
-
-async def _later(delay: float, world: World, name: str, place: str) -> None:
-    await asyncio.sleep(delay)
-    if place in world.ended:
-        place = world.rng.choice(world.running())
-    await last(world, FAULT_BY_NAME[name], place)
+        return tasks
 
 
 class Story:
@@ -137,7 +133,7 @@
         await asyncio.sleep(3)
 
     async def tell(self) -> None:
-        """Run all clients to their ends, then let everything settle."""
+        """Run all clients to their ends."""
         parts = [
             self._train(),
             self._announce(),
@@ -152,7 +148,6 @@
         for task in tasks:
             if task.done():
                 task.result()
-        await asyncio.sleep(SETTLE_SECONDS)
 
     async def _train(self) -> None:
         for number in range(1, 5):
--- a/tests/matrix_faults.py
+++ b/tests/matrix_faults.py
@@ -13,7 +13,9 @@
 from .fakes_platform import LIST, LOG
 
 CLIENTS = ("trainer", "announcer", "caller", "operator")
+HOSTS = tuple(f"host-{n}" for n in range(1, 8))
 OLD_FENCE = 1
+MOST_BETWEEN_SECONDS = 3.0
 
 
 class Fault(ABC):
@@ -149,7 +151,7 @@
     retention = 30.0
 
     def begin(self, world: World, place: str) -> None:
-        for other in (LOG, LIST, *world.host_by_name):
+        for other in (LOG, LIST, *HOSTS):
             if other != place:
                 world.network.cut(place, other)
 
@@ -199,7 +201,7 @@
     name = "cut_peers"
 
     def begin(self, world: World, place: str) -> None:
-        for other in world.host_by_name:
+        for other in HOSTS:
             if other != place:
                 world.network.cut(place, other)
 
@@ -305,8 +307,19 @@
 }
 
 
-async def last(world: World, fault: Fault, place: str) -> None:
-    """Bring ``fault`` about now, and undo it when its time is over."""
-    fault.begin(world, place)
+async def undo_later(world: World, fault: Fault, place: str) -> None:
+    """Undo ``fault`` when its time is over."""
     await asyncio.sleep(fault.seconds)
     await fault.end(world, place)
+
+
+async def begin_later(world: World, fault: Fault, place: str) -> None:
+    """Bring a second fault about some seconds after the first, at the same host.
+
+    Where that host has ended, at another one.
+    """
+    await asyncio.sleep(world.rng.uniform(0, MOST_BETWEEN_SECONDS))
+    if place in world.ended:
+        place = world.rng.choice(world.running())
+    fault.begin(world, place)
+    await undo_later(world, fault, place)
