Make the resource API and the replica whole where inputs and the log fail

Cause: a watch with nothing to tell sent no headers; a starting host took the first 500 records for the whole log; answers of the log and of peers with an unexpected form ended the loop that reads them; a host that was away was not told that it is suspected; a garbled fact could stay in a view; a stop left a traceback of the thrift server in the log.

Ruled out: ending the thrift library's own server early. Its callback logs any cancelled connection as a failure, so connections now have a listener of ours around the library's processor and protocol.

--- a/cranberryrun/api.py
+++ b/cranberryrun/api.py
@@ -17,11 +17,13 @@
     CranberryrunError,
     ForbiddenError,
     InvalidInputError,
+    MethodNotAllowedError,
     NotFoundError,
     NotReadyError,
     PeerError,
     TooLargeError,
     UnauthorizedError,
+    WatchExpiredError,
 )
 from .kernel import Service
 from .membership import Membership
@@ -31,6 +33,7 @@
 from .services import Call
 from .settings import Settings
 from .steps import Steps
+from .timeline import merge
 from .traffic import Traffic
 from .versions import Versions
 
@@ -121,6 +124,9 @@
         except web.HTTPException as error:
             if error.status == 404:
                 return _problem(NotFoundError(f"there is no {request.path}"))
+            if error.status == 405:
+                allowed = error.headers.get("Allow", "")
+                return _problem(MethodNotAllowedError(f"allowed: {allowed}"))
             raise
         except ConnectionError:
             # The caller has gone, or must see that the answer is cut.
@@ -183,7 +189,7 @@
         return _json({"events": [event.as_dict() for event in events]})
 
     async def _timeline(self, request: web.Request) -> web.Response:
-        """Merge the events of all hosts, in the order of their wall times."""
+        """Merge the events of all hosts; causes stand before their effects."""
         self._allow(request, "operator")
         rows = [each.as_dict() for each in self.kernel.get(Events).after(-1)]
         silent: list[str] = []
@@ -201,8 +207,7 @@
                 if page.last == after:
                     break
                 after = page.last
-        rows.sort(key=lambda row: (row["wall"], row["host"], row["n"]))
-        return _json({"events": rows, "silent": silent})
+        return _json({"events": merge(rows), "silent": silent})
 
     async def _drain(self, request: web.Request) -> web.Response:
         self._allow(request, "operator")
@@ -289,18 +294,21 @@
     async def _watch(self, request: web.Request, kind: str) -> web.StreamResponse:
         text = request.query["watch"]
         offset = _integer(text, "watch") if text else None
+        resources = self.kernel.get(Resources)
+        resources.check_watch(offset)
         response = web.StreamResponse(headers={"Content-Type": _NDJSON})
-        watch = self.kernel.get(Resources).watch(kind, offset)
-        first = await anext(watch)
         await response.prepare(request)
-        await response.write(json.dumps(first).encode() + b"\n")
-        async for event in watch:
-            if not self.accepting:
-                break
-            await response.write(json.dumps(event).encode() + b"\n")
+        try:
+            async for event in resources.watch(kind, offset, self._ended):
+                await response.write(_line(event))
+        except WatchExpiredError as error:
+            await response.write(_line({"event": "expired", "error": error.problem()}))
         await response.write_eof()
         return response
 
+    def _ended(self) -> bool:
+        return not self.accepting
+
     async def _get(self, request: web.Request) -> web.Response:
         self._allow(request, "operator")
         resources = self.kernel.get(Resources)
@@ -316,6 +324,9 @@
             raise InvalidInputError(f"{field} is not known", field=field)
         if "spec" not in body:
             raise InvalidInputError("spec is missing", field="spec")
+        for field in ("kind", "name"):
+            if body.get(field, request.match_info[field]) != request.match_info[field]:
+                raise InvalidInputError(f"{field} differs from the path's", field=field)
         return await self._change(request, "put", body["spec"])
 
     async def _delete(self, request: web.Request) -> web.Response:
@@ -335,7 +346,8 @@
             request.headers.get("Change-Id"),
         )
         if resource is None:
-            return web.json_response({"deleted": True})
+            kind, name = request.match_info["kind"], request.match_info["name"]
+            return web.json_response({"kind": kind, "name": name, "deleted": True})
         return _resource(resources.describe(resource))
 
 
@@ -349,6 +361,10 @@
     return web.json_response(body, dumps=lambda data: json.dumps(data, default=str))
 
 
+def _line(event: dict[str, Any]) -> bytes:
+    return json.dumps(event).encode() + b"\n"
+
+
 def _problem(error: CranberryrunError) -> web.Response:
     answer = problem_answer(error)
     return web.Response(status=answer.status, headers=answer.headers, body=answer.body)
@@ -356,8 +372,8 @@
 
 def _json_object(body: bytes) -> dict[str, Any]:
     try:
-        data = json.loads(body)
-    except (json.JSONDecodeError, UnicodeDecodeError) as error:
+        data = json.loads(body, parse_constant=_no_constant)
+    except (ValueError, RecursionError) as error:
         raise InvalidInputError(
             f"the body is not JSON: {error}", field="body"
         ) from None
@@ -366,6 +382,10 @@
     return data
 
 
+def _no_constant(text: str) -> None:
+    raise ValueError(f"{text} is no JSON")
+
+
 def _integer(text: str, field: str) -> int:
     try:
         value = int(text)
--- a/cranberryrun/configuration.py
+++ b/cranberryrun/configuration.py
@@ -5,9 +5,11 @@
 import asyncio
 import json
 import random
-from collections import deque
+from collections import OrderedDict, deque
 from typing import Any
 
+from absl import logging
+from pydantic import ValidationError
 from returns.result import Failure
 
 from . import clock
@@ -15,6 +17,7 @@
 from .exceptions import (
     CranberryrunError,
     InvalidInputError,
+    KeyReusedError,
     LogGapError,
     LogReadError,
     LogUnavailableError,
@@ -23,11 +26,12 @@
 )
 from .kernel import Service
 from .log import Batch, Log, Record
-from .membership import Membership
+from .membership import HostEntry, Membership
 from .models import Change, SnapshotRecord
 from .peers import Peers, from_wire, to_wire, wire
+from .rendezvous import ranked
 from .settings import Settings
-from .state import ConfigState, Outcome, Resource
+from .state import ConfigState, Outcome, Resource, digest_of
 from .views import Fact, FactKind
 
 STREAM = "config"
@@ -35,7 +39,10 @@
 _KEPT_RECORDS = 2_000
 _RETRY_SECONDS = 0.5
 _SNAPSHOTS_PER_RETENTION = 3
-_SNAPSHOT_JITTER_SECONDS = 5.0
+_SNAPSHOT_TURN_SECONDS = 1.0
+_SNAPSHOT_JITTER_SECONDS = 0.3
+_MAX_SNAPSHOT_TURNS = 30
+_MAX_UNKNOWN_CHANGES = 4_000
 
 
 class Configuration(Service):
@@ -54,8 +61,7 @@
         self._changed = asyncio.Condition()
         self._recent: deque[Record] = deque(maxlen=_KEPT_RECORDS)
         self._log_heard_at: float | None = None
-        self._snapshot_time = 0.0
-        self._listeners: list[Any] = []
+        self._unknown_ids: OrderedDict[str, None] = OrderedDict()
 
     async def start(self) -> None:
         """Serve peers, then begin to follow the log."""
@@ -93,33 +99,61 @@
 
         :raises LogUnavailableError: it is certainly not in the log.
         :raises OutcomeUnknownError: the same change id later gets the outcome.
+        :raises KeyReusedError: the change id was that of another change.
         """
         events = self.kernel.get(Events)
-        known = self.state.outcome_by_change.get(change.change_id)
-        if known is not None:
-            return known
-        events.emit("change_asked", change=change.change_id, resource=change.name)
+        change_id = change.change_id
+        if change_id not in self.state.outcome_by_change:
+            events.emit(
+                "change_asked",
+                change=change_id,
+                resource=f"{change.kind}/{change.name}",
+                operation=change.operation,
+            )
+            await self._append_change(change)
+        outcome = await self._outcome(change_id)
+        if outcome.digest != digest_of(change):
+            raise KeyReusedError(
+                "the change id was that of another change", field="Change-Id"
+            )
+        return outcome
+
+    async def _append_change(self, change: Change) -> None:
+        """Append ``change``; return also where nobody can tell whether it was.
+
+        :raises LogUnavailableError: no try of it at this host can be in the log.
+        """
+        value = change.model_dump(mode="json")
         try:
-            await self.kernel.get(Log).append(STREAM, [change.model_dump(mode="json")])
+            await self.kernel.get(Log).append(STREAM, [value])
         except LogUnavailableError:
-            raise
+            if change.change_id not in self._unknown_ids:
+                raise
         except CranberryrunError:
-            events.emit("change_unknown", change=change.change_id)
-        return await self._outcome(change.change_id)
+            self._note_unknown(change.change_id)
+
+    def _note_unknown(self, change_id: str) -> None:
+        self._unknown_ids[change_id] = None
+        while len(self._unknown_ids) > _MAX_UNKNOWN_CHANGES:
+            self._unknown_ids.popitem(last=False)
 
     async def _outcome(self, change_id: str) -> Outcome:
-        outcomes = self.state.outcome_by_change
+        """Wait until the change is read back; :raises OutcomeUnknownError: late."""
         try:
             async with asyncio.timeout(self._settings.timing.change_deadline):
                 async with self._changed:
-                    await self._changed.wait_for(lambda: change_id in outcomes)
+                    await self._changed.wait_for(
+                        lambda: change_id in self.state.outcome_by_change
+                    )
         except TimeoutError:
+            self._note_unknown(change_id)
+            self.kernel.get(Events).emit("change_unknown", change=change_id)
             raise OutcomeUnknownError(
                 "the change was not read back in time; ask again with its id",
                 change_id=change_id,
                 retry_after=2,
             ) from None
-        return outcomes[change_id]
+        return self.state.outcome_by_change[change_id]
 
     async def _follow(self) -> None:
         await self._begin()
@@ -156,23 +190,41 @@
                 await asyncio.sleep(_RETRY_SECONDS)
 
     async def _load_from_peers(self) -> None:
-        peers = self.kernel.get(Peers)
+        """Take the state of a peer, and then of one that is known to be further on."""
         membership = self.kernel.get(Membership)
-        for entry in membership.live_peers():
-            try:
-                reply = await peers.call(entry, "snapshot")
-            except PeerError:
-                continue
-            membership.learn(from_wire(reply.facts))
-            if not reply.ready:
-                continue
-            await self._take_snapshot(
-                SnapshotRecord.model_validate_json(reply.state), entry.id
-            )
-            return
+        peers = membership.live_peers()
+        self._rng.shuffle(peers)
+        for entry in peers:
+            if await self._load_from(entry):
+                break
+        ahead = max(
+            peers, key=lambda entry: membership.offset_of(entry.id), default=None
+        )
+        if ahead is not None and membership.offset_of(ahead.id) > self.state.offset:
+            await self._load_from(ahead)
+
+    async def _load_from(self, entry: HostEntry) -> bool:
+        try:
+            reply = await self.kernel.get(Peers).call(entry, "snapshot")
+        except PeerError:
+            return False
+        self.kernel.get(Membership).learn(from_wire(reply.facts))
+        if not reply.ready:
+            return False
+        return await self._take_peer_snapshot(reply.state, entry.id)
+
+    async def _take_peer_snapshot(self, text: str, peer_id: str) -> bool:
+        """Take a peer's state if it is whole; say whether it is."""
+        try:
+            snapshot = SnapshotRecord.model_validate_json(text)
+            await self._take_snapshot(snapshot, peer_id)
+        except (ValidationError, InvalidInputError) as error:
+            logging.warning("%s gave a snapshot that is not valid: %r", peer_id, error)
+            return False
+        return True
 
     async def _read_once(self, wait: float | None = None) -> bool:
-        """Read and apply what is new; say whether that was all.
+        """Read and apply what is new; say whether there was nothing.
 
         :raises LogReadError: the log can't be read, or has a gap with no snapshot.
         """
@@ -181,9 +233,13 @@
         batch = await log.read(STREAM, self.state.offset + 1, _READ_LIMIT, seconds)
         if batch.first > self.state.offset + 1:
             await self._cross_gap(batch)
-        else:
-            await self.apply(batch.records)
-        return self.state.offset + 1 >= batch.next
+            return False
+        if batch.next < self.state.offset + 1:
+            raise LogReadError(
+                f"the log ends at {batch.next}, before what was applied already"
+            )
+        await self.apply(batch.records)
+        return not batch.records
 
     async def _cross_gap(self, batch: Batch) -> None:
         """Go on after records that are no longer kept, from a snapshot.
@@ -192,8 +248,9 @@
         """
         log = self.kernel.get(Log)
         records = list(batch.records)
-        while records and records[-1].offset + 1 < batch.next:
-            more = await log.read(STREAM, records[-1].offset + 1, _READ_LIMIT, 0)
+        while records:
+            start = records[-1].offset + 1
+            more = await log.read(STREAM, start, _READ_LIMIT, 0)
             if not more.records:
                 break
             records += more.records
@@ -214,14 +271,20 @@
         await self._announce()
 
     async def apply(self, records: list[Record]) -> None:
-        """Apply ``records`` that follow on what is applied."""
+        """Apply ``records`` that follow on what is applied.
+
+        :raises LogReadError: a record is missing before one of them.
+        """
         events = self.kernel.get(Events)
         for record in records:
             if record.offset <= self.state.offset:
                 continue
+            if record.offset > self.state.offset + 1:
+                await self._announce()
+                raise LogReadError(f"a record is missing before {record.offset}")
+            self._compare_snapshot(record)
             result = self.state.apply(record.offset, record.time, record.value)
             self._recent.append(record)
-            self._note_snapshot(record)
             if isinstance(result, Failure):
                 self._emit_rejected(record, result.failure())
                 continue
@@ -287,14 +350,19 @@
                 return
         except PeerError:
             return
-        records = [
-            Record(row.offset, row.time, json.loads(row.value)) for row in reply.records
-        ]
+        try:
+            records = [
+                Record(row.offset, row.time, json.loads(row.value))
+                for row in reply.records or []
+            ]
+            await self.apply(records)
+        except (LogReadError, ValueError, TypeError) as error:
+            logging.warning("%s gave records that are not valid: %r", entry.id, error)
+            return
         if records:
             self.kernel.get(Events).emit(
-                "records_from_peer", peer=entry.id, offset=records[-1].offset
+                "records_from_peer", peer=entry.id, offset=self.state.offset
             )
-        await self.apply(records)
 
     async def _serve_records(self, start: int, limit: int) -> Any:
         rows = [
@@ -313,24 +381,43 @@
             ready=ready, state=state, facts=to_wire(membership.views.all())
         )
 
-    def _note_snapshot(self, record: Record) -> None:
+    def _compare_snapshot(self, record: Record) -> None:
+        """Say so if a snapshot of just this state differs from it."""
         value = record.value
-        if isinstance(value, dict) and value.get("record") == "snapshot":
-            self._snapshot_time = max(self._snapshot_time, record.time)
+        if not isinstance(value, dict) or value.get("record") != "snapshot":
+            return
+        if value.get("covers") != self.state.offset:
+            return
+        if value.get("state") != json.loads(json.dumps(self.state.dump())):
+            self.kernel.get(Events).emit(
+                "snapshot_differs", offset=record.offset, writer=value.get("host")
+            )
 
     async def _write_snapshots(self) -> None:
         await self.ready.wait()
-        every = self._settings.log.retention / _SNAPSHOTS_PER_RETENTION
-        self._snapshot_time = self._snapshot_time or clock.wall()
         while True:
             await asyncio.sleep(self._settings.timing.snapshot_check)
-            if clock.wall() - self._snapshot_time < every:
-                continue
-            jitter = min(_SNAPSHOT_JITTER_SECONDS, every / 4)
-            await asyncio.sleep(self._rng.uniform(0, jitter))
-            if clock.wall() - self._snapshot_time < every or not self.log_up:
+            if not self._snapshot_due():
                 continue
-            await self._append_snapshot()
+            await asyncio.sleep(self._snapshot_delay())
+            if self._snapshot_due() and self.log_up:
+                await self._append_snapshot()
+
+    def _snapshot_due(self) -> bool:
+        if self.state.offset < 0:
+            return False
+        every = self._settings.log.retention / _SNAPSHOTS_PER_RETENTION
+        return clock.wall() - self.state.snapshot_time >= every
+
+    def _snapshot_delay(self) -> float:
+        """Return the seconds until this host's turn; the first host's is now."""
+        membership = self.kernel.get(Membership)
+        order = ranked(membership.live_ids(), f"snapshot/{self.state.snapshot_time}")
+        turn = _MAX_SNAPSHOT_TURNS
+        if membership.id in order:
+            turn = min(turn, order.index(membership.id))
+        jitter = self._rng.uniform(0, _SNAPSHOT_JITTER_SECONDS)
+        return turn * _SNAPSHOT_TURN_SECONDS + jitter
 
     async def _append_snapshot(self) -> None:
         record = self.state.snapshot(self._settings.id)
@@ -342,13 +429,16 @@
 
 
 def _last_snapshot(records: list[Record], reach: int) -> SnapshotRecord | None:
-    """Return the newest snapshot in ``records`` that covers offset ``reach``."""
+    """Return the newest valid snapshot in ``records`` that covers offset ``reach``."""
     for record in reversed(records):
-        if not isinstance(record.value, dict):
+        value = record.value
+        if not isinstance(value, dict) or value.get("record") != "snapshot":
             continue
-        if record.value.get("record") != "snapshot":
+        try:
+            snapshot = SnapshotRecord.model_validate(value)
+            ConfigState.load(snapshot)
+        except (ValidationError, InvalidInputError):
             continue
-        snapshot = SnapshotRecord.model_validate(record.value)
-        if snapshot.covers >= reach:
+        if reach <= snapshot.covers < record.offset:
             return snapshot
     return None
--- a/cranberryrun/daemon.py
+++ b/cranberryrun/daemon.py
@@ -10,20 +10,14 @@
 
 import aiomisc
 import click
-from absl import logging
 
+from . import logs
 from .api import Api
 from .exceptions import SettingsError
 from .host import Host
 from .settings import Settings, load_settings
 
 _EXIT_SETTINGS = 2
-_LEVEL_BY_NAME = {
-    "debug": logging.DEBUG,
-    "info": logging.INFO,
-    "warning": logging.WARNING,
-    "error": logging.ERROR,
-}
 _DEFAULTS = {
     "id": "host-1",
     "zone": "zone-a",
@@ -92,8 +86,7 @@
 
 def run(settings: Settings) -> None:
     """Run a host until it is told to stop."""
-    logging.use_absl_handler()
-    logging.set_verbosity(_LEVEL_BY_NAME[settings.log_level])
+    logs.set_up(settings.log_level)
     service = HostService(settings=settings)
     with aiomisc.entrypoint(service, log_config=False, catch_signals=()) as loop:
         loop.run_until_complete(service.ended.wait())
--- a/cranberryrun/exceptions.py
+++ b/cranberryrun/exceptions.py
@@ -84,6 +84,13 @@
     status = 422
 
 
+class MethodNotAllowedError(RequestError):
+    """The path does not take this method."""
+
+    code = "method_not_allowed"
+    status = 405
+
+
 class TooLargeError(RequestError):
     """The body is over the limit."""
 
@@ -255,6 +262,12 @@
     status = 502
 
 
+class PeerRefusedError(PeerError):
+    """Nothing listens at the peer's address; no byte of the call was sent."""
+
+    code = "peer_refused"
+
+
 class LogReadError(CranberryrunError):
     """The log could not be read."""
 
--- a/cranberryrun/log.py
+++ b/cranberryrun/log.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import aiohttp
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from .exceptions import AppendUnknownError, LogReadError, LogUnavailableError
 from .http import HttpClients
@@ -26,13 +27,42 @@
 
 @dataclass(frozen=True, slots=True)
 class Batch:
-    """What one read returned. ``first`` is the oldest offset that is kept."""
+    """What one read returned.
+
+    ``first`` is the oldest offset that is kept, ``next`` the one to read from next.
+    """
 
     records: list[Record]
     first: int
     next: int
 
 
+class _Answer(BaseModel):
+    """Base of the log's answers; fields not named here are passed over."""
+
+    model_config = ConfigDict(extra="ignore")
+
+
+class _AppendAnswer(_Answer):
+    offset: int = Field(ge=0)
+
+
+class _RefusalAnswer(_Answer):
+    appended: bool
+
+
+class _ReadRecord(_Answer):
+    offset: int = Field(ge=0)
+    time: float
+    value: Any
+
+
+class _ReadAnswer(_Answer):
+    records: list[_ReadRecord]
+    first: int = Field(ge=0)
+    next: int = Field(ge=0)
+
+
 class Log(Service):
     """Appends to and reads from the platform's log. Replace it for another one."""
 
@@ -75,17 +105,10 @@
             async with session.post(
                 self._path(stream), json={"records": values}, timeout=timeout
             ) as answer:
-                if answer.status == 429:
-                    raise LogUnavailableError("the log is over its rate", retry_after=1)
-                body = await answer.json()
-                if answer.status == 200:
-                    return int(body["offset"])
-                if answer.status == 503 and body.get("appended") is False:
-                    raise LogUnavailableError("the log is down", retry_after=2)
-                raise AppendUnknownError(f"the log answered {answer.status}")
+                return _appended(answer.status, await answer.read())
         except aiohttp.ClientConnectorError as error:
             raise LogUnavailableError(str(error), retry_after=2) from None
-        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
             raise AppendUnknownError(f"the log's answer is lost: {error!r}") from None
 
     async def read(self, stream: str, start: int, limit: int, wait: float) -> Batch:
@@ -99,16 +122,22 @@
             ) as answer:
                 if answer.status != 200:
                     raise LogReadError(f"the log answered {answer.status}")
-                body = await answer.json()
-                records = [
-                    Record(int(row["offset"]), float(row["time"]), row["value"])
-                    for row in body["records"]
-                ]
-                return Batch(records, int(body["first"]), int(body["next"]))
-        except (
-            aiohttp.ClientError,
-            asyncio.TimeoutError,
-            ValueError,
-            KeyError,
-        ) as error:
+                body = _ReadAnswer.model_validate_json(await answer.read())
+        except (aiohttp.ClientError, asyncio.TimeoutError, ValidationError) as error:
             raise LogReadError(f"the log can't be read: {error!r}") from None
+        records = [Record(row.offset, row.time, row.value) for row in body.records]
+        return Batch(records, body.first, body.next)
+
+
+def _appended(status: int, body: bytes) -> int:
+    """Return the offset that the log's answer gives; errors as in Log.append."""
+    try:
+        if status == 200:
+            return _AppendAnswer.model_validate_json(body).offset
+        if status == 429:
+            raise LogUnavailableError("the log is over its rate", retry_after=1)
+        if status == 503 and not _RefusalAnswer.model_validate_json(body).appended:
+            raise LogUnavailableError("the log is down", retry_after=2)
+    except ValidationError as error:
+        raise AppendUnknownError(f"the log's answer is not valid: {error}") from None
+    raise AppendUnknownError(f"the log answered {status}")
--- a/cranberryrun/membership.py
+++ b/cranberryrun/membership.py
@@ -72,6 +72,18 @@
             raise HostListError(f"the list can't be read: {error!r}") from None
 
 
+def _seeds(settings: Settings) -> dict[str, HostEntry]:
+    """Return entries for the peers in the settings; their ids come with answers."""
+    by_seed: dict[str, HostEntry] = {}
+    own = f"{settings.ip}:{settings.peer_port}"
+    for seed in settings.peers:
+        if seed == own:
+            continue
+        ip, _, port = seed.rpartition(":")
+        by_seed[seed] = HostEntry(id=seed, kind="entry", ip=ip, peer_port=int(port))
+    return by_seed
+
+
 class Membership(Service):
     """Keeps the list and the views. ``leaving`` is sticky for an incarnation."""
 
@@ -89,6 +101,8 @@
         self._peer_heard_at: float | None = None
         self._host_list: HostList | None = None
         self._waiters: set[asyncio.Event] = set()
+        self._suspected_ids: set[str] = set()
+        self._entry_by_seed = _seeds(settings)
 
     def use_list(self, host_list: HostList) -> None:
         """Read from ``host_list`` in place of the one in the settings."""
@@ -120,6 +134,7 @@
         news = self.views.merge(facts, self.host_count)
         for fact in news:
             self._refute(fact)
+            self._note_return(fact)
             if fact.kind is FactKind.TARGET and fact.value >= LEAVING:
                 self.kernel.get(Events).emit("target_leaving", target=fact.name)
         if news:
@@ -133,6 +148,18 @@
         if fact.incarnation == self.incarnation and fact.value % 2 == 1:
             self.views.merge([self._own(fact.value + 1)], self.host_count)
 
+    def _note_return(self, fact: Fact) -> None:
+        if fact.kind is not FactKind.HOST:
+            return
+        if fact.value % 2 == 1 and fact.value < LEAVING:
+            self._suspected_ids.add(fact.name)
+            return
+        if fact.name not in self._suspected_ids:
+            return
+        self._suspected_ids.discard(fact.name)
+        if fact.value < LEAVING:
+            self.kernel.get(Events).emit("peer_returned", peer=fact.name)
+
     def _own(self, value: int) -> Fact:
         return Fact(FactKind.HOST, self.id, self.incarnation, value)
 
@@ -166,9 +193,20 @@
         """Note that a peer answered just now."""
         self._peer_heard_at = clock.now()
 
+    def met(self, entry: HostEntry, host_id: str, zone: str) -> None:
+        """Note that a peer answered, and who a seed is."""
+        self.heard_from(host_id)
+        seed = f"{entry.ip}:{entry.peer_port}"
+        if entry.id == seed and host_id and seed in self._entry_by_seed:
+            self._entry_by_seed[seed] = entry.model_copy(
+                update={"id": host_id, "zone": zone or ""}
+            )
+
     def heard_age(self) -> float:
         """Return seconds since the list or any peer was heard."""
-        heard = [at for at in (self._list_heard_at, self._peer_heard_at) if at]
+        heard = [
+            at for at in (self._list_heard_at, self._peer_heard_at) if at is not None
+        ]
         if not heard:
             return float("inf")
         return clock.now() - max(heard)
@@ -180,8 +218,14 @@
         return fact.value < LEAVING and fact.value % 2 == 0
 
     def peers(self) -> list[HostEntry]:
-        """Return the other entry hosts on the list, also those suspected."""
-        return [entry for key, entry in self.entry_by_id.items() if key != self.id]
+        """Return the other entry hosts, also those suspected.
+
+        They are those on the list; the seeds, while the list was never read.
+        """
+        entries = self.entry_by_id.values()
+        if self._list_heard_at is None:
+            entries = self._entry_by_seed.values()
+        return [entry for entry in entries if entry.id != self.id]
 
     def live_peers(self) -> list[HostEntry]:
         """Return the other entry hosts that are neither leaving nor suspected."""
--- a/cranberryrun/models.py
+++ b/cranberryrun/models.py
@@ -22,9 +22,9 @@
 
 
 class Model(BaseModel):
-    """Base of border models: unknown fields are errors."""
+    """Base of border models: unknown fields and infinite numbers are errors."""
 
-    model_config = ConfigDict(extra="forbid")
+    model_config = ConfigDict(extra="forbid", allow_inf_nan=False)
 
 
 class WorkloadSpec(Model):
@@ -104,7 +104,7 @@
     """A change of one resource, as it stands in the log."""
 
     record: Literal["change"] = "change"
-    change_id: Annotated[str, Field(min_length=1, max_length=100)]
+    change_id: Annotated[str, Field(pattern=r"^[!-~]{1,100}$")]
     kind: Kind
     name: Name
     expected_generation: int = Field(ge=0)
@@ -125,7 +125,7 @@
     """The whole configuration up to and with offset ``covers``."""
 
     record: Literal["snapshot"] = "snapshot"
-    covers: int
+    covers: int = Field(ge=-1)
     state: dict[str, Any]
     host: str = ""
 
--- a/cranberryrun/peers.py
+++ b/cranberryrun/peers.py
@@ -5,21 +5,23 @@
 import asyncio
 import json
 import random
-import socket
+import struct
 from collections import defaultdict
 from pathlib import Path
 from typing import Any
 
 import thriftpy2
 from thriftpy2.contrib.aio.client import TAsyncClient
-from thriftpy2.contrib.aio.rpc import make_client, make_server
-from thriftpy2.contrib.aio.server import TAsyncServer
+from thriftpy2.contrib.aio.rpc import make_client
 from thriftpy2.thrift import TException
+from thriftpy2.transport import TTransportException
 
+from . import clock
 from .events import Events
-from .exceptions import PeerError
+from .exceptions import PeerError, PeerRefusedError
 from .kernel import Service
 from .membership import HostEntry, Membership
+from .peer_server import PeerServer
 from .settings import Settings
 from .views import Fact, FactKind
 
@@ -30,7 +32,30 @@
 _MAX_FACTS = 256
 _FULL_EVERY = 60
 _MAX_IDLE_CLIENTS = 4
-_SERVER_IDLE_MS = 3_600_000
+_CONFIRM_PAUSE_SECONDS = 0.2
+_CLIENT_IDLE_MS = 3_600_000
+_MAX_PAGE_ROWS = 10_000
+_MAX_NAME_CHARACTERS = 300
+_KNOWN_KINDS = frozenset(int(kind) for kind in FactKind)
+
+
+# What a peer that answers wrongly makes the library raise is among these.
+_CALL_FAILURES = (
+    TException,
+    OSError,
+    EOFError,
+    asyncio.TimeoutError,
+    ValueError,
+    TypeError,
+    AttributeError,
+    struct.error,
+)
+
+
+def _was_refused(error: BaseException) -> bool:
+    if not isinstance(error, TTransportException):
+        return False
+    return error.type == TTransportException.NOT_OPEN
 
 
 def to_wire(facts: list[Fact]) -> list[Any]:
@@ -47,15 +72,26 @@
 
 
 def from_wire(facts: list[Any] | None) -> list[Fact]:
-    """Return thrift structs as facts; kinds that are not known are passed over."""
-    known = {int(kind) for kind in FactKind}
+    """Return thrift structs as facts; those of no valid form are passed over."""
     return [
         Fact(FactKind(fact.kind), fact.name, fact.incarnation, fact.value)
         for fact in facts or []
-        if fact.kind in known
+        if _is_valid(fact)
     ]
 
 
+def _is_valid(fact: Any) -> bool:
+    if fact.kind not in _KNOWN_KINDS or not isinstance(fact.name, str):
+        return False
+    if not 1 <= len(fact.name) <= _MAX_NAME_CHARACTERS:
+        return False
+    return isinstance(fact.incarnation, int) and isinstance(fact.value, int)
+
+
+def _bounded(limit: int | None) -> int:
+    return min(max(limit or 0, 0), _MAX_PAGE_ROWS)
+
+
 class PeerHandler:
     """Serves the peers' calls. Other services put their handlers in here."""
 
@@ -66,7 +102,7 @@
         return self._peers.answer_exchange(mine)
 
     async def records(self, start: int, limit: int) -> Any:
-        return await self._peers.handler_by_call["records"](start, limit)
+        return await self._peers.handler_by_call["records"](start or 0, _bounded(limit))
 
     async def snapshot(self) -> Any:
         return await self._peers.handler_by_call["snapshot"]()
@@ -75,7 +111,9 @@
         return await self._peers.handler_by_call["call"](call)
 
     async def events(self, after: int, limit: int) -> Any:
-        return await self._peers.handler_by_call["events"](after, limit)
+        return await self._peers.handler_by_call["events"](
+            -1 if after is None else after, _bounded(limit)
+        )
 
 
 class Peers(Service):
@@ -88,7 +126,8 @@
         super().__init__()
         self._settings = settings
         self._rng = rng
-        self._server: TAsyncServer | None = None
+        self._server = PeerServer(wire.Peer, PeerHandler(self))
+        self._confirming_ids: set[str] = set()
         self._idle_by_address: dict[tuple[str, int], list[TAsyncClient]] = defaultdict(
             list
         )
@@ -97,24 +136,13 @@
 
     async def start(self) -> None:
         """Listen, then begin to exchange views."""
-        self._server = make_server(
-            wire.Peer,
-            PeerHandler(self),
-            self._settings.ip,
-            self._settings.peer_port,
-            client_timeout=_SERVER_IDLE_MS,
-            loop=asyncio.get_running_loop(),
-            socket_family=socket.AF_INET,
-        )
-        self._server.trans.listen()
-        self._server.server = await self._server.trans.accept(self._server.handle)
+        await self._server.start(self._settings.ip, self._settings.peer_port)
         self.supervise(self._exchange_forever)
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
         await super().stop()
-        if self._server is not None and self._server.server is not None:
-            self._server.server.close()
+        await self._server.stop()
         for clients in self._idle_by_address.values():
             for client in clients:
                 client.close()
@@ -124,11 +152,15 @@
         membership = self.kernel.get(Membership)
         membership.learn(from_wire(mine.facts))
         membership.heard_from(mine.sender)
-        return self._exchange_message(bool(mine.full))
+        return self._exchange_message(bool(mine.full), mine.sender)
 
-    def _exchange_message(self, full: bool) -> Any:
+    def _exchange_message(self, full: bool, peer_id: str) -> Any:
         views = self.kernel.get(Membership).views
         facts = views.all() if full else views.take(_MAX_FACTS)
+        about_peer = views.get(FactKind.HOST, peer_id)
+        if about_peer is not None and about_peer not in facts:
+            # A peer that was away must learn what is said of it, to refute it.
+            facts.append(about_peer)
         return wire.Exchange(
             sender=self._settings.id,
             zone=self._settings.zone,
@@ -152,9 +184,11 @@
             async with asyncio.timeout(limit):
                 client = await self._client(address, limit)
                 answer = await getattr(client, method)(*args)
-        except (TException, OSError, EOFError, asyncio.TimeoutError) as error:
+        except _CALL_FAILURES as error:
             if client is not None:
                 client.close()
+            if _was_refused(error):
+                raise PeerRefusedError(f"{entry.id}: nothing listens") from None
             raise PeerError(f"{entry.id}: {method}: {error!r}") from None
         except asyncio.CancelledError:
             if client is not None:
@@ -179,7 +213,7 @@
             wire.Peer,
             address[0],
             address[1],
-            timeout=_SERVER_IDLE_MS,
+            timeout=_CLIENT_IDLE_MS,
             connect_timeout=int(limit * 1000),
         )
 
@@ -187,14 +221,45 @@
         """Exchange views with one peer; say whether it answered."""
         membership = self.kernel.get(Membership)
         try:
-            theirs = await self.call(entry, "exchange", self._exchange_message(full))
-        except PeerError:
+            await self._exchange(entry, full)
+        except PeerRefusedError:
             membership.suspect(entry.id)
             return False
-        membership.learn(from_wire(theirs.facts))
-        membership.heard_from(entry.id)
+        except PeerError:
+            self._confirm_silence(entry)
+            return False
         return True
 
+    async def _exchange(self, entry: HostEntry, full: bool) -> None:
+        membership = self.kernel.get(Membership)
+        message = self._exchange_message(full, entry.id)
+        theirs = await self.call(entry, "exchange", message)
+        membership.learn(from_wire(theirs.facts))
+        membership.met(entry, theirs.sender, theirs.zone)
+
+    def _confirm_silence(self, entry: HostEntry) -> None:
+        """Suspect a peer only if it stays silent for the settings' time."""
+        if entry.id in self._confirming_ids:
+            return
+        self._confirming_ids.add(entry.id)
+        self.spawn(self._confirm(entry))
+
+    async def _confirm(self, entry: HostEntry) -> None:
+        timing = self._settings.timing
+        membership = self.kernel.get(Membership)
+        ends_at = clock.now() + timing.suspect_after - timing.peer_timeout
+        try:
+            while clock.now() < ends_at:
+                await asyncio.sleep(_CONFIRM_PAUSE_SECONDS)
+                try:
+                    await self._exchange(entry, False)
+                    return
+                except PeerError:
+                    continue
+            membership.suspect(entry.id)
+        finally:
+            self._confirming_ids.discard(entry.id)
+
     async def spread_now(self) -> list[str]:
         """Exchange with every peer that is live, at once; return who answered."""
         peers = self.kernel.get(Membership).live_peers()
--- a/cranberryrun/resources.py
+++ b/cranberryrun/resources.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import uuid
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
+from . import clock
 from .configuration import Configuration
 from .engines import Engines
 from .exceptions import (
@@ -23,6 +24,8 @@
 from .versions import Versions
 
 _STATUS_SECONDS = 0.5
+_HEADER_BY_FIELD = {"change_id": "Change-Id", "expected_generation": "If-Match"}
+_BOOKMARK_SECONDS = 10.0
 _ERROR_BY_CODE: dict[str, type[CranberryrunError]] = {
     error.code: error for error in (ConflictError, InvalidInputError, NotFoundError)
 }
@@ -75,10 +78,9 @@
         configuration = self.kernel.get(Configuration)
         if expected is None:
             expected = configuration.state.generation(kind, name)
-        change = check(
-            Change,
+        change = _checked(
             {
-                "change_id": change_id or uuid.uuid4().hex,
+                "change_id": uuid.uuid4().hex if change_id is None else change_id,
                 "kind": kind,
                 "name": name,
                 "expected_generation": expected,
@@ -91,8 +93,8 @@
         _raise_rejected(change, outcome)
         if operation == "delete":
             return None
-        resource = configuration.state.by_key[kind, name]
-        if resource.change_id == change.change_id:
+        resource = configuration.state.by_key.get((kind, name))
+        if resource is not None and resource.change_id == change.change_id:
             return resource
         return Resource(
             kind,
@@ -100,7 +102,7 @@
             outcome.generation,
             SPEC_BY_KIND[kind].model_validate(spec),
             outcome.offset,
-            resource.changed_at,
+            resource.changed_at if resource else 0.0,
             change.change_id,
         )
 
@@ -128,7 +130,23 @@
             conditions += self._workload_conditions(resource)
         if resource.kind == "services":
             conditions += self._service_conditions(resource)
-        return {"observed_generation": resource.generation, "conditions": conditions}
+        status = {
+            "observed_generation": resource.generation,
+            "conditions": conditions,
+        }
+        if resource.kind == "engines":
+            status["observed"] = self._engine_observed(resource)
+        return status
+
+    def _engine_observed(self, resource: Resource) -> dict[str, Any]:
+        """Return what the engine last said of itself, without its exact load."""
+        engine = self.kernel.get(Engines).by_name.get(resource.name)
+        if engine is None or engine.state is None:
+            return {}
+        versions = {
+            workload: row.version for workload, row in engine.state.by_workload.items()
+        }
+        return {"incarnation": engine.state.incarnation, "versions": versions}
 
     def _in_force(self, resource: Resource) -> dict[str, Any]:
         membership = self.kernel.get(Membership)
@@ -192,10 +210,21 @@
             return [_condition("Ready", True, "TargetsUsable", f"{usable} usable")]
         return [_condition("Ready", False, "NoTargets", "no target may be used")]
 
-    async def watch(self, kind: str, offset: int | None) -> AsyncIterator[dict]:
+    def check_watch(self, offset: int | None) -> None:
+        """:raises WatchExpiredError: changes after ``offset`` are no longer kept."""
+        configuration = self.kernel.get(Configuration)
+        if offset is not None and offset + 1 < configuration.first_kept():
+            raise WatchExpiredError(f"changes after {offset} are no longer kept")
+
+    async def watch(
+        self, kind: str, offset: int | None, ended: Callable[[], bool]
+    ) -> AsyncIterator[dict[str, Any]]:
         """Yield each change after ``offset``, and each change of status.
 
-        With no offset: first every resource as it is.
+        With no offset: first every resource as it is. Where nothing happens for a
+        while, a bookmark says up to which offset all was told. Several changes of
+        one resource that come together are told as the last of them. The watch
+        ends soon after ``ended()`` holds.
 
         :raises WatchExpiredError: changes after ``offset`` are no longer kept.
         """
@@ -206,23 +235,40 @@
             for resource in configuration.state.list(kind):
                 status_by_name[resource.name] = self.status(resource)
                 yield _watch_event("current", offset, self.describe(resource))
-        if offset + 1 < configuration.first_kept():
-            raise WatchExpiredError(f"changes after {offset} are no longer kept")
-        while True:
-            for record in configuration.recent(offset + 1):
-                offset = record.offset
-                event = self._changed(kind, record.value, offset)
-                if event is not None:
-                    yield event
-            for resource in configuration.state.list(kind):
-                status = self.status(resource)
-                if status_by_name.get(resource.name) == status:
-                    continue
-                status_by_name[resource.name] = status
-                yield _watch_event("status", offset, self.describe(resource))
+        yield _bookmark(offset)
+        told_at = clock.now()
+        while not ended():
+            self.check_watch(offset)
+            for event in self._news(kind, offset, status_by_name):
+                told_at = clock.now()
+                yield event
+            offset = max(offset, configuration.state.offset)
+            if clock.now() - told_at >= _BOOKMARK_SECONDS:
+                told_at = clock.now()
+                yield _bookmark(offset)
             await configuration.wait_past(offset, _STATUS_SECONDS)
-            if offset + 1 < configuration.first_kept():
-                raise WatchExpiredError(f"changes after {offset} are no longer kept")
+
+    def _news(
+        self, kind: str, offset: int, status_by_name: dict[str, Any]
+    ) -> list[dict[str, Any]]:
+        """Return the events after ``offset``, and those of a changed status."""
+        configuration = self.kernel.get(Configuration)
+        news: list[dict[str, Any]] = []
+        for record in configuration.recent(offset + 1):
+            event = self._changed(kind, record.value, record.offset)
+            if event is None:
+                continue
+            resource = event["resource"]
+            status_by_name[resource["name"]] = resource.get("status")
+            news.append(event)
+        for resource in configuration.state.list(kind):
+            status = self.status(resource)
+            known = status_by_name.get(resource.name)
+            status_by_name[resource.name] = status
+            if known != status:
+                event = self.describe(resource)
+                news.append(_watch_event("status", configuration.state.offset, event))
+        return news
 
     def _changed(self, kind: str, value: Any, offset: int) -> dict[str, Any] | None:
         if not isinstance(value, dict) or value.get("kind") != kind:
@@ -240,10 +286,23 @@
         return _watch_event("changed", offset, self.describe(resource))
 
 
+def _bookmark(offset: int) -> dict[str, Any]:
+    return {"event": "bookmark", "offset": offset}
+
+
 def _watch_event(event: str, offset: int, resource: dict) -> dict[str, Any]:
     return {"event": event, "offset": offset, "resource": resource}
 
 
+def _checked(data: dict[str, Any]) -> Change:
+    """Return the change; an error names the header that the caller gave."""
+    try:
+        return check(Change, data)
+    except InvalidInputError as error:
+        field = _HEADER_BY_FIELD.get(error.field or "", error.field)
+        raise InvalidInputError(error.detail, field=field) from None
+
+
 def _condition(kind: str, holds: bool, reason: str, message: str) -> dict[str, Any]:
     return {"type": kind, "status": holds, "reason": reason, "message": message}
 
@@ -252,8 +311,11 @@
     if outcome.rejected is None:
         return
     error = _ERROR_BY_CODE.get(outcome.rejected, ConflictError)
+    text = f"{change.kind}/{change.name} was at generation {outcome.generation}"
+    if error is ConflictError:
+        text += f", not {change.expected_generation}: another change came first"
     raise error(
-        f"{change.kind}/{change.name}: the change was rejected",
+        text,
         change_id=change.change_id,
         generation=outcome.generation,
     )
--- a/cranberryrun/settings.py
+++ b/cranberryrun/settings.py
@@ -3,15 +3,33 @@
 from __future__ import annotations
 
 import json
+from ipaddress import IPv4Address
 from pathlib import Path
-from typing import Literal
+from typing import Annotated, Literal
 
-from pydantic import Field, ValidationError
+from pydantic import AfterValidator, Field, ValidationError
 
 from .exceptions import SettingsError
 from .models import Model, Name, Url
 
 Role = Literal["operator", "trainer", "caller", "host"]
+_MAX_PORT = 65_535
+
+
+def _seed(text: str) -> str:
+    ip, _, port = text.rpartition(":")
+    IPv4Address(ip)
+    if not port.isascii() or not port.isdecimal() or not 1 <= int(port) <= _MAX_PORT:
+        raise ValueError("give ip:port")
+    return text
+
+
+def _ip(text: str) -> str:
+    return str(IPv4Address(text))
+
+
+Seed = Annotated[str, AfterValidator(_seed)]
+Ip = Annotated[str, AfterValidator(_ip)]
 
 
 class TlsSettings(Model):
@@ -78,6 +96,8 @@
 class Settings(Model):
     """All settings of a host. ``ip`` is bound to.
 
+    ``peers`` (``ip:port``) are asked while the platform's list was never read.
+
     ``incarnation`` is the number that the platform's list gives this start of
     the host; 0 takes the start's time, in ms since 1970.
     """
@@ -85,11 +105,12 @@
     id: Name
     incarnation: int = Field(default=0, ge=0)
     zone: Name
-    ip: str = "127.0.0.1"
-    api_port: int = Field(ge=0, le=65_535)
-    peer_port: int = Field(ge=0, le=65_535)
+    ip: Ip = "127.0.0.1"
+    api_port: int = Field(ge=0, le=_MAX_PORT)
+    peer_port: int = Field(ge=0, le=_MAX_PORT)
     log: LogSettings
     host_list_url: Url
+    peers: list[Seed] = Field(default_factory=list, max_length=100)
     tls: TlsSettings | None = None
     tokens: list[TokenSettings] = Field(default_factory=list)
     timing: TimingSettings = Field(default_factory=TimingSettings)
--- a/cranberryrun/state.py
+++ b/cranberryrun/state.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import json
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from typing import Any
 
+import xxhash
 from pydantic import ValidationError
 from returns.result import Failure, Result, Success
 
@@ -19,6 +21,7 @@
 
 Key = tuple[str, str]
 _MAX_OUTCOMES = 4_000
+_MAX_DELETED = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,18 +40,34 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """What became of a change: the resource, or the error that rejected it."""
+    """What became of a change.
+
+    ``generation`` is the resource's after the change; ``rejected`` is the code of
+    the error that rejected it. ``digest`` tells changes of one id apart.
+    """
 
     offset: int
     generation: int
     rejected: str | None = None
+    digest: str = ""
+
+
+def digest_of(change: Change) -> str:
+    """Return what is the same for two tries of one change, and for no other."""
+    content = [change.kind, change.name, change.operation, change.spec]
+    return xxhash.xxh3_64_hexdigest(json.dumps(content, sort_keys=True).encode())
 
 
 @dataclass(slots=True)
 class ConfigState:
-    """All resources and weight versions up to and with ``offset``."""
+    """All resources and weight versions up to and with ``offset``.
+
+    ``snapshot_time`` is when the log took the last snapshot, or else its first
+    record, in seconds since 1970; 0 where no record was applied.
+    """
 
     offset: int = -1
+    snapshot_time: float = 0.0
     by_key: dict[Key, Resource] = field(default_factory=dict)
     version_by_workload: dict[str, int] = field(default_factory=dict)
     outcome_by_change: OrderedDict[str, Outcome] = field(default_factory=OrderedDict)
@@ -84,6 +103,7 @@
         if offset <= self.offset:
             return Success(None)
         self.offset = offset
+        self.snapshot_time = self.snapshot_time or time
         tag = value.get("record") if isinstance(value, dict) else None
         try:
             if tag == "change":
@@ -93,6 +113,7 @@
         except ValidationError as error:
             return Failure(InvalidInputError(f"record {offset}: {error}"))
         if tag == "snapshot":
+            self.snapshot_time = max(self.snapshot_time, time)
             return Success(None)
         return Failure(InvalidInputError(f"record {offset} has no known form"))
 
@@ -108,9 +129,11 @@
             return Success(None)
         key = (change.kind, change.name)
         generation = self.generation(*key)
+        digest = digest_of(change)
         error = self._why_not(change, generation)
         if error is not None:
-            self._remember(change.change_id, Outcome(offset, generation, error.code))
+            outcome = Outcome(offset, generation, error.code, digest)
+            self._remember(change.change_id, outcome)
             return Failure(error)
         resource = Resource(
             kind=change.kind,
@@ -123,9 +146,19 @@
             deleted=change.operation == "delete",
         )
         self.by_key[key] = resource
-        self._remember(change.change_id, Outcome(offset, generation + 1))
+        outcome = Outcome(offset, generation + 1, None, digest)
+        self._remember(change.change_id, outcome)
+        if resource.deleted:
+            self._forget_deleted()
         return Success(resource)
 
+    def _forget_deleted(self) -> None:
+        """Drop the generations of the resources that were deleted longest ago."""
+        deleted = [key for key, each in self.by_key.items() if each.deleted]
+        if len(deleted) <= _MAX_DELETED:
+            return
+        del self.by_key[min(deleted, key=lambda key: self.by_key[key].offset)]
+
     def _why_not(self, change: Change, generation: int) -> CranberryrunError | None:
         if change.expected_generation != generation:
             return ConflictError(
@@ -169,13 +202,20 @@
             for _, resource in sorted(self.by_key.items())
         ]
         outcomes = [
-            [change_id, outcome.offset, outcome.generation, outcome.rejected]
+            [
+                change_id,
+                outcome.offset,
+                outcome.generation,
+                outcome.rejected,
+                outcome.digest,
+            ]
             for change_id, outcome in self.outcome_by_change.items()
         ]
         return {
             "resources": resources,
             "versions": dict(sorted(self.version_by_workload.items())),
             "outcomes": outcomes,
+            "snapshot_time": self.snapshot_time,
         }
 
     def snapshot(self, host: str) -> SnapshotRecord:
@@ -191,23 +231,26 @@
         state = cls(offset=snapshot.covers)
         try:
             for row in snapshot.state["resources"]:
-                kind, name, generation, spec, offset, changed_at, change_id, gone = row
-                model = SPEC_BY_KIND[kind]
-                state.by_key[kind, name] = Resource(
-                    kind,
-                    name,
-                    generation,
-                    None if spec is None else model.model_validate(spec),
-                    offset,
-                    changed_at,
-                    change_id,
-                    gone,
-                )
-            state.version_by_workload.update(snapshot.state["versions"])
-            for change_id, offset, generation, rejected in snapshot.state["outcomes"]:
-                state.outcome_by_change[change_id] = Outcome(
-                    offset, generation, rejected
-                )
-        except (KeyError, ValueError, TypeError) as error:
+                state._load_resource(row)
+            for workload, version in snapshot.state["versions"].items():
+                state.version_by_workload[workload] = int(version)
+            for change_id, *row in snapshot.state["outcomes"]:
+                state.outcome_by_change[change_id] = Outcome(*row)
+            state.snapshot_time = float(snapshot.state["snapshot_time"])
+        except (KeyError, ValueError, TypeError, AttributeError) as error:
             raise InvalidInputError(f"snapshot: {error!r}") from None
         return state
+
+    def _load_resource(self, row: list[Any]) -> None:
+        kind, name, generation, spec, offset, changed_at, change_id, deleted = row
+        model = SPEC_BY_KIND[kind]
+        self.by_key[kind, name] = Resource(
+            kind,
+            name,
+            generation,
+            None if spec is None else model.model_validate(spec),
+            offset,
+            changed_at,
+            change_id,
+            deleted,
+        )
