--- a/bench/capacity/gossip.py
+++ b/bench/capacity/gossip.py
@@ -101,6 +101,7 @@
         message = wire.Exchange(
             sender=name,
             incarnation=1_700_000_000_000,
+            zone="zone-a",
             facts=to_wire(facts),
             all_facts=ask_all,
             offset=self.offset,
--- a/cranberryrun/peers.thrift
+++ b/cranberryrun/peers.thrift
@@ -17,6 +17,7 @@
   4: bool all_facts,
   5: i64 offset,
   6: i64 digest,
+  7: string zone,
 }
 
 struct Record {
