--- a/cranberryrun/api.py
+++ b/cranberryrun/api.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import uuid
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 from absl import logging
@@ -18,10 +17,12 @@
     CallerGoneError,
     CranberryrunError,
     InvalidInputError,
+    MethodNotAllowedError,
     NotFoundError,
     NotReadyError,
     PeerError,
     TooLargeError,
+    WatchExpiredError,
 )
 from .kernel import Service
 from .membership import Membership
@@ -33,6 +34,7 @@
 from .services import Answer, Call, Sink
 from .settings import Settings
 from .steps import Steps
+from .timeline import merge
 from .traffic import Traffic
 from .versions import Versions
 
@@ -58,7 +60,6 @@
         self._in_flight = 0
         self._latest_deadline = 0.0
         self._idle_since = 0.0
-        self._stopping = asyncio.Event()
         self.accepting = False
         self.drain_asked: Any = None
 
@@ -110,15 +111,16 @@
         response.force_close()
 
     def say_unready(self) -> None:
-        """Have the balancer choose other hosts, and end the watches."""
+        """Have the balancer choose other hosts; watches end soon."""
         self.accepting = False
-        self._stopping.set()
 
     async def stop_listening(self) -> None:
         """Take no new connections; those that are open go on."""
         if self._site is not None:
             await self._site.stop()
             self._site = None
+            # Requests may still be on their way on connections that are open.
+            self._idle_since = clock.now()
 
     async def stop(self) -> None:
         """Close what is left."""
@@ -149,7 +151,10 @@
     async def _middleware(self, request: web.Request, handler) -> web.StreamResponse:
         self._in_flight += 1
         try:
-            return await handler(request)
+            response = await handler(request)
+            if not self.accepting:
+                response.force_close()
+            return response
         except CranberryrunError as error:
             if request.get("head_sent"):
                 return _cut(request)
@@ -159,6 +164,9 @@
         except web.HTTPException as error:
             if error.status == 404:
                 return _problem(NotFoundError(f"there is no {request.path}"))
+            if error.status == 405:
+                allowed = error.headers.get("Allow", "")
+                return _problem(MethodNotAllowedError(f"allowed: {allowed}"))
             raise
         except ConnectionError:
             return _cut(request)
@@ -214,7 +222,7 @@
         return _json({"events": [event.as_dict() for event in events]})
 
     async def _timeline(self, request: web.Request) -> web.Response:
-        """Merge the events of all hosts, in the order of their wall times."""
+        """Merge the events of all hosts; causes stand before their effects."""
         self._allow(request, "operator")
         rows = [each.as_dict() for each in self.kernel.get(Events).after(-1)]
         silent: list[str] = []
@@ -232,8 +240,7 @@
                 if page.last == after:
                     break
                 after = page.last
-        rows.sort(key=lambda row: (row["wall"], row["host"], row["n"]))
-        return _json({"events": rows, "silent": silent})
+        return _json({"events": merge(rows), "silent": silent})
 
     async def _drain(self, request: web.Request) -> web.Response:
         self._allow(request, "operator")
@@ -318,33 +325,20 @@
     async def _watch(self, request: web.Request, kind: str) -> web.StreamResponse:
         text = request.query["watch"]
         offset = _integer(text, "watch") if text else None
+        resources = self.kernel.get(Resources)
+        resources.check_watch(offset)
         response = web.StreamResponse(headers={"Content-Type": _NDJSON})
-        watch = self.kernel.get(Resources).watch(kind, offset)
-        first = await anext(watch)
         await response.prepare(request)
-        await response.write(json.dumps(first).encode() + b"\n")
-        async for event in self._until_stopping(watch):
-            await response.write(json.dumps(event).encode() + b"\n")
+        try:
+            async for event in resources.watch(kind, offset, self._ended):
+                await response.write(_line(event))
+        except WatchExpiredError as error:
+            await response.write(_line({"event": "expired", "error": error.problem()}))
         await response.write_eof()
         return response
 
-    async def _until_stopping(self, source: AsyncIterator[Any]) -> AsyncIterator[Any]:
-        """Yield what ``source`` yields until the host begins to stop."""
-        stopping = asyncio.ensure_future(self._stopping.wait())
-        coming: asyncio.Future[Any] | None = None
-        try:
-            while True:
-                coming = asyncio.ensure_future(anext(source))
-                await asyncio.wait(
-                    {stopping, coming}, return_when=asyncio.FIRST_COMPLETED
-                )
-                if not coming.done() or _is_end(coming):
-                    return
-                yield coming.result()
-        finally:
-            stopping.cancel()
-            if coming is not None:
-                coming.cancel()
+    def _ended(self) -> bool:
+        return not self.accepting
 
     async def _get(self, request: web.Request) -> web.Response:
         self._allow(request, "operator")
@@ -361,6 +355,9 @@
             raise InvalidInputError(f"{field} is not known", field=field)
         if "spec" not in body:
             raise InvalidInputError("spec is missing", field="spec")
+        for field in ("kind", "name"):
+            if body.get(field, request.match_info[field]) != request.match_info[field]:
+                raise InvalidInputError(f"{field} differs from the path's", field=field)
         return await self._change(request, "put", body["spec"])
 
     async def _delete(self, request: web.Request) -> web.Response:
@@ -380,7 +377,8 @@
             request.headers.get("Change-Id"),
         )
         if resource is None:
-            return web.json_response({"deleted": True})
+            kind, name = request.match_info["kind"], request.match_info["name"]
+            return web.json_response({"kind": kind, "name": name, "deleted": True})
         return _resource(resources.describe(resource))
 
 
@@ -391,10 +389,6 @@
     return web.Response()
 
 
-def _is_end(coming: asyncio.Future[Any]) -> bool:
-    return isinstance(coming.exception(), StopAsyncIteration)
-
-
 class ResponseSink(Sink):
     """Sends an answer on to the caller while it comes, as fast as it is taken."""
 
@@ -477,6 +471,10 @@
     return web.json_response(body, dumps=lambda data: json.dumps(data, default=str))
 
 
+def _line(event: dict[str, Any]) -> bytes:
+    return json.dumps(event).encode() + b"\n"
+
+
 def _problem(error: CranberryrunError) -> web.Response:
     answer = problem_answer(error)
     return web.Response(status=answer.status, headers=answer.headers, body=answer.body)
@@ -484,8 +482,8 @@
 
 def _json_object(body: bytes) -> dict[str, Any]:
     try:
-        data = json.loads(body)
-    except (json.JSONDecodeError, UnicodeDecodeError) as error:
+        data = json.loads(body, parse_constant=_no_constant)
+    except (ValueError, RecursionError) as error:
         raise InvalidInputError(
             f"the body is not JSON: {error}", field="body"
         ) from None
@@ -494,6 +492,10 @@
     return data
 
 
+def _no_constant(text: str) -> None:
+    raise ValueError(f"{text} is no JSON")
+
+
 def _integer(text: str, field: str) -> int:
     try:
         value = int(text)
--- a/cranberryrun/host.py
+++ b/cranberryrun/host.py
@@ -28,7 +28,7 @@
 from .weights import Weights
 
 _DRAIN_TICK_SECONDS = 0.05
-_QUIET_SECONDS = 0.3
+_QUIET_SECONDS = 0.5
 _DEADLINE_SLACK_SECONDS = 1.0
 _RECORD_SECONDS = 2.0
 
--- a/cranberryrun/membership.py
+++ b/cranberryrun/membership.py
@@ -72,6 +72,18 @@
             raise HostListError(f"the list can't be read: {error!r}") from None
 
 
+def _seeds(settings: Settings) -> dict[str, HostEntry]:
+    """Return entries for the peers in the settings; their ids come with answers."""
+    by_seed: dict[str, HostEntry] = {}
+    own = f"{settings.ip}:{settings.peer_port}"
+    for seed in settings.peers:
+        if seed == own:
+            continue
+        ip, _, port = seed.rpartition(":")
+        by_seed[seed] = HostEntry(id=seed, kind="entry", ip=ip, peer_port=int(port))
+    return by_seed
+
+
 class Membership(Service):
     """Keeps the list and the views. ``leaving`` is sticky for an incarnation."""
 
@@ -85,10 +97,13 @@
         self.views = Views()
         self.entry_by_id: dict[str, HostEntry] = {}
         self._target_by_id: dict[str, HostEntry] = {}
+        self._offset_by_host: dict[str, tuple[int, int]] = {}
         self._list_heard_at: float | None = None
         self._peer_heard_at: float | None = None
         self._host_list: HostList | None = None
         self._waiters: set[asyncio.Event] = set()
+        self._suspected_ids: set[str] = set()
+        self._entry_by_seed = _seeds(settings)
 
     def use_list(self, host_list: HostList) -> None:
         """Read from ``host_list`` in place of the one in the settings."""
@@ -120,6 +135,7 @@
         news = self.views.merge(facts, self.host_count)
         for fact in news:
             self._refute(fact)
+            self._note_return(fact)
             if fact.kind is FactKind.TARGET and fact.value >= LEAVING:
                 self.kernel.get(Events).emit("target_leaving", target=fact.name)
         if news:
@@ -133,6 +149,18 @@
         if fact.incarnation == self.incarnation and fact.value % 2 == 1:
             self.views.merge([self._own(fact.value + 1)], self.host_count)
 
+    def _note_return(self, fact: Fact) -> None:
+        if fact.kind is not FactKind.HOST:
+            return
+        if fact.value % 2 == 1 and fact.value < LEAVING:
+            self._suspected_ids.add(fact.name)
+            return
+        if fact.name not in self._suspected_ids:
+            return
+        self._suspected_ids.discard(fact.name)
+        if fact.value < LEAVING:
+            self.kernel.get(Events).emit("peer_returned", peer=fact.name)
+
     def _own(self, value: int) -> Fact:
         return Fact(FactKind.HOST, self.id, self.incarnation, value)
 
@@ -171,6 +199,15 @@
         """Note that a peer answered just now."""
         self._peer_heard_at = clock.now()
 
+    def met(self, entry: HostEntry, host_id: str, zone: str) -> None:
+        """Note that a peer answered, and who a seed is."""
+        self.heard_from(host_id)
+        seed = f"{entry.ip}:{entry.peer_port}"
+        if entry.id == seed and host_id and seed in self._entry_by_seed:
+            self._entry_by_seed[seed] = entry.model_copy(
+                update={"id": host_id, "zone": zone or ""}
+            )
+
     def heard_age(self) -> float:
         """Return seconds since the list or any peer was heard."""
         heard = [
@@ -187,8 +224,14 @@
         return fact.value < LEAVING and fact.value % 2 == 0
 
     def peers(self) -> list[HostEntry]:
-        """Return the other entry hosts on the list, also those suspected."""
-        return [entry for key, entry in self.entry_by_id.items() if key != self.id]
+        """Return the other entry hosts, also those suspected.
+
+        They are those on the list; the seeds, while the list was never read.
+        """
+        entries = self.entry_by_id.values()
+        if self._list_heard_at is None:
+            entries = self._entry_by_seed.values()
+        return [entry for entry in entries if entry.id != self.id]
 
     def live_peers(self) -> list[HostEntry]:
         """Return the other entry hosts that are neither leaving nor suspected."""
@@ -213,13 +256,18 @@
             and fact.incarnation >= incarnation
         )
 
+    def note_offset(self, host_id: str, incarnation: int, offset: int) -> None:
+        """Note the configuration offset that a host says it has applied."""
+        known = self._offset_by_host.get(host_id, (0, -1))
+        self._offset_by_host[host_id] = max(known, (incarnation, offset))
+
     def offset_of(self, host_id: str) -> int:
-        """Return the configuration offset that a host said it has applied."""
-        fact = self.views.get(FactKind.OFFSET, host_id)
+        """Return the newest configuration offset a host said it has applied."""
+        incarnation, offset = self._offset_by_host.get(host_id, (0, -1))
         entry = self.entry_by_id.get(host_id)
-        if fact is None or (entry and fact.incarnation < entry.incarnation):
+        if entry is not None and incarnation < entry.incarnation:
             return -1
-        return fact.value
+        return offset
 
     async def _poll(self) -> None:
         events = self.kernel.get(Events)
