--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -84,6 +84,7 @@
     async def stop_listening(self) -> None:
         """Take no new connections."""
         self.listening = False
+        self._idle_since = clock.now()
 
     async def stop(self) -> None:
         """End; the world breaks what is open."""
@@ -99,6 +100,7 @@
             yield
         finally:
             self._in_flight -= 1
+            self._idle_since = clock.now()
 
 
 class World:
--- a/tests/fakes_targets.py
+++ b/tests/fakes_targets.py
@@ -28,7 +28,7 @@
 )
 from cranberryrun.models import VersionSpan
 from cranberryrun.samples import _spans
-from cranberryrun.services import Answer, Call, ServiceClient
+from cranberryrun.services import Answer, Call, ServiceClient, Sink
 from standins._downloads import FixedDelaySource
 from standins._generation import StreamState, TokenStream
 from standins._orders import Order, StaleFence
@@ -268,9 +268,11 @@
         self._service = service
         self._network = network
 
-    async def send(self, call: Call, repeatable: bool) -> Answer:
+    async def send(
+        self, call: Call, repeatable: bool, patience: float, sink: Sink | None = None
+    ) -> Answer:
         """See :meth:`ServiceClient.send`."""
-        left = max(0.001, call.deadline - clock.now())
+        left = max(0.001, min(patience, call.deadline - clock.now()))
 
         async def run() -> Answer:
             return await self._service.answer(call, self._host)
