Check tokens by role, serve and talk over TLS, and publish metrics

Cause: no token was asked for at GET /v1/workloads/{name}/versions (the new test of all routes saw 404 in place of 401); hosts took calls on the peer port from anybody; there were no metrics. Ruled out: checking the names in peers' certificates, as hosts are replaced at any time and talk by IP; the authority signs hosts only.

--- a/cranberryrun/api.py
+++ b/cranberryrun/api.py
@@ -31,7 +31,7 @@
 from .peers import Peers
 from .resources import Resources
 from .security import Tokens, server_context
-from .services import Answer, Call, Sink
+from .services import Answer, Call, Sink, forwarded
 from .settings import Settings
 from .steps import Steps
 from .timeline import merge
@@ -259,6 +259,7 @@
         )
 
     async def _newest(self, request: web.Request) -> web.Response:
+        self._allow(request, "trainer")
         name = request.match_info["name"]
         self.kernel.get(Resources).get("workloads", name)
         newest = self.kernel.get(Versions).newest(name)
@@ -308,7 +309,7 @@
             request=_request_id(request),
             caller=caller,
             deadline=clock.now() + _seconds_left(request, resource.spec.timeout),
-            headers=request.headers.copy(),
+            headers=forwarded(request.headers),
             body=await request.read(),
             key=_key(request),
         )
--- a/cranberryrun/host.py
+++ b/cranberryrun/host.py
@@ -83,12 +83,22 @@
 
     async def start(self) -> None:
         """Start all services and serve the API."""
+        self._observe()
         await self.kernel.start()
         self._started.set()
         self.kernel.get(Events).emit(
             "host_started", zone=self.settings.zone, api_port=self.settings.api_port
         )
 
+    def _observe(self) -> None:
+        """Let the state of services that know nothing of metrics be measured."""
+        metrics = self.kernel.get(Metrics)
+        membership = self.kernel.get(Membership)
+        configuration = self.kernel.get(Configuration)
+        metrics.observe("peers", lambda: len(membership.live_peers()))
+        metrics.observe("config_offset", lambda: configuration.state.offset)
+        metrics.observe("log_up", lambda: int(configuration.log_up))
+
     async def stop(self) -> None:
         """Stop at once, whatever is in flight."""
         self.kernel.get(Events).emit("host_stopped")
--- a/cranberryrun/pauses.py
+++ b/cranberryrun/pauses.py
@@ -9,6 +9,7 @@
 from .exceptions import HostListError
 from .kernel import Service
 from .membership import Membership
+from .metrics import Metrics
 from .peers import Peers
 from .settings import Settings
 
@@ -23,7 +24,7 @@
     """
 
     name = "pauses"
-    requires = ("membership", "peers", "events")
+    requires = ("membership", "peers", "events", "metrics")
 
     def __init__(self, settings: Settings) -> None:
         super().__init__()
@@ -37,6 +38,7 @@
     async def start(self) -> None:
         """Begin to tick."""
         self._ticked_at = clock.now()
+        self.kernel.get(Metrics).observe("loop_lag", lambda: self.lag)
         self.supervise(self._tick)
 
     async def _tick(self) -> None:
--- /dev/null
+++ b/tests/test_security.py
@@ -0,0 +1,232 @@
+"""Tests of who may call: tokens by role, TLS at both borders, nothing secret told."""
+
+import hashlib
+import json
+import random
+import ssl
+import unittest
+from pathlib import Path
+
+import aiohttp
+from absl import logging
+
+from cranberryrun.configuration import Configuration
+from cranberryrun.events import Events
+from cranberryrun.exceptions import (
+    ForbiddenError,
+    PeerError,
+    SettingsError,
+    UnauthorizedError,
+)
+from cranberryrun.host import Host
+from cranberryrun.kernel import Kernel
+from cranberryrun.membership import HostEntry, Membership
+from cranberryrun.peers import Peers
+from cranberryrun.security import ANONYMOUS, Tokens, server_context
+from cranberryrun.settings import TlsSettings, TokenSettings
+from standins.deployment import free_port
+
+from .doubles import MemoryLog, RawTarget, StubMembership, answer, settings
+from .test_drain import EmptyList, declare
+
+DATA = Path(__file__).parent / "data"
+SECRETS = {role: f"secret-of-the-{role}" for role in ("operator", "trainer", "caller")}
+
+
+def tls(name: str, authority: str | None = "authority") -> dict[str, str | None]:
+    """Return TLS settings with a certificate of the test data."""
+    return {
+        "certificate": str(DATA / f"{name}.crt"),
+        "key": str(DATA / f"{name}.key"),
+        "authority": authority and str(DATA / f"{authority}.crt"),
+    }
+
+
+def tokens() -> list[dict[str, object]]:
+    """Return a token for each role."""
+    return [
+        {
+            "name": f"the {role}",
+            "roles": [role],
+            "sha256": hashlib.sha256(secret.encode()).hexdigest(),
+        }
+        for role, secret in SECRETS.items()
+    ]
+
+
+class TokenTests(unittest.TestCase):
+    """What a token allows."""
+
+    def setUp(self) -> None:
+        self.tokens = Tokens([TokenSettings.model_validate(row) for row in tokens()])
+
+    def test_each_role_may_do_its_own(self) -> None:
+        for role, secret in SECRETS.items():
+            name = self.tokens.allow(f"Bearer {secret}", role)
+            self.assertEqual(name, f"the {role}")
+            for other in set(SECRETS) - {role}:
+                with self.assertRaises(ForbiddenError):
+                    self.tokens.allow(f"Bearer {secret}", other)
+
+    def test_what_is_no_known_token(self) -> None:
+        secret = SECRETS["caller"]
+        digest = hashlib.sha256(secret.encode()).hexdigest()
+        for header in (
+            "",
+            "Bearer",
+            "Bearer ",
+            "Bearer wrong",
+            f"Basic {secret}",
+            secret,
+            f"Bearer {digest}",
+        ):
+            with self.subTest(header), self.assertRaises(UnauthorizedError) as caught:
+                self.tokens.allow(header, "caller")
+            self.assertNotIn(secret, caught.exception.detail)
+
+    def test_no_tokens_no_check(self) -> None:
+        self.assertEqual(Tokens([]).allow("", "operator"), ANONYMOUS)
+
+
+class TlsSettingsTests(unittest.TestCase):
+    """Files that are wrong are refused before anything is served."""
+
+    def test_wrong_files_name_the_field(self) -> None:
+        good = tls("host")
+        for field, wrong in (
+            ("tls.certificate", good | {"certificate": "/none"}),
+            ("tls.certificate", good | {"key": tls("stranger")["key"]}),
+            ("tls.certificate", good | {"certificate": str(DATA / "README.md")}),
+        ):
+            with self.subTest(wrong), self.assertRaises(SettingsError) as caught:
+                server_context(TlsSettings.model_validate(wrong))
+            self.assertEqual(caught.exception.field, field)
+        with self.assertRaises(SettingsError) as caught:
+            Peers(settings(tls=good | {"authority": "/none"}), random.Random(1))
+        self.assertEqual(caught.exception.field, "tls.authority")
+
+
+class ApiSecurityTests(unittest.IsolatedAsyncioTestCase):
+    """A host with tokens and TLS, over real sockets."""
+
+    async def asyncSetUp(self) -> None:
+        made = settings(
+            api_port=free_port(),
+            peer_port=free_port(),
+            tls=tls("host"),
+            tokens=tokens(),
+        )
+        self.host = Host(made, MemoryLog())
+        self.host.kernel.get(Membership).use_list(EmptyList())
+        await self.host.start()
+        self.addAsyncCleanup(self.host.stop)
+        await self.host.kernel.get(Configuration).ready.wait()
+        self.url = f"https://127.0.0.1:{made.api_port}"
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+        self.trusting = ssl.create_default_context(cafile=str(DATA / "authority.crt"))
+
+    async def _status(self, method: str, path: str, role: str | None) -> int:
+        headers = {}
+        if role is not None:
+            headers["Authorization"] = f"Bearer {SECRETS[role]}"
+        async with self.session.request(
+            method, self.url + path, headers=headers, ssl=self.trusting, json={}
+        ) as got:
+            if got.status in (401, 403):
+                problem = json.loads(await got.read())
+                self.assertTrue(problem["not_run"])
+            return got.status
+
+    async def test_every_route_asks_for_its_role(self) -> None:
+        step = "/v1/workloads/w/steps/1/samples"
+        routes = (
+            ("GET", "/v1/hosts", "operator"),
+            ("GET", "/v1/events", "operator"),
+            ("GET", "/v1/timeline", "operator"),
+            ("GET", "/v1/services", "operator"),
+            ("GET", "/v1/services?watch=", "operator"),
+            ("GET", "/v1/services/s", "operator"),
+            ("PUT", "/v1/services/s", "operator"),
+            ("DELETE", "/v1/services/s", "operator"),
+            ("POST", "/v1/drain", "operator"),
+            ("POST", "/v1/workloads/w/versions", "trainer"),
+            ("GET", "/v1/workloads/w/versions", "trainer"),
+            ("POST", step, "trainer"),
+            ("POST", "/call/s/x", "caller"),
+        )
+        for method, path, role in routes:
+            with self.subTest(f"{method} {path}"):
+                self.assertEqual(await self._status(method, path, None), 401)
+                for other in set(SECRETS) - {role}:
+                    self.assertEqual(await self._status(method, path, other), 403)
+                if "watch" not in path:
+                    allowed = await self._status(method, path, role)
+                    self.assertNotIn(allowed, (401, 403))
+
+    async def test_probes_and_metrics_need_no_token(self) -> None:
+        for path in ("/healthz", "/readyz", "/metrics"):
+            self.assertEqual(await self._status("GET", path, None), 200)
+
+    async def test_plain_http_and_an_unknown_authority_are_refused(self) -> None:
+        with self.assertRaises(aiohttp.ClientConnectorCertificateError):
+            await self.session.get(f"{self.url}/healthz")
+        with self.assertRaises(aiohttp.ClientError):
+            await self.session.get(self.url.replace("https", "http") + "/healthz")
+
+    async def test_secrets_reach_neither_logs_nor_targets_nor_events(self) -> None:
+        with self.assertLogs(logging.get_absl_logger(), "DEBUG") as logs:
+            verbosity = logging.get_verbosity()
+            logging.set_verbosity(logging.DEBUG)
+            self.addCleanup(logging.set_verbosity, verbosity)
+            async with RawTarget(answer()) as target:
+                await declare(self.host, target)
+                for role in (*SECRETS, None):
+                    await self._status("POST", "/call/s/x", role)
+                self.assertEqual(len(target.requests), 1)
+                seen = bytes(target.received).decode()
+        events = self.host.kernel.get(Events).after(-1)
+        text = "\n".join(
+            [*logs.output, seen, json.dumps([event.as_dict() for event in events])]
+        )
+        self.assertIn("request_answered", text)
+        for secret in SECRETS.values():
+            self.assertNotIn(secret, text)
+            self.assertNotIn(hashlib.sha256(secret.encode()).hexdigest(), text)
+
+
+class PeerSecurityTests(unittest.IsolatedAsyncioTestCase):
+    """Hosts talk only to those that show a certificate of the authority."""
+
+    async def _peers(self, name: str, **changes: object) -> Peers:
+        made = settings(name, peer_port=free_port(), **changes)
+        kernel = Kernel()
+        peers = Peers(made, random.Random(1))
+        for service in (Events(name, 1, 100), StubMembership(made, 1), peers):
+            kernel.register(service)
+        await peers.start()
+        self.addAsyncCleanup(peers.stop)
+        return peers
+
+    async def _call(self, caller: Peers, called: Peers) -> None:
+        made = called._settings
+        entry = HostEntry(
+            id=made.id, kind="entry", ip=made.ip, peer_port=made.peer_port
+        )
+        message = caller._exchange_message(made.id)
+        await caller.call(entry, "exchange", message, timeout=2)
+
+    async def test_who_may_talk_to_a_host(self) -> None:
+        host = await self._peers("h1", tls=tls("host"))
+        await self._call(await self._peers("h2", tls=tls("other-host")), host)
+        for name, changes in (
+            ("stranger", {"tls": tls("stranger")}),
+            ("plain", {}),
+            ("unsigned", {"tls": tls("stranger", "stranger")}),
+        ):
+            with self.subTest(name):
+                other = await self._peers(name, **changes)
+                with self.assertRaises(PeerError):
+                    await self._call(other, host)
+                with self.assertRaises(PeerError):
+                    await self._call(host, other)
