--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -55,11 +55,12 @@
 async def declare(host: Host, target: RawTarget) -> None:
     """Declare the service ``s`` with one target."""
     spec = {"targets": [target.target().model_dump()], "timeout": 10}
+    generation = host.kernel.get(Configuration).state.generation("services", "s")
     change = Change(
-        change_id="c1",
+        change_id=f"c{generation}",
         kind="services",
         name="s",
-        expected_generation=0,
+        expected_generation=generation,
         operation="put",
         spec=spec,
     )
