--- a/cranberryrun/membership.py
+++ b/cranberryrun/membership.py
@@ -190,6 +190,11 @@
         self.learn([Fact(FactKind.HOST, host_id, fact.incarnation, fact.value + 1)])
         self.kernel.get(Events).emit("peer_unreachable", peer=host_id)
 
+    def suspected(self, host_id: str) -> bool:
+        """Say whether a host did not answer when it was last asked."""
+        fact = self.views.get(FactKind.HOST, host_id)
+        return fact is not None and fact.value < LEAVING and fact.value % 2 == 1
+
     def heard_from(self, host_id: str) -> None:
         """Note that a peer answered just now."""
         self._peer_heard_at = clock.now()
@@ -269,7 +274,7 @@
         lost = False
         while True:
             try:
-                self.take_list(await self._host_list.read())
+                await self.read_list()
                 if lost:
                     events.emit("host_list_back")
                 lost = False
@@ -280,6 +285,10 @@
             self._forget_old_steps()
             await asyncio.sleep(self._settings.timing.list_poll)
 
+    async def read_list(self) -> None:
+        """Read the platform's list now; :raises HostListError:."""
+        self.take_list(await self._host_list.read())
+
     def take_list(self, entries: list[HostEntry]) -> None:
         """Take in what the platform's list says now."""
         self._list_heard_at = clock.now()
