Give slots to engines from one place and judge samples right before writing

Cause: each slot had a task that waited for the budget and then, holding its place, for an engine; a second attempt could wait behind them, a cancelled maker could strike off an equal attempt, and a trainer that read slowly held up the judging of all groups. A dispatcher now gives slots out; attempts are told apart by identity; a run writes in a task of its own. Engines are polled by their owner and by the hosts that use them, the others not at all; an engine declared anew keeps its count of streams in flight.

--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -63,6 +63,8 @@
     (312, "second_attempt", INFO, "A straggler is made on another engine too."),
     (313, "hand_over_held", WARNING, "The view is too old to judge freshness."),
     (314, "step_superseded", INFO, "Another host runs this step now."),
+    (315, "step_waiting", WARNING, "No engine may take the step's samples now."),
+    (316, "sample_given_back", INFO, "A sample left an engine that was lent to it."),
     (400, "request_routed", INFO, "A request was sent to a target."),
     (401, "request_answered", INFO, "A request was answered whole."),
     (402, "request_refused", INFO, "A request was refused without being run."),
@@ -83,5 +85,6 @@
     (505, "engine_put_right", WARNING, "An engine ran an older version again."),
     (506, "load_failed", WARNING, "An engine failed to load a version."),
     (507, "engine_out", WARNING, "An engine was taken out of use."),
+    (508, "engine_in", INFO, "An engine was taken back into use."),
     (600, "usage_written", INFO, "Usage records were appended to the log."),
 )
--- a/cranberryrun/engines.py
+++ b/cranberryrun/engines.py
@@ -1,276 +1,69 @@
-"""Model engines: the adapter for one, and what this host knows of all of them."""
+"""What this host knows of the model engines, and which of them it watches."""
 
 from __future__ import annotations
 
 import asyncio
-import json
-from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator
+import math
+from collections import defaultdict
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
-import aiohttp
-
 from . import clock
 from .configuration import Configuration
-from .events import Events
-from .exceptions import (
-    CranberryrunError,
-    EngineError,
-    StaleFenceError,
-    StreamCutError,
-    StreamExistsError,
-    StreamLostError,
-    TargetRefusedError,
-    TargetUnreachableError,
+from .engine_client import (
+    NOT_RUN_HEADER,
+    EngineClient,
+    EngineState,
+    HttpEngineClient,
+    LoadedVersion,
+    LoadReport,
+    NamedOrder,
+    Piece,
+    StreamOrder,
+    VersionOrder,
 )
+from .events import Events
+from .exceptions import CranberryrunError
 from .health import Health
 from .http import HttpClients
 from .kernel import Service
 from .membership import Membership
 from .models import EngineSpec
+from .ownership import Ownership
+from .rendezvous import ranked
 from .routing import Candidate
 from .settings import Settings
-
-NOT_RUN_HEADER = "X-Not-Run"
-_STATE_TIMEOUT_SECONDS = 2.0
-
-
-@dataclass(frozen=True, slots=True)
-class Piece:
-    """A part of a stream; ``version`` made it, None if the engine did not say."""
-
-    seq: int
-    tokens: int
-    text: str
-    version: int | None
-    done: bool
-
-
-@dataclass(frozen=True, slots=True)
-class StreamOrder:
-    """What an engine is asked to generate. A higher ``priority`` goes first."""
-
-    stream: str
-    workload: str
-    prompt: str
-    max_tokens: int
-    seed: int
-    priority: int
-
-
-@dataclass(frozen=True, slots=True)
-class LoadReport:
-    """An engine's own, late word on its load."""
-
-    running: int
-    queued: int
-    tokens_per_second: float
-
-
-@dataclass(frozen=True, slots=True)
-class LoadedVersion:
-    """What an engine runs for one workload; ``loading`` is under way."""
-
-    version: int
-    fence: int
-    loading: int | None
-
-
-@dataclass(frozen=True, slots=True)
-class EngineState:
-    """What an engine runs now."""
-
-    incarnation: int
-    by_workload: dict[str, LoadedVersion] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class VersionOrder:
-    """An order to load a weight version. ``fence`` grows with newer orders."""
-
-    order: str
-    fence: int
-    workload: str
-    version: int
-
-
-class EngineClient(ABC):
-    """Speaks to one engine. Replace it for engines with another protocol."""
-
-    @abstractmethod
-    def generate(self, order: StreamOrder) -> AsyncIterator[Piece]:
-        """Start a stream and yield its pieces.
-
-        :raises StreamExistsError: the stream runs already; resume it.
-        :raises TargetUnreachableError, TargetRefusedError: nothing was run.
-        :raises StreamCutError: the connection broke before the last piece.
-        """
-
-    @abstractmethod
-    def resume(self, stream: str, start: int) -> AsyncIterator[Piece]:
-        """Yield the pieces of a stream from number ``start`` on.
-
-        :raises StreamLostError: the engine doesn't know the stream.
-        """
-
-    @abstractmethod
-    async def cancel(self, stream: str) -> None:
-        """Stop a stream; one that isn't there counts as stopped."""
-
-    @abstractmethod
-    async def load(self) -> LoadReport:
-        """Return the engine's load report; :raises EngineError: if there is none."""
-
-    @abstractmethod
-    async def state(self) -> EngineState:
-        """Return what the engine runs; :raises EngineError: if it doesn't say."""
-
-    @abstractmethod
-    async def order(self, order: VersionOrder) -> None:
-        """Give an order; :raises StaleFenceError, EngineError: if not taken."""
-
-
-class HttpEngineClient(EngineClient):
-    """An engine over HTTP, as ``docs/PLATFORM.md`` has it."""
-
-    def __init__(self, url: str, clients: HttpClients, idle: float) -> None:
-        self._url = url
-        self._clients = clients
-        self._stream_timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=1, sock_read=idle
-        )
-        self._timeout = aiohttp.ClientTimeout(total=_STATE_TIMEOUT_SECONDS)
-
-    async def generate(self, order: StreamOrder) -> AsyncIterator[Piece]:
-        """See :meth:`EngineClient.generate`."""
-        body = {
-            "stream": order.stream,
-            "workload": order.workload,
-            "prompt": order.prompt,
-            "max_tokens": order.max_tokens,
-            "seed": order.seed,
-            "priority": order.priority,
-        }
-        call = self._clients.once.post(
-            f"{self._url}/v1/generate", json=body, timeout=self._stream_timeout
-        )
-        async for piece in self._pieces(call, 0):
-            yield piece
-
-    async def resume(self, stream: str, start: int) -> AsyncIterator[Piece]:
-        """See :meth:`EngineClient.resume`."""
-        call = self._clients.shared.get(
-            f"{self._url}/v1/streams/{stream}",
-            params={"from": str(start)},
-            timeout=self._stream_timeout,
-        )
-        async for piece in self._pieces(call, start):
-            yield piece
-
-    async def _pieces(self, call: Any, start: int) -> AsyncIterator[Piece]:
-        expected = start
-        try:
-            async with call as answer:
-                _raise_for(answer)
-                async for line in answer.content:
-                    piece = _piece(line, expected)
-                    expected += 1
-                    yield piece
-                    if piece.done:
-                        return
-        except aiohttp.ClientConnectorError as error:
-            raise TargetUnreachableError(str(error)) from None
-        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
-            raise StreamCutError(f"the stream was cut: {error!r}") from None
-        raise StreamCutError("the stream ended before its last piece")
-
-    async def cancel(self, stream: str) -> None:
-        """See :meth:`EngineClient.cancel`."""
-        try:
-            async with self._clients.shared.delete(
-                f"{self._url}/v1/streams/{stream}", timeout=self._timeout
-            ):
-                return
-        except (aiohttp.ClientError, asyncio.TimeoutError):
-            return
-
-    async def load(self) -> LoadReport:
-        """See :meth:`EngineClient.load`."""
-        body = await self._get("/v1/load")
-        return LoadReport(
-            int(body["running"]), int(body["queued"]), float(body["tokens_per_second"])
-        )
-
-    async def state(self) -> EngineState:
-        """See :meth:`EngineClient.state`."""
-        body = await self._get("/v1/state")
-        by_workload = {
-            workload: LoadedVersion(row["version"], row["fence"], row["loading"])
-            for workload, row in body["by_workload"].items()
-        }
-        return EngineState(int(body["incarnation"]), by_workload)
-
-    async def _get(self, path: str) -> Any:
-        try:
-            async with self._clients.shared.get(
-                self._url + path, timeout=self._timeout
-            ) as answer:
-                if answer.status != 200:
-                    raise EngineError(f"{path} answered {answer.status}")
-                return await answer.json()
-        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
-            raise EngineError(f"{path}: {error!r}") from None
-
-    async def order(self, order: VersionOrder) -> None:
-        """See :meth:`EngineClient.order`."""
-        body = {
-            "order": order.order,
-            "fence": order.fence,
-            "kind": "load_version",
-            "workload": order.workload,
-            "version": order.version,
-        }
-        try:
-            async with self._clients.shared.post(
-                f"{self._url}/v1/orders", json=body, timeout=self._timeout
-            ) as answer:
-                if answer.status == 409:
-                    raise StaleFenceError(f"order {order.order} is older")
-                if answer.status != 202:
-                    raise EngineError(f"the order was answered {answer.status}")
-        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
-            raise EngineError(f"the order's answer is lost: {error!r}") from None
-
-
-def _raise_for(answer: aiohttp.ClientResponse) -> None:
-    if answer.status == 200:
-        return
-    if answer.status == 409:
-        raise StreamExistsError("the stream runs already")
-    if answer.status == 404:
-        raise StreamLostError("the engine doesn't know the stream")
-    if answer.headers.get(NOT_RUN_HEADER) == "1":
-        raise TargetRefusedError(f"the engine answered {answer.status}")
-    raise StreamCutError(f"the engine answered {answer.status}")
-
-
-def _piece(line: bytes, expected: int) -> Piece:
-    row = json.loads(line)
-    if row.get("seq") != expected:
-        raise StreamCutError(f"piece {row.get('seq')} came in place of {expected}")
-    return Piece(
-        seq=expected,
-        tokens=int(row.get("tokens", 0)),
-        text=str(row.get("text", "")),
-        version=row.get("version"),
-        done=bool(row.get("done", False)),
-    )
+from .state import Resource
+from .views import Fact, FactKind
+
+__all__ = [
+    "NOT_RUN_HEADER",
+    "Engine",
+    "EngineClient",
+    "EngineState",
+    "Engines",
+    "LoadReport",
+    "LoadedVersion",
+    "NamedOrder",
+    "Piece",
+    "StreamOrder",
+    "VersionOrder",
+]
+
+_USED_SECONDS = 10.0
+_HURRY_SECONDS = 5.0
+_OWNER_CHECK_SECONDS = 1.0
 
 
 @dataclass(slots=True)
 class Engine:
-    """One declared engine as this host knows it."""
+    """One declared engine as this host knows it.
+
+    It gets no new work before the loop time ``out_until``, and is polled often
+    until ``hurry_until``. ``state_at`` is when it was asked for its state.
+    """
 
     name: str
     spec: EngineSpec
@@ -282,13 +75,31 @@
     load_at: float = 0.0
     state: EngineState | None = None
     state_at: float = 0.0
+    out_until: float = 0.0
+    hurry_until: float = 0.0
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+    _stamp_by_workload: dict[str, tuple[int, float]] = field(default_factory=dict)
 
     def version_of(self, workload: str) -> int | None:
         """Return the version the engine last said it runs for ``workload``."""
+        version, stamped_at = self._stamp_by_workload.get(workload, (None, -1.0))
+        if version is not None and (self.state is None or stamped_at > self.state_at):
+            return version
         if self.state is None or workload not in self.state.by_workload:
             return None
         return self.state.by_workload[workload].version
 
+    def stamped(self, workload: str, version: int | None) -> None:
+        """Note the version that made a piece just now."""
+        if version is not None:
+            self._stamp_by_workload[workload] = (version, clock.now())
+
+    def forget(self) -> None:
+        """Forget what the engine said; it is another one now."""
+        self.state = None
+        self.load = None
+        self._stamp_by_workload.clear()
+
     def candidate(self) -> Candidate:
         """Return the engine as a candidate of a routing policy."""
         reported = self.load.running + self.load.queued if self.load else 0
@@ -303,7 +114,11 @@
 
 
 class Engines(Service):
-    """Follows the declared engines and polls each one's load and state."""
+    """Follows the declared engines and polls those it uses or owns.
+
+    A host uses a subset of each pool, chosen by rendezvous hashing; of a small
+    pool it uses all. It owns the engines that it gives orders to.
+    """
 
     name = "engines"
     requires = ("configuration", "membership", "http", "events")
@@ -312,6 +127,11 @@
         super().__init__()
         self._settings = settings
         self.by_name: dict[str, Engine] = {}
+        self._ownership = Ownership()
+        self._names_by_pool: dict[str, list[str]] = {}
+        self._wanted_by_pool: dict[str, int] = defaultdict(int)
+        self._subset_by_pool: dict[str, list[str]] = {}
+        self._used_at_by_pool: dict[str, float] = {}
         self._polls_by_name: dict[str, asyncio.Task[Any]] = {}
 
     def client_for(self, spec: EngineSpec) -> EngineClient:
@@ -321,49 +141,149 @@
         )
 
     async def start(self) -> None:
-        """Begin to follow the configuration."""
+        """Begin to follow the configuration and the hosts."""
         self.supervise(self._follow)
+        self.supervise(self._follow_hosts)
 
     async def _follow(self) -> None:
         configuration = self.kernel.get(Configuration)
-        offset = -2
         while True:
             offset = configuration.state.offset
             self._declare()
             await configuration.wait_past(offset, 60)
 
+    async def _follow_hosts(self) -> None:
+        membership = self.kernel.get(Membership)
+        known: list[str] = []
+        while True:
+            live = membership.live_ids()
+            if live != known:
+                known = live
+                self._rewatch()
+            await asyncio.sleep(_OWNER_CHECK_SECONDS)
+
     def _declare(self) -> None:
         configuration = self.kernel.get(Configuration)
         declared = {each.name: each for each in configuration.state.list("engines")}
         for name in list(self.by_name):
-            if name in declared:
-                continue
-            del self.by_name[name]
-            self._polls_by_name.pop(name).cancel()
-        for name, resource in declared.items():
-            known = self.by_name.get(name)
-            if known is not None and known.offset == resource.offset:
-                continue
-            client = self.client_for(resource.spec)
-            engine = Engine(name, resource.spec, resource.offset, client)
-            if known is not None:
-                engine.in_flight = known.in_flight
+            if name not in declared:
+                del self.by_name[name]
+        for resource in declared.values():
+            self._take(resource)
+        names_by_pool: dict[str, list[str]] = defaultdict(list)
+        for engine in self.by_name.values():
+            names_by_pool[engine.spec.pool].append(engine.name)
+        self._names_by_pool = dict(names_by_pool)
+        self._rewatch()
+
+    def _take(self, resource: Resource) -> None:
+        """Take a declared engine in; streams in flight keep their count."""
+        spec = resource.spec
+        known = self.by_name.get(resource.name)
+        if known is None:
+            client = self.client_for(spec)
+            self.by_name[resource.name] = Engine(
+                resource.name, spec, resource.offset, client
+            )
+            return
+        if known.offset == resource.offset:
+            return
+        if known.spec.url != spec.url:
+            known.client = self.client_for(spec)
+            known.forget()
+            known.wake.set()
+        known.spec = spec
+        known.offset = resource.offset
+
+    def _rewatch(self) -> None:
+        """Choose anew which engines are polled."""
+        membership = self.kernel.get(Membership)
+        keys = [_owner_key(name) for name in self.by_name]
+        self._ownership.update(membership.live_ids(), keys)
+        self._subset_by_pool = {
+            pool: self._subset(pool, names)
+            for pool, names in self._names_by_pool.items()
+        }
+        watched = {name for names in self._subset_by_pool.values() for name in names}
+        watched.update(self.owned())
+        for name in list(self._polls_by_name):
+            if name not in watched:
                 self._polls_by_name.pop(name).cancel()
-            self.by_name[name] = engine
-            self._polls_by_name[name] = self.spawn(self._poll(engine))
-
-    async def _poll(self, engine: Engine) -> None:
-        while True:
+        for name in watched:
+            if name not in self._polls_by_name:
+                self._polls_by_name[name] = self.spawn(self._poll(name))
+
+    def _subset(self, pool: str, names: list[str]) -> list[str]:
+        size = max(self._settings.limits.engines_watched, self._wanted_by_pool[pool])
+        if len(names) <= size:
+            return list(names)
+        return ranked(names, self._settings.id)[:size]
+
+    @contextmanager
+    def reserve(self, pool: str, engines: float) -> Iterator[None]:
+        """Watch this many more engines of ``pool`` for the time of the block."""
+        count = math.ceil(engines)
+        self._wanted_by_pool[pool] += count
+        self._rewatch()
+        try:
+            yield
+        finally:
+            self._wanted_by_pool[pool] -= count
+            self._rewatch()
+
+    def owns(self, name: str) -> bool:
+        """Say whether this host gives the engine its orders."""
+        owner = self._ownership.owner(_owner_key(name))
+        return owner is not None and owner == self.kernel.get(Membership).id
+
+    def owned(self) -> list[str]:
+        """Return the names of the engines that this host gives orders to."""
+        return [name for name in self.by_name if self.owns(name)]
+
+    def in_pool(self, pool: str) -> list[Engine]:
+        """Return every declared engine of ``pool``, also those not watched."""
+        return [self.by_name[name] for name in self._names_by_pool.get(pool, ())]
+
+    async def _poll(self, name: str) -> None:
+        while name in self.by_name:
+            engine = self.by_name[name]
+            engine.wake.clear()
             await self.refresh(engine)
-            await asyncio.sleep(self._settings.timing.engine_poll)
+            try:
+                async with asyncio.timeout(self._interval(engine)):
+                    await engine.wake.wait()
+            except TimeoutError:
+                continue
+
+    def _interval(self, engine: Engine) -> float:
+        timing = self._settings.timing
+        rate = self._settings.limits.engine_polls_per_second
+        spread = len(self._polls_by_name) / rate
+        if self._is_urgent(engine):
+            return max(timing.engine_poll, spread)
+        return max(timing.engine_poll_idle, timing.engine_poll, spread)
+
+    def _is_urgent(self, engine: Engine) -> bool:
+        now = clock.now()
+        if now < engine.hurry_until or engine.state is None or engine.health.failures:
+            return True
+        used_at = self._used_at_by_pool.get(engine.spec.pool)
+        return used_at is not None and now - used_at < _USED_SECONDS
+
+    def hurry(self, engine: Engine) -> None:
+        """Poll ``engine`` often for a while; its state is about to change."""
+        engine.hurry_until = clock.now() + _HURRY_SECONDS
+        engine.wake.set()
 
     async def refresh(self, engine: Engine) -> None:
-        """Ask ``engine`` for its state and load now."""
+        """Ask ``engine`` for its state, and for its load if it is used here."""
+        asked_at = clock.now()
         try:
             engine.state = await engine.client.state()
-            engine.state_at = clock.now()
-            engine.load = await engine.client.load()
-            engine.load_at = clock.now()
+            engine.state_at = asked_at
+            if engine.name in self._subset_by_pool.get(engine.spec.pool, ()):
+                engine.load = await engine.client.load()
+                engine.load_at = clock.now()
         except CranberryrunError as error:
             self.failed(engine, error)
             return
@@ -381,13 +301,72 @@
         if engine.health.answered():
             self.kernel.get(Events).emit("target_back", engine=engine.name)
 
+    def take_out(
+        self, engine: Engine, seconds: float, error: CranberryrunError
+    ) -> None:
+        """Give ``engine`` no new work from this host for a while."""
+        now = clock.now()
+        if now >= engine.out_until:
+            self.kernel.get(Events).emit(
+                "engine_out",
+                engine=engine.name,
+                error=error.code,
+                detail=error.detail,
+                seconds=seconds,
+            )
+        engine.out_until = now + seconds
+
+    def declare_out(self, engine: Engine, out: bool) -> bool:
+        """Tell all hosts whether ``engine`` is out of use; say if that is new."""
+        if self.is_out(engine) == out:
+            return False
+        membership = self.kernel.get(Membership)
+        incarnation = engine.state.incarnation if engine.state else 0
+        fact = membership.views.get(FactKind.ENGINE, engine.name)
+        value = 0
+        if fact is not None and fact.incarnation >= incarnation:
+            incarnation, value = fact.incarnation, fact.value
+        value += 1 if value % 2 != out else 2
+        membership.learn([Fact(FactKind.ENGINE, engine.name, incarnation, value)])
+        return True
+
+    def is_out(self, engine: Engine) -> bool:
+        """Say whether the engine's owner took it out of use."""
+        views = self.kernel.get(Membership).views
+        fact = views.get(FactKind.ENGINE, engine.name)
+        if fact is None or fact.value % 2 == 0:
+            return False
+        return engine.state is None or fact.incarnation >= engine.state.incarnation
+
+    def usable_count(self, pool: str) -> float:
+        """Return about how many engines of ``pool`` can be used.
+
+        That is known of the watched ones, and taken to hold for the others.
+        """
+        watched = len(self._subset_by_pool.get(pool, ()))
+        declared = len(self._names_by_pool.get(pool, ()))
+        return len(self.usable(pool)) / watched * declared if watched else 0.0
+
     def usable(self, pool: str) -> list[Engine]:
-        """Return the engines of ``pool`` that may get new work now."""
+        """Return the engines of ``pool`` that may get new work from here now."""
+        now = clock.now()
+        used_at = self._used_at_by_pool.get(pool)
+        self._used_at_by_pool[pool] = now
+        names = self._subset_by_pool.get(pool, ())
+        if used_at is None or now - used_at >= _USED_SECONDS:
+            for name in names:
+                self.by_name[name].wake.set()
         membership = self.kernel.get(Membership)
+        engines = [self.by_name[name] for name in names]
         return [
             engine
-            for engine in self.by_name.values()
-            if engine.spec.pool == pool
+            for engine in engines
+            if now >= engine.out_until
             and engine.health.usable()
             and not membership.target_leaving(engine.name)
+            and not self.is_out(engine)
         ]
+
+
+def _owner_key(name: str) -> str:
+    return f"engine/{name}"
--- a/cranberryrun/exceptions.py
+++ b/cranberryrun/exceptions.py
@@ -241,6 +241,24 @@
     code = "stream_cut"
 
 
+class StreamIdleError(StreamCutError):
+    """No piece came for a while; the stream may be resumed."""
+
+    code = "stream_idle"
+
+
+class SampleTooOldError(EngineError):
+    """The sample is over the freshness bound, or surely will be."""
+
+    code = "sample_too_old"
+
+
+class LoadFailedError(EngineError):
+    """The engine failed to load a version again and again."""
+
+    code = "load_failed"
+
+
 class StaleFenceError(EngineError):
     """The engine has already taken an order with a higher fencing number."""
 
@@ -248,6 +266,33 @@
     status = 409
 
 
+class StepError(CranberryrunError):
+    """A step can't go on in this call; parts of it may have been handed over."""
+
+    code = "step"
+    status = 409
+
+
+class StepDeadlineError(StepError):
+    """The step's deadline passed with samples missing."""
+
+    code = "step_deadline"
+    status = 504
+
+
+class StepSupersededError(StepError):
+    """Another host runs the step for a later call."""
+
+    code = "step_superseded"
+
+
+class WorkloadGoneError(StepError):
+    """The workload was deleted while the step ran."""
+
+    code = "workload_gone"
+    status = 410
+
+
 class PeerError(CranberryrunError):
     """A peer could not be reached or did not answer as agreed."""
 
--- a/cranberryrun/freshness.py
+++ b/cranberryrun/freshness.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
@@ -33,6 +34,14 @@
         :param bound: the workload's freshness bound, in versions.
         """
 
+    @abstractmethod
+    def oldest_wanted(self, newest: int, bound: int, idle_weight: float) -> int:
+        """Return the oldest version an engine should run to be given a sample.
+
+        :param idle_weight: 1 if only the trainer's idle time counts, 0 if only
+            the samples' staleness does.
+        """
+
 
 class AtHandOver(FreshnessPolicy):
     """Measures from the newest version that is known now."""
@@ -41,6 +50,10 @@
         """See :meth:`FreshnessPolicy.too_old`."""
         return age.oldest is not None and age.newest - age.oldest > bound
 
+    def oldest_wanted(self, newest: int, bound: int, idle_weight: float) -> int:
+        """See :meth:`FreshnessPolicy.oldest_wanted`."""
+        return newest - math.ceil(bound * idle_weight)
+
 
 class AtDispatch(FreshnessPolicy):
     """Measures from the newest version that was known when the stream began."""
@@ -48,3 +61,7 @@
     def too_old(self, age: SampleAge, bound: int) -> bool:
         """See :meth:`FreshnessPolicy.too_old`."""
         return age.oldest is not None and age.newest_at_dispatch - age.oldest > bound
+
+    def oldest_wanted(self, newest: int, bound: int, idle_weight: float) -> int:
+        """See :meth:`FreshnessPolicy.oldest_wanted`."""
+        return newest - bound
--- /dev/null
+++ b/cranberryrun/lengths.py
@@ -0,0 +1,41 @@
+"""Expected lengths of samples, learnt from those that are whole."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+_MAX_PREFIXES = 10_000
+_FIRST_SHARE = 0.5
+_WEIGHT = 0.2
+
+
+class Lengths:
+    """Means of the tokens of whole samples, by prompt and over all of them.
+
+    A prompt goes by its digest, :attr:`cranberryrun.slots.Slot.prefix`.
+    """
+
+    def __init__(self) -> None:
+        self._mean: float | None = None
+        self._mean_by_prefix: OrderedDict[str, float] = OrderedDict()
+
+    def expected(self, prefix: str, max_tokens: int) -> float:
+        """Return the tokens that a sample of the prompt should have."""
+        mean = self._mean_by_prefix.get(prefix, self._mean)
+        if mean is None:
+            return max_tokens * _FIRST_SHARE
+        return min(mean, float(max_tokens))
+
+    def learn(self, prefix: str, tokens: int) -> None:
+        """Take the length of a whole sample in."""
+        self._mean = _mixed(self._mean, tokens)
+        self._mean_by_prefix[prefix] = _mixed(self._mean_by_prefix.get(prefix), tokens)
+        self._mean_by_prefix.move_to_end(prefix)
+        if len(self._mean_by_prefix) > _MAX_PREFIXES:
+            self._mean_by_prefix.popitem(last=False)
+
+
+def _mixed(mean: float | None, tokens: int) -> float:
+    if mean is None:
+        return float(tokens)
+    return mean + (tokens - mean) * _WEIGHT
--- a/cranberryrun/membership.py
+++ b/cranberryrun/membership.py
@@ -87,6 +87,7 @@
         self._target_by_id: dict[str, HostEntry] = {}
         self._list_heard_at: float | None = None
         self._peer_heard_at: float | None = None
+        self._heard_at_by_zone: dict[str, float] = {}
         self._host_list: HostList | None = None
         self._waiters: set[asyncio.Event] = set()
 
@@ -165,6 +166,21 @@
     def heard_from(self, host_id: str) -> None:
         """Note that a peer answered just now."""
         self._peer_heard_at = clock.now()
+        entry = self.entry_by_id.get(host_id)
+        if entry is not None:
+            self._heard_at_by_zone[entry.zone] = clock.now()
+
+    def peer_age(self) -> float:
+        """Return seconds since a peer of another zone was heard.
+
+        Where all hosts are in one zone, any peer counts.
+        """
+        own = self._settings.zone
+        zones = {entry.zone for entry in self.peers()}
+        others = {zone for zone in zones if zone != own} or zones
+        heard = [self._heard_at_by_zone.get(zone) for zone in others]
+        times = [at for at in heard if at is not None]
+        return clock.now() - max(times) if times else float("inf")
 
     def heard_age(self) -> float:
         """Return seconds since the list or any peer was heard."""
--- a/cranberryrun/pacing.py
+++ b/cranberryrun/pacing.py
@@ -12,8 +12,8 @@
 class RolloutEngine:
     """An engine of a rollout. ``seen`` is false where this host has no report.
 
-    ``loaded`` and ``loading`` speak of the wanted version; ``failures`` counts
-    its loads of that version that failed.
+    ``loaded`` speaks of the wanted version, ``loading`` of any weights;
+    ``failures`` counts its loads of the wanted version that failed.
     """
 
     name: str
@@ -29,12 +29,13 @@
 
     ``engines`` are in an order that is the same on every host. ``elapsed`` is
     in seconds since this host knew of the version; ``load_seconds`` is how long
-    a load takes.
+    a load takes. ``other_loads`` are known to run on engines outside of it.
     """
 
     engines: Sequence[RolloutEngine]
     elapsed: float = 0.0
     load_seconds: float = 1.0
+    other_loads: int = 0
 
 
 class PacingPolicy(ABC):
@@ -72,16 +73,21 @@
         share = math.floor(len(rollout.engines) * self._away_share)
         most = max(1, min(share, self._at_once))
         wave = int(rollout.elapsed / rollout.load_seconds)
-        order = sorted(enumerate(rollout.engines), key=lambda item: item[1].failures)
+        away = rollout.other_loads
         chosen: list[str] = []
-        away = 0
-        for place, engine in order:
-            if away >= most:
-                break
+        waiting: list[tuple[int, int, str]] = []
+        for place, engine in enumerate(rollout.engines):
+            if not engine.seen:
+                away += place // most == wave
+                continue
+            if engine.loading:
+                away += 1
             if engine.loaded:
                 continue
-            if engine.seen:
+            if engine.loading:
                 chosen.append(engine.name)
-            if engine.seen or place // most == wave:
-                away += 1
-        return chosen
+                continue
+            waiting.append((engine.failures, place, engine.name))
+        waiting.sort()
+        room = max(0, most - away)
+        return chosen + [name for _, _, name in waiting[:room]]
--- a/cranberryrun/samples.py
+++ b/cranberryrun/samples.py
@@ -1,4 +1,4 @@
-"""Makes one rollout sample: a stream of pieces that survives cuts and crashes."""
+"""Makes one rollout sample: a stream of pieces that survives cuts."""
 
 from __future__ import annotations
 
@@ -6,57 +6,72 @@
 from collections.abc import Callable
 from contextlib import aclosing
 from dataclasses import dataclass, field
+from typing import Any
 
 from .engines import Engine, Engines, Piece, StreamOrder
 from .exceptions import (
-    EngineError,
     RefusedError,
+    SampleTooOldError,
     StreamCutError,
     StreamExistsError,
+    StreamIdleError,
     StreamLostError,
     TargetRefusedError,
     UnstampedStreamError,
 )
 from .models import Placement, Sample, VersionSpan
+from .slots import Slot
 
-TooOld = Callable[[int | None, int], bool]
-_MAX_RESUMES = 5
+_MAX_CUTS = 3
+_MAX_IDLE = 4
 _RESUME_PAUSE_SECONDS = 0.2
+_RATE_WINDOW_SECONDS = 2.0
 
 
-@dataclass(slots=True)
-class Slot:
-    """A sample that a step still lacks."""
-
-    group: str
-    index: int
-    prompt: str
-    max_tokens: int
-    seed: int
-    attempts: int = 0
-
-    @property
-    def key(self) -> tuple[str, int]:
-        """The slot's identity within its step."""
-        return self.group, self.index
-
-
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Attempt:
-    """One stream that makes a slot's sample."""
+    """One stream that makes a slot's sample. Two attempts are never equal.
+
+    ``newest_at_dispatch`` is the newest version that was known when it began;
+    ``lent`` says that it goes beyond the step's declared share.
+    """
 
     slot: Slot
     engine: Engine
     stream: str
+    began_at: float
+    newest_at_dispatch: int
+    resumed: bool = False
+    lent: bool = False
     pieces: list[Piece] = field(default_factory=list)
-    began_at: float = 0.0
-    newest_at_dispatch: int = -1
-
-    @property
-    def oldest(self) -> int | None:
-        """The oldest version among the pieces so far."""
-        stamps = [piece.version for piece in self.pieces if piece.version is not None]
-        return min(stamps, default=None)
+    tokens: int = 0
+    oldest: int | None = None
+    task: asyncio.Task[Any] | None = None
+    _rate: float | None = None
+    _marked_at: float = 0.0
+    _marked_tokens: int = 0
+
+    def add(self, piece: Piece) -> None:
+        """Take the next piece in; :raises UnstampedStreamError:."""
+        if piece.version is None:
+            raise UnstampedStreamError(f"piece {piece.seq} has no version")
+        self.pieces.append(piece)
+        if piece.tokens == 0:
+            return
+        self.tokens += piece.tokens
+        if self.oldest is None or piece.version < self.oldest:
+            self.oldest = piece.version
+
+    def rate(self, now: float) -> float:
+        """Return the tokens a second of late."""
+        marked_at = self._marked_at or self.began_at
+        if now - marked_at >= _RATE_WINDOW_SECONDS:
+            self._rate = (self.tokens - self._marked_tokens) / (now - marked_at)
+            self._marked_at = now
+            self._marked_tokens = self.tokens
+        if self._rate is not None:
+            return self._rate
+        return self.tokens / max(now - self.began_at, _RESUME_PAUSE_SECONDS)
 
     def placement(self) -> Placement:
         """Return this attempt as a line of a checkpoint."""
@@ -74,7 +89,7 @@
             group=self.slot.group,
             index=self.slot.index,
             text="".join(piece.text for piece in self.pieces),
-            tokens=sum(piece.tokens for piece in self.pieces),
+            tokens=self.tokens,
             versions=_spans(self.pieces),
             engine=self.engine.name,
         )
@@ -96,57 +111,73 @@
     return spans
 
 
-class TooOldError(EngineError):
-    """The sample would be over the freshness bound by the time it is whole."""
-
-    code = "sample_too_old"
+@dataclass(slots=True)
+class _Patience:
+    """Counts what went wrong since a stream last gave a piece."""
+
+    pieces: int = 0
+    cuts: int = 0
+    idle: int = 0
+
+    def note(self, attempt: Attempt, error: StreamCutError | RefusedError) -> float:
+        """Return the pause before the stream is resumed, in seconds.
+
+        :raises StreamLostError: it has gone wrong too often.
+        """
+        if len(attempt.pieces) > self.pieces:
+            self.pieces = len(attempt.pieces)
+            self.cuts = self.idle = 0
+        if isinstance(error, StreamIdleError):
+            self.idle += 1
+        else:
+            self.cuts += 1
+        if self.cuts > _MAX_CUTS or self.idle > _MAX_IDLE:
+            raise StreamLostError(f"no piece came any more: {error.detail}")
+        return _RESUME_PAUSE_SECONDS * self.cuts
 
 
 async def collect(
     attempt: Attempt,
     order: StreamOrder,
     engines: Engines,
-    too_old: TooOld,
-    resume: bool,
+    too_old: Callable[[Attempt], bool],
 ) -> Sample:
     """Run or resume the attempt's stream until it is whole, through cuts.
 
-    :param too_old: says whether a sample with this oldest version, begun when
-        this version was the newest, may no longer be handed over.
-    :param resume: whether the stream should be there already.
-    :raises TooOldError: a piece is older than that.
+    :param too_old: says whether what the attempt has may not be handed over.
+    :raises SampleTooOldError: it may not.
     :raises StreamLostError, UnstampedStreamError: the sample must be made again.
     :raises RefusedError: the engine did not begin.
     """
-    cuts = 0
-    engine = attempt.engine
-    engine.in_flight += 1
-    try:
-        while True:
-            try:
-                await _read(attempt, order, too_old, resume)
-                engines.answered(engine)
-                return attempt.sample()
-            except StreamExistsError:
-                resume = True
-            except TargetRefusedError:
+    patience = _Patience()
+    resume = attempt.resumed
+    while True:
+        try:
+            await _read(attempt, order, too_old, resume)
+            engines.answered(attempt.engine)
+            return attempt.sample()
+        except StreamExistsError as error:
+            if resume:
+                raise StreamLostError(error.detail) from None
+            resume = True
+            continue
+        except TargetRefusedError:
+            raise
+        except (StreamCutError, RefusedError) as error:
+            if not isinstance(error, StreamIdleError):
+                engines.failed(attempt.engine, error)
+            if isinstance(error, RefusedError) and not resume:
                 raise
-            except (StreamCutError, RefusedError) as error:
-                engines.failed(engine, error)
-                if not attempt.pieces and not resume:
-                    if isinstance(error, RefusedError):
-                        raise
-                cuts += 1
-                if cuts > _MAX_RESUMES:
-                    raise StreamLostError(f"{cuts} cuts: {error.detail}") from None
-                resume = True
-                await asyncio.sleep(_RESUME_PAUSE_SECONDS * cuts)
-    finally:
-        engine.in_flight -= 1
+            pause = patience.note(attempt, error)
+        resume = True
+        await asyncio.sleep(pause)
 
 
 async def _read(
-    attempt: Attempt, order: StreamOrder, too_old: TooOld, resume: bool
+    attempt: Attempt,
+    order: StreamOrder,
+    too_old: Callable[[Attempt], bool],
+    resume: bool,
 ) -> None:
     client = attempt.engine.client
     if resume:
@@ -155,8 +186,7 @@
         pieces = client.generate(order)
     async with aclosing(pieces):
         async for piece in pieces:
-            attempt.pieces.append(piece)
-            if piece.version is None:
-                raise UnstampedStreamError(f"piece {piece.seq} has no version")
-            if too_old(attempt.oldest, attempt.newest_at_dispatch):
-                raise TooOldError(f"version {piece.version} is too old")
+            attempt.add(piece)
+            attempt.engine.stamped(order.workload, piece.version)
+            if too_old(attempt):
+                raise SampleTooOldError(f"version {piece.version} is too old")
--- a/cranberryrun/stragglers.py
+++ b/cranberryrun/stragglers.py
@@ -2,31 +2,47 @@
 
 from __future__ import annotations
 
-import statistics
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-SlotKey = tuple[str, int]
+from .slots import SlotKey
 
-_SLOW_FACTOR = 2.0
-_LAST_SHARE = 0.125
+_LAST_SHARE = 0.25
 _WASTE_SHARE = 0.08
+_MIN_GAIN = 1.5
+_MIN_SECONDS_LEFT = 1.0
+_GROWTH = 1.25
 
 
 @dataclass(frozen=True, slots=True)
 class SlotProgress:
     """A sample that is being made now.
 
-    ``elapsed`` is in seconds since its first stream began; ``attempts`` counts
-    its streams; ``expected_tokens`` is what a sample of its kind should have.
+    ``elapsed`` is in seconds since its first stream began and ``rate`` in tokens
+    a second of late; ``attempts`` counts its streams; ``expected_tokens`` is what
+    a sample of its kind should have, ``max_tokens`` what it may have at most.
     """
 
     key: SlotKey
     attempts: int = 1
     elapsed: float = 0.0
     tokens: int = 0
+    rate: float = 0.0
     expected_tokens: float = 0.0
+    max_tokens: int = 1_000_000
+
+    @property
+    def whole_tokens(self) -> float:
+        """The tokens that the whole sample should have, from what is known now."""
+        likely = max(self.expected_tokens, self.tokens * _GROWTH)
+        return min(likely, float(self.max_tokens))
+
+    @property
+    def seconds_left(self) -> float:
+        """Seconds until the sample should be whole where it is being made."""
+        left = max(self.whole_tokens - self.tokens, 1.0)
+        return left / self.rate if self.rate > 0 else float("inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,8 +50,10 @@
     """Where a step stands.
 
     ``waiting`` counts samples that no engine makes yet; ``idle_slots`` is how
-    many streams the engines could take at once; ``durations`` are those of the
-    whole samples, in seconds. ``spent`` and ``wasted`` are in stream-seconds.
+    many more streams the step may hold on engines with room, and ``new_rate``
+    the tokens a second that a stream on the idlest engine should get;
+    ``durations`` are those of the whole samples, in seconds. ``spent`` and
+    ``wasted`` are in stream-seconds.
     """
 
     total: int
@@ -43,6 +61,7 @@
     waiting: int = 0
     running: Sequence[SlotProgress] = field(default_factory=tuple)
     idle_slots: int = 0
+    new_rate: float = 0.0
     durations: Sequence[float] = field(default_factory=tuple)
     spent: float = 0.0
     wasted: float = 0.0
@@ -65,7 +84,9 @@
 
 
 class SecondAttempts(StragglerPolicy):
-    """A second attempt for the last few samples, while waste stays bounded.
+    """A second attempt where it should be whole much sooner than the first.
+
+    Only the last samples of a step get one, when none waits for its first.
 
     :param waste_share: the part of the step's stream-seconds that attempts
         which come to nothing may take.
@@ -77,18 +98,39 @@
     def second_attempts(self, progress: StepProgress) -> list[SlotKey]:
         """See :meth:`StragglerPolicy.second_attempts`."""
         last = max(1, int(progress.total * _LAST_SHARE))
-        if progress.waiting or not progress.durations:
+        if progress.waiting or len(progress.running) > last:
             return []
-        if len(progress.running) > last or progress.idle_slots < 1:
+        if progress.idle_slots < 1 or progress.new_rate <= 0:
             return []
-        typical = statistics.median(progress.durations)
-        slow = [
-            each
-            for each in progress.running
-            if each.attempts < 2 and each.elapsed > typical * _SLOW_FACTOR
-        ]
-        slow.sort(key=lambda each: -each.elapsed)
+        return self._affordable(progress)
+
+    def _affordable(self, progress: StepProgress) -> list[SlotKey]:
         room = progress.spent * self._waste_share - progress.wasted
-        affordable = int(room / typical) if typical > 0 else len(slow)
-        most = max(0, min(progress.idle_slots, affordable))
-        return [each.key for each in slow[:most]]
+        room -= _at_stake(progress)
+        slow = [each for each in progress.running if self._gains(each, progress)]
+        slow.sort(key=lambda each: -each.seconds_left)
+        chosen: list[SlotKey] = []
+        for each in slow:
+            cost = each.whole_tokens / progress.new_rate
+            if cost > room or len(chosen) >= progress.idle_slots:
+                break
+            room -= cost
+            chosen.append(each.key)
+        return chosen
+
+    def _gains(self, each: SlotProgress, progress: StepProgress) -> bool:
+        if each.attempts > 1 or each.seconds_left < _MIN_SECONDS_LEFT:
+            return False
+        anew = each.whole_tokens / progress.new_rate
+        if each.elapsed < anew:
+            # A stream that has had less time than a new one needs may just wait.
+            return False
+        return each.seconds_left > anew * _MIN_GAIN
+
+
+def _at_stake(progress: StepProgress) -> float:
+    """Return the stream-seconds that the second attempts under way may waste."""
+    twice = [each for each in progress.running if each.attempts > 1]
+    if progress.new_rate <= 0:
+        return 0.0
+    return sum(each.whole_tokens / progress.new_rate for each in twice)
--- a/cranberryrun/versions.py
+++ b/cranberryrun/versions.py
@@ -37,10 +37,15 @@
         return fact.value if fact else -1
 
     def view_age(self) -> float:
-        """Return seconds since the log or a peer was heard."""
+        """Return seconds since this host could have learnt of a newer version.
+
+        That is from the log, or from a peer in another zone: without the log a
+        version is accepted only once such a peer holds it. The host list names
+        no versions and does not count.
+        """
         return min(
             self.kernel.get(Configuration).heard_age(),
-            self.kernel.get(Membership).heard_age(),
+            self.kernel.get(Membership).peer_age(),
         )
 
     def learn(self, workload: str, version: int) -> None:
--- a/cranberryrun/views.py
+++ b/cranberryrun/views.py
@@ -21,7 +21,8 @@
     more leaving. ``OFFSET``: the configuration offset a host has applied.
     ``TARGET``: :data:`LEAVING` for a target that leaves. ``VERSION``: the newest
     weight version of a workload. ``STEP``: the incarnation is when a host began
-    to run the step, in ms since 1970.
+    to run the step, in ms since 1970. ``ENGINE``: an odd value is out of use, by
+    the word of the engine's owner.
     """
 
     HOST = 1
@@ -29,6 +30,7 @@
     TARGET = 3
     VERSION = 4
     STEP = 5
+    ENGINE = 6
 
 
 FactKey = tuple[FactKind, str]
