--- a/cranberryrun/streams.py
+++ b/cranberryrun/streams.py
@@ -4,27 +4,25 @@
 
 from collections.abc import Iterable
 
+import xxhash
+
 from .models import Placement
 from .slots import Slot
 
-_SEPARATOR = "~"
+_SEPARATOR = "."
 _MAX_AHEAD_MS = 24 * 3600 * 1000
 
 
 def stream_prefix(workload: str, step: int, slot: Slot) -> str:
     """Return what the names of all streams of a slot begin with.
 
-    It holds the prompt's digest, the seed and the length too, so a checkpoint
-    can't bring in a stream that was made from something else.
+    Its digest covers the prompt, the seed and the length too, so a checkpoint
+    can't bring in a stream that was made for another slot or from another prompt.
     """
-    parts = [
-        workload,
-        str(step),
-        slot.group,
-        str(slot.index),
-        f"{slot.prefix}.{slot.seed}.{slot.max_tokens}",
-    ]
-    return _SEPARATOR.join(parts) + _SEPARATOR
+    place = [workload, str(step), slot.group, str(slot.index)]
+    content = [slot.prefix, str(slot.seed), str(slot.max_tokens)]
+    digest = xxhash.xxh3_64_hexdigest("\0".join(place + content).encode())
+    return _SEPARATOR.join([*place, digest, ""])
 
 
 def stream_name(prefix: str, began_ms: int, attempt: int) -> str:
