Pace the loads of all workloads together, the same on every host

Cause: each workload was paced alone and failed loads changed the order at their owner only, so more loads ran than the store allows, failed, and took engines out although nothing was wrong with them. Conclusion: one order of all loads, from reports that every host has; an engine is out only if another shows that the version can be loaded.

--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -25,7 +25,7 @@
 from .slots import Slot, SlotKey, StepSlots, WholeSample
 from .state import Resource
 from .stragglers import SecondAttempts, SlotProgress, StepProgress, StragglerPolicy
-from .streams import is_stream_of, stream_name, stream_prefix
+from .streams import StreamNames
 from .versions import Versions
 
 if TYPE_CHECKING:
@@ -64,9 +64,8 @@
         self._steps = steps
         self._kernel = steps.kernel
         self.workload = workload
-        self._step = step
         self.name = f"{workload.name}/{step}"
-        self._began_ms = began_ms
+        self._names = StreamNames(workload.name, step, began_ms)
         self._events = self._kernel.get(Events)
         self._versions = self._kernel.get(Versions)
         self._engines = self._kernel.get(Engines)
@@ -106,8 +105,7 @@
         engine = self._engines.by_name.get(placement.engine)
         if engine is None or engine.spec.pool != self.workload.spec.pool:
             return None
-        prefix = stream_prefix(self.workload.name, self._step, slot)
-        return engine if is_stream_of(prefix, placement.stream) else None
+        return engine if self._names.is_of(slot, placement.stream) else None
 
     async def run(self) -> None:
         """Give slots out until cancelled."""
@@ -293,8 +291,7 @@
     def _start_new(self, slot: Slot, engine: Engine, lent: bool = False) -> None:
         self._waiting = False
         slot.attempts += 1
-        prefix = stream_prefix(self.workload.name, self._step, slot)
-        stream = stream_name(prefix, self._began_ms, slot.attempts)
+        stream = self._names.name(slot)
         self._events.emit(
             "sample_dispatched",
             step=self.name,
--- a/cranberryrun/pacing.py
+++ b/cranberryrun/pacing.py
@@ -4,90 +4,119 @@
 
 import math
 from abc import ABC, abstractmethod
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+LoadKey = tuple[str, str]
+
 
 @dataclass(frozen=True, slots=True)
-class RolloutEngine:
-    """An engine of a rollout. ``seen`` is false where this host has no report.
+class WeightLoad:
+    """The load of one workload's newest version on one engine.
 
-    ``loaded`` speaks of the wanted version, ``loading`` of any weights;
-    ``failures`` counts its loads of the wanted version that failed.
+    ``seen`` is false where this host has no report of the engine; ``loaded`` and
+    ``loading`` are what the engine reports; ``urgent`` says that the engine can't
+    serve the workload before; ``out`` that it is down or out of use. ``elapsed``
+    is in seconds since this host knew of the version.
     """
 
-    name: str
+    engine: str
+    workload: str
     seen: bool = True
     loaded: bool = False
     loading: bool = False
-    failures: int = 0
+    urgent: bool = False
+    out: bool = False
+    elapsed: float = 0.0
+
+    @property
+    def key(self) -> LoadKey:
+        """The engine and the workload."""
+        return self.engine, self.workload
 
 
 @dataclass(frozen=True, slots=True)
 class Rollout:
-    """One version on its way to a workload's engines.
+    """The newest versions of all workloads on their way to their engines.
 
-    ``engines`` are in an order that is the same on every host. ``elapsed`` is
-    in seconds since this host knew of the version; ``load_seconds`` is how long
-    a load takes. ``other_loads`` are known to run on engines outside of it.
+    ``loads`` come in an order that is the same on every host; ``load_seconds``
+    is how long a load takes.
     """
 
-    engines: Sequence[RolloutEngine]
-    elapsed: float = 0.0
+    loads: Sequence[WeightLoad]
     load_seconds: float = 1.0
-    other_loads: int = 0
 
 
 class PacingPolicy(ABC):
-    """Says which engines of a rollout may be loading now."""
+    """Says which loads of a rollout may run now."""
 
     @abstractmethod
-    def may_load(self, rollout: Rollout) -> list[str]:
-        """Return names of engines, those that are loading among them."""
+    def may_load(self, rollout: Rollout) -> list[LoadKey]:
+        """Return the keys of these loads, those that run already among them."""
 
 
 class AllAtOnce(PacingPolicy):
-    """Every engine that lacks the version."""
+    """Every load that is missing."""
 
-    def may_load(self, rollout: Rollout) -> list[str]:
+    def may_load(self, rollout: Rollout) -> list[LoadKey]:
         """See :meth:`PacingPolicy.may_load`."""
-        return [each.name for each in rollout.engines if not each.loaded]
+        return [load.key for load in rollout.loads if not load.loaded]
 
 
 class StaggeredLoads(PacingPolicy):
-    """A bounded number at a time, in waves.
+    """A bounded number at a time; engines that can't serve otherwise go first.
 
-    Engines that this host has no report of are taken to load in the wave of
-    their place in the order.
+    Every host comes to the same choice from the same reports, so the bound holds
+    over all hosts but for the time that a report takes. Engines that this host
+    has no report of are taken to load in the wave of their place in the order.
 
     :param at_once: loads that the weight store allows at once.
-    :param away_share: the part of the engines that may load at once.
+    :param away_share: the part of a workload's engines that may load at once.
     """
 
     def __init__(self, at_once: int, away_share: float) -> None:
         self._at_once = at_once
         self._away_share = away_share
 
-    def may_load(self, rollout: Rollout) -> list[str]:
+    def may_load(self, rollout: Rollout) -> list[LoadKey]:
         """See :meth:`PacingPolicy.may_load`."""
-        share = math.floor(len(rollout.engines) * self._away_share)
-        most = max(1, min(share, self._at_once))
-        wave = int(rollout.elapsed / rollout.load_seconds)
-        away = rollout.other_loads
-        chosen: list[str] = []
-        waiting: list[tuple[int, int, str]] = []
-        for place, engine in enumerate(rollout.engines):
-            if not engine.seen:
-                away += place // most == wave
-                continue
-            if engine.loading:
-                away += 1
-            if engine.loaded:
+        engines = Counter(load.workload for load in rollout.loads)
+        most = {name: self._most(count) for name, count in engines.items()}
+        away = self._away(rollout, most)
+        chosen = [
+            load.key for load in rollout.loads if load.loading and not load.loaded
+        ]
+        waiting = [
+            load
+            for load in rollout.loads
+            if load.seen and not load.loaded and not load.loading
+        ]
+        waiting.sort(key=lambda load: (load.out, not load.urgent))
+        for load in waiting:
+            if away.total() >= self._at_once:
+                break
+            if away[load.workload] >= most[load.workload]:
                 continue
-            if engine.loading:
-                chosen.append(engine.name)
+            away[load.workload] += 1
+            chosen.append(load.key)
+        return chosen
+
+    def _most(self, engines: int) -> int:
+        share = math.floor(engines * self._away_share)
+        return max(1, min(share, self._at_once))
+
+    def _away(self, rollout: Rollout, most: dict[str, int]) -> Counter[str]:
+        """Return how many loads of each workload run now, as far as is known."""
+        away: Counter[str] = Counter()
+        places: Counter[str] = Counter()
+        for load in rollout.loads:
+            place = places[load.workload]
+            places[load.workload] += 1
+            if load.loading:
+                away[load.workload] += 1
+            if load.seen:
                 continue
-            waiting.append((engine.failures, place, engine.name))
-        waiting.sort()
-        room = max(0, most - away)
-        return chosen + [name for _, _, name in waiting[:room]]
+            wave = int(load.elapsed / rollout.load_seconds)
+            away[load.workload] += place // most[load.workload] == wave
+        return away
--- a/cranberryrun/streams.py
+++ b/cranberryrun/streams.py
@@ -1,4 +1,4 @@
-"""Names of rollout streams: the same slot and prompt give the same beginning."""
+"""Names of rollout streams: they tell the slot, the prompt and the run."""
 
 from __future__ import annotations
 
@@ -9,36 +9,45 @@
 from .models import Placement
 from .slots import Slot
 
-_SEPARATOR = "."
 _MAX_AHEAD_MS = 24 * 3600 * 1000
 
 
-def stream_prefix(workload: str, step: int, slot: Slot) -> str:
-    """Return what the names of all streams of a slot begin with.
+class StreamNames:
+    """Makes and checks the names of the streams of one step.
 
-    Its digest covers the prompt, the seed and the length too, so a checkpoint
-    can't bring in a stream that was made for another slot or from another prompt.
+    A name is ``workload.step.group.index.run-digest.attempt``. The digest covers
+    the slot, its prompt, seed and length, so a checkpoint can't bring in a stream
+    that was made for another slot or from another prompt.
+
+    :param began_ms: when this run of the step began, in ms since 1970.
     """
-    place = [workload, str(step), slot.group, str(slot.index)]
-    content = [slot.prefix, str(slot.seed), str(slot.max_tokens)]
-    digest = xxhash.xxh3_64_hexdigest("\0".join(place + content).encode())
-    return _SEPARATOR.join([*place, digest, ""])
 
+    def __init__(self, workload: str, step: int, began_ms: int) -> None:
+        self._step = f"{workload}.{step}"
+        self._began_ms = began_ms
 
-def stream_name(prefix: str, began_ms: int, attempt: int) -> str:
-    """Return the name of one stream of a slot.
+    def _place(self, slot: Slot) -> str:
+        return f"{self._step}.{slot.group}.{slot.index}"
 
-    :param began_ms: when the run that asks for it began, in ms since 1970.
-    """
-    return f"{prefix}{began_ms}{_SEPARATOR}{attempt}"
+    def _digest(self, slot: Slot) -> str:
+        content = [self._place(slot), slot.prefix, str(slot.seed), str(slot.max_tokens)]
+        return xxhash.xxh3_64_hexdigest("\0".join(content).encode())
 
+    def name(self, slot: Slot) -> str:
+        """Return the name of the slot's newest attempt."""
+        run = f"{self._began_ms}-{self._digest(slot)}"
+        return f"{self._place(slot)}.{run}.{slot.attempts}"
 
-def is_stream_of(prefix: str, stream: str) -> bool:
-    """Say whether ``stream`` is one of the slot with this prefix."""
-    rest = stream.removeprefix(prefix).split(_SEPARATOR)
-    if not stream.startswith(prefix) or len(rest) != 2:
-        return False
-    return all(part.isascii() and part.isdecimal() for part in rest)
+    def is_of(self, slot: Slot, stream: str) -> bool:
+        """Say whether ``stream`` is one of the slot, from any run."""
+        place = f"{self._place(slot)}."
+        parts = stream.removeprefix(place).split(".")
+        if not stream.startswith(place) or len(parts) != 2:
+            return False
+        began, _, digest = parts[0].partition("-")
+        return (
+            _is_number(began) and digest == self._digest(slot) and _is_number(parts[1])
+        )
 
 
 def latest_run(placements: Iterable[Placement], now_ms: int) -> int:
@@ -48,10 +57,12 @@
     """
     latest = 0
     for placement in placements:
-        parts = placement.stream.split(_SEPARATOR)
-        if len(parts) < 2 or not parts[-2].isascii() or not parts[-2].isdecimal():
-            continue
-        began_ms = int(parts[-2])
-        if began_ms <= now_ms + _MAX_AHEAD_MS:
-            latest = max(latest, began_ms)
+        parts = placement.stream.split(".")
+        began = parts[-2].partition("-")[0] if len(parts) > 1 else ""
+        if _is_number(began) and int(began) <= now_ms + _MAX_AHEAD_MS:
+            latest = max(latest, int(began))
     return latest
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdecimal()
--- a/cranberryrun/weights.py
+++ b/cranberryrun/weights.py
@@ -12,18 +12,21 @@
 from .exceptions import CranberryrunError, LoadFailedError, StaleFenceError
 from .kernel import Service
 from .membership import Membership
-from .pacing import PacingPolicy, Rollout, RolloutEngine, StaggeredLoads
+from .pacing import LoadKey, PacingPolicy, Rollout, StaggeredLoads, WeightLoad
 from .rendezvous import score
 from .settings import Settings
 from .state import Resource
 from .versions import Versions
 
 _FENCE_SHIFT = 32
+_ROLLOUT = "rollout"
 _FIRST_LOAD_SECONDS = 2.0
 _LOAD_WEIGHT = 0.3
+_MIN_LOAD_SECONDS = 0.1
 _MAX_FAILED_LOADS = 3
+_MAX_FAILING_SECONDS = 5.0
 _FIRST_RETRY_SECONDS = 0.5
-_MAX_RETRY_SECONDS = 30.0
+_MAX_RETRY_SECONDS = 10.0
 _NAMED_AGAIN_SECONDS = 5.0
 
 
@@ -40,21 +43,40 @@
     """How an engine this host owns comes to a workload's version.
 
     Times are of the loop; ``incarnation`` is the engine's when it was ordered.
+    ``is_open`` says that the last order was taken and nothing is known of it.
     """
 
     version: int
     incarnation: int
     orders: int = 0
     failures: int = 0
-    ordered_at: float = 0.0
+    is_open: bool = False
+    ordered_at: float = -1.0
+    failing_since: float = 0.0
     not_before: float = 0.0
 
+    def begin(self, version: int) -> None:
+        """Go on with a newer version."""
+        self.version = version
+        self.is_open = False
+        self.not_before = 0.0
+
     def failed(self) -> None:
-        """Note a failed load; the next one waits longer."""
+        """Note a failed load or order; the next one waits longer."""
+        self.is_open = False
+        if not self.failures:
+            self.failing_since = clock.now()
         self.failures += 1
-        pause = _FIRST_RETRY_SECONDS * 2 ** (self.failures - 1)
+        pause = _FIRST_RETRY_SECONDS * 2 ** min(self.failures - 1, 8)
         self.not_before = clock.now() + min(pause, _MAX_RETRY_SECONDS)
 
+    @property
+    def is_hopeless(self) -> bool:
+        """Whether it failed often and for long."""
+        if self.failures < _MAX_FAILED_LOADS:
+            return False
+        return clock.now() - self.failing_since >= _MAX_FAILING_SECONDS
+
 
 class Weights(Service):
     """Compares what engines run with what they should, and orders the difference.
@@ -75,8 +97,8 @@
         )
         self._orders = asyncio.Semaphore(limits.orders_at_once)
         self._busy: set[str] = set()
-        self._progress_by_aim: dict[tuple[str, str], LoadProgress] = {}
-        self._confirmed_by_aim: dict[tuple[str, str], tuple[int, int]] = {}
+        self._progress_by_key: dict[LoadKey, LoadProgress] = {}
+        self._confirmed_by_key: dict[LoadKey, tuple[int, int]] = {}
         self._named_by_engine: dict[str, tuple[object, ...]] = {}
         self._known_since: dict[str, tuple[int, float]] = {}
         self._named_at_by_engine: dict[str, float] = {}
@@ -98,110 +120,140 @@
         owned = [engines.by_name[name] for name in engines.owned()]
         seen = [engine for engine in owned if engine.state is not None]
         self._forget(seen)
-        for workload in self.kernel.get(Configuration).state.list("workloads"):
-            mine = [each for each in seen if each.spec.pool == workload.spec.pool]
-            self._reconcile_version(workload, mine)
+        self._reconcile_versions(seen)
         for engine in seen:
             self._reconcile_named(engine)
 
     def _forget(self, owned: list[Engine]) -> None:
         """Drop the notes on engines that this host does not own."""
         names = {engine.name for engine in owned}
-        for notes in (self._progress_by_aim, self._confirmed_by_aim):
-            for aim in [aim for aim in notes if aim[0] not in names]:
-                del notes[aim]
+        for notes in (self._progress_by_key, self._confirmed_by_key):
+            for key in [key for key in notes if key[0] not in names]:
+                del notes[key]
         for name in [name for name in self._named_by_engine if name not in names]:
             del self._named_by_engine[name]
 
     # Versions
 
-    def _reconcile_version(self, workload: Resource, owned: list[Engine]) -> None:
-        version = self.kernel.get(Versions).newest(workload.name)
-        if version < 0:
-            return
-        known = self._known_since.get(workload.name)
-        if known is None or known[0] != version:
-            self._known_since[workload.name] = (version, clock.now())
-        behind = [each for each in owned if self._is_behind(each, workload, version)]
+    def _reconcile_versions(self, owned: list[Engine]) -> None:
+        """Order the loads that are missing on ``owned`` and may run now."""
+        behind: dict[LoadKey, Engine] = {}
+        workloads = self.kernel.get(Configuration).state.list("workloads")
+        for workload in workloads:
+            version = self._newest(workload.name)
+            for engine in owned:
+                if version < 0 or engine.spec.pool != workload.spec.pool:
+                    continue
+                if self._is_behind(engine, workload.name, version):
+                    behind[engine.name, workload.name] = engine
         if not behind:
             return
-        may_load = set(self._pacing.may_load(self._rollout(workload, version)))
-        for engine in behind:
-            if engine.name in may_load:
-                self._order_version(engine, workload.name, version)
+        for key in self._pacing.may_load(self._rollout(workloads)):
+            if key in behind:
+                self._order_version(behind[key], key[1])
+
+    def _newest(self, workload: str) -> int:
+        """Return the workload's newest version; note since when it is known."""
+        version = self.kernel.get(Versions).newest(workload)
+        known = self._known_since.get(workload)
+        if known is None or known[0] != version:
+            self._known_since[workload] = (version, clock.now())
+        return version
 
-    def _is_behind(self, engine: Engine, workload: Resource, version: int) -> bool:
+    def _is_behind(self, engine: Engine, workload: str, version: int) -> bool:
         """Say whether an engine lacks the version; note what came of its loads."""
-        aim = (engine.name, workload.name)
-        loaded = _loaded(engine, workload.name)
+        key = (engine.name, workload)
+        loaded = _loaded(engine, workload)
         if loaded is not None and loaded >= version:
-            self._confirm(engine, workload.name, loaded)
+            self._confirm(engine, workload, loaded)
             return False
-        progress = self._progress_by_aim.get(aim)
+        progress = self._progress_by_key.get(key)
         if progress is None or progress.incarnation != engine.state.incarnation:
-            self._progress_by_aim[aim] = LoadProgress(version, engine.state.incarnation)
+            self._progress_by_key[key] = LoadProgress(version, engine.state.incarnation)
         elif progress.version != version:
-            progress.version = version
-            progress.orders = 0
+            progress.begin(version)
         return True
 
     def _confirm(self, engine: Engine, workload: str, loaded: int) -> None:
-        aim = (engine.name, workload)
-        progress = self._progress_by_aim.pop(aim, None)
+        key = (engine.name, workload)
+        progress = self._progress_by_key.pop(key, None)
         if progress is not None and progress.orders:
             self._learn_duration(clock.now() - progress.ordered_at)
         now = (engine.state.incarnation, loaded)
-        before = self._confirmed_by_aim.get(aim)
+        before = self._confirmed_by_key.get(key)
         if before != now:
-            self._confirmed_by_aim[aim] = now
+            self._confirmed_by_key[key] = now
             self._emit("order_confirmed", engine, workload=workload, version=loaded)
         elif progress is not None:
             self._emit("engine_put_right", engine, workload=workload, version=loaded)
-        others = [key for key in self._progress_by_aim if key[0] == engine.name]
-        if any(self._progress_by_aim[key].failures for key in others):
-            return
+        if progress is not None or before is None:
+            self._take_back(engine)
+
+    def _take_back(self, engine: Engine) -> None:
+        """Take an engine back into use that loads again."""
+        for (name, _), progress in self._progress_by_key.items():
+            if name == engine.name and progress.failures:
+                return
         if self.kernel.get(Engines).declare_out(engine, False):
             self._emit("engine_in", engine)
 
     def _learn_duration(self, seconds: float) -> None:
         self._load_seconds += (seconds - self._load_seconds) * _LOAD_WEIGHT
 
-    def _rollout(self, workload: Resource, version: int) -> Rollout:
-        pool = self.kernel.get(Engines).in_pool(workload.spec.pool)
-        rows = [self._rollout_engine(each, workload.name, version) for each in pool]
-        rows.sort(key=lambda row: score(row.name, workload.name))
-        elapsed = clock.now() - self._known_since[workload.name][1]
-        others = sum(
-            _is_loading(engine)
-            for engine in self.kernel.get(Engines).by_name.values()
-            if engine.spec.pool != workload.spec.pool
-        )
-        return Rollout(rows, elapsed, max(self._load_seconds, 0.1), others)
-
-    def _rollout_engine(
-        self, engine: Engine, workload: str, version: int
-    ) -> RolloutEngine:
-        progress = self._progress_by_aim.get((engine.name, workload))
+    def _rollout(self, workloads: list[Resource]) -> Rollout:
+        """Return all loads, an engine's own next to each other."""
+        engines = self.kernel.get(Engines)
+        loads: list[WeightLoad] = []
+        for workload in workloads:
+            version, known_at = self._known_since[workload.name]
+            if version < 0:
+                continue
+            elapsed = clock.now() - known_at
+            oldest = version - workload.spec.freshness_bound
+            for engine in engines.in_pool(workload.spec.pool):
+                loads.append(self._load(engine, workload.name, oldest, elapsed))
+        loads.sort(key=lambda load: (score(load.engine, _ROLLOUT), load.workload))
+        return Rollout(loads, max(self._load_seconds, _MIN_LOAD_SECONDS))
+
+    def _load(
+        self, engine: Engine, workload: str, oldest: int, elapsed: float
+    ) -> WeightLoad:
         loaded = _loaded(engine, workload)
-        return RolloutEngine(
+        version = self._known_since[workload][0]
+        engines = self.kernel.get(Engines)
+        return WeightLoad(
             engine.name,
+            workload,
             seen=engine.state is not None,
             loaded=loaded is not None and loaded >= version,
-            loading=_is_loading(engine),
-            failures=progress.failures if progress is not None else 0,
+            loading=self._is_loading(engine, workload),
+            urgent=loaded is None or loaded < oldest,
+            out=not engine.health.usable() or engines.is_out(engine),
+            elapsed=elapsed,
         )
 
-    def _order_version(self, engine: Engine, workload: str, version: int) -> None:
-        progress = self._progress_by_aim[engine.name, workload]
+    def _is_loading(self, engine: Engine, workload: str) -> bool:
+        """Say whether a load runs, or was ordered since the last report."""
+        if engine.state is None:
+            return False
         row = engine.state.by_workload.get(workload)
+        if row is not None and row.loading is not None:
+            return True
+        progress = self._progress_by_key.get((engine.name, workload))
+        return progress is not None and engine.state_at <= progress.ordered_at
+
+    def _order_version(self, engine: Engine, workload: str) -> None:
+        progress = self._progress_by_key[engine.name, workload]
         engines = self.kernel.get(Engines)
-        if row is not None and row.loading is not None and row.loading >= version:
-            engines.hurry(engine)
-            return
+        row = engine.state.by_workload.get(workload)
+        if row is not None and row.loading is not None:
+            if row.loading >= progress.version:
+                engines.hurry(engine)
+                return
         if engine.name in self._busy or engine.state_at <= progress.ordered_at:
             engines.hurry(engine)
             return
-        if progress.orders and progress.not_before <= progress.ordered_at:
+        if progress.is_open:
             self._note_failure(engine, workload, progress)
         if clock.now() < progress.not_before:
             return
@@ -220,7 +272,7 @@
             version=progress.version,
             failures=progress.failures,
         )
-        if progress.failures < _MAX_FAILED_LOADS:
+        if not progress.is_hopeless or not self._others_loaded(engine, progress):
             return
         if self.kernel.get(Engines).declare_out(engine, True):
             self._emit(
@@ -230,6 +282,16 @@
                 detail=f"version {progress.version} of {workload} can't be loaded",
             )
 
+    def _others_loaded(self, engine: Engine, progress: LoadProgress) -> bool:
+        """Say whether another engine shows that the version can be loaded."""
+        others = self.kernel.get(Engines).in_pool(engine.spec.pool)
+        return any(
+            row.version >= progress.version
+            for other in others
+            if other is not engine and other.state is not None
+            for row in other.state.by_workload.values()
+        )
+
     async def _send_version(
         self, engine: Engine, workload: str, progress: LoadProgress
     ) -> None:
@@ -240,6 +302,7 @@
         try:
             async with self._orders:
                 await engine.client.order(order)
+            progress.is_open = True
         except CranberryrunError as error:
             await self._refused(engine, error)
             progress.failed()
@@ -357,9 +420,3 @@
     if engine.state is None or workload not in engine.state.by_workload:
         return None
     return engine.state.by_workload[workload].version
-
-
-def _is_loading(engine: Engine) -> bool:
-    if engine.state is None:
-        return False
-    return any(row.loading is not None for row in engine.state.by_workload.values())
