Load weights on two engines at once, not four

The store shares its rate, so more loads at once end later. Conclusion: the setting should be the least number that uses the store's whole rate; two also covers the time between one load and the next.

--- a/cranberryrun/settings.py
+++ b/cranberryrun/settings.py
@@ -62,7 +62,7 @@
     event_ring: int = Field(default=20_000, ge=100)
     peers_per_exchange: int = Field(default=2, ge=1)
     spread_at_once: int = Field(default=12, ge=1)
-    weight_loads_at_once: int = Field(default=4, ge=1)
+    weight_loads_at_once: int = Field(default=2, ge=1)
     engines_watched: int = Field(default=24, ge=1)
     engine_polls_per_second: float = Field(default=20.0, gt=0)
     orders_at_once: int = Field(default=16, ge=1)
