--- a/cranberryrun/views.py
+++ b/cranberryrun/views.py
@@ -23,17 +23,21 @@
     more leaving. ``TARGET``: :data:`LEAVING` for a target that leaves.
     ``VERSION``: the newest weight version of a workload. ``STEP``: the
     incarnation is when a host began to run the step, in ms since 1970.
+    ``ENGINE``: an odd value is out of use, by the word of the engine's owner.
     """
 
     HOST = 1
     TARGET = 3
     VERSION = 4
     STEP = 5
+    ENGINE = 6
 
 
 FactKey = tuple[FactKind, str]
 # Steps are forgotten after a while, at no agreed time, so digests leave them out.
-_KINDS_IN_DIGEST = frozenset({FactKind.HOST, FactKind.TARGET, FactKind.VERSION})
+_KINDS_IN_DIGEST = frozenset(
+    {FactKind.HOST, FactKind.TARGET, FactKind.VERSION, FactKind.ENGINE}
+)
 
 
 @dataclass(frozen=True, slots=True)
