--- a/cranberryrun/weights.py
+++ b/cranberryrun/weights.py
@@ -1,23 +1,33 @@
-"""Brings each engine to the version its workloads want, a bounded share at a time."""
+"""Brings each engine to what its declaration and its workloads want."""
 
 from __future__ import annotations
 
 import asyncio
-from collections import defaultdict
+from dataclasses import dataclass, replace
 
+from . import clock
 from .configuration import Configuration
-from .engines import Engine, Engines, VersionOrder
+from .engines import Engine, Engines, NamedOrder, VersionOrder
 from .events import Events
-from .exceptions import CranberryrunError, StaleFenceError
+from .exceptions import CranberryrunError, LoadFailedError, StaleFenceError
 from .kernel import Service
 from .membership import Membership
-from .pacing import PacingPolicy, Rollout, RolloutEngine, StaggeredLoads
-from .rendezvous import owner_of, score
+from .pacing import LoadKey, PacingPolicy, Rollout, StaggeredLoads, WeightLoad
+from .rendezvous import score
 from .settings import Settings
 from .state import Resource
 from .versions import Versions
 
 _FENCE_SHIFT = 32
+_ROLLOUT = "rollout"
+_FIRST_LOAD_SECONDS = 2.0
+_LOAD_WEIGHT = 0.3
+_MIN_LOAD_SECONDS = 0.1
+_MAX_FAILED_LOADS = 3
+_MAX_FAILING_SECONDS = 5.0
+_FIRST_RETRY_SECONDS = 0.5
+_MAX_RETRY_SECONDS = 10.0
+_NAMED_AGAIN_SECONDS = 5.0
 
 
 def fence_of(offset: int, version: int) -> int:
@@ -25,11 +35,55 @@
 
     :param offset: of the record that declared the engine.
     """
-    return ((offset + 1) << _FENCE_SHIFT) | version
+    return ((offset + 1) << _FENCE_SHIFT) | max(version, 0)
+
+
+@dataclass(slots=True)
+class LoadProgress:
+    """How an engine this host owns comes to a workload's version.
+
+    Times are of the loop; ``incarnation`` is the engine's when it was ordered.
+    ``is_open`` says that the last order was taken and nothing is known of it.
+    """
+
+    version: int
+    incarnation: int
+    orders: int = 0
+    failures: int = 0
+    is_open: bool = False
+    ordered_at: float = -1.0
+    failing_since: float = 0.0
+    not_before: float = 0.0
+
+    def begin(self, version: int) -> None:
+        """Go on with a newer version."""
+        self.version = version
+        self.is_open = False
+        self.not_before = 0.0
+
+    def failed(self) -> None:
+        """Note a failed load or order; the next one waits longer."""
+        self.is_open = False
+        if not self.failures:
+            self.failing_since = clock.now()
+        self.failures += 1
+        pause = _FIRST_RETRY_SECONDS * 2 ** min(self.failures - 1, 8)
+        self.not_before = clock.now() + min(pause, _MAX_RETRY_SECONDS)
+
+    @property
+    def is_hopeless(self) -> bool:
+        """Whether it failed often and for long."""
+        if self.failures < _MAX_FAILED_LOADS:
+            return False
+        return clock.now() - self.failing_since >= _MAX_FAILING_SECONDS
 
 
 class Weights(Service):
-    """Compares what engines run with what they should, and orders the difference."""
+    """Compares what engines run with what they should, and orders the difference.
+
+    Each engine gets its orders from the host that owns it. Orders to different
+    engines go out side by side, a bounded number at once.
+    """
 
     name = "weights"
     requires = ("engines", "versions")
@@ -41,8 +95,15 @@
         self._pacing = pacing or StaggeredLoads(
             limits.weight_loads_at_once, limits.away_share
         )
-        self._orders_by_want: dict[tuple[str, str, int], int] = defaultdict(int)
-        self._confirmed: dict[tuple[str, str], int] = {}
+        self._orders = asyncio.Semaphore(limits.orders_at_once)
+        self._busy: set[str] = set()
+        self._progress_by_key: dict[LoadKey, LoadProgress] = {}
+        self._confirmed_by_key: dict[LoadKey, tuple[int, int]] = {}
+        self._named_by_engine: dict[str, tuple[object, ...]] = {}
+        self._known_since: dict[str, tuple[int, float]] = {}
+        self._named_at_by_engine: dict[str, float] = {}
+        self._load_seconds = _FIRST_LOAD_SECONDS
+        self._orders_sent = 0
 
     async def start(self) -> None:
         """Begin to reconcile."""
@@ -51,100 +112,311 @@
     async def _reconcile_forever(self) -> None:
         while True:
             await asyncio.sleep(self._settings.timing.reconcile)
-            for resource in self.kernel.get(Configuration).state.list("workloads"):
-                await self._reconcile(resource)
+            self.reconcile()
+
+    def reconcile(self) -> None:
+        """Compare once, and begin to order what is missing."""
+        engines = self.kernel.get(Engines)
+        owned = [engines.by_name[name] for name in engines.owned()]
+        seen = [engine for engine in owned if engine.state is not None]
+        self._forget(seen)
+        self._reconcile_versions(seen)
+        for engine in seen:
+            self._reconcile_named(engine)
+
+    def _forget(self, owned: list[Engine]) -> None:
+        """Drop the notes on engines that this host does not own."""
+        names = {engine.name for engine in owned}
+        for notes in (self._progress_by_key, self._confirmed_by_key):
+            for key in [key for key in notes if key[0] not in names]:
+                del notes[key]
+        for name in [name for name in self._named_by_engine if name not in names]:
+            del self._named_by_engine[name]
 
-    async def _reconcile(self, workload: Resource) -> None:
-        version = self.kernel.get(Versions).newest(workload.name)
-        if version < 0:
+    # Versions
+
+    def _reconcile_versions(self, owned: list[Engine]) -> None:
+        """Order the loads that are missing on ``owned`` and may run now."""
+        behind: dict[LoadKey, Engine] = {}
+        workloads = self.kernel.get(Configuration).state.list("workloads")
+        for workload in workloads:
+            version = self._newest(workload.name)
+            for engine in owned:
+                if version < 0 or engine.spec.pool != workload.spec.pool:
+                    continue
+                if self._is_behind(engine, workload.name, version):
+                    behind[engine.name, workload.name] = engine
+        if not behind:
             return
-        behind = self._behind(workload, version)
-        owned = {engine.name for engine in behind if self._owns(engine)}
-        for engine in self._may_load(workload, behind):
-            if engine.name not in owned:
-                continue
-            await self._order(engine, workload.name, version)
+        for key in self._pacing.may_load(self._rollout(workloads)):
+            if key in behind:
+                self._order_version(behind[key], key[1])
 
-    def _owns(self, engine: Engine) -> bool:
-        membership = self.kernel.get(Membership)
-        owner = owner_of(membership.live_ids(), f"engine/{engine.name}")
-        return owner == membership.id
+    def _newest(self, workload: str) -> int:
+        """Return the workload's newest version; note since when it is known."""
+        version = self.kernel.get(Versions).newest(workload)
+        known = self._known_since.get(workload)
+        if known is None or known[0] != version:
+            self._known_since[workload] = (version, clock.now())
+        return version
 
-    def _behind(self, workload: Resource, version: int) -> list[Engine]:
-        behind: list[Engine] = []
-        for engine in self.kernel.get(Engines).by_name.values():
-            if engine.spec.pool != workload.spec.pool or engine.state is None:
-                continue
-            loaded = engine.version_of(workload.name)
-            if loaded is not None and loaded >= version:
-                self._confirm(engine, workload.name, loaded)
-                continue
-            behind.append(engine)
-        return sorted(behind, key=lambda engine: score(engine.name, workload.name))
+    def _is_behind(self, engine: Engine, workload: str, version: int) -> bool:
+        """Say whether an engine lacks the version; note what came of its loads."""
+        key = (engine.name, workload)
+        loaded = _loaded(engine, workload)
+        if loaded is not None and loaded >= version:
+            self._confirm(engine, workload, loaded)
+            return False
+        progress = self._progress_by_key.get(key)
+        if progress is None or progress.incarnation != engine.state.incarnation:
+            self._progress_by_key[key] = LoadProgress(version, engine.state.incarnation)
+        elif progress.version != version:
+            progress.begin(version)
+        return True
 
     def _confirm(self, engine: Engine, workload: str, loaded: int) -> None:
         key = (engine.name, workload)
-        known = self._confirmed.get(key)
-        if known == loaded or not self._owns(engine):
-            return
-        self._confirmed[key] = loaded
-        name = "order_confirmed"
-        if known is not None and loaded < known:
-            name = "engine_put_right"
-        self.kernel.get(Events).emit(
-            name, engine=engine.name, workload=workload, version=loaded
-        )
+        progress = self._progress_by_key.pop(key, None)
+        if progress is not None and progress.orders:
+            self._learn_duration(clock.now() - progress.ordered_at)
+        now = (engine.state.incarnation, loaded)
+        before = self._confirmed_by_key.get(key)
+        if before != now:
+            self._confirmed_by_key[key] = now
+            self._emit("order_confirmed", engine, workload=workload, version=loaded)
+        elif progress is not None:
+            self._emit("engine_put_right", engine, workload=workload, version=loaded)
+        if progress is not None or before is None:
+            self._take_back(engine)
 
-    def _may_load(self, workload: Resource, behind: list[Engine]) -> list[Engine]:
-        """Return the engines of ``behind`` that may be loading now."""
-        behind_by_name = {engine.name: engine for engine in behind}
-        pool = [
-            engine
-            for engine in self.kernel.get(Engines).by_name.values()
-            if engine.spec.pool == workload.spec.pool
-        ]
-        pool.sort(key=lambda engine: score(engine.name, workload.name))
-        rollout = Rollout(
-            [
-                RolloutEngine(
-                    each.name,
-                    seen=each.state is not None,
-                    loaded=each.name not in behind_by_name,
-                )
-                for each in pool
-            ]
+    def _take_back(self, engine: Engine) -> None:
+        """Take an engine back into use that loads again."""
+        for (name, _), progress in self._progress_by_key.items():
+            if name == engine.name and progress.failures:
+                return
+        if self.kernel.get(Engines).declare_out(engine, False):
+            self._emit("engine_in", engine)
+
+    def _learn_duration(self, seconds: float) -> None:
+        self._load_seconds += (seconds - self._load_seconds) * _LOAD_WEIGHT
+
+    def _rollout(self, workloads: list[Resource]) -> Rollout:
+        """Return all loads, an engine's own next to each other."""
+        engines = self.kernel.get(Engines)
+        loads: list[WeightLoad] = []
+        for workload in workloads:
+            version, known_at = self._known_since[workload.name]
+            if version < 0:
+                continue
+            elapsed = clock.now() - known_at
+            oldest = version - workload.spec.freshness_bound
+            for engine in engines.in_pool(workload.spec.pool):
+                loads.append(self._load(engine, workload.name, oldest, elapsed))
+        loads.sort(key=lambda load: (score(load.engine, _ROLLOUT), load.workload))
+        return Rollout(loads, max(self._load_seconds, _MIN_LOAD_SECONDS))
+
+    def _load(
+        self, engine: Engine, workload: str, oldest: int, elapsed: float
+    ) -> WeightLoad:
+        loaded = _loaded(engine, workload)
+        version = self._known_since[workload][0]
+        engines = self.kernel.get(Engines)
+        return WeightLoad(
+            engine.name,
+            workload,
+            seen=engine.state is not None,
+            loaded=loaded is not None and loaded >= version,
+            loading=self._is_loading(engine, workload),
+            urgent=loaded is None or loaded < oldest,
+            out=not engine.health.usable() or engines.is_out(engine),
+            elapsed=elapsed,
         )
-        names = self._pacing.may_load(rollout)
-        return [behind_by_name[name] for name in names if name in behind_by_name]
 
-    async def _order(self, engine: Engine, workload: str, version: int) -> None:
-        loaded = engine.state.by_workload.get(workload) if engine.state else None
-        if loaded is not None and loaded.loading is not None:
-            if loaded.loading >= version:
+    def _is_loading(self, engine: Engine, workload: str) -> bool:
+        """Say whether a load runs, or was ordered since the last report."""
+        if engine.state is None:
+            return False
+        row = engine.state.by_workload.get(workload)
+        if row is not None and row.loading is not None:
+            return True
+        progress = self._progress_by_key.get((engine.name, workload))
+        return progress is not None and engine.state_at <= progress.ordered_at
+
+    def _order_version(self, engine: Engine, workload: str) -> None:
+        progress = self._progress_by_key[engine.name, workload]
+        engines = self.kernel.get(Engines)
+        row = engine.state.by_workload.get(workload)
+        if row is not None and row.loading is not None:
+            if row.loading >= progress.version:
+                engines.hurry(engine)
                 return
-        events = self.kernel.get(Events)
-        want = (engine.name, workload, version)
-        attempt = self._orders_by_want[want]
-        if attempt:
-            events.emit(
-                "load_failed", engine=engine.name, workload=workload, version=version
+        if engine.name in self._busy or engine.state_at <= progress.ordered_at:
+            engines.hurry(engine)
+            return
+        if progress.is_open:
+            self._note_failure(engine, workload, progress)
+        if clock.now() < progress.not_before:
+            return
+        self._busy.add(engine.name)
+        self.spawn(self._send_version(engine, workload, progress))
+
+    def _note_failure(
+        self, engine: Engine, workload: str, progress: LoadProgress
+    ) -> None:
+        """Note that an accepted order came to nothing; too often is out."""
+        progress.failed()
+        self._emit(
+            "load_failed",
+            engine,
+            workload=workload,
+            version=progress.version,
+            failures=progress.failures,
+        )
+        if not progress.is_hopeless or not self._others_loaded(engine, progress):
+            return
+        if self.kernel.get(Engines).declare_out(engine, True):
+            self._emit(
+                "engine_out",
+                engine,
+                error=LoadFailedError.code,
+                detail=f"version {progress.version} of {workload} can't be loaded",
             )
-        self._orders_by_want[want] = attempt + 1
+
+    def _others_loaded(self, engine: Engine, progress: LoadProgress) -> bool:
+        """Say whether another engine shows that the version can be loaded."""
+        others = self.kernel.get(Engines).in_pool(engine.spec.pool)
+        return any(
+            row.version >= progress.version
+            for other in others
+            if other is not engine and other.state is not None
+            for row in other.state.by_workload.values()
+        )
+
+    async def _send_version(
+        self, engine: Engine, workload: str, progress: LoadProgress
+    ) -> None:
+        version = progress.version
         fence = fence_of(engine.offset, version)
-        order = VersionOrder(f"{workload}-{fence}-{attempt}", fence, workload, version)
+        order = VersionOrder(self._order_name(workload), fence, workload, version)
+        progress.orders += 1
         try:
-            await engine.client.order(order)
-        except StaleFenceError as error:
-            events.emit("order_refused", engine=engine.name, error=error.detail)
-            return
+            async with self._orders:
+                await engine.client.order(order)
+            progress.is_open = True
         except CranberryrunError as error:
-            self.kernel.get(Engines).failed(engine, error)
+            await self._refused(engine, error)
+            progress.failed()
             return
-        events.emit(
-            "order_sent",
-            engine=engine.name,
-            workload=workload,
-            version=version,
-            fence=fence,
+        finally:
+            progress.ordered_at = clock.now()
+            self._busy.discard(engine.name)
+        self._emit(
+            "order_sent", engine, workload=workload, version=version, fence=fence
         )
+        self.kernel.get(Engines).hurry(engine)
+
+    def _order_name(self, aim: str) -> str:
+        """Return a name that no other order has: an equal one has no effect."""
+        membership = self.kernel.get(Membership)
+        self._orders_sent += 1
+        return f"{aim}-{membership.id}-{membership.incarnation}-{self._orders_sent}"
+
+    async def _refused(self, engine: Engine, error: CranberryrunError) -> None:
+        """Read the engine's state again after an order that was not taken."""
+        if isinstance(error, StaleFenceError):
+            self._emit("order_refused", engine, error=error.detail)
+        else:
+            self.kernel.get(Engines).failed(engine, error)
         await self.kernel.get(Engines).refresh(engine)
+
+    # Models, adapters and roles
+
+    def _reconcile_named(self, engine: Engine) -> None:
+        """Order a declared model, adapters and role once for each incarnation.
+
+        The engine reports its role alone; a role that differs is ordered again.
+        """
+        wanted = self._named_orders(engine)
+        if not wanted or engine.name in self._busy:
+            return
+        done = (engine.state.incarnation, *wanted)
+        role_wrong = engine.spec.role not in (None, engine.state.role)
+        if self._named_by_engine.get(engine.name) == done and not role_wrong:
+            return
+        sent_at = self._named_at_by_engine.get(engine.name)
+        if sent_at is not None and clock.now() - sent_at < _NAMED_AGAIN_SECONDS:
+            return
+        self._named_at_by_engine[engine.name] = clock.now()
+        if role_wrong and self._named_by_engine.get(engine.name) == done:
+            # An equal order has no effect a second time.
+            name = self._order_name("set_role")
+            wanted = [replace(each, order=name) for each in wanted if _is_role(each)]
+        self._busy.add(engine.name)
+        self.spawn(self._send_named(engine, wanted, done))
+
+    def _named_orders(self, engine: Engine) -> list[NamedOrder]:
+        spec = engine.spec
+        orders: list[NamedOrder] = []
+        if spec.role is not None:
+            orders.append(self._named(engine, "set_role", "", spec.role))
+        if spec.model is None and not spec.adapters:
+            return orders
+        for workload in self.kernel.get(Configuration).state.list("workloads"):
+            if workload.spec.pool != spec.pool:
+                continue
+            if spec.model is not None:
+                orders.append(
+                    self._named(engine, "load_model", workload.name, spec.model)
+                )
+            for adapter in spec.adapters:
+                orders.append(
+                    self._named(engine, "load_adapter", workload.name, adapter)
+                )
+        return orders
+
+    def _named(
+        self, engine: Engine, kind: str, workload: str, value: str
+    ) -> NamedOrder:
+        fence = fence_of(engine.offset, 0)
+        name = f"{kind}-{workload}-{value}-{fence}-{engine.state.incarnation}"
+        return NamedOrder(name, fence, kind, workload, value)
+
+    async def _send_named(
+        self, engine: Engine, orders: list[NamedOrder], done: tuple[object, ...]
+    ) -> None:
+        versions = self.kernel.get(Versions)
+        try:
+            for order in orders:
+                # A version that was ordered for this workload raised its fence.
+                version = versions.newest(order.workload) if order.workload else 0
+                fence = fence_of(engine.offset, version)
+                async with self._orders:
+                    await engine.client.order_named(replace(order, fence=fence))
+                self._emit(
+                    "order_sent",
+                    engine,
+                    workload=order.workload,
+                    order=order.kind,
+                    value=order.value,
+                    fence=fence,
+                )
+            self._named_by_engine[engine.name] = done
+        except CranberryrunError as error:
+            await self._refused(engine, error)
+        finally:
+            self._busy.discard(engine.name)
+        self.kernel.get(Engines).hurry(engine)
+
+    def _emit(self, name: str, engine: Engine, **fields: object) -> None:
+        self.kernel.get(Events).emit(name, engine=engine.name, **fields)
+
+
+def _is_role(order: NamedOrder) -> bool:
+    return order.kind == "set_role"
+
+
+def _loaded(engine: Engine, workload: str) -> int | None:
+    """Return the version the engine itself reports, not that of its streams."""
+    if engine.state is None or workload not in engine.state.by_workload:
+        return None
+    return engine.state.by_workload[workload].version
