Give every refusal a Retry-After, and don't wait for peers that are lost

Cause: refusals for an unreachable target had no Retry-After (the test of raw connections shows it now). With neither list nor peers to be heard, requests waited for a renewal of up to a second each time the views became old; that happens once now, and again only after a pause.

--- a/cranberryrun/exceptions.py
+++ b/cranberryrun/exceptions.py
@@ -9,6 +9,8 @@
 
 from typing import Any, ClassVar
 
+_RETRY_AFTER_SECONDS = 1.0
+
 
 class CranberryrunError(Exception):
     """Base of all errors of this package.
@@ -141,12 +143,21 @@
 
 
 class RefusedError(CranberryrunError):
-    """The request was refused before any part of it was run."""
+    """The request was refused before any part of it was run.
+
+    It always says when to ask again.
+    """
 
     code = "refused"
     status = 503
     not_run = True
 
+    def __init__(
+        self, detail: str = "", *, retry_after: float | None = None, **extra: Any
+    ) -> None:
+        seconds = _RETRY_AFTER_SECONDS if retry_after is None else retry_after
+        super().__init__(detail, retry_after=seconds, **extra)
+
 
 class NotReadyError(RefusedError):
     """The host does not take work: it is starting or stopping."""
--- a/cranberryrun/pauses.py
+++ b/cranberryrun/pauses.py
@@ -28,11 +28,12 @@
 
     def __init__(self, settings: Settings) -> None:
         super().__init__()
-        self._settings = settings
+        self._limit = settings.timing.view_limit
         self._ticked_at: float | None = None
         self._renewal: asyncio.Task[None] | None = None
         self._renewed_at = float("-inf")
         self._paused = False
+        self._unheard = False
         self.lag = 0.0
 
     async def start(self) -> None:
@@ -60,23 +61,24 @@
         """Return at once if the views are fresh, else once they were renewed.
 
         With neither the list nor a peer to be heard, work goes on by the views
-        that there are; the next attempt follows after the limit for old views.
+        that there are, and further attempts hold nothing up.
         """
         if clock.now() - (self._ticked_at or 0.0) > _PAUSE_SECONDS:
             self._check()
         if self._renewal is None and not self._needed():
             return
+        waited_for = self._paused or not self._unheard
         if self._renewal is None:
             self._renewal = self.spawn(self._renew())
-        await asyncio.shield(self._renewal)
+        if waited_for:
+            await asyncio.shield(self._renewal)
 
     def _needed(self) -> bool:
         if self._paused:
             return True
-        limit = self._settings.timing.view_limit
-        if clock.now() - self._renewed_at < limit:
+        if clock.now() - self._renewed_at < self._limit:
             return False
-        return self.kernel.get(Membership).heard_age() > limit
+        return self.kernel.get(Membership).heard_age() > self._limit
 
     async def _renew(self) -> None:
         self._paused = False
@@ -84,6 +86,7 @@
             await asyncio.gather(self._read_list(), self.kernel.get(Peers).spread_now())
         finally:
             self._renewed_at = clock.now()
+            self._unheard = self.kernel.get(Membership).heard_age() > self._limit
             self._renewal = None
 
     async def _read_list(self) -> None:
--- a/tests/test_api_calls.py
+++ b/tests/test_api_calls.py
@@ -105,6 +105,12 @@
         got = await self._one(refuse(), method="POST")
         self.assertTrue(_problem(got)["not_run"])
         self.assertIn(b"Retry-After: ", got)
+        async with RawTarget(answer()) as target:
+            await declare(self.host, target)
+        got = await self._talk(request("POST", "x", "Connection: close\r\n"))
+        self.assertEqual(_problem(got)["code"], "target_unreachable")
+        self.assertTrue(_problem(got)["not_run"])
+        self.assertIn(b"Retry-After: ", got)
         got = await self._one(drop, method="POST")
         self.assertEqual(_problem(got)["outcome"], "unknown")
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -7,7 +7,9 @@
 import aiohttp
 from prometheus_client.parser import text_string_to_metric_families
 
+from cranberryrun import metrics
 from cranberryrun.calls import Calls
+from cranberryrun.catalogue import EVENT_BY_NAME
 from cranberryrun.configuration import Configuration
 from cranberryrun.events import Events
 from cranberryrun.exceptions import CranberryrunError
@@ -54,21 +56,30 @@
         }
         self.assertEqual(listed, known)
 
+    def test_every_event_that_is_counted_is_in_the_catalogue(self) -> None:
+        counted = (
+            metrics._STEP_OUTCOME_BY_EVENT,
+            metrics._SAMPLE_OUTCOME_BY_EVENT,
+            metrics._CALL_OUTCOME_BY_EVENT,
+        )
+        for names in counted:
+            self.assertLessEqual(set(names), set(EVENT_BY_NAME))
+
 
 class CountTests(VirtualTimeTestCase):
     """What the events of steps and samples add up to."""
 
     async def test_events_are_counted(self) -> None:
         kernel = Kernel()
-        events, metrics = Events("h1", 1, 100), Metrics("h1")
-        for service in (events, metrics):
+        events, counts = Events("h1", 1, 100), Metrics("h1")
+        for service in (events, counts):
             kernel.register(service)
         await kernel.start()
         self.addAsyncCleanup(kernel.stop)
         for name in ("step_started", "step_done", "sample_whole", "sample_whole"):
             events.emit(name, step="w/1")
-        metrics.observe("queue", lambda: {"a": 1, "b": 2})
-        seen = samples(metrics.scrape().decode())
+        counts.observe("queue", lambda: {"a": 1, "b": 2})
+        seen = samples(counts.scrape().decode())
         self.assertEqual(seen["cranberryrun_steps_total", ("done",)], 1)
         self.assertEqual(seen["cranberryrun_samples_total", ("whole",)], 2)
         self.assertEqual(seen["cranberryrun_queue", ("b",)], 2)
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -7,6 +7,7 @@
 from cranberryrun.exceptions import (
     CallerGoneError,
     DeadlineError,
+    HostListError,
     InvalidInputError,
     NoTargetError,
     NotFoundError,
@@ -405,6 +406,26 @@
             self.assertEqual(reads, 2)
             self.assertEqual(len(host.seen("host_paused")), 1)
 
+    async def test_lost_list_and_peers_hold_work_up_only_once(self) -> None:
+        class DeafMembership(StubMembership):
+            async def read_list(self) -> None:
+                await asyncio.sleep(1)
+                raise HostListError("down")
+
+        host = TrafficHost()
+        pauses = Pauses(host.settings)
+        for service in (pauses, DeafMembership(host.settings, 1), _SilentPeers()):
+            host.kernel._by_name[service.name] = service
+            service.attach(host.kernel)
+        async with host:
+            held = []
+            for _ in range(5):
+                await asyncio.sleep(host.settings.timing.view_limit + 1)
+                before = self.now()
+                await pauses.renew_if_old()
+                held.append(round(self.now() - before))
+        self.assertEqual(held, [1, 0, 0, 0, 0])
+
 
 class _SilentPeers(Peers):
     """No peer answers."""
