Let the stub of engines answer which may be used

Cause: hosts now watch a bounded subset of engines, which the stub never chose. Ruled out: filling the subset's private state in tests. Conclusion: the stub answers the question itself.

--- a/tests/doubles.py
+++ b/tests/doubles.py
@@ -211,6 +211,13 @@
         self.by_name[name] = Engine(name, spec, 0, client)
         return self.by_name[name]
 
+    def usable(self, pool: str) -> list[Engine]:
+        return [
+            engine
+            for engine in self.by_name.values()
+            if engine.spec.pool == pool and engine.health.usable()
+        ]
+
 
 class StubTraffic(Traffic):
     """Traffic whose clients tests may replace, by target id."""
