--- a/cranberryrun/peer_server.py
+++ b/cranberryrun/peer_server.py
@@ -44,7 +44,9 @@
         self._server: asyncio.Server | None = None
         self._writer_by_task: dict[asyncio.Task[Any], asyncio.StreamWriter] = {}
 
-    async def start(self, ip: str, port: int, tls: ssl.SSLContext | None) -> None:
+    async def start(
+        self, ip: str, port: int, tls: ssl.SSLContext | None = None
+    ) -> None:
         """Listen; :raises KernelError: the address can't be had."""
         try:
             self._server = await asyncio.start_server(
