--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -271,11 +271,14 @@
         draining = start_for(name, host.drain())
         while not draining.done() and name not in self.ended:
             await asyncio.sleep(0.05)
-        # The kernel delivers what a process sent before it ended.
-        await asyncio.sleep(FLUSH_SECONDS)
-        if name not in self.ended:
-            self._end(name)
+        if name in self.ended:
+            return
+        self.ended.add(name)
+        self.network.dead.add(name)
         self.list.delete(name)
+        # The system delivers what a process sent before it ended.
+        await asyncio.sleep(FLUSH_SECONDS)
+        self.network.kill(name)
 
     def leave(self, target: str) -> None:
         """Have the platform's list say that a target leaves."""
--- a/tests/fakes_network.py
+++ b/tests/fakes_network.py
@@ -129,7 +129,9 @@
         answered: asyncio.Future[Any],
     ) -> None:
         await asyncio.sleep(self.delay(source, target))
-        if target in self.dead or self.is_cut(source, target):
+        if target in self.dead and not answered.done():
+            answered.set_exception(Unreachable(f"{target} refuses connections"))
+        if answered.done() or self.is_cut(source, target):
             return
         task = start_for(target, _awaited(work))
         result, error = None, None
