--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -75,6 +75,7 @@
     """In place of the HTTP side: counts requests and refuses connections."""
 
     listening = False
+    _latest_deadline = 0.0
 
     async def start(self) -> None:
         """Begin to take requests."""
@@ -90,15 +91,20 @@
         await Service.stop(self)
 
     @contextlib.contextmanager
-    def request(self) -> Iterator[None]:
-        """Count one request; :raises Unreachable: if none is taken."""
+    def request(self, deadline: float = 0.0) -> Iterator[None]:
+        """Count one request; :raises Unreachable: if none is taken.
+
+        :param deadline: in the loop's time, where the request has one.
+        """
         if not self.listening:
             raise Unreachable("the host does not listen")
+        self._latest_deadline = max(self._latest_deadline, deadline)
         self._in_flight += 1
         try:
             yield
         finally:
             self._in_flight -= 1
+            self._idle_since = clock.now()
 
 
 class World:
--- a/tests/fakes_clients.py
+++ b/tests/fakes_clients.py
@@ -48,12 +48,14 @@
         self._next += 1
         return names[self._next % len(names)]
 
-    async def ask(self, host: str, work: Any, timeout: float) -> Any:
+    async def ask(
+        self, host: str, work: Any, timeout: float, deadline: float = 0.0
+    ) -> Any:
         """Have ``work(kernel)`` done at ``host`` as one request."""
         kernel = self.world.host_by_name[host].kernel
 
         async def serve() -> Any:
-            with kernel.get(Api).request():
+            with kernel.get(Api).request(deadline):
                 return await work(kernel)
 
         return await self.world.network.carry(self.name, host, serve, timeout)
@@ -282,6 +284,7 @@
         request = f"{self.name}-{self.count}"
         note = self.world.history.note
         note("invoke", "call", request, clock.now(), host, key=key)
+        deadline = clock.now() + CALL_SECONDS
 
         async def work(kernel: Any) -> Answer:
             call = Call(
@@ -290,7 +293,7 @@
                 path="seats",
                 request=request,
                 caller=self.name,
-                deadline=clock.now() + CALL_SECONDS,
+                deadline=deadline,
                 body=json.dumps(token).encode(),
                 key=key,
             )
@@ -301,7 +304,7 @@
                 return problem_answer(error)
 
         try:
-            answer = await self.ask(host, work, CALL_SECONDS + 2)
+            answer = await self.ask(host, work, CALL_SECONDS + 2, deadline)
         except NetworkError as error:
             self.note_cut(request, host, error)
             note("unknown", "call", request, clock.now(), host)
--- a/tests/fakes_targets.py
+++ b/tests/fakes_targets.py
@@ -268,9 +268,11 @@
         self._service = service
         self._network = network
 
-    async def send(self, call: Call, repeatable: bool) -> Answer:
+    async def send(
+        self, call: Call, repeatable: bool, patience: float = 3600.0, sink: Any = None
+    ) -> Answer:
         """See :meth:`ServiceClient.send`."""
-        left = max(0.001, call.deadline - clock.now())
+        left = min(patience, max(0.001, call.deadline - clock.now()))
 
         async def run() -> Answer:
             return await self._service.answer(call, self._host)
