--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -91,14 +91,10 @@
         await Service.stop(self)
 
     @contextlib.contextmanager
-    def request(self, deadline: float = 0.0) -> Iterator[None]:
-        """Count one request; :raises Unreachable: if none is taken.
-
-        :param deadline: in the loop's time, where the request has one.
-        """
+    def request(self) -> Iterator[None]:
+        """Count one request; :raises Unreachable: if none is taken."""
         if not self.listening:
             raise Unreachable("the host does not listen")
-        self._latest_deadline = max(self._latest_deadline, deadline)
         self._in_flight += 1
         try:
             yield
@@ -106,6 +102,10 @@
             self._in_flight -= 1
             self._idle_since = clock.now()
 
+    def note_deadline(self, deadline: float) -> None:
+        """Take a request's deadline, in the loop's time."""
+        self._latest_deadline = max(self._latest_deadline, deadline)
+
 
 class World:
     """The deployment, its faults and its history."""
--- a/tests/fakes_clients.py
+++ b/tests/fakes_clients.py
@@ -48,14 +48,12 @@
         self._next += 1
         return names[self._next % len(names)]
 
-    async def ask(
-        self, host: str, work: Any, timeout: float, deadline: float = 0.0
-    ) -> Any:
+    async def ask(self, host: str, work: Any, timeout: float) -> Any:
         """Have ``work(kernel)`` done at ``host`` as one request."""
         kernel = self.world.host_by_name[host].kernel
 
         async def serve() -> Any:
-            with kernel.get(Api).request(deadline):
+            with kernel.get(Api).request():
                 return await work(kernel)
 
         return await self.world.network.carry(self.name, host, serve, timeout)
@@ -284,9 +282,10 @@
         request = f"{self.name}-{self.count}"
         note = self.world.history.note
         note("invoke", "call", request, clock.now(), host, key=key)
-        deadline = clock.now() + CALL_SECONDS
 
         async def work(kernel: Any) -> Answer:
+            deadline = clock.now() + CALL_SECONDS
+            kernel.get(Api).note_deadline(deadline)
             call = Call(
                 service=SERVICE,
                 method=method,
@@ -304,7 +303,7 @@
                 return problem_answer(error)
 
         try:
-            answer = await self.ask(host, work, CALL_SECONDS + 2, deadline)
+            answer = await self.ask(host, work, CALL_SECONDS + 2)
         except NetworkError as error:
             self.note_cut(request, host, error)
             note("unknown", "call", request, clock.now(), host)
