--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -17,6 +17,8 @@
 from typing import Any
 from unittest import mock
 
+from absl import logging
+
 from cranberryrun import clock
 from cranberryrun.api import Api
 from cranberryrun.configuration import Configuration
@@ -144,6 +146,8 @@
 
     async def __aenter__(self) -> "World":
         self._patch.start()
+        self._verbosity = logging.get_verbosity()
+        logging.set_verbosity(logging.FATAL)
         for name in ENGINES + TARGETS:
             self._list(name, "target")
         for engine in self.engine_by_name.values():
@@ -159,6 +163,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self._patch.stop()
+        logging.set_verbosity(self._verbosity)
 
     def reach(self, point: str, place: str) -> None:
         """Note that a host has come to a step; do what was armed for it."""
