--- /dev/null
+++ b/tests/test_matrix.py
@@ -0,0 +1,74 @@
+"""A fixed part of the fault matrix: every fault and every step at least once."""
+
+import unittest
+
+from .__main__ import known_red
+from .matrix import (
+    HELD,
+    NOT_POSSIBLE,
+    STEPS,
+    Cell,
+    pair_cells,
+    parse_cell,
+    single_cells,
+    why_not,
+)
+from .matrix_faults import FAULT_BY_NAME
+
+SEED = 1
+PAIRS = 6
+TIMELINE_LINES = 100
+
+
+def diagonal() -> list[Cell]:
+    """Return a cell for each fault, the steps taken in turn."""
+    cells = []
+    for n, fault in enumerate(FAULT_BY_NAME):
+        steps = [step for step in STEPS if why_not(fault, step) is None]
+        cells.append(Cell((fault,), steps[n % len(steps)], SEED))
+    return cells
+
+
+class MatrixTest(unittest.TestCase):
+    """Runs cells, each on a virtual clock of its own."""
+
+    def _run_all(self, cells: list[Cell]) -> None:
+        listed = known_red()
+        for cell in cells:
+            if f"matrix:{cell.name}" in listed:
+                continue
+            with self.subTest(cell=cell.name, seed=cell.seed):
+                cell.run()
+                found = "\n".join(f"{v.promise}: {v.detail}" for v in cell.violations)
+                lines = "\n".join(cell.timeline[-TIMELINE_LINES:])
+                self.assertEqual(cell.outcome, HELD, f"{found}\n{lines}")
+
+    def test_every_fault_once(self):
+        self._run_all(diagonal())
+
+    def test_every_step_in_a_crash(self):
+        self._run_all([Cell(("kill_host",), step, SEED) for step in STEPS])
+
+    def test_some_pairs(self):
+        cells = pair_cells(SEED)
+        self._run_all(cells[:: len(cells) // PAIRS][:PAIRS])
+
+    def test_a_cell_that_cannot_occur_is_named(self):
+        cell = parse_cell("ack_lost/stream", SEED)
+        cell.run()
+        self.assertEqual(cell.outcome, NOT_POSSIBLE)
+        self.assertTrue(why_not("ack_lost", "stream"))
+
+    def test_the_same_seed_runs_the_same_way(self):
+        timelines = []
+        for _ in range(2):
+            cell = Cell(("pause_host", "log_down"), "dispatch", SEED)
+            cell.keep_timeline = True
+            cell.run()
+            timelines.append(cell.timeline)
+        self.assertTrue(timelines[0])
+        self.assertEqual(timelines[0], timelines[1])
+
+    def test_the_matrix_has_every_fault_at_every_step(self):
+        names = {cell.name for cell in single_cells(SEED)}
+        self.assertEqual(len(names), len(FAULT_BY_NAME) * len(STEPS))
