--- a/tests/fakes_clients.py
+++ b/tests/fakes_clients.py
@@ -28,7 +28,8 @@
 
 WORKLOAD = "denoiser"
 SERVICE = "portal"
-IDLE_SECONDS = 5.0
+IDLE_SECONDS = 8.0
+CONNECT_SECONDS = 5.0
 PAUSE_SECONDS = 0.2
 MAX_TOKENS = 64
 CALL_SECONDS = 8.0
@@ -81,9 +82,11 @@
 
     async def send(self, event: Any) -> None:
         """Take one event of the host."""
-        if not self.is_open:
-            raise ConnectionResetError("the trainer has gone")
         world = self._trainer.world
+        if not self.is_open and not world.network.is_cut(
+            self._host, self._trainer.name
+        ):
+            raise ConnectionResetError("the trainer has gone")
         if isinstance(event, GroupEvent):
             self._note_handed(event)
             world.reach("hand_over", self._host)
@@ -94,8 +97,12 @@
             self.events.put_nowait(item)
 
     def end(self, error: Exception | None) -> None:
-        """Note that the host ended the answer."""
-        self._channel.send(error or Broken("the answer has ended"))
+        """Note that the host ended the answer, or that there is no connection."""
+        error = error or Broken("the answer has ended")
+        if self._trainer.world.network.is_cut(self._host, self._trainer.name):
+            self._deliver(error)
+            return
+        self._channel.send(error)
 
     def close(self) -> None:
         """End the connection from the trainer's side."""
@@ -126,6 +133,7 @@
     groups: list[dict[str, Any]]
     received: set[tuple[str, int]] = field(default_factory=set)
     checkpoint: Any = None
+    ends_at: float = 0.0
     done: bool = False
 
 
@@ -178,6 +186,7 @@
             for index in range(group["samples"])
         ]
         now = clock.now()
+        step.ends_at = now + limit
         self.world.history.note("invoke", "step", id, now, slots=slots, limit=limit)
         while not step.done:
             await self.call_step(step, host or self.next_host())
@@ -188,6 +197,7 @@
         """Make one call for a step and take what comes."""
         request = StepRequest(
             version=self.version,
+            deadline_seconds=max(1.0, step.ends_at - clock.now()),
             groups=step.groups,
             received=sorted(step.received),
             checkpoint=step.checkpoint,
@@ -216,7 +226,7 @@
 
         stream = start_for("", self._stream(host, work, connection))
         stream.add_done_callback(lambda task: begun.done() or begun.cancel())
-        async with asyncio.timeout(IDLE_SECONDS):
+        async with asyncio.timeout(CONNECT_SECONDS):
             await asyncio.wait({begun, stream}, return_when=asyncio.FIRST_COMPLETED)
 
     async def _stream(self, host: str, work: Any, connection: Connection) -> None:
@@ -284,13 +294,15 @@
         note("invoke", "call", request, clock.now(), host, key=key)
 
         async def work(kernel: Any) -> Answer:
+            deadline = clock.now() + CALL_SECONDS
+            kernel.get(Api).note_deadline(deadline)
             call = Call(
                 service=SERVICE,
                 method=method,
                 path="seats",
                 request=request,
                 caller=self.name,
-                deadline=clock.now() + CALL_SECONDS,
+                deadline=deadline,
                 body=json.dumps(token).encode(),
                 key=key,
             )
@@ -317,8 +329,12 @@
         note("unknown", "call", request, now, host)
         return "unknown"
 
-    async def keyed(self, token: str, hosts: int = 1, limit: float = 30.0) -> None:
-        """Send a keyed call, at several hosts at once, until its outcome is known."""
+    async def keyed(self, token: str, hosts: int = 1, limit: float = 15.0) -> None:
+        """Send a keyed call, at several hosts at once, until its outcome is known.
+
+        A key is repeated only while it is remembered, which is half of the log's
+        retention.
+        """
         ends_at = clock.now() + limit
         while clock.now() < ends_at:
             calls = [self.call(token, key=f"key-{token}") for _ in range(hosts)]
