Prefer engines with the newest version for as long as the weighting says

Cause: whole versions were too coarse a scale: with a bound of one version a declared idle weight changed nothing.

--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -35,7 +35,6 @@
 _AGAIN_PAUSE_SECONDS = 0.2
 _MAX_AGAIN_PAUSE_SECONDS = 2.0
 _UNSTAMPED_OUT_SECONDS = 30.0
-_FRESH_WAIT_SECONDS = 20.0
 _STARTS_AT_A_TIME = 16
 _REQUEST_SHARE = 0.125
 
@@ -237,17 +236,17 @@
             for engine in self._engines.usable(spec.pool)
             if engine.in_flight < self._limit(engine)
         ]
-        wanted = self._steps.policies.freshness.oldest_wanted(
-            self._newest, spec.freshness_bound, spec.idle_weight
-        )
-        fresh = self._running_at_least(room, wanted)
+        fresh = self._running_at_least(room, self._newest)
         if not fresh and self._waited_long():
-            fresh = self._running_at_least(room, self._newest - spec.freshness_bound)
+            return self._as_candidates(
+                self._running_at_least(room, self._newest - spec.freshness_bound)
+            )
         if fresh:
             self._no_engine_since = None
-        elif self._no_engine_since is None and room:
-            self._no_engine_since = clock.now()
-        return {engine.name: engine.candidate() for engine in fresh}
+        return self._as_candidates(fresh)
+
+    def _as_candidates(self, engines: list[Engine]) -> dict[str, Candidate]:
+        return {engine.name: engine.candidate() for engine in engines}
 
     def _running_at_least(self, engines: list[Engine], version: int) -> list[Engine]:
         chosen: list[Engine] = []
@@ -259,10 +258,12 @@
 
     def _waited_long(self) -> bool:
         """Say whether to take what the bound allows for want of the newest."""
+        now = clock.now()
         if self._no_engine_since is None:
-            return False
-        patience = _FRESH_WAIT_SECONDS * (1 - self.workload.spec.idle_weight)
-        return clock.now() - self._no_engine_since >= patience
+            self._no_engine_since = now
+        freshness = self._steps.policies.freshness
+        patience = freshness.patience(self.workload.spec.idle_weight)
+        return now - self._no_engine_since >= patience
 
     def _limit(self, engine: Engine) -> int:
         """Return how many streams of steps an engine may get from this host."""
--- a/cranberryrun/freshness.py
+++ b/cranberryrun/freshness.py
@@ -5,10 +5,11 @@
 
 from __future__ import annotations
 
-import math
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
+_PATIENCE_SECONDS = 20.0
+
 
 @dataclass(frozen=True, slots=True)
 class SampleAge:
@@ -35,8 +36,10 @@
         """
 
     @abstractmethod
-    def oldest_wanted(self, newest: int, bound: int, idle_weight: float) -> int:
-        """Return the oldest version an engine should run to be given a sample.
+    def patience(self, idle_weight: float) -> float:
+        """Return how long a sample may wait for an engine with the newest version.
+
+        After that, in seconds, an engine whose version the bound allows will do.
 
         :param idle_weight: 1 if only the trainer's idle time counts, 0 if only
             the samples' staleness does.
@@ -44,15 +47,21 @@
 
 
 class AtHandOver(FreshnessPolicy):
-    """Measures from the newest version that is known now."""
+    """Measures from the newest version that is known now.
+
+    :param patience_seconds: the longest wait for the newest version.
+    """
+
+    def __init__(self, patience_seconds: float = _PATIENCE_SECONDS) -> None:
+        self._patience_seconds = patience_seconds
 
     def too_old(self, age: SampleAge, bound: int) -> bool:
         """See :meth:`FreshnessPolicy.too_old`."""
         return age.oldest is not None and age.newest - age.oldest > bound
 
-    def oldest_wanted(self, newest: int, bound: int, idle_weight: float) -> int:
-        """See :meth:`FreshnessPolicy.oldest_wanted`."""
-        return newest - math.ceil(bound * idle_weight)
+    def patience(self, idle_weight: float) -> float:
+        """See :meth:`FreshnessPolicy.patience`."""
+        return self._patience_seconds * (1 - idle_weight) ** 2
 
 
 class AtDispatch(FreshnessPolicy):
@@ -62,6 +71,6 @@
         """See :meth:`FreshnessPolicy.too_old`."""
         return age.oldest is not None and age.newest_at_dispatch - age.oldest > bound
 
-    def oldest_wanted(self, newest: int, bound: int, idle_weight: float) -> int:
-        """See :meth:`FreshnessPolicy.oldest_wanted`."""
-        return newest - bound
+    def patience(self, idle_weight: float) -> float:
+        """See :meth:`FreshnessPolicy.patience`."""
+        return 0.0
--- a/tests/test_steps.py
+++ b/tests/test_steps.py
@@ -312,7 +312,7 @@
             rollouts.versions.learn(WORKLOAD, 2)
             rollouts.engine_by_name["engine-1"].run_version(2)
             await asyncio.sleep(6)
-            await self.start(rollouts, Trainer(), version=2)
+            await self.start(rollouts, Trainer(), version=2, samples=4)
             used[weight] = len(rollouts.engine_by_name["engine-0"].generated)
         self.assertEqual(used[0.0], 0)
         self.assertGreater(used[1.0], 0)
