--- a/cranberryrun/peers.py
+++ b/cranberryrun/peers.py
@@ -22,6 +22,7 @@
 from .kernel import Service
 from .membership import HostEntry, Membership
 from .peer_server import PeerServer
+from .security import peer_client_context, peer_server_context
 from .settings import Settings
 from .views import Fact, FactKind
 
@@ -131,10 +132,15 @@
             list
         )
         self.handler_by_call: dict[str, Any] = {}
+        self._tls = peer_client_context(settings.tls)
 
     async def start(self) -> None:
         """Listen, then begin to exchange views."""
-        await self._server.start(self._settings.ip, self._settings.peer_port)
+        await self._server.start(
+            self._settings.ip,
+            self._settings.peer_port,
+            peer_server_context(self._settings.tls),
+        )
         self.supervise(self._exchange_forever)
 
     async def stop(self) -> None:
@@ -224,6 +230,7 @@
             address[1],
             timeout=_CLIENT_IDLE_MS,
             connect_timeout=int(limit * 1000),
+            ssl_context=self._tls,
         )
 
     async def exchange_with(self, entry: HostEntry, everything: bool = False) -> bool:
