--- a/tests/rollouts.py
+++ b/tests/rollouts.py
@@ -186,6 +186,8 @@
     async def order(self, order: VersionOrder) -> None:
         """See :meth:`EngineClient.order`."""
         await asyncio.sleep(self.answer_seconds)
+        if self.down:
+            raise EngineError("down")
         known = self.loaded.get(order.workload, LoadedVersion(0, 0, None))
         if self.fencing and order.fence < known.fence:
             raise StaleFenceError("older")
