--- /dev/null
+++ b/tests/test_usage.py
@@ -0,0 +1,171 @@
+"""Tests of usage: counted once, kept through outages, rolled up in time."""
+
+import asyncio
+import random
+
+from cranberryrun import clock
+from cranberryrun.configuration import Configuration
+from cranberryrun.events import Events
+from cranberryrun.exceptions import (
+    AppendUnknownError,
+    CranberryrunError,
+    LogGapError,
+    LogUnavailableError,
+)
+from cranberryrun.kernel import Kernel
+from cranberryrun.log import Batch, Log, Record
+from cranberryrun.membership import Membership
+from cranberryrun.settings import LogSettings, Settings
+from cranberryrun.usage import Usage
+from cranberryrun.usage_ledger import UsageLedger
+
+from .virtual import VirtualTimeTestCase
+
+RETENTION_SECONDS = 600.0
+
+
+class MemoryLog(Log):
+    """A log that can be down, lose answers and drop old records."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.records: list[Record] = []
+        self.first = 0
+        self.down = False
+        self.lose_answers = 0
+
+    async def append(self, stream, values):
+        if self.down:
+            raise LogUnavailableError("down")
+        for value in values:
+            self.records.append(Record(len(self.records), clock.wall(), value))
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise AppendUnknownError("lost")
+        return len(self.records) - len(values)
+
+    async def read(self, stream, start, limit, wait):
+        begin = max(start, self.first)
+        page = self.records[begin : begin + limit]
+        return Batch(page, self.first, len(self.records))
+
+
+def usage_of(log: MemoryLog, host: str, incarnation: int = 1) -> Usage:
+    """Return a usage service that is registered and not started."""
+    settings = Settings(
+        id=host,
+        zone="z",
+        api_port=0,
+        peer_port=0,
+        log=LogSettings(url="http://log", retention=RETENTION_SECONDS),
+        host_list_url="http://hosts",
+    )
+    kernel = Kernel()
+    kernel.register(Events(host, incarnation, 100))
+    kernel.register(log)
+    kernel.register(Membership(settings, incarnation))
+    kernel.register(Configuration(settings, random.Random(1)))
+    usage = Usage(settings)
+    kernel.register(usage)
+    return usage
+
+
+async def use(usage: Usage, seconds: float, workload: str = "w") -> None:
+    """Run one stream on an engine of two slots for ``seconds``."""
+    with usage.counter.stream(workload, 2) as meter:
+        meter.add(10)
+        await asyncio.sleep(seconds)
+
+
+def total(ledger: UsageLedger, workload: str = "w") -> float:
+    """Return all engine-seconds of a workload."""
+    return sum(amount.engine_seconds for _, amount in ledger.days(workload))
+
+
+class UsageTest(VirtualTimeTestCase):
+    def setUp(self) -> None:
+        self.log = MemoryLog()
+        self.usage = usage_of(self.log, "h1")
+
+    async def _write(self) -> None:
+        self.usage.record()
+        try:
+            await self.usage.write()
+        except CranberryrunError:
+            return
+
+    async def test_a_stream_is_counted_while_it_runs(self) -> None:
+        stream = asyncio.create_task(use(self.usage, 100))
+        await asyncio.sleep(60)
+        await self._write()
+        self.assertAlmostEqual(total(await self.usage.read()), 30)
+        await stream
+        await self._write()
+        self.assertAlmostEqual(total(await self.usage.read()), 50)
+        tokens = [amount.tokens for _, amount in self.usage.ledger.days("w")]
+        self.assertEqual(sum(tokens), 10)
+
+    async def test_waiting_for_the_first_piece_is_not_counted(self) -> None:
+        with self.usage.counter.stream("w", 2):
+            await asyncio.sleep(30)
+        await self._write()
+        self.assertEqual(self.log.records, [])
+
+    async def test_lost_answer_counts_once(self) -> None:
+        self.log.lose_answers = 2
+        await use(self.usage, 20)
+        for _ in range(3):
+            await self._write()
+        self.assertEqual(len(self.log.records), 3)
+        self.assertAlmostEqual(total(await self.usage.read()), 10)
+
+    async def test_outage_keeps_all_in_a_bounded_number(self) -> None:
+        self.log.down = True
+        for _ in range(2_000):
+            await use(self.usage, 2)
+            await self._write()
+        self.assertLessEqual(len(self.usage.pending), 1_441)
+        self.log.down = False
+        await self._write()
+        self.assertEqual(len(self.usage.pending), 0)
+        self.assertAlmostEqual(total(await self.usage.read()), 2_000)
+
+    async def test_incarnations_are_counted_apart(self) -> None:
+        for incarnation in (1, 2):
+            self.usage = usage_of(self.log, "h1", incarnation)
+            await use(self.usage, 20)
+            await self._write()
+        self.assertAlmostEqual(total(await self.usage.read()), 20)
+
+    async def test_rollup_outlives_the_records_and_counts_once(self) -> None:
+        self.log.lose_answers = 1
+        await use(self.usage, 20)
+        await self._write()
+        rollup = (await self.usage.read()).rollup()
+        self.log.records.append(Record(1, clock.wall(), rollup.model_dump(mode="json")))
+        self.log.first = 1
+        await self._write()
+        reader = usage_of(self.log, "h2")
+        self.assertAlmostEqual(total(await reader.read()), 10)
+
+    async def test_gap_without_rollup_is_an_error(self) -> None:
+        await use(self.usage, 20)
+        await self._write()
+        await self._write()
+        self.log.records.append(Record(1, clock.wall(), {"record": "other"}))
+        self.log.first = 1
+        with self.assertRaises(LogGapError):
+            await usage_of(self.log, "h2").read()
+
+    async def test_service_writes_each_minute_and_at_its_end(self) -> None:
+        await self.usage.start()
+        await use(self.usage, 61)
+        self.assertEqual(len(self.log.records), 1)
+        await self.usage.stop()
+        self.assertAlmostEqual(total(await self.usage.read()), 30.5)
+
+    def test_records_of_no_valid_form_are_passed_over(self) -> None:
+        ledger = UsageLedger()
+        for offset, value in enumerate((None, 3, {"record": "usage"}, {})):
+            self.assertFalse(ledger.apply(offset, value))
+        self.assertEqual(ledger.offset, 3)
