Count the engine time of samples and forecast the month to come

Cause: nobody could tell next month's bill from what the log holds. Ruled out: the last month again, which misses every change of level or rate, and the declared rate, which is off by half or more.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,6 +6,7 @@
 
 import click
 
+from . import forecasting
 from .alternatives import POLICIES_BY_NAME
 from .deployments import DEPLOYMENT_BY_NAME, SCENARIO_BY_NAME
 from .report import write
@@ -86,5 +87,11 @@
     _report("trial", trials, workers)
 
 
+@main.command()
+def forecast() -> None:
+    """Show how the forecast does on generated months that were held back."""
+    click.echo(forecasting.table())
+
+
 if __name__ == "__main__":
     main()
--- a/cranberryrun/api.py
+++ b/cranberryrun/api.py
@@ -12,6 +12,7 @@
 
 from . import clock
 from .calls import Calls, problem_answer
+from .configuration import Configuration
 from .events import Events
 from .exceptions import (
     CranberryrunError,
@@ -35,6 +36,8 @@
 from .steps import Steps
 from .timeline import merge
 from .traffic import Traffic
+from .usage import Usage
+from .usage_reports import forecast_report, usage_report
 from .versions import Versions
 
 _JSON = "application/json"
@@ -101,6 +104,8 @@
             web.get("/v1/hosts", self._hosts),
             web.get("/v1/events", self._events),
             web.get("/v1/timeline", self._timeline),
+            web.get("/v1/usage", self._usage),
+            web.get("/v1/forecast", self._forecast),
             web.post("/v1/drain", self._drain),
             web.post("/v1/workloads/{name}/versions", self._announce),
             web.get("/v1/workloads/{name}/versions", self._newest),
@@ -209,6 +214,16 @@
                 after = page.last
         return _json({"events": merge(rows), "silent": silent})
 
+    async def _usage(self, request: web.Request) -> web.Response:
+        self._allow(request, "operator")
+        ledger = await self.kernel.get(Usage).read()
+        return _json(usage_report(ledger, self.kernel.get(Configuration).state))
+
+    async def _forecast(self, request: web.Request) -> web.Response:
+        self._allow(request, "operator")
+        ledger = await self.kernel.get(Usage).read()
+        return _json(forecast_report(ledger, self.kernel.get(Configuration).state))
+
     async def _drain(self, request: web.Request) -> web.Response:
         self._allow(request, "operator")
         if self.drain_asked is not None:
--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -26,6 +26,7 @@
 from .state import Resource
 from .stragglers import SecondAttempts, SlotProgress, StepProgress, StragglerPolicy
 from .streams import StreamNames
+from .usage import Usage
 from .versions import Versions
 
 if TYPE_CHECKING:
@@ -343,10 +344,13 @@
 
     async def _attempt(self, attempt: Attempt) -> None:
         """Collect one sample; what goes wrong makes the slot wait again."""
+        usage = self._kernel.get(Usage).counter
+        slots = attempt.engine.spec.slots
         try:
-            sample = await collect(
-                attempt, self._order(attempt), self._engines, self._attempt_too_old
-            )
+            with usage.stream(self.workload.name, slots) as attempt.meter:
+                sample = await collect(
+                    attempt, self._order(attempt), self._engines, self._attempt_too_old
+                )
         except UnstampedStreamError as error:
             self._engines.take_out(attempt.engine, _UNSTAMPED_OUT_SECONDS, error)
             self._lost("sample_unstamped", attempt, error)
--- a/cranberryrun/host.py
+++ b/cranberryrun/host.py
@@ -21,6 +21,7 @@
 from .settings import Settings
 from .steps import Steps
 from .traffic import Traffic
+from .usage import Usage
 from .versions import Versions
 from .weights import Weights
 
@@ -65,6 +66,7 @@
             Engines(settings),
             Versions(settings),
             Weights(settings),
+            Usage(settings),
             Steps(settings, policy, rng),
             Traffic(settings, policy, rng),
             Calls(settings, self.incarnation),
--- a/cranberryrun/samples.py
+++ b/cranberryrun/samples.py
@@ -21,6 +21,7 @@
 )
 from .models import Placement, Sample, VersionSpan
 from .slots import Slot
+from .usage import Meter
 
 _MAX_CUTS = 3
 _MAX_IDLE = 4
@@ -33,7 +34,8 @@
     """One stream that makes a slot's sample. Two attempts are never equal.
 
     ``newest_at_dispatch`` is the newest version that was known when it began;
-    ``lent`` says that it goes beyond the step's declared share.
+    ``lent`` says that it goes beyond the step's declared share; ``meter`` counts
+    what it uses.
     """
 
     slot: Slot
@@ -47,6 +49,7 @@
     tokens: int = 0
     oldest: int | None = None
     task: asyncio.Task[Any] | None = None
+    meter: Meter | None = None
     _rate: float | None = None
     _marked_at: float = 0.0
     _marked_tokens: int = 0
@@ -56,6 +59,8 @@
         if piece.version is None:
             raise UnstampedStreamError(f"piece {piece.seq} has no version")
         self.pieces.append(piece)
+        if self.meter is not None:
+            self.meter.add(piece.tokens)
         if piece.tokens == 0:
             return
         self.tokens += piece.tokens
--- /dev/null
+++ b/cranberryrun/usage_reports.py
@@ -0,0 +1,80 @@
+"""What operators see of usage: by day, and the month to come."""
+
+from __future__ import annotations
+
+from datetime import datetime, timezone
+from typing import Any
+
+from . import clock
+from .forecast import DAY_SECONDS, DayUse, backtest, forecast
+from .state import ConfigState
+from .usage_ledger import UsageLedger
+
+_SECONDS_PER_HOUR = 3_600
+
+
+def usage_report(ledger: UsageLedger, state: ConfigState) -> dict[str, Any]:
+    """Return each workload's use and bill by day (UTC), oldest first."""
+    items: list[dict[str, Any]] = []
+    for workload in ledger.workloads():
+        price = _price(state, workload)
+        for day, amount in ledger.days(workload):
+            items.append(
+                {
+                    "workload": workload,
+                    "day": _date(day),
+                    "engine_seconds": round(amount.engine_seconds, 3),
+                    "tokens": amount.tokens,
+                    "bill": round(amount.engine_seconds / _SECONDS_PER_HOUR * price, 4),
+                }
+            )
+    return {"offset": ledger.offset, "items": items}
+
+
+def forecast_report(ledger: UsageLedger, state: ConfigState) -> dict[str, Any]:
+    """Return each declared workload's forecast and how earlier ones did.
+
+    The day that has not ended yet is left out.
+    """
+    items: list[dict[str, Any]] = []
+    today = int(clock.wall() // DAY_SECONDS)
+    for resource in state.list("workloads"):
+        spec = resource.spec
+        history = [
+            DayUse(day, amount.engine_seconds, amount.rate or spec.rate)
+            for day, amount in ledger.days(resource.name)
+            if day < today
+        ]
+        items.append(_forecast_row(resource.name, history, spec))
+    return {"offset": ledger.offset, "items": items}
+
+
+def _forecast_row(name: str, history: list[DayUse], spec: Any) -> dict[str, Any]:
+    made = forecast(history, spec.rate)
+    mean, low, high = made.bill(spec.price_per_engine_hour)
+    past = backtest(history)
+    return {
+        "workload": name,
+        "days": made.days,
+        "engine_seconds": round(made.mean),
+        "low": round(made.low),
+        "high": round(made.high),
+        "confidence": made.confidence,
+        "bill": round(mean, 2),
+        "bill_low": round(low, 2),
+        "bill_high": round(high, 2),
+        "history_days": len(history),
+        "past_forecasts": past.forecasts,
+        "past_coverage": round(past.coverage, 3),
+        "past_error": round(past.mean_absolute_percentage_error, 4),
+    }
+
+
+def _price(state: ConfigState, workload: str) -> float:
+    resource = state.get("workloads", workload)
+    return resource.spec.price_per_engine_hour if resource is not None else 0.0
+
+
+def _date(day: int) -> str:
+    moment = datetime.fromtimestamp(day * DAY_SECONDS, timezone.utc)
+    return moment.date().isoformat()
