--- a/bench/clients.py
+++ b/bench/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import random
 from collections.abc import Callable
@@ -217,6 +218,23 @@
             trainer.handed.append((f"{trainer.size.name}.{trainer.number}.", sample))
 
 
+class Prompts:
+    """Draws requests' prompts by a Zipf distribution whose ranks move."""
+
+    def __init__(self, count: int, skew: float, shift_every: float | None) -> None:
+        self._shift_every = shift_every
+        self._numbers = range(count)
+        self._weights = list(
+            itertools.accumulate(1 / (rank + 1) ** skew for rank in range(count))
+        )
+
+    def draw(self, rng: random.Random) -> str:
+        """Return a prompt."""
+        rank = rng.choices(self._numbers, cum_weights=self._weights)[0]
+        shifts = int(clock.now() // self._shift_every) if self._shift_every else 0
+        return f"request {(rank + shifts * 37) % len(self._numbers)}"
+
+
 @dataclass(slots=True)
 class Callers:
     """Sends requests to a service, each at its own moment."""
@@ -227,6 +245,7 @@
     client_seconds: float
     pick: PickHost
     rng: random.Random
+    prompts: Prompts
     surge: tuple[float, float, float] | None = None
     latencies: list[float] = field(default_factory=list)
     sent: int = 0
@@ -255,7 +274,7 @@
         await asyncio.sleep(self.client_seconds)
         host = self.pick()
         body = GroupRequest(
-            group="call", prompt=f"request {number % 20}", samples=1, max_tokens=256
+            group="call", prompt=self.prompts.draw(self.rng), samples=1, max_tokens=256
         )
         call = Call(
             service=self.service,
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 
@@ -26,7 +26,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
-    """One deployment. Latencies are one way, in seconds; request rates a second."""
+    """One deployment. Latencies are one way, in seconds; request rates a second.
+
+    Requests have one of ``request_prefixes`` prompts, with a Zipf distribution of
+    exponent ``request_skew`` whose ranks move every ``shift_every`` seconds; a
+    prompt that is not cached costs ``request_prefill`` tokens.
+    """
 
     name: str
     zone_seconds: float
@@ -42,6 +47,10 @@
     alone_tokens_per_second: float = 200.0
     portal_rate: float = 4.0
     shared_rate: float = 0.5
+    request_prefixes: int = 20
+    request_skew: float = 0.0
+    request_prefill: float = 10.0
+    shift_every: float | None = None
 
 
 MUSHI = Deployment(
@@ -64,7 +73,21 @@
         WorkloadSize("waitlist", trainers=1, rate=2.0, freshness_bound=1),
     ),
 )
+SKEWED = Deployment(
+    name="skewed",
+    zone_seconds=0.001,
+    client_seconds=0.001,
+    idle_weight=0.5,
+    workloads=(),
+    portal_engines=6,
+    portal_rate=50.0,
+    request_prefixes=200,
+    request_skew=1.0,
+    request_prefill=60.0,
+)
+SHIFTING = replace(SKEWED, name="shifting", shift_every=20.0)
 DEPLOYMENT_BY_NAME = {each.name: each for each in (MUSHI, LAKESHORE)}
+PREFIXES_BY_NAME = {each.name: each for each in (SKEWED, SHIFTING)}
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,4 +138,5 @@
     ),
 )
 SURGE = Scenario("surge", seconds=240.0, surge=(60.0, 40.0, 25.0))
-SCENARIO_BY_NAME = {each.name: each for each in (HEALTHY, LOST, FAULTS, SURGE)}
+SHORT = Scenario("short", seconds=180.0)
+SCENARIO_BY_NAME = {each.name: each for each in (SHORT, HEALTHY, LOST, FAULTS, SURGE)}
--- a/bench/engine.py
+++ b/bench/engine.py
@@ -100,6 +100,7 @@
         self.speed = 1.0
         self.incarnation = 1
         self.requests_asked = 0
+        self.request_prefill = 10.0
         self.streams: dict[str, FakeStream] = {}
         self.history: list[FakeStream] = []
         self.loaded_by_workload: dict[str, LoadedVersion] = {}
@@ -145,7 +146,8 @@
         self._prefixes[prompt] = None
         if len(self._prefixes) > _CACHED_PREFIXES:
             self._prefixes.popitem(last=False)
-        return 10.0 if prompt.startswith("request") else PREFILL_TOKENS
+        is_request = prompt.startswith("request")
+        return self.request_prefill if is_request else PREFILL_TOKENS
 
     def cancel(self, stream_id: str) -> None:
         """Stop a stream."""
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -20,7 +20,7 @@
 from cranberryrun.weights import Weights
 
 from .alternatives import PolicySet
-from .clients import Callers, FakeTrainer, Publisher
+from .clients import Callers, FakeTrainer, Prompts, Publisher
 from .deployments import ZONES, Deployment, Fault, Scenario
 from .engine import FakeEngine, FakeEngineClient
 from .fakes import (
@@ -132,6 +132,7 @@
                     size.alone_tokens_per_second,
                     self.store,
                 )
+                self.engine_by_name[name].request_prefill = size.request_prefill
 
     def _declare(self) -> None:
         """Put the configuration into the log."""
@@ -277,6 +278,9 @@
             ("portal", size.portal_rate),
             ("advice", size.shared_rate),
         ):
+            prompts = Prompts(
+                size.request_prefixes, size.request_skew, size.shift_every
+            )
             surge = self.scenario.surge if service == "portal" else None
             rng = random.Random(f"{service}/{self._seed}")
             self.callers.append(
@@ -287,6 +291,7 @@
                     size.client_seconds,
                     self.pick,
                     rng,
+                    prompts,
                     surge,
                 )
             )
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -60,6 +60,7 @@
     return {
         "requests": sent,
         "answered_share": 1 - unanswered / max(1, sent),
+        "request_p50_seconds": quantile(latencies, 0.5),
         "request_p99_seconds": quantile(latencies, 0.99),
         "retry_amplification": asked / max(1, sent),
     }
@@ -119,7 +120,10 @@
         trainers = [each for each in fleet.trainers if each.size == workload]
         full = [use[m] for m in minutes if all(_waited(t, m) for t in trainers)]
         steady.append(_cv(full))
-    return {"use_cv": max(all_minutes), "use_cv_steady": max(steady)}
+    return {
+        "use_cv": max(all_minutes, default=0.0),
+        "use_cv_steady": max(steady, default=0.0),
+    }
 
 
 def _waited(trainer: FakeTrainer, minute: int) -> bool:
--- a/bench/running.py
+++ b/bench/running.py
@@ -16,6 +16,7 @@
 from .alternatives import POLICIES_BY_NAME, PolicySet
 from .deployments import (
     DEPLOYMENT_BY_NAME,
+    PREFIXES_BY_NAME,
     SCENARIO_BY_NAME,
     Deployment,
     Scenario,
@@ -68,7 +69,7 @@
     if trial.idle_weight is not None:
         policies = policies.with_idle_weight(trial.idle_weight)
     return run_fleet(
-        DEPLOYMENT_BY_NAME[trial.deployment],
+        (DEPLOYMENT_BY_NAME | PREFIXES_BY_NAME)[trial.deployment],
         SCENARIO_BY_NAME[trial.scenario],
         policies,
         trial.seed,
--- a/cranberryrun/routing.py
+++ b/cranberryrun/routing.py
@@ -11,6 +11,7 @@
 
 _DRAWN = 8
 _MARGIN = 1.0
+_BOUND = 1.25
 _ZONE_MARGIN = 0.5
 _REPORT_HALF_LIFE_SECONDS = 2.0
 
@@ -79,22 +80,30 @@
     Without a prefix, what ``otherwise`` chooses.
 
     :param margin: how many streams more than the least loaded the favourite may
-        have.
+        always have.
+    :param bound: how many times the mean load it may have.
     """
 
-    def __init__(self, otherwise: RoutingPolicy, margin: float = _MARGIN) -> None:
+    def __init__(
+        self,
+        otherwise: RoutingPolicy,
+        margin: float = _MARGIN,
+        bound: float = _BOUND,
+    ) -> None:
         self._otherwise = otherwise
         self._margin = margin
+        self._bound = bound
 
     def choose(self, candidates: Sequence[Candidate], need: Need) -> Candidate | None:
         """See :meth:`RoutingPolicy.choose`."""
         if need.prefix is None or not candidates:
             return self._otherwise.choose(candidates, need)
         least = min(each.load for each in candidates)
+        mean = sum(each.load for each in candidates) / len(candidates)
         roomy = {
             each.id: each
             for each in candidates
-            if each.load <= least + self._margin / each.slots
+            if each.load <= max(least + self._margin / each.slots, mean * self._bound)
         }
         favourite = owner_of(roomy, need.prefix)
         return roomy[favourite] if favourite is not None else None
