--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -253,6 +253,7 @@
         hosts = [await self.ready_host(n) for n in range(1, 9)]
         await self.change(hosts[0], 0)
         await asyncio.sleep(2)
+        self.world.log.change_faults({"slow": 0.3})
         for host in hosts:
             self.age_snapshot(host)
         await asyncio.sleep(60)
@@ -266,8 +267,11 @@
         await until(lambda: configuration_of(one).state.offset == 1199)
         await self.world.stop(1)
         self.world.list.entries = []
-        two = await self.ready_host(2)
-        self.assertEqual(len(configuration_of(two).state.list("workloads")), 1200)
+        self.world.log.change_faults({"slow": 0.1})
+        two = configuration_of(await self.world.host(2))
+        async with asyncio.timeout(30):
+            await two.ready.wait()
+        self.assertEqual(len(two.state.list("workloads")), 1200)
 
     async def test_an_invalid_record_changes_nothing(self):
         one = await self.ready_host(1)
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -59,6 +59,7 @@
         self.apply(put("c1"))
         self.apply(put("c1"))
         self.assertEqual(self.state.generation("workloads", "denoiser"), 1)
+        self.assertIsNone(self.state.outcome_by_change["c1"].rejected)
 
     def test_an_invalid_record_changes_nothing(self):
         self.apply(put("c1"))
