--- a/cranberryrun/peers.py
+++ b/cranberryrun/peers.py
@@ -30,7 +30,6 @@
 )
 
 _MAX_FACTS = 256
-_FULL_EVERY = 60
 _MAX_IDLE_CLIENTS = 4
 _CONFIRM_PAUSE_SECONDS = 0.2
 _CLIENT_IDLE_MS = 3_600_000
@@ -132,7 +131,6 @@
             list
         )
         self.handler_by_call: dict[str, Any] = {}
-        self._rounds = 0
 
     async def start(self) -> None:
         """Listen, then begin to exchange views."""
@@ -147,26 +145,37 @@
             for client in clients:
                 client.close()
 
-    def answer_exchange(self, mine: Any) -> Any:
-        """Take a peer's facts in and return this host's."""
+    def answer_exchange(self, theirs: Any) -> Any:
+        """Take a peer's facts in and return this host's news, or all it has."""
+        self._take(theirs)
         membership = self.kernel.get(Membership)
-        membership.learn(from_wire(mine.facts))
-        membership.heard_from(mine.sender)
-        return self._exchange_message(bool(mine.full), mine.sender)
+        membership.heard_from(theirs.sender)
+        send_all = bool(theirs.all_facts)
+        return self._exchange_message(theirs.sender, send_all=send_all)
 
-    def _exchange_message(self, full: bool, peer_id: str) -> Any:
-        views = self.kernel.get(Membership).views
-        facts = views.all() if full else views.take(_MAX_FACTS)
+    def _take(self, theirs: Any) -> None:
+        membership = self.kernel.get(Membership)
+        membership.learn(from_wire(theirs.facts))
+        membership.note_offset(theirs.sender, theirs.incarnation, theirs.offset)
+
+    def _exchange_message(
+        self, peer_id: str, send_all: bool = False, ask_all: bool = False
+    ) -> Any:
+        membership = self.kernel.get(Membership)
+        views = membership.views
+        facts = views.all() if send_all else views.take(_MAX_FACTS)
         about_peer = views.get(FactKind.HOST, peer_id)
-        if about_peer is not None and about_peer not in facts:
+        if about_peer and about_peer.value % 2 == 1 and about_peer not in facts:
             # A peer that was away must learn what is said of it, to refute it.
             facts.append(about_peer)
         return wire.Exchange(
-            sender=self._settings.id,
+            sender=membership.id,
+            incarnation=membership.incarnation,
             zone=self._settings.zone,
             facts=to_wire(facts),
-            full=full,
-            offset=-1,
+            all_facts=ask_all,
+            offset=membership.offset_of(membership.id),
+            digest=views.digest,
         )
 
     async def call(
@@ -217,11 +226,15 @@
             connect_timeout=int(limit * 1000),
         )
 
-    async def exchange_with(self, entry: HostEntry, full: bool = False) -> bool:
-        """Exchange views with one peer; say whether it answered."""
+    async def exchange_with(self, entry: HostEntry, everything: bool = False) -> bool:
+        """Exchange views with one peer; say whether it answered.
+
+        Only news goes over, unless ``everything`` is asked for or the views turn
+        out to differ with no news left to pass on.
+        """
         membership = self.kernel.get(Membership)
         try:
-            await self._exchange(entry, full)
+            await self._exchange(entry, everything)
         except PeerRefusedError:
             membership.suspect(entry.id)
             return False
@@ -230,12 +243,18 @@
             return False
         return True
 
-    async def _exchange(self, entry: HostEntry, full: bool) -> None:
+    async def _exchange(self, entry: HostEntry, everything: bool = False) -> None:
         membership = self.kernel.get(Membership)
-        message = self._exchange_message(full, entry.id)
+        message = self._exchange_message(
+            entry.id, send_all=everything, ask_all=everything
+        )
         theirs = await self.call(entry, "exchange", message)
-        membership.learn(from_wire(theirs.facts))
+        self._take(theirs)
         membership.met(entry, theirs.sender, theirs.zone)
+        views = membership.views
+        differ = theirs.digest != views.digest
+        if differ and views.quiet and not theirs.facts and not everything:
+            await self._exchange(entry, everything=True)
 
     def _confirm_silence(self, entry: HostEntry) -> None:
         """Suspect a peer only if it stays silent for the settings' time."""
@@ -252,7 +271,7 @@
             while clock.now() < ends_at:
                 await asyncio.sleep(_CONFIRM_PAUSE_SECONDS)
                 try:
-                    await self._exchange(entry, False)
+                    await self._exchange(entry)
                     return
                 except PeerError:
                     continue
@@ -260,6 +279,18 @@
         finally:
             self._confirming_ids.discard(entry.id)
 
+    async def ask_offsets(self, host_ids: list[str]) -> None:
+        """Exchange with the named peers, some at a time, to learn their offsets."""
+        gate = asyncio.Semaphore(self._settings.limits.spread_at_once)
+
+        async def ask(entry: HostEntry) -> None:
+            async with gate:
+                await self.exchange_with(entry)
+
+        entries = self.kernel.get(Membership).entry_by_id
+        known = [entries[host_id] for host_id in host_ids if host_id in entries]
+        await asyncio.gather(*[ask(entry) for entry in known])
+
     async def spread_now(self) -> list[str]:
         """Exchange with every peer that is live, at once; return who answered."""
         peers = self.kernel.get(Membership).live_peers()
@@ -276,10 +307,8 @@
             )
             peers = membership.peers()
             count = min(self._settings.limits.peers_per_exchange, len(peers))
-            full = self._rounds % _FULL_EVERY == 0
-            self._rounds += 1
             for entry in self._rng.sample(peers, count):
-                await self.exchange_with(entry, full)
+                await self.exchange_with(entry)
 
 
 class EventPages(Service):
