--- a/cranberryrun/peer_server.py
+++ b/cranberryrun/peer_server.py
@@ -43,6 +43,11 @@
         self._server: asyncio.Server | None = None
         self._writer_by_task: dict[asyncio.Task[Any], asyncio.StreamWriter] = {}
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """The IP and port that are listened on."""
+        return self._server.sockets[0].getsockname()
+
     async def start(self, ip: str, port: int) -> None:
         """Listen; :raises KernelError: the address can't be had."""
         try:
--- a/cranberryrun/peers.py
+++ b/cranberryrun/peers.py
@@ -154,6 +154,10 @@
         return self._exchange_message(theirs.sender, send_all=send_all)
 
     def _take(self, theirs: Any) -> None:
+        """Take in what a peer says; :raises PeerError: it has no valid form."""
+        numbers = (theirs.incarnation, theirs.offset, theirs.digest)
+        if not isinstance(theirs.sender, str) or None in numbers:
+            raise PeerError("an exchange has no valid form")
         membership = self.kernel.get(Membership)
         membership.learn(from_wire(theirs.facts))
         membership.note_offset(theirs.sender, theirs.incarnation, theirs.offset)
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,100 @@
+"""The talk between hosts over real connections, with input of no valid form."""
+
+import asyncio
+import logging
+import socket
+import unittest
+
+from cranberryrun.exceptions import KernelError, PeerError, PeerRefusedError
+from cranberryrun.membership import HostEntry, Membership
+from cranberryrun.peer_server import PeerServer
+from cranberryrun.peers import Peers, from_wire, wire
+
+from .fleet import Fleet
+
+_GARBAGE = (
+    b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+    b"\x80\x01\x00\x01\xff\xff\xff\xff",
+    b"\x80\x01\x00\x01\x7f\xff\xff\xff" + b"x" * 64,
+    b"\x80\x01\x00\x01\x00\x00\x00\x03foo\x00\x00\x00\x00\x00",
+    b"\x80\x01\x00\x01\x00\x00\x00\x08exchange\x00\x00\x00\x00\x0c\x00\x01\x00\x00",
+    bytes(range(256)) * 8,
+)
+
+
+class PeersTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = Fleet(2)
+        cls.fleet.__enter__()
+        cls.one, cls.two = cls.fleet.host_by_id.values()
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.fleet.__exit__()
+
+    def call(self, method, *arguments):
+        """Call the second host's peer port from the first host."""
+        entry = self.one.kernel.get(Membership).entry_by_id["host-2"]
+        peers = self.one.kernel.get(Peers)
+        return self.fleet.run(peers.call(entry, method, *arguments))
+
+    def test_garbage_on_the_peer_port_kills_nothing(self):
+        address = (self.two.settings.ip, self.two.settings.peer_port)
+        for data in _GARBAGE:
+            with socket.create_connection(address, timeout=2) as connection:
+                connection.sendall(data)
+        self.assertTrue(self.call("snapshot").ready)
+
+    def test_messages_without_fields_are_refused_and_kill_nothing(self):
+        for method, *arguments in (
+            ("exchange", wire.Exchange()),
+            ("exchange", wire.Exchange(sender="x", facts=[wire.Fact()])),
+            ("call", wire.KeyedCall()),
+        ):
+            with self.assertRaises(PeerError):
+                self.call(method, *arguments)
+        self.assertEqual(self.call("records", None, None).records, [])
+        self.assertEqual(self.call("records", -5, -5).records, [])
+        self.assertEqual(self.call("events", None, None).last, -1)
+        self.assertTrue(self.call("snapshot").ready)
+
+    def test_facts_without_a_valid_form_are_passed_over(self):
+        good = wire.Fact(kind=1, name="host-9", incarnation=1, value=0)
+        bad = [
+            wire.Fact(),
+            wire.Fact(kind=99, name="x", incarnation=1, value=1),
+            wire.Fact(kind=1, name=b"\xff", incarnation=1, value=1),
+            wire.Fact(kind=1, name="", incarnation=1, value=1),
+            wire.Fact(kind=1, name="x", incarnation=1),
+        ]
+        self.assertEqual(len(from_wire([*bad, good])), 1)
+        self.assertEqual(from_wire(None), [])
+
+    def test_nothing_listening_is_told_from_silence(self):
+        entry = HostEntry(id="host-9", kind="entry", ip="127.0.0.1", peer_port=1)
+        with self.assertRaises(PeerRefusedError):
+            self.fleet.run(self.one.kernel.get(Peers).call(entry, "snapshot"))
+
+
+class PeerServerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_stop_leaves_no_traceback_and_no_task(self):
+        server = PeerServer(wire.Peer, object())
+        await server.start("127.0.0.1", 0)
+        address = server.address
+        reader, writer = await asyncio.open_connection(*address)
+        await asyncio.sleep(0.05)
+        with self.assertNoLogs(logging.getLogger("asyncio"), logging.ERROR):
+            await server.stop()
+            await asyncio.sleep(0.05)
+        self.assertEqual(await reader.read(), b"")
+        writer.close()
+        left = asyncio.all_tasks() - {asyncio.current_task()}
+        self.assertEqual(left, set())
+
+    async def test_an_address_in_use_has_a_type(self):
+        first, second = (PeerServer(wire.Peer, object()) for _ in range(2))
+        await first.start("127.0.0.1", 0)
+        with self.assertRaises(KernelError):
+            await second.start(*first.address)
+        await first.stop()
