--- /dev/null
+++ b/tests/test_api.py
@@ -0,0 +1,128 @@
+"""The routes for operators, and the pages that describe them."""
+
+import asyncio
+import hashlib
+import unittest
+import unittest.mock
+from pathlib import Path
+
+from cranberryrun import exceptions
+from cranberryrun.api import Api
+from cranberryrun.catalogue import EVENT_BY_NAME
+from cranberryrun.event_page import event_page
+from cranberryrun.exceptions import CranberryrunError
+
+from .test_resources import ApiTestCase
+
+_DOCS = Path(__file__).resolve().parent.parent / "docs"
+
+
+def _token(name, *roles):
+    digest = hashlib.sha256(name.encode()).hexdigest()
+    return {"name": name, "sha256": digest, "roles": list(roles)}
+
+
+class OperatorRoutesTest(ApiTestCase):
+    hosts = 2
+
+    def test_hosts_are_shown_with_their_offsets(self):
+        self.put("wl-a")
+        body, _ = self.send("GET", "/v1/hosts", 200)
+        self.assertEqual([row["id"] for row in body["hosts"]], ["host-1", "host-2"])
+        self.assertEqual({row["state"] for row in body["hosts"]}, {"live"})
+
+    def test_the_timeline_merges_the_hosts_and_names_the_silent(self):
+        self.put("wl-b")
+        self.fleet.run(asyncio.sleep(0.3))
+        body, _ = self.send("GET", "/v1/timeline", 200)
+        self.assertEqual(body["silent"], [])
+        self.assertEqual({row["host"] for row in body["events"]}, {"host-1", "host-2"})
+
+    def test_events_after_a_number(self):
+        body, _ = self.send("GET", "/v1/events?after=0", 200)
+        self.assertGreater(body["events"][0]["n"], 0)
+        body, _ = self.send("GET", "/v1/events?after=x", 422)
+        self.assertEqual(body["field"], "after")
+
+    def test_health_and_readiness(self):
+        self.send("GET", "/healthz", 200)
+        self.send("GET", "/readyz", 200)
+        api = self.fleet.host_by_id["host-2"].kernel.get(Api)
+        api.accepting = False
+        body, _ = self.send("GET", "/readyz", 503, host=1)
+        self.assertEqual((body["code"], body["not_run"]), ("not_ready", True))
+        api.accepting = True
+
+
+class WatchAtDrainTest(ApiTestCase):
+    def test_a_watch_ends_when_the_host_stops(self):
+        async def watch():
+            task = asyncio.create_task(self.lines("/v1/services?watch=", 1))
+            await task
+            api = self.fleet.host_by_id["host-1"].kernel.get(Api)
+            api.accepting = False
+            async with asyncio.timeout(3):
+                while api.in_flight:
+                    await asyncio.sleep(0.05)
+
+        self.fleet.run(watch())
+
+
+class RolesTest(ApiTestCase):
+    changes = {
+        "tokens": [_token("op-secret", "operator"), _token("call-secret", "caller")]
+    }
+
+    def test_every_operator_route_needs_the_role(self):
+        for method, path in (
+            ("GET", "/v1/hosts"),
+            ("GET", "/v1/events"),
+            ("GET", "/v1/timeline"),
+            ("GET", "/v1/workloads"),
+            ("GET", "/v1/workloads?watch="),
+            ("GET", "/v1/workloads/x"),
+            ("PUT", "/v1/workloads/x"),
+            ("DELETE", "/v1/workloads/x"),
+            ("POST", "/v1/drain"),
+        ):
+            body, _ = self.send(method, path, 401)
+            self.assertEqual(body["code"], "unauthorized")
+            wrong = {"Authorization": "Bearer nonsense"}
+            self.send(method, path, 401, headers=wrong)
+            other = {"Authorization": "Bearer call-secret"}
+            body, _ = self.send(method, path, 403, headers=other)
+            self.assertNotIn("call-secret", str(body))
+        right = {"Authorization": "Bearer op-secret"}
+        self.send("GET", "/v1/hosts", 200, headers=right)
+
+
+def _codes(error=CranberryrunError):
+    yield error.code
+    for kind in error.__subclasses__():
+        if kind.__module__ == exceptions.__name__:
+            yield from _codes(kind)
+
+
+class PagesTest(unittest.TestCase):
+    def test_every_error_code_stands_in_the_page(self):
+        page = (_DOCS / "API.md").read_text(encoding="utf-8")
+        missing = [code for code in _codes() if f"`{code}`" not in page]
+        self.assertEqual(missing, [])
+
+    def test_every_route_stands_in_the_page(self):
+        page = (_DOCS / "API.md").read_text(encoding="utf-8")
+        routes = Api._routes(unittest.mock.MagicMock())
+        missing = [
+            route.path
+            for route in routes
+            if route.path.replace("/{path:.*}", "/{path}") not in page
+        ]
+        self.assertEqual(missing, [])
+
+    def test_the_event_page_is_that_of_the_catalogue(self):
+        page = (_DOCS / "EVENTS.md").read_text(encoding="utf-8")
+        self.assertEqual(page, event_page())
+
+    def test_event_numbers_differ(self):
+        numbers = [kind.number for kind in EVENT_BY_NAME.values()]
+        self.assertEqual(len(numbers), len(set(numbers)))
