--- a/cranberryrun/exceptions.py
+++ b/cranberryrun/exceptions.py
@@ -198,6 +198,22 @@
     outcome = "unknown"
 
 
+class CallUnrecordedError(OutcomeUnknownError):
+    """A keyed call was not run; an earlier one of its key may have been."""
+
+    code = "call_unrecorded"
+    status = 503
+
+
+class AnswerNotKeptError(CranberryrunError):
+    """A keyed call was run before; its answer can't be given again."""
+
+    code = "answer_not_kept"
+    status = 410
+    not_run = False
+    outcome = "run"
+
+
 class AppendUnknownError(OutcomeUnknownError):
     """A record may or may not have been appended to the log."""
 
@@ -211,12 +227,26 @@
     status = 502
 
 
+class TargetTimeoutError(TargetFailedError):
+    """The target was silent for too long, or the deadline passed."""
+
+    code = "target_timeout"
+    status = 504
+
+
 class TruncatedAnswerError(TargetFailedError):
     """The target's answer ended before it was whole."""
 
     code = "answer_truncated"
 
 
+class CallerGoneError(CranberryrunError):
+    """The caller closed its connection; nobody takes the answer."""
+
+    code = "caller_gone"
+    status = 499
+
+
 class EngineError(CranberryrunError):
     """Base of what goes wrong with an engine's stream or order."""
 
@@ -248,6 +278,24 @@
     code = "stream_cut"
 
 
+class StreamIdleError(StreamCutError):
+    """No piece came for a while; the stream may be resumed."""
+
+    code = "stream_idle"
+
+
+class SampleTooOldError(EngineError):
+    """The sample is over the freshness bound, or surely will be."""
+
+    code = "sample_too_old"
+
+
+class LoadFailedError(EngineError):
+    """The engine failed to load a version again and again."""
+
+    code = "load_failed"
+
+
 class StaleFenceError(EngineError):
     """The engine has already taken an order with a higher fencing number."""
 
@@ -255,6 +303,33 @@
     status = 409
 
 
+class StepError(CranberryrunError):
+    """A step can't go on in this call; parts of it may have been handed over."""
+
+    code = "step"
+    status = 409
+
+
+class StepDeadlineError(StepError):
+    """The step's deadline passed with samples missing."""
+
+    code = "step_deadline"
+    status = 504
+
+
+class StepSupersededError(StepError):
+    """Another host runs the step for a later call."""
+
+    code = "step_superseded"
+
+
+class WorkloadGoneError(StepError):
+    """The workload was deleted while the step ran."""
+
+    code = "workload_gone"
+    status = 410
+
+
 class PeerError(CranberryrunError):
     """A peer could not be reached or did not answer as agreed."""
 
--- a/cranberryrun/membership.py
+++ b/cranberryrun/membership.py
@@ -100,6 +100,7 @@
         self._offset_by_host: dict[str, tuple[int, int]] = {}
         self._list_heard_at: float | None = None
         self._peer_heard_at: float | None = None
+        self._heard_at_by_zone: dict[str, float] = {}
         self._host_list: HostList | None = None
         self._waiters: set[asyncio.Event] = set()
         self._suspected_ids: set[str] = set()
@@ -190,9 +191,29 @@
         self.learn([Fact(FactKind.HOST, host_id, fact.incarnation, fact.value + 1)])
         self.kernel.get(Events).emit("peer_unreachable", peer=host_id)
 
+    def suspected(self, host_id: str) -> bool:
+        """Say whether a host did not answer when it was last asked."""
+        fact = self.views.get(FactKind.HOST, host_id)
+        return fact is not None and fact.value < LEAVING and fact.value % 2 == 1
+
     def heard_from(self, host_id: str) -> None:
         """Note that a peer answered just now."""
         self._peer_heard_at = clock.now()
+        entry = self.entry_by_id.get(host_id)
+        if entry is not None:
+            self._heard_at_by_zone[entry.zone] = clock.now()
+
+    def peer_age(self) -> float:
+        """Return seconds since a peer of another zone was heard.
+
+        Where all hosts are in one zone, any peer counts.
+        """
+        own = self._settings.zone
+        zones = {entry.zone for entry in self.peers()}
+        others = {zone for zone in zones if zone != own} or zones
+        heard = [self._heard_at_by_zone.get(zone) for zone in others]
+        times = [at for at in heard if at is not None]
+        return clock.now() - max(times) if times else float("inf")
 
     def met(self, entry: HostEntry, host_id: str, zone: str) -> None:
         """Note that a peer answered, and who a seed is."""
@@ -269,7 +290,7 @@
         lost = False
         while True:
             try:
-                self.take_list(await self._host_list.read())
+                await self.read_list()
                 if lost:
                     events.emit("host_list_back")
                 lost = False
@@ -280,6 +301,10 @@
             self._forget_old_steps()
             await asyncio.sleep(self._settings.timing.list_poll)
 
+    async def read_list(self) -> None:
+        """Read the platform's list now; :raises HostListError:."""
+        self.take_list(await self._host_list.read())
+
     def take_list(self, entries: list[HostEntry]) -> None:
         """Take in what the platform's list says now."""
         self._list_heard_at = clock.now()
--- a/cranberryrun/peer_server.py
+++ b/cranberryrun/peer_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 import struct
 from types import ModuleType
 from typing import Any
@@ -48,10 +49,14 @@
         """The IP and port that are listened on."""
         return self._server.sockets[0].getsockname()
 
-    async def start(self, ip: str, port: int) -> None:
+    async def start(
+        self, ip: str, port: int, tls: ssl.SSLContext | None = None
+    ) -> None:
         """Listen; :raises KernelError: the address can't be had."""
         try:
-            self._server = await asyncio.start_server(self._connected, ip, port)
+            self._server = await asyncio.start_server(
+                self._connected, ip, port, ssl=tls
+            )
         except OSError as error:
             raise KernelError(f"can't listen for peers: {error}") from None
 
--- a/cranberryrun/settings.py
+++ b/cranberryrun/settings.py
@@ -62,12 +62,14 @@
     balancer_lag: float = Field(default=2.0, ge=0)
     drain_limit: float = Field(default=30.0, gt=0)
     engine_poll: float = Field(default=0.5, gt=0)
+    engine_poll_idle: float = Field(default=5.0, gt=0)
     reconcile: float = Field(default=0.5, gt=0)
     checkpoint: float = Field(default=1.0, gt=0)
     connect_timeout: float = Field(default=1.0, gt=0)
     stream_idle: float = Field(default=15.0, gt=0)
     stream_linger: float = Field(default=20.0, gt=0)
     usage: float = Field(default=60.0, gt=0)
+    key_window: float = Field(default=86_400.0, gt=0)
     snapshot_check: float = Field(default=5.0, gt=0)
 
 
@@ -79,9 +81,13 @@
     event_ring: int = Field(default=20_000, ge=100)
     peers_per_exchange: int = Field(default=2, ge=1)
     spread_at_once: int = Field(default=12, ge=1)
-    weight_loads_at_once: int = Field(default=4, ge=1)
+    weight_loads_at_once: int = Field(default=2, ge=1)
+    engines_watched: int = Field(default=24, ge=1)
+    engine_polls_per_second: float = Field(default=20.0, gt=0)
+    orders_at_once: int = Field(default=16, ge=1)
     away_share: float = Field(default=0.5, gt=0, le=1)
     retry_share: float = Field(default=0.1, ge=0, le=1)
+    keys_per_partition: int = Field(default=200_000, ge=1)
     key_partitions: int = Field(default=8, ge=1, le=1024)
 
 
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -17,9 +17,9 @@
 _DOCS = Path(__file__).resolve().parent.parent / "docs"
 
 
-def _token(name, *roles):
-    digest = hashlib.sha256(name.encode()).hexdigest()
-    return {"name": name, "sha256": digest, "roles": list(roles)}
+def _token(secret, role):
+    digest = hashlib.sha256(secret.encode()).hexdigest()
+    return {"name": f"the {role}", "sha256": digest, "roles": [role]}
 
 
 class OperatorRoutesTest(ApiTestCase):
@@ -39,6 +39,7 @@
         self.assertEqual({row["host"] for row in body["events"]}, {"host-1", "host-2"})
 
     def test_events_after_a_number(self):
+        self.put("wl-c")
         body, _ = self.send("GET", "/v1/events?after=0", 200)
         self.assertGreater(body["events"][0]["n"], 0)
         body, _ = self.send("GET", "/v1/events?after=x", 422)
