--- a/cranberryrun/host.py
+++ b/cranberryrun/host.py
@@ -24,6 +24,7 @@
 from .settings import Settings
 from .steps import Steps
 from .traffic import Traffic
+from .usage import Usage
 from .versions import Versions
 from .weights import Weights
 
@@ -74,6 +75,7 @@
             Engines(settings),
             Versions(settings),
             Weights(settings),
+            Usage(settings),
             Steps(settings, policy, rng),
             Traffic(settings, policy, rng),
             Calls(settings, self.incarnation),
