--- a/tests/doubles.py
+++ b/tests/doubles.py
@@ -209,6 +209,8 @@
         """Add an engine of ``pool``."""
         spec = EngineSpec(url="http://127.0.0.1:1", zone="z1", pool=pool)
         self.by_name[name] = Engine(name, spec, 0, client)
+        self._names_by_pool.setdefault(pool, []).append(name)
+        self._subset_by_pool[pool] = self._names_by_pool[pool]
         return self.by_name[name]
 
 
