--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -73,6 +73,37 @@
         WorkloadSize("waitlist", trainers=1, rate=2.0, freshness_bound=1),
     ),
 )
+STEADY_MUSHI = replace(
+    MUSHI,
+    name="mushi-steady",
+    workloads=(
+        WorkloadSize(
+            "denoise",
+            trainers=4,
+            rate=4.0,
+            freshness_bound=2,
+            groups=12,
+            train_seconds=0.0,
+        ),
+        MUSHI.workloads[1],
+    ),
+)
+STEADY_LAKESHORE = replace(
+    LAKESHORE,
+    name="lakeshore-steady",
+    workloads=(
+        WorkloadSize(
+            "pathways",
+            trainers=4,
+            rate=4.0,
+            freshness_bound=1,
+            groups=12,
+            train_seconds=0.0,
+        ),
+        LAKESHORE.workloads[1],
+    ),
+)
+STEADY_BY_NAME = {each.name: each for each in (STEADY_MUSHI, STEADY_LAKESHORE)}
 SKEWED = Deployment(
     name="skewed",
     zone_seconds=0.001,
--- a/bench/report.py
+++ b/bench/report.py
@@ -23,7 +23,7 @@
     "retry_amplification",
     "wasted_share",
     "use_cv",
-    "use_cv_steady",
+    "use_cv_first",
     "rollout_p50_seconds",
     "change_max_seconds",
 )
--- a/bench/running.py
+++ b/bench/running.py
@@ -18,6 +18,7 @@
     DEPLOYMENT_BY_NAME,
     PREFIXES_BY_NAME,
     SCENARIO_BY_NAME,
+    STEADY_BY_NAME,
     Deployment,
     Scenario,
 )
@@ -27,6 +28,7 @@
 _EPOCH_SECONDS = 1_700_000_000.0
 _NOOP_CYCLES = 1
 Figures = dict[str, float]
+SIZE_BY_NAME = DEPLOYMENT_BY_NAME | STEADY_BY_NAME | PREFIXES_BY_NAME
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +71,7 @@
     if trial.idle_weight is not None:
         policies = policies.with_idle_weight(trial.idle_weight)
     return run_fleet(
-        (DEPLOYMENT_BY_NAME | PREFIXES_BY_NAME)[trial.deployment],
+        SIZE_BY_NAME[trial.deployment],
         SCENARIO_BY_NAME[trial.scenario],
         policies,
         trial.seed,
--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -26,7 +26,6 @@
 from .state import Resource
 from .stragglers import SecondAttempts, SlotProgress, StepProgress, StragglerPolicy
 from .streams import StreamNames
-from .usage import Usage
 from .versions import Versions
 
 if TYPE_CHECKING:
@@ -39,6 +38,8 @@
 _FRESH_WAIT_SECONDS = 20.0
 _STARTS_AT_A_TIME = 16
 _REQUEST_SHARE = 0.125
+_BEHIND_LOAD = 1.0
+_LOADING_LOAD = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -248,7 +249,18 @@
             self._no_engine_since = None
         elif self._no_engine_since is None and room:
             self._no_engine_since = clock.now()
-        return {engine.name: engine.candidate() for engine in fresh}
+        return {engine.name: self._candidate(engine) for engine in fresh}
+
+    def _candidate(self, engine: Engine) -> Candidate:
+        """Return the engine with what speaks against it: old weights, a load."""
+        candidate = engine.candidate()
+        name = self.workload.name
+        behind = max(0, self._newest - (engine.version_of(name) or 0))
+        staleness_weight = 1 - self.workload.spec.idle_weight
+        candidate.penalty = behind * staleness_weight * _BEHIND_LOAD
+        if engine.is_loading:
+            candidate.penalty += _LOADING_LOAD
+        return candidate
 
     def _running_at_least(self, engines: list[Engine], version: int) -> list[Engine]:
         chosen: list[Engine] = []
@@ -344,7 +356,7 @@
 
     async def _attempt(self, attempt: Attempt) -> None:
         """Collect one sample; what goes wrong makes the slot wait again."""
-        usage = self._kernel.get(Usage).counter
+        usage = self._engines.usage
         slots = attempt.engine.spec.slots
         try:
             with usage.stream(self.workload.name, slots) as attempt.meter:
--- a/cranberryrun/engines.py
+++ b/cranberryrun/engines.py
@@ -30,6 +30,7 @@
 from .http import HttpClients
 from .kernel import Service
 from .membership import Membership
+from .meters import UsageCounter
 from .models import EngineSpec
 from .ownership import Ownership
 from .rendezvous import ranked
@@ -89,6 +90,13 @@
             return None
         return self.state.by_workload[workload].version
 
+    @property
+    def is_loading(self) -> bool:
+        """Whether it last said that it loads weights, which slows its streams."""
+        if self.state is None:
+            return False
+        return any(row.loading is not None for row in self.state.by_workload.values())
+
     def stamped(self, workload: str, version: int | None) -> None:
         """Note the version that made a piece just now."""
         if version is not None:
@@ -127,6 +135,7 @@
         super().__init__()
         self._settings = settings
         self.by_name: dict[str, Engine] = {}
+        self.usage = UsageCounter()
         self._ownership = Ownership()
         self._names_by_pool: dict[str, list[str]] = {}
         self._wanted_by_pool: dict[str, int] = defaultdict(int)
--- a/cranberryrun/generations.py
+++ b/cranberryrun/generations.py
@@ -16,6 +16,7 @@
     TargetFailedError,
     TruncatedAnswerError,
 )
+from .meters import Meter
 from .models import GroupRequest, ServiceSpec
 from .services import Answer, Call, Sink
 
@@ -37,7 +38,11 @@
 
 
 async def generate(
-    engine: Engine, order: StreamOrder, deadline: float, sink: Sink | None
+    engine: Engine,
+    order: StreamOrder,
+    deadline: float,
+    sink: Sink | None,
+    meter: Meter,
 ) -> Answer:
     """Pass the engine's pieces on as lines of JSON; whole without a sink.
 
@@ -49,6 +54,7 @@
         async with asyncio.timeout_at(deadline):
             async with aclosing(_pieces(engine.client, order)) as pieces:
                 async for piece in pieces:
+                    meter.add(piece.tokens)
                     await _take(piece, lines, sink)
     except TimeoutError:
         raise TargetFailedError("the deadline passed while generating") from None
--- a/cranberryrun/routing.py
+++ b/cranberryrun/routing.py
@@ -22,7 +22,7 @@
 
     ``in_flight`` is this host's own count; ``reported`` is how much work the
     target said it had, ``report_age`` seconds ago; ``slots`` is what it runs at
-    once.
+    once. ``penalty`` is a load that stands for what else speaks against it.
     """
 
     id: str
@@ -31,13 +31,14 @@
     in_flight: int = 0
     reported: int = 0
     report_age: float = float("inf")
+    penalty: float = 0.0
 
     @property
     def load(self) -> float:
         """Expected work per slot: own count and the report, aged."""
         weight = 0.5 ** (self.report_age / _REPORT_HALF_LIFE_SECONDS)
         work = max(self.in_flight, self.reported * weight)
-        return work / self.slots
+        return work / self.slots + self.penalty
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,13 +99,10 @@
         """See :meth:`RoutingPolicy.choose`."""
         if need.prefix is None or not candidates:
             return self._otherwise.choose(candidates, need)
-        least = min(each.load for each in candidates)
+        least = min(candidates, key=lambda each: each.load)
         mean = sum(each.load for each in candidates) / len(candidates)
-        roomy = {
-            each.id: each
-            for each in candidates
-            if each.load <= max(least + self._margin / each.slots, mean * self._bound)
-        }
+        limit = max(least.load + self._margin / least.slots, mean * self._bound)
+        roomy = {each.id: each for each in candidates if each.load <= limit}
         favourite = owner_of(roomy, need.prefix)
         return roomy[favourite] if favourite is not None else None
 
--- a/cranberryrun/samples.py
+++ b/cranberryrun/samples.py
@@ -19,9 +19,9 @@
     TargetRefusedError,
     UnstampedStreamError,
 )
+from .meters import Meter
 from .models import Placement, Sample, VersionSpan
 from .slots import Slot
-from .usage import Meter
 
 _MAX_CUTS = 3
 _MAX_IDLE = 4
--- a/cranberryrun/steps.py
+++ b/cranberryrun/steps.py
@@ -31,7 +31,7 @@
     """Holds the steps that run at this host and what they share."""
 
     name = "steps"
-    requires = ("engines", "versions", "configuration", "usage")
+    requires = ("engines", "versions", "configuration")
 
     def __init__(
         self,
--- a/cranberryrun/traffic.py
+++ b/cranberryrun/traffic.py
@@ -255,7 +255,8 @@
         order = order_for(call, spec, request)
         engine.in_flight += 1
         try:
-            return await generate(engine, order, call.deadline, sink)
+            with engines.usage.stream(call.service, engine.spec.slots) as meter:
+                return await generate(engine, order, call.deadline, sink, meter)
         except TargetUnreachableError as error:
             engines.failed(engine, error)
             raise
--- a/cranberryrun/usage.py
+++ b/cranberryrun/usage.py
@@ -4,15 +4,13 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Iterator
-from contextlib import contextmanager
-from dataclasses import dataclass
 
 from absl import logging
 from pydantic import ValidationError
 
 from . import clock
 from .configuration import Configuration
+from .engines import Engines
 from .events import Events
 from .exceptions import CranberryrunError, LogGapError
 from .kernel import Service
@@ -31,68 +29,6 @@
 _OWNER_KEY = "usage/rollup"
 
 
-@dataclass(slots=True)
-class Meter:
-    """Counts one stream. Its engine-seconds begin with its first piece.
-
-    ``slots`` is how many streams its engine runs at once.
-    """
-
-    workload: str
-    slots: int
-    tokens: int = 0
-    since: float | None = None
-
-    def add(self, tokens: int) -> None:
-        """Count a piece."""
-        self.tokens += tokens
-        if self.since is None:
-            self.since = clock.now()
-
-    def take(self) -> Amount:
-        """Return what has been used since the last call."""
-        now = clock.now()
-        seconds = 0.0 if self.since is None else now - self.since
-        amount = Amount(engine_seconds=seconds / self.slots, tokens=self.tokens)
-        self.tokens = 0
-        self.since = None if self.since is None else now
-        return amount
-
-
-class UsageCounter:
-    """What this host's streams have used since it was last asked."""
-
-    def __init__(self) -> None:
-        self._meter_by_id: dict[int, Meter] = {}
-        self._ended_by_workload: dict[str, Amount] = {}
-
-    @contextmanager
-    def stream(self, workload: str, slots: int) -> Iterator[Meter]:
-        """Count one stream for the time of the block."""
-        meter = Meter(workload, slots)
-        self._meter_by_id[id(meter)] = meter
-        try:
-            yield meter
-        finally:
-            del self._meter_by_id[id(meter)]
-            self._count(meter)
-
-    def _count(self, meter: Meter) -> None:
-        amount = self._ended_by_workload.setdefault(meter.workload, Amount())
-        amount.add(meter.take())
-
-    def take(self) -> dict[str, Amount]:
-        """Return all use since the last call, by workload."""
-        for meter in self._meter_by_id.values():
-            self._count(meter)
-        taken, self._ended_by_workload = self._ended_by_workload, {}
-        return {
-            name: amount
-            for name, amount in taken.items()
-            if amount.engine_seconds or amount.tokens
-        }
-
-
 class PendingRecords:
     """Numbered records that the log has not confirmed, a bounded number.
 
@@ -148,12 +84,11 @@
     """Writes this host's use to the log, and reads that of all hosts when asked."""
 
     name = "usage"
-    requires = ("log", "configuration", "membership", "events")
+    requires = ("log", "configuration", "membership", "events", "engines")
 
     def __init__(self, settings: Settings) -> None:
         super().__init__()
         self._settings = settings
-        self.counter = UsageCounter()
         self.pending = PendingRecords()
         self.ledger = UsageLedger()
         self._reading = asyncio.Lock()
@@ -176,7 +111,7 @@
 
     def record(self) -> None:
         """Put what was used since the last call into a record."""
-        by_workload = self.counter.take()
+        by_workload = self.kernel.get(Engines).usage.take()
         if not by_workload:
             return
         state = self.kernel.get(Configuration).state
