--- a/cranberryrun/api.py
+++ b/cranberryrun/api.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import uuid
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 from absl import logging
@@ -33,7 +32,7 @@
 from .peers import Peers
 from .resources import Resources
 from .security import Tokens, server_context
-from .services import Answer, Call, Sink
+from .services import Answer, Call, Sink, forwarded
 from .settings import Settings
 from .steps import Steps
 from .timeline import merge
@@ -64,7 +63,6 @@
         self._in_flight = 0
         self._latest_deadline = 0.0
         self._idle_since = 0.0
-        self._stopping = asyncio.Event()
         self.accepting = False
         self.drain_asked: Any = None
 
@@ -116,15 +114,16 @@
         response.force_close()
 
     def say_unready(self) -> None:
-        """Have the balancer choose other hosts, and end the watches."""
+        """Have the balancer choose other hosts; watches end soon."""
         self.accepting = False
-        self._stopping.set()
 
     async def stop_listening(self) -> None:
         """Take no new connections; those that are open go on."""
         if self._site is not None:
             await self._site.stop()
             self._site = None
+            # Requests may still be on their way on connections that are open.
+            self._idle_since = clock.now()
 
     async def stop(self) -> None:
         """Close what is left."""
@@ -157,7 +156,10 @@
     async def _middleware(self, request: web.Request, handler) -> web.StreamResponse:
         self._in_flight += 1
         try:
-            return await handler(request)
+            response = await handler(request)
+            if not self.accepting:
+                response.force_close()
+            return response
         except CranberryrunError as error:
             if request.get("head_sent"):
                 return _cut(request)
@@ -272,6 +274,7 @@
         )
 
     async def _newest(self, request: web.Request) -> web.Response:
+        self._allow(request, "trainer")
         name = request.match_info["name"]
         self.kernel.get(Resources).get("workloads", name)
         newest = self.kernel.get(Versions).newest(name)
@@ -321,7 +324,7 @@
             request=_request_id(request),
             caller=caller,
             deadline=clock.now() + _seconds_left(request, resource.spec.timeout),
-            headers=request.headers.copy(),
+            headers=forwarded(request.headers),
             body=await request.read(),
             key=_key(request),
         )
@@ -342,9 +345,8 @@
         resources.check_watch(offset)
         response = web.StreamResponse(headers={"Content-Type": _NDJSON})
         await response.prepare(request)
-        watch = resources.watch(kind, offset, self._ended)
         try:
-            async for event in self._until_stopping(watch):
+            async for event in resources.watch(kind, offset, self._ended):
                 await response.write(_line(event))
         except WatchExpiredError as error:
             await response.write(_line({"event": "expired", "error": error.problem()}))
@@ -354,24 +356,6 @@
     def _ended(self) -> bool:
         return not self.accepting
 
-    async def _until_stopping(self, source: AsyncIterator[Any]) -> AsyncIterator[Any]:
-        """Yield what ``source`` yields until the host begins to stop."""
-        stopping = asyncio.ensure_future(self._stopping.wait())
-        coming: asyncio.Future[Any] | None = None
-        try:
-            while True:
-                coming = asyncio.ensure_future(anext(source))
-                await asyncio.wait(
-                    {stopping, coming}, return_when=asyncio.FIRST_COMPLETED
-                )
-                if not coming.done() or _is_end(coming):
-                    return
-                yield coming.result()
-        finally:
-            stopping.cancel()
-            if coming is not None:
-                coming.cancel()
-
     async def _get(self, request: web.Request) -> web.Response:
         self._allow(request, "operator")
         resources = self.kernel.get(Resources)
@@ -421,10 +405,6 @@
     return web.Response()
 
 
-def _is_end(coming: asyncio.Future[Any]) -> bool:
-    return isinstance(coming.exception(), StopAsyncIteration)
-
-
 class ResponseSink(Sink):
     """Sends an answer on to the caller while it comes, as fast as it is taken."""
 
--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from . import clock
-from .budgets import BudgetPolicy, DeclaredRate, Demand, granted_rate
+from .budgets import BudgetPolicy, Demand, LentRate, granted_rate
 from .engines import Engine, Engines, StreamOrder
 from .events import Events
 from .exceptions import (
@@ -20,7 +20,7 @@
 from .freshness import AtHandOver, FreshnessPolicy, SampleAge
 from .models import Placement, Sample
 from .pending import PendingSlots
-from .routing import Candidate, Need
+from .routing import Candidate, Need, worthwhile
 from .samples import Attempt, collect
 from .slots import Slot, SlotKey, StepSlots, WholeSample
 from .state import Resource
@@ -35,10 +35,9 @@
 _AGAIN_PAUSE_SECONDS = 0.2
 _MAX_AGAIN_PAUSE_SECONDS = 2.0
 _UNSTAMPED_OUT_SECONDS = 30.0
-_FRESH_WAIT_SECONDS = 20.0
 _STARTS_AT_A_TIME = 16
 _REQUEST_SHARE = 0.125
-_BEHIND_LOAD = 1.0
+_BEHIND_LOAD = 2.0
 _LOADING_LOAD = 0.25
 
 
@@ -48,7 +47,7 @@
 
     stragglers: StragglerPolicy = field(default_factory=SecondAttempts)
     freshness: FreshnessPolicy = field(default_factory=AtHandOver)
-    budget: BudgetPolicy = field(default_factory=DeclaredRate)
+    budget: BudgetPolicy = field(default_factory=LentRate)
 
 
 class Dispatcher:
@@ -239,25 +238,23 @@
             for engine in self._engines.usable(spec.pool)
             if engine.in_flight < self._limit(engine)
         ]
-        wanted = self._steps.policies.freshness.oldest_wanted(
-            self._newest, spec.freshness_bound, spec.idle_weight
-        )
-        fresh = self._running_at_least(room, wanted)
-        if not fresh and self._waited_long():
-            fresh = self._running_at_least(room, self._newest - spec.freshness_bound)
-        if fresh:
+        if self._running_at_least(room, self._newest):
             self._no_engine_since = None
-        elif self._no_engine_since is None and room:
-            self._no_engine_since = clock.now()
-        return {engine.name: self._candidate(engine) for engine in fresh}
+        elif not self._waited_long():
+            return {}
+        oldest = self._newest - spec.freshness_bound
+        return {
+            engine.name: self._candidate(engine)
+            for engine in self._running_at_least(room, oldest)
+        }
 
     def _candidate(self, engine: Engine) -> Candidate:
         """Return the engine with what speaks against it: old weights, a load."""
         candidate = engine.candidate()
-        name = self.workload.name
-        behind = max(0, self._newest - (engine.version_of(name) or 0))
-        staleness_weight = 1 - self.workload.spec.idle_weight
-        candidate.penalty = behind * staleness_weight * _BEHIND_LOAD
+        spec = self.workload.spec
+        loaded = engine.version_of(self.workload.name) or 0
+        behind = max(0, self._newest - loaded)
+        candidate.penalty = behind * (1 - spec.idle_weight) * _BEHIND_LOAD
         if engine.is_loading:
             candidate.penalty += _LOADING_LOAD
         return candidate
@@ -272,10 +269,12 @@
 
     def _waited_long(self) -> bool:
         """Say whether to take what the bound allows for want of the newest."""
+        now = clock.now()
         if self._no_engine_since is None:
-            return False
-        patience = _FRESH_WAIT_SECONDS * (1 - self.workload.spec.idle_weight)
-        return clock.now() - self._no_engine_since >= patience
+            self._no_engine_since = now
+        freshness = self._steps.policies.freshness
+        patience = freshness.patience(self.workload.spec.idle_weight)
+        return now - self._no_engine_since >= patience
 
     def _limit(self, engine: Engine) -> int:
         """Return how many streams of steps an engine may get from this host."""
@@ -289,7 +288,7 @@
     ) -> Engine | None:
         candidates = [each for name, each in by_name.items() if name != but]
         chosen = self._steps.policy.choose(
-            candidates, Need(self._steps.zone, slot.prefix)
+            worthwhile(candidates), Need(self._steps.zone, slot.prefix)
         )
         if chosen is None:
             return None
@@ -297,6 +296,9 @@
         chosen.in_flight += 1
         if engine is None or chosen.in_flight >= self._limit(engine):
             by_name.pop(chosen.id, None)
+            if not chosen.penalty and all(each.penalty for each in by_name.values()):
+                # Whether the others will do depends on how long to wait for these.
+                by_name.clear()
         return engine
 
     # Attempts
--- a/cranberryrun/routing.py
+++ b/cranberryrun/routing.py
@@ -22,7 +22,8 @@
 
     ``in_flight`` is this host's own count; ``reported`` is how much work the
     target said it had, ``report_age`` seconds ago; ``slots`` is what it runs at
-    once. ``penalty`` is a load that stands for what else speaks against it.
+    once. ``penalty`` is a load that stands for what else speaks against it; see
+    :func:`worthwhile`.
     """
 
     id: str
@@ -38,7 +39,7 @@
         """Expected work per slot: own count and the report, aged."""
         weight = 0.5 ** (self.report_age / _REPORT_HALF_LIFE_SECONDS)
         work = max(self.in_flight, self.reported * weight)
-        return work / self.slots + self.penalty
+        return work / self.slots
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +50,16 @@
     prefix: str | None = None
 
 
+def worthwhile(candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Return the candidates without those whose penalty outweighs their room."""
+    least = min((each.load + each.penalty for each in candidates), default=0.0)
+    return [
+        each
+        for each in candidates
+        if not each.penalty or each.load + each.penalty <= least
+    ]
+
+
 class RoutingPolicy(ABC):
     """Chooses one of several usable candidates."""
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -17,6 +17,8 @@
 from typing import Any
 from unittest import mock
 
+from absl import logging
+
 from cranberryrun import clock
 from cranberryrun.api import Api
 from cranberryrun.configuration import Configuration
@@ -75,6 +77,7 @@
     """In place of the HTTP side: counts requests and refuses connections."""
 
     listening = False
+    _latest_deadline = 0.0
 
     async def start(self) -> None:
         """Begin to take requests."""
@@ -84,6 +87,7 @@
     async def stop_listening(self) -> None:
         """Take no new connections."""
         self.listening = False
+        self._idle_since = clock.now()
 
     async def stop(self) -> None:
         """End; the world breaks what is open."""
@@ -99,6 +103,11 @@
             yield
         finally:
             self._in_flight -= 1
+            self._idle_since = clock.now()
+
+    def note_deadline(self, deadline: float) -> None:
+        """Take a request's deadline, in the loop's time."""
+        self._latest_deadline = max(self._latest_deadline, deadline)
 
 
 class World:
@@ -138,6 +147,8 @@
 
     async def __aenter__(self) -> "World":
         self._patch.start()
+        self._verbosity = logging.get_verbosity()
+        logging.set_verbosity(logging.FATAL)
         for name in ENGINES + TARGETS:
             self._list(name, "target")
         for engine in self.engine_by_name.values():
@@ -153,6 +164,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self._patch.stop()
+        logging.set_verbosity(self._verbosity)
 
     def reach(self, point: str, place: str) -> None:
         """Note that a host has come to a step; do what was armed for it."""
@@ -271,11 +283,14 @@
         draining = start_for(name, host.drain())
         while not draining.done() and name not in self.ended:
             await asyncio.sleep(0.05)
-        # The kernel delivers what a process sent before it ended.
-        await asyncio.sleep(FLUSH_SECONDS)
-        if name not in self.ended:
-            self._end(name)
+        if name in self.ended:
+            return
+        self.ended.add(name)
+        self.network.dead.add(name)
         self.list.delete(name)
+        # The system delivers what a process sent before it ended.
+        await asyncio.sleep(FLUSH_SECONDS)
+        self.network.kill(name)
 
     def leave(self, target: str) -> None:
         """Have the platform's list say that a target leaves."""
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -4,7 +4,13 @@
 import unittest
 
 from cranberryrun.rendezvous import owner_of
-from cranberryrun.routing import BoundedAffinity, Candidate, LeastLoaded, Need
+from cranberryrun.routing import (
+    BoundedAffinity,
+    Candidate,
+    LeastLoaded,
+    Need,
+    worthwhile,
+)
 
 
 def candidates(*in_flight: int) -> list[Candidate]:
@@ -69,3 +75,18 @@
 
     def test_none_of_none(self) -> None:
         self.assertIsNone(self.policy.choose([], Need("zone-0", "a prompt")))
+
+
+class WorthwhileTest(unittest.TestCase):
+    def test_a_penalty_is_outweighed_by_room_alone(self) -> None:
+        pool = candidates(6, 0)
+        pool[1].penalty = 1.0
+        self.assertEqual([each.id for each in worthwhile(pool)], ["e0"])
+        pool[1].penalty = 0.5
+        self.assertEqual([each.id for each in worthwhile(pool)], ["e0", "e1"])
+
+    def test_where_all_have_one_the_least_is_left(self) -> None:
+        pool = candidates(3, 0)
+        for each in pool:
+            each.penalty = 1.0
+        self.assertEqual([each.id for each in worthwhile(pool)], ["e1"])
