--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -37,6 +37,7 @@
 _HOSTS = 3
 _REQUEST_TIMEOUT_SECONDS = 10.0
 _WATCH_SECONDS = 0.25
+_LAST_SECONDS = 0.1
 
 
 class BenchEngines(Engines):
@@ -111,6 +112,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(_LAST_SECONDS)
         for engine in self.engine_by_name.values():
             engine.set_speed(engine.speed)
         for host_id in list(self.host_by_id):
@@ -243,8 +245,10 @@
     async def _kill_host(self, host_id: str) -> None:
         host = self.host_by_id.pop(host_id)
         self._publish_list()
-        for task in list(self.calls_by_host.pop(host_id, ())):
+        calls = list(self.calls_by_host.pop(host_id, ()))
+        for task in calls:
             task.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
         await host.kernel.stop()
 
     def pick(self) -> Host | None:
--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from . import clock
-from .budgets import BudgetPolicy, DeclaredRate, Demand, granted_rate
+from .budgets import BudgetPolicy, Demand, LentRate, granted_rate
 from .engines import Engine, Engines, StreamOrder
 from .events import Events
 from .exceptions import (
@@ -20,13 +20,12 @@
 from .freshness import AtHandOver, FreshnessPolicy, SampleAge
 from .models import Placement, Sample
 from .pending import PendingSlots
-from .routing import Candidate, Need
+from .routing import Candidate, Need, worthwhile
 from .samples import Attempt, collect
 from .slots import Slot, SlotKey, StepSlots, WholeSample
 from .state import Resource
 from .stragglers import SecondAttempts, SlotProgress, StepProgress, StragglerPolicy
 from .streams import StreamNames
-from .usage import Usage
 from .versions import Versions
 
 if TYPE_CHECKING:
@@ -38,6 +37,8 @@
 _UNSTAMPED_OUT_SECONDS = 30.0
 _STARTS_AT_A_TIME = 16
 _REQUEST_SHARE = 0.125
+_BEHIND_LOAD = 2.0
+_LOADING_LOAD = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +47,7 @@
 
     stragglers: StragglerPolicy = field(default_factory=SecondAttempts)
     freshness: FreshnessPolicy = field(default_factory=AtHandOver)
-    budget: BudgetPolicy = field(default_factory=DeclaredRate)
+    budget: BudgetPolicy = field(default_factory=LentRate)
 
 
 class Dispatcher:
@@ -237,17 +238,26 @@
             for engine in self._engines.usable(spec.pool)
             if engine.in_flight < self._limit(engine)
         ]
-        fresh = self._running_at_least(room, self._newest)
-        if not fresh and self._waited_long():
-            return self._as_candidates(
-                self._running_at_least(room, self._newest - spec.freshness_bound)
-            )
-        if fresh:
+        if self._running_at_least(room, self._newest):
             self._no_engine_since = None
-        return self._as_candidates(fresh)
-
-    def _as_candidates(self, engines: list[Engine]) -> dict[str, Candidate]:
-        return {engine.name: engine.candidate() for engine in engines}
+        elif not self._waited_long():
+            return {}
+        oldest = self._newest - spec.freshness_bound
+        return {
+            engine.name: self._candidate(engine)
+            for engine in self._running_at_least(room, oldest)
+        }
+
+    def _candidate(self, engine: Engine) -> Candidate:
+        """Return the engine with what speaks against it: old weights, a load."""
+        candidate = engine.candidate()
+        spec = self.workload.spec
+        loaded = engine.version_of(self.workload.name) or 0
+        behind = max(0, self._newest - loaded)
+        candidate.penalty = behind * (1 - spec.idle_weight) * _BEHIND_LOAD
+        if engine.is_loading:
+            candidate.penalty += _LOADING_LOAD
+        return candidate
 
     def _running_at_least(self, engines: list[Engine], version: int) -> list[Engine]:
         chosen: list[Engine] = []
@@ -278,7 +288,7 @@
     ) -> Engine | None:
         candidates = [each for name, each in by_name.items() if name != but]
         chosen = self._steps.policy.choose(
-            candidates, Need(self._steps.zone, slot.prefix)
+            worthwhile(candidates), Need(self._steps.zone, slot.prefix)
         )
         if chosen is None:
             return None
@@ -286,6 +296,9 @@
         chosen.in_flight += 1
         if engine is None or chosen.in_flight >= self._limit(engine):
             by_name.pop(chosen.id, None)
+            if not chosen.penalty and all(each.penalty for each in by_name.values()):
+                # Whether the others will do depends on how long to wait for these.
+                by_name.clear()
         return engine
 
     # Attempts
@@ -345,7 +358,7 @@
 
     async def _attempt(self, attempt: Attempt) -> None:
         """Collect one sample; what goes wrong makes the slot wait again."""
-        usage = self._kernel.get(Usage).counter
+        usage = self._engines.usage
         slots = attempt.engine.spec.slots
         try:
             with usage.stream(self.workload.name, slots) as attempt.meter:
