Let a cut swallow the end of a connection too

Cause: cut_callers+planned_stop/apply, seed 1, blamed a stop for an answer that the cut had swallowed: the end of the host reached a client beyond the cut.

--- a/tests/fakes_network.py
+++ b/tests/fakes_network.py
@@ -43,7 +43,9 @@
         self.dead: set[str] = set()
         self._cuts: set[frozenset[str]] = set()
         self.delay_by_link: dict[frozenset[str], float] = {}
-        self._waiting_by_place: dict[str, set[asyncio.Future[Any]]] = defaultdict(set)
+        self._source_by_future: dict[str, dict[asyncio.Future[Any], str]] = defaultdict(
+            dict
+        )
         self._tasks_by_place: dict[str, set[asyncio.Task[Any]]] = defaultdict(set)
 
     def cut(self, one: str, other: str) -> None:
@@ -72,8 +74,8 @@
         """End a place: its work stops and its connections break."""
         self.dead.add(place)
         self.loop.pause(place)
-        for future in list(self._waiting_by_place.pop(place, ())):
-            if not future.done():
+        for future, source in self._source_by_future.pop(place, {}).items():
+            if not future.done() and not self.is_cut(source, place):
                 future.set_exception(Broken(f"{place} died"))
         for task in list(self._tasks_by_place.pop(place, ())):
             task.cancel()
@@ -84,12 +86,12 @@
         tasks.add(task)
         task.add_done_callback(tasks.discard)
 
-    def wait_at(self, place: str) -> asyncio.Future[Any]:
+    def _wait_at(self, place: str, source: str) -> asyncio.Future[Any]:
         """Return a future that fails with :class:`Broken` when ``place`` dies."""
         future = self.loop.create_future()
-        waiting = self._waiting_by_place[place]
-        waiting.add(future)
-        future.add_done_callback(waiting.discard)
+        sources = self._source_by_future[place]
+        sources[future] = source
+        future.add_done_callback(lambda done: sources.pop(done, None))
         return future
 
     async def carry(
@@ -113,7 +115,7 @@
         if self.is_cut(source, target):
             await asyncio.sleep(min(connect, timeout))
             raise Unreachable(f"{target} does not answer")
-        answered = self.wait_at(target)
+        answered = self._wait_at(target, source)
         start_for("", self._serve(source, target, work, answered))
         try:
             async with asyncio.timeout(timeout):
@@ -140,7 +142,10 @@
         except Exception as failure:
             error = failure
         await asyncio.sleep(self.delay(source, target))
-        if answered.done() or self.is_cut(source, target):
+        if answered.done():
+            return
+        if self.is_cut(source, target):
+            self._source_by_future[target].pop(answered, None)
             return
         if error is None:
             answered.set_result(result)
