Hold samples back until a peer's view is known whole

Cause: test_a_host_that_hears_nobody_hands_nothing_over. Ruled out: the list, which no longer counts; the log, which was heard later. Conclusion: a peer's word counts once the views agree or all of it came over, and a host that was away asks for all at once.

--- a/cranberryrun/membership.py
+++ b/cranberryrun/membership.py
@@ -100,7 +100,7 @@
         self._offset_by_host: dict[str, tuple[int, int]] = {}
         self._list_heard_at: float | None = None
         self._peer_heard_at: float | None = None
-        self._heard_at_by_zone: dict[str, float] = {}
+        self._agreed_at_by_zone: dict[str, float] = {}
         self._host_list: HostList | None = None
         self._waiters: set[asyncio.Event] = set()
         self._suspected_ids: set[str] = set()
@@ -199,19 +199,22 @@
     def heard_from(self, host_id: str) -> None:
         """Note that a peer answered just now."""
         self._peer_heard_at = clock.now()
+
+    def agreed_with(self, host_id: str) -> None:
+        """Note that this host knows all that a peer knows now."""
         entry = self.entry_by_id.get(host_id)
         if entry is not None:
-            self._heard_at_by_zone[entry.zone] = clock.now()
+            self._agreed_at_by_zone[entry.zone] = clock.now()
 
     def peer_age(self) -> float:
-        """Return seconds since a peer of another zone was heard.
+        """Return seconds since this host knew all that a peer of another zone knew.
 
         Where all hosts are in one zone, any peer counts.
         """
         own = self._settings.zone
         zones = {entry.zone for entry in self.peers()}
         others = {zone for zone in zones if zone != own} or zones
-        heard = [self._heard_at_by_zone.get(zone) for zone in others]
+        heard = [self._agreed_at_by_zone.get(zone) for zone in others]
         times = [at for at in heard if at is not None]
         return clock.now() - max(times) if times else float("inf")
 
--- a/cranberryrun/peers.py
+++ b/cranberryrun/peers.py
@@ -156,6 +156,8 @@
         self._take(theirs)
         membership = self.kernel.get(Membership)
         membership.heard_from(theirs.sender)
+        if theirs.digest == membership.views.digest:
+            membership.agreed_with(theirs.sender)
         send_all = bool(theirs.all_facts)
         return self._exchange_message(theirs.sender, send_all=send_all)
 
@@ -259,8 +261,12 @@
         self._take(theirs)
         membership.met(entry, theirs.sender, theirs.zone)
         views = membership.views
-        differ = theirs.digest != views.digest
-        if differ and views.quiet and not theirs.facts and not everything:
+        if everything or theirs.digest == views.digest:
+            membership.agreed_with(theirs.sender)
+            return
+        # A host that was away can't wait until its own news has gone round.
+        away = membership.peer_age() > self._settings.timing.view_limit
+        if not theirs.facts and (views.quiet or away):
             await self._exchange(entry, everything=True)
 
     def _confirm_silence(self, entry: HostEntry) -> None:
--- a/tests/fakes_network.py
+++ b/tests/fakes_network.py
@@ -136,6 +136,7 @@
         if answered.done() or self.is_cut(source, target):
             return
         task = start_for(target, _awaited(work))
+        self.track(target, task)
         result, error = None, None
         try:
             result = await task
