--- a/cranberryrun/ledger.py
+++ b/cranberryrun/ledger.py
@@ -100,7 +100,7 @@
     and the log's own times decide. A key is forgotten ``window`` seconds after
     its last intent.
 
-    :param window: in seconds; at most a third of ``retention``.
+    :param window: in seconds; shorter than ``retention``.
     :param retention: for how long the log keeps records, in seconds.
     """
 
@@ -118,12 +118,13 @@
         """Note that records before the next one were dropped by the log.
 
         Intents of keys that were asked for then may be among them: such a key is
-        not free again before it was left alone for a window. A window's slack is
-        left for clocks that differ.
+        not free again before it was left alone for a window. Half of what the
+        log keeps beyond the window is left for clocks that differ.
 
         :param read_at: when the log was read, in seconds since 1970.
         """
-        self._blind_until = read_at - self._retention + 2 * self._window
+        slack = (self._retention - self._window) / 2
+        self._blind_until = read_at - self._retention + self._window + slack
 
     def skip_to(self, offset: int) -> None:
         """Note that there are no records up to ``offset`` any more."""
