Refuse wrong TLS files before the daemon starts, and test the wire of keyed calls

Change: the files are loaded once after the settings; exit code 2 and the field. An unused method of keyed calls goes.

--- a/cranberryrun/calls.py
+++ b/cranberryrun/calls.py
@@ -13,7 +13,6 @@
 from returns.result import Failure, Result, Success
 
 from . import clock
-from .configuration import Configuration
 from .events import Events
 from .exceptions import (
     AnswerNotKeptError,
@@ -90,10 +89,6 @@
         """How many ends of calls still have to be appended to the log."""
         return self._recording
 
-    def ready(self) -> bool:
-        """Say whether keyed calls can be recorded now, as far as is known."""
-        return self.kernel.get(Configuration).log_up
-
     async def send(self, call: Call) -> Answer:
         """Run a keyed call at most once and return its answer.
 
@@ -106,7 +101,6 @@
 
     async def _detached(self, work: Any) -> Answer:
         """Return the answer of ``work``, which goes on if this is cancelled."""
-        self._running += 1
         task = self.spawn(self._settle(work))
         result = await asyncio.shield(task)
         if isinstance(result, Failure):
@@ -114,6 +108,7 @@
         return result.unwrap()
 
     async def _settle(self, work: Any) -> Result[Answer, CranberryrunError]:
+        self._running += 1
         try:
             return Success(await work)
         except CranberryrunError as error:
--- a/cranberryrun/daemon.py
+++ b/cranberryrun/daemon.py
@@ -15,6 +15,7 @@
 from .api import Api
 from .exceptions import SettingsError
 from .host import Host
+from .security import check_tls
 from .settings import Settings, load_settings
 
 _EXIT_SETTINGS = 2
@@ -78,6 +79,7 @@
         raise click.UsageError("give a settings file, or see --help")
     try:
         settings = load_settings(settings_file)
+        check_tls(settings.tls)
     except SettingsError as error:
         click.echo(f"cranberryrund: {error.detail}", err=True)
         sys.exit(_EXIT_SETTINGS)
--- a/cranberryrun/security.py
+++ b/cranberryrun/security.py
@@ -39,6 +39,13 @@
         return token.name
 
 
+def check_tls(tls: TlsSettings | None) -> None:
+    """Load every file once; :raises SettingsError: naming the one at fault."""
+    server_context(tls)
+    target_context(tls)
+    peer_server_context(tls)
+
+
 def server_context(tls: TlsSettings | None) -> ssl.SSLContext | None:
     """Return what the HTTP side serves TLS with, None for plain HTTP.
 
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -4,13 +4,18 @@
 import json
 import random
 import ssl
+import tempfile
 import unittest
 from pathlib import Path
 
 import aiohttp
 from absl import logging
+from click.testing import CliRunner
+from multidict import CIMultiDict
 
+from cranberryrun.calls import _from_wire, _headers_to_wire, _to_wire
 from cranberryrun.configuration import Configuration
+from cranberryrun.daemon import main
 from cranberryrun.events import Events
 from cranberryrun.exceptions import (
     ForbiddenError,
@@ -21,12 +26,12 @@
 from cranberryrun.host import Host
 from cranberryrun.kernel import Kernel
 from cranberryrun.membership import HostEntry, Membership
-from cranberryrun.peers import Peers
+from cranberryrun.peers import Peers, wire
 from cranberryrun.security import ANONYMOUS, Tokens, server_context
 from cranberryrun.settings import TlsSettings, TokenSettings
 from standins.deployment import free_port
 
-from .doubles import MemoryLog, RawTarget, StubMembership, answer, settings
+from .doubles import MemoryLog, RawTarget, StubMembership, answer, call, settings
 from .test_drain import EmptyList, declare
 
 DATA = Path(__file__).parent / "data"
@@ -105,6 +110,16 @@
             Peers(settings(tls=good | {"authority": "/none"}), random.Random(1))
         self.assertEqual(caught.exception.field, "tls.authority")
 
+    def test_daemon_refuses_wrong_files_before_it_starts(self) -> None:
+        made = settings(tls=tls("host") | {"key": str(DATA / "stranger.key")})
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "host.json"
+            path.write_text(made.model_dump_json())
+            for options in ([], ["--check-settings"]):
+                result = CliRunner().invoke(main, [str(path), *options])
+                self.assertEqual(result.exit_code, 2, result.output)
+                self.assertIn("tls.certificate", result.output)
+
 
 class ApiSecurityTests(unittest.IsolatedAsyncioTestCase):
     """A host with tokens and TLS, over real sockets."""
@@ -230,3 +245,28 @@
                     await self._call(other, host)
                 with self.assertRaises(PeerError):
                     await self._call(host, other)
+
+    async def test_keyed_call_goes_over_the_wire_as_it_is(self) -> None:
+        host = await self._peers("h1", tls=tls("host"))
+        other = await self._peers("h2", tls=tls("other-host"))
+        sent = call(
+            "POST",
+            key="k",
+            body=bytes(range(256)),
+            headers=CIMultiDict([("A", "1"), ("A", "2"), ("B", "\u00e9")]),
+        )
+
+        async def serve(message: object) -> object:
+            got = _from_wire(message)
+            headers = _headers_to_wire(got.headers)
+            return wire.KeyedReply(status=201, headers=headers, body=got.body)
+
+        host.handler_by_call["call"] = serve
+        made = host._settings
+        entry = HostEntry(id="h1", kind="entry", ip=made.ip, peer_port=made.peer_port)
+        reply = await other.call(entry, "call", _to_wire(sent, 5), timeout=5)
+        self.assertEqual((reply.status, reply.body), (201, sent.body))
+        self.assertEqual(
+            [(each.name, each.value) for each in reply.headers],
+            list(sent.headers.items()),
+        )
