Don't take a target for silent while it sends a long answer

Cause: only whole answers counted as signs of life, so a target that sent a long one got nothing new after 3 s, and its mean time grew with the callers' speed. The new test shows it without the change (the target is silent at 10 s).

--- a/cranberryrun/targets.py
+++ b/cranberryrun/targets.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from . import clock
@@ -10,7 +10,7 @@
 from .health import Health
 from .models import ServiceTarget
 from .routing import Candidate, Need, RoutingPolicy
-from .services import ServiceClient
+from .services import ServiceClient, Sink
 
 _SILENCE_FACTOR = 5.0
 _MEAN_WEIGHT = 0.1
@@ -46,10 +46,14 @@
 
     def answered(self, seconds: float) -> bool:
         """Note an answer; say whether the target had been failing."""
-        self.waiting_since = clock.now()
+        self.heard()
         self.took(seconds)
         return self.health.answered()
 
+    def heard(self) -> None:
+        """Note that a part of an answer came."""
+        self.waiting_since = clock.now()
+
     def took(self, seconds: float) -> None:
         """Count ``seconds`` as the time of a request."""
         weight = _MEAN_WEIGHT if self.mean_seconds else 1.0
@@ -70,6 +74,32 @@
         return self.health.probing() and self.in_flight > 0
 
 
+class TargetSink(Sink):
+    """Passes an answer on and notes that the target is not silent meanwhile.
+
+    ``began_at`` is when the answer began, in the loop's time.
+    """
+
+    def __init__(self, state: TargetState, sink: Sink) -> None:
+        self._state = state
+        self._sink = sink
+        self.began_at: float | None = None
+
+    async def begin(
+        self, status: int, headers: Mapping[str, str], length: int | None
+    ) -> None:
+        """See :meth:`Sink.begin`."""
+        self.began_at = clock.now()
+        self._state.heard()
+        await self._sink.begin(status, headers, length)
+        self.begun = True
+
+    async def write(self, data: bytes) -> None:
+        """See :meth:`Sink.write`."""
+        self._state.heard()
+        await self._sink.write(data)
+
+
 class Targets:
     """Keeps the state of the declared targets of one service.
 
--- a/cranberryrun/traffic.py
+++ b/cranberryrun/traffic.py
@@ -37,7 +37,7 @@
 from .services import Answer, Call, HttpServiceClient, ServiceClient, Sink
 from .settings import Settings
 from .state import Resource
-from .targets import Targets, TargetState
+from .targets import Targets, TargetSink, TargetState
 
 _RETRY_AFTER_SECONDS = 1.0
 _PREFIX_CHARACTERS = 256
@@ -200,15 +200,17 @@
         sink: Sink | None,
     ) -> Answer:
         began = clock.now()
+        watched = None if sink is None else TargetSink(state, sink)
         state.sent()
         try:
-            answer = await state.client.send(call, repeatable, patience, sink)
+            answer = await state.client.send(call, repeatable, patience, watched)
         except CranberryrunError as error:
             self._note_error(state, error, clock.now() - began)
             raise
         finally:
             state.ended()
-        if state.answered(clock.now() - began):
+        ended = watched.began_at if answer.streamed else clock.now()
+        if state.answered(ended - began):
             self.kernel.get(Events).emit("target_back", target=state.target.id)
         return answer
 
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -131,6 +131,27 @@
         answers = await asyncio.gather(*tasks)
         self.assertEqual([each.status for each in answers], [200] * 5)
 
+    async def test_target_that_sends_a_long_answer_is_not_silent(self) -> None:
+        class Streaming(ScriptedClient):
+            async def send(self, call, repeatable, patience, sink=None):
+                if call.path != "long":
+                    return await super().send(call, repeatable, patience, sink)
+                await sink.begin(200, {}, None)
+                for _ in range(60):
+                    await asyncio.sleep(1)
+                    await sink.write(b"part")
+                return Answer(200, {}, streamed=True)
+
+        streaming, other = Streaming(), ScriptedClient()
+        self._clients(t1=streaming, t2=other)
+        long = self.host.send("POST", path="long", sink=ListSink(), seconds=90)
+        task = asyncio.create_task(long)
+        await asyncio.sleep(10)
+        state = self.host.traffic._targets_by_service["s"].by_id["t1"]
+        self.assertFalse(state.silent(3))
+        await task
+        self.assertLess(state.mean_seconds, 1)
+
     async def test_breaker_opens_probes_and_closes(self) -> None:
         failing = ScriptedClient(0.1, *[TargetFailedError("x")] * 2)
         good = ScriptedClient()
