Give no new work from a host that hears nobody, and move its steps

Ruled out: refusing when list and peers are silent but the log is heard; then the others may be gone and this host the last one. Conclusion: such a host refuses calls as not run and says moved to trainers after twice the view limit.

--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -19,6 +19,7 @@
 )
 from .freshness import AtHandOver, FreshnessPolicy, SampleAge
 from .models import Placement, Sample
+from .pauses import Pauses
 from .pending import PendingSlots
 from .routing import Candidate, Need, worthwhile
 from .samples import Attempt, collect
@@ -112,9 +113,14 @@
         """Give slots out until cancelled."""
         while True:
             self._judge()
-            await self._fill()
+            pauses = self._kernel.get(Pauses)
+            await pauses.renew_if_old()
+            isolated = pauses.isolated()
+            if not isolated:
+                await self._fill()
             self._give_back()
-            self._help_stragglers()
+            if not isolated:
+                self._help_stragglers()
             self._wake.clear()
             try:
                 async with asyncio.timeout(_TICK_SECONDS):
--- a/cranberryrun/exceptions.py
+++ b/cranberryrun/exceptions.py
@@ -165,6 +165,12 @@
     code = "not_ready"
 
 
+class IsolatedError(NotReadyError):
+    """The host hears neither the platform nor a peer; another host may."""
+
+    code = "isolated"
+
+
 class OverloadedError(RefusedError):
     """There is no room to finish the request before its deadline."""
 
--- a/cranberryrun/pauses.py
+++ b/cranberryrun/pauses.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from . import clock
+from .configuration import Configuration
 from .events import Events
 from .exceptions import HostListError
 from .kernel import Service
@@ -61,7 +62,8 @@
         """Return at once if the views are fresh, else once they were renewed.
 
         With neither the list nor a peer to be heard, work goes on by the views
-        that there are, and further attempts hold nothing up.
+        that there are, and further attempts hold nothing up. A host that is
+        :meth:`isolated` should take none.
         """
         if clock.now() - (self._ticked_at or 0.0) > _PAUSE_SECONDS:
             self._check()
@@ -73,6 +75,16 @@
         if waited_for:
             await asyncio.shield(self._renewal)
 
+    def isolated(self) -> bool:
+        """Say whether list, log and every other host are silent for too long.
+
+        Such a host can't learn that a target leaves; others can take its work.
+        """
+        membership = self.kernel.get(Membership)
+        if not membership.peers() or membership.heard_age() <= self._limit:
+            return False
+        return self.kernel.get(Configuration).heard_age() > self._limit
+
     def _needed(self) -> bool:
         if self._paused:
             return True
--- a/cranberryrun/runs.py
+++ b/cranberryrun/runs.py
@@ -128,7 +128,7 @@
         while self._slots:
             if dispatch.done():
                 dispatch.result()
-            if self._moving:
+            if self._moving or self._out_of_touch():
                 await self._send_moved()
                 return
             error = self._failure()
@@ -141,6 +141,12 @@
         await self._send(DoneEvent())
         self._events.emit("step_done", step=self._name)
 
+    def _out_of_touch(self) -> bool:
+        """Say whether this host could hand nothing over for as long again."""
+        if self._versions.view_age() <= 2 * self._steps.view_limit:
+            return False
+        return bool(self._kernel.get(Membership).peers())
+
     async def _wait(self) -> None:
         if not self._slots:
             return
--- a/cranberryrun/steps.py
+++ b/cranberryrun/steps.py
@@ -31,7 +31,7 @@
     """Holds the steps that run at this host and what they share."""
 
     name = "steps"
-    requires = ("engines", "versions", "configuration")
+    requires = ("engines", "versions", "configuration", "pauses")
 
     def __init__(
         self,
--- a/cranberryrun/traffic.py
+++ b/cranberryrun/traffic.py
@@ -15,6 +15,7 @@
     CallerGoneError,
     CranberryrunError,
     DeadlineError,
+    IsolatedError,
     NoTargetError,
     NotFoundError,
     NotReadyError,
@@ -171,7 +172,7 @@
         tried: set[str],
         sink: Sink | None,
     ) -> Answer:
-        await self.kernel.get(Pauses).renew_if_old()
+        await self._check_views()
         if clock.now() >= call.deadline:
             raise DeadlineError("the deadline passed before the request was sent")
         if spec.pool is not None:
@@ -187,6 +188,13 @@
         patience = state.patience(least)
         return await self._to_target(state, call, repeatable, patience, sink)
 
+    async def _check_views(self) -> None:
+        """Renew views that are old; :raises IsolatedError: if nobody is heard."""
+        pauses = self.kernel.get(Pauses)
+        await pauses.renew_if_old()
+        if pauses.isolated():
+            raise IsolatedError("this host hears no other", retry_after=1)
+
     @property
     def _silence(self) -> float:
         return self._settings.timing.suspect_after
--- a/tests/rollouts.py
+++ b/tests/rollouts.py
@@ -37,6 +37,8 @@
 from cranberryrun.versions import Versions
 from cranberryrun.weights import Weights
 
+from .doubles import StubPauses
+
 POOL = "rollout"
 WORKLOAD = "denoise"
 TOKENS_PER_PIECE = 10
@@ -308,6 +310,7 @@
             self.membership,
             NoPeers(self.settings, rng),
             self.configuration,
+            StubPauses(self.settings),
             self.engines,
             Versions(self.settings),
             self.steps,
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -407,3 +407,32 @@
         state = world.host_by_name[other].kernel.get(Configuration).state
         self.assertEqual(state.version_by_workload[WORKLOAD], 2)
         self.check(world)
+
+    async def test_a_step_leaves_a_host_that_hears_nobody(self):
+        world = await self.begin()
+        for engine in world.engine_by_name.values():
+            engine.change_faults({"slow": 60})
+        step = self.trainer.make_step(1)
+        point = self.fire(world, "dispatch", lambda place: self.cut_off(world, place))
+        await self.trainer.run_step(step, 45.0, "host-1")
+        self.assertEqual(point, ["host-1"])
+        self.assertIn("host-1", self.started_at(world))
+        self.check(world)
+
+    def cut_off(self, world: World, place: str) -> None:
+        """Cut a host from its peers, the log and the host list."""
+        self.part(world, place)
+        world.network.cut(place, "list")
+
+    async def test_a_host_that_hears_nobody_sends_a_leaving_target_nothing(self):
+        world = await self.begin()
+        self.cut_off(world, "host-1")
+        for name in ("portal-1", "portal-2", "engine-1", "engine-2"):
+            world.leave(name)
+        await asyncio.sleep(8)
+        outcomes = [
+            await self.caller.call(f"t{n}", "POST", host="host-1") for n in range(9)
+        ]
+        await self.step(1, "host-1")
+        self.assertIn("fail", outcomes)
+        self.check(world)
