Say unknown of a keyed call whose owner may still run it

Cause: a call is forwarded to its key's owner, which is paused with the call in its socket; the host that forwarded it can't append either and refuses with not_run; then the owner goes on and runs the call. Ruled out: an absolute deadline for the owner; hosts' clocks need not agree. Conclusion: after silence of the owner no refusal is passed on; a connection that was refused still allows one.

--- a/cranberryrun/calls.py
+++ b/cranberryrun/calls.py
@@ -27,6 +27,7 @@
     OutcomeUnknownError,
     OverloadedError,
     PeerError,
+    PeerRefusedError,
     RefusedError,
 )
 from .kernel import Service
@@ -130,9 +131,24 @@
             return await self._run(number, call)
         try:
             return await self._forward(entry, call)
+        except PeerRefusedError:
+            return await self._run(number, call)
         except PeerError:
-            # The log decides whether the owner got as far as its intent.
+            return await self._run_after_silence(number, call)
+
+    async def _run_after_silence(self, number: int, call: Call) -> Answer:
+        """Run a call that its owner may have got; the log decides who does.
+
+        No refusal is true of it, for a paused owner may run it later.
+        """
+        try:
             return await self._run(number, call)
+        except (RefusedError, CallUnrecordedError) as error:
+            raise OutcomeUnknownError(
+                "another host may have run the call, or may still run it: "
+                f"{error.detail}",
+                retry_after=error.retry_after or 1,
+            ) from None
 
     def _partition_number(self, call: Call) -> int:
         count = self._settings.limits.key_partitions
--- a/tests/fakes_network.py
+++ b/tests/fakes_network.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from cranberryrun.exceptions import PeerError
+from cranberryrun.exceptions import PeerError, PeerRefusedError
 from cranberryrun.membership import HostEntry
 from cranberryrun.peers import PeerHandler, Peers
 from cranberryrun.settings import Settings
@@ -213,6 +213,8 @@
                 self._settings.id, entry.id, serve, limit, limit
             )
         except NetworkError as error:
+            if isinstance(error, Unreachable) and entry.id in self._network.dead:
+                raise PeerRefusedError(f"{entry.id}: nothing listens") from None
             raise PeerError(f"{entry.id}: {method}: {error!r}") from None
         except KeyError as error:
             raise PeerError(f"{entry.id}: {method}: no handler {error}") from None
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -250,6 +250,24 @@
             self.assertEqual(len(point), 1)
         self.check(world)
 
+    async def test_a_call_that_its_owner_may_run_later_is_not_called_refused(self):
+        world = await self.begin()
+        outcomes = []
+        for number in range(8):
+            token = f"seat-{number}"
+            world.pause_host("host-2")
+            world.log.change_faults({"refuse": 100})
+            outcomes.append(
+                await self.caller.call(token, key=f"key-{token}", host="host-1")
+            )
+            world.log.change_faults({"refuse": 0})
+            world.resume_host("host-2")
+            await asyncio.sleep(SETTLE_SECONDS)
+        self.assertNotIn("ok", outcomes)
+        self.check(world)
+        # Some of the keys were the paused host's, and it ran their calls late.
+        self.assertTrue(list(world.history.of("ran", "ok")))
+
     def part(self, world: World, place: str) -> None:
         """Cut a host from its peers and the log."""
         for other in (*HOSTS, "log"):
