--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -262,7 +262,8 @@
         if self._no_engine_since is None:
             self._no_engine_since = now
         freshness = self._steps.policies.freshness
-        patience = freshness.patience(self.workload.spec.idle_weight)
+        weight = self.workload.spec.idle_weight
+        patience = freshness.patience(weight, self._lengths.mean_seconds)
         return now - self._no_engine_since >= patience
 
     def _limit(self, engine: Engine) -> int:
--- a/cranberryrun/freshness.py
+++ b/cranberryrun/freshness.py
@@ -8,7 +8,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
-_PATIENCE_SECONDS = 20.0
+_PATIENCE_SECONDS = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,20 +36,23 @@
         """
 
     @abstractmethod
-    def patience(self, idle_weight: float) -> float:
+    def patience(self, idle_weight: float, sample_seconds: float) -> float:
         """Return how long a sample may wait for an engine with the newest version.
 
         After that, in seconds, an engine whose version the bound allows will do.
 
         :param idle_weight: 1 if only the trainer's idle time counts, 0 if only
             the samples' staleness does.
+        :param sample_seconds: how long a sample takes.
         """
 
 
 class AtHandOver(FreshnessPolicy):
     """Measures from the newest version that is known now.
 
-    :param patience_seconds: the longest wait for the newest version.
+    A sample waits at most as long as it takes to make, for the newest version.
+
+    :param patience_seconds: the longest wait.
     """
 
     def __init__(self, patience_seconds: float = _PATIENCE_SECONDS) -> None:
@@ -59,9 +62,10 @@
         """See :meth:`FreshnessPolicy.too_old`."""
         return age.oldest is not None and age.newest - age.oldest > bound
 
-    def patience(self, idle_weight: float) -> float:
+    def patience(self, idle_weight: float, sample_seconds: float) -> float:
         """See :meth:`FreshnessPolicy.patience`."""
-        return self._patience_seconds * (1 - idle_weight) ** 2
+        longest = min(sample_seconds, self._patience_seconds)
+        return longest * (1 - idle_weight) ** 2
 
 
 class AtDispatch(FreshnessPolicy):
@@ -71,6 +75,6 @@
         """See :meth:`FreshnessPolicy.too_old`."""
         return age.oldest is not None and age.newest_at_dispatch - age.oldest > bound
 
-    def patience(self, idle_weight: float) -> float:
+    def patience(self, idle_weight: float, sample_seconds: float) -> float:
         """See :meth:`FreshnessPolicy.patience`."""
         return 0.0
--- a/cranberryrun/lengths.py
+++ b/cranberryrun/lengths.py
@@ -22,6 +22,7 @@
     def __init__(self) -> None:
         self._mean: float | None = None
         self.best_rate = 0.0
+        self.mean_seconds = 0.0
         self._mean_by_prefix: OrderedDict[str, float] = OrderedDict()
 
     def expected(self, prefix: str, max_tokens: int) -> float:
@@ -34,6 +35,7 @@
     def learn(self, prefix: str, tokens: int, seconds: float) -> None:
         """Take the length of a whole sample in, and how long it took."""
         if seconds > 0:
+            self.mean_seconds = _mixed(self.mean_seconds or None, seconds)
             self.best_rate = max(tokens / seconds, self.best_rate * _RATE_DECAY)
         self._mean = _mixed(self._mean, tokens)
         self._mean_by_prefix[prefix] = _mixed(self._mean_by_prefix.get(prefix), tokens)
@@ -42,7 +44,7 @@
             self._mean_by_prefix.popitem(last=False)
 
 
-def _mixed(mean: float | None, tokens: int) -> float:
+def _mixed(mean: float | None, new: float) -> float:
     if mean is None:
-        return float(tokens)
-    return mean + (tokens - mean) * _WEIGHT
+        return float(new)
+    return mean + (new - mean) * _WEIGHT
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -27,7 +27,8 @@
     def test_the_weighting_moves_the_patience_both_ways(self):
         policy = AtHandOver(20.0)
         weights = (0.0, 0.25, 0.5, 0.75, 1.0)
-        waits = [policy.patience(weight) for weight in weights]
+        waits = [policy.patience(weight, 100.0) for weight in weights]
         self.assertEqual(waits, sorted(waits, reverse=True))
         self.assertEqual((waits[0], waits[-1]), (20.0, 0.0))
-        self.assertEqual(AtDispatch().patience(0.0), 0.0)
+        self.assertEqual(policy.patience(0.0, 3.0), 3.0)
+        self.assertEqual(AtDispatch().patience(0.0, 100.0), 0.0)
--- a/tests/test_steps.py
+++ b/tests/test_steps.py
@@ -307,6 +307,9 @@
         used = {}
         for weight in (0.0, 1.0):
             rollouts = await self.begin()
+            await self.start(rollouts, Trainer(), number=0)
+            for engine in rollouts.engine_by_name.values():
+                engine.generated.clear()
             spec = POOL_SPEC | {"idle_weight": weight}
             await rollouts.put("workloads", WORKLOAD, **spec)
             rollouts.versions.learn(WORKLOAD, 2)
