--- a/bench/alternatives.py
+++ b/bench/alternatives.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 
-from cranberryrun.budgets import BudgetPolicy, DeclaredRate
+from cranberryrun.budgets import BudgetPolicy, DeclaredRate, LentRate
 from cranberryrun.freshness import AtDispatch, AtHandOver, FreshnessPolicy
 from cranberryrun.pacing import AllAtOnce, PacingPolicy, StaggeredLoads
 from cranberryrun.rendezvous import ranked
@@ -101,7 +101,7 @@
     routing: Callable[[random.Random], RoutingPolicy] = _adopted_routing
     stragglers: StragglerPolicy = field(default_factory=SecondAttempts)
     freshness: FreshnessPolicy = field(default_factory=AtHandOver)
-    budget: BudgetPolicy = field(default_factory=DeclaredRate)
+    budget: BudgetPolicy = field(default_factory=LentRate)
     pacing: PacingPolicy | None = None
     concurrency: int = 64
     queue: int = 256
@@ -129,12 +129,13 @@
     replace(ADOPTED, name="random-routing", routing=RandomChoice),
     replace(ADOPTED, name="round-robin", routing=lambda rng: RoundRobin()),
     replace(ADOPTED, name="least-reported", routing=lambda rng: LeastReported()),
-    replace(ADOPTED, name="mean-bound", routing=MeanBound),
     replace(ADOPTED, name="nearest-roomy", routing=NearestRoomy),
     replace(ADOPTED, name="no-affinity", routing=LeastLoaded),
     replace(ADOPTED, name="no-second-attempts", stragglers=NoSecondAttempts()),
     replace(ADOPTED, name="freshness-at-dispatch", freshness=AtDispatch()),
     replace(ADOPTED, name="all-at-once", pacing=AllAtOnce()),
+    replace(ADOPTED, name="two-at-once", pacing=StaggeredLoads(2, 0.5)),
+    replace(ADOPTED, name="declared-rate", budget=DeclaredRate()),
     replace(ADOPTED, name="no-admission", concurrency=100_000, queue=1_000_000),
     replace(ADOPTED, name="unlimited-retries", retry_share=1.0),
 )
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -20,7 +20,7 @@
 from cranberryrun.weights import Weights
 
 from .alternatives import PolicySet
-from .clients import Callers, FakeTrainer, Publisher
+from .clients import Callers, FakeTrainer, Prompts, Publisher
 from .deployments import ZONES, Deployment, Fault, Scenario
 from .engine import FakeEngine, FakeEngineClient
 from .fakes import (
@@ -37,6 +37,7 @@
 _HOSTS = 3
 _REQUEST_TIMEOUT_SECONDS = 10.0
 _WATCH_SECONDS = 0.25
+_LAST_SECONDS = 0.1
 
 
 class BenchEngines(Engines):
@@ -111,6 +112,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(_LAST_SECONDS)
         for engine in self.engine_by_name.values():
             engine.set_speed(engine.speed)
         for host_id in list(self.host_by_id):
@@ -132,6 +134,7 @@
                     size.alone_tokens_per_second,
                     self.store,
                 )
+                self.engine_by_name[name].request_prefill = size.request_prefill
 
     def _declare(self) -> None:
         """Put the configuration into the log."""
@@ -242,8 +245,10 @@
     async def _kill_host(self, host_id: str) -> None:
         host = self.host_by_id.pop(host_id)
         self._publish_list()
-        for task in list(self.calls_by_host.pop(host_id, ())):
+        calls = list(self.calls_by_host.pop(host_id, ()))
+        for task in calls:
             task.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
         await host.kernel.stop()
 
     def pick(self) -> Host | None:
@@ -277,6 +282,9 @@
             ("portal", size.portal_rate),
             ("advice", size.shared_rate),
         ):
+            prompts = Prompts(
+                size.request_prefixes, size.request_skew, size.shift_every
+            )
             surge = self.scenario.surge if service == "portal" else None
             rng = random.Random(f"{service}/{self._seed}")
             self.callers.append(
@@ -287,6 +295,7 @@
                     size.client_seconds,
                     self.pick,
                     rng,
+                    prompts,
                     surge,
                 )
             )
--- a/cranberryrun/host.py
+++ b/cranberryrun/host.py
@@ -24,11 +24,12 @@
 from .settings import Settings
 from .steps import Steps
 from .traffic import Traffic
+from .usage import Usage
 from .versions import Versions
 from .weights import Weights
 
 _DRAIN_TICK_SECONDS = 0.05
-_QUIET_SECONDS = 0.3
+_QUIET_SECONDS = 0.5
 _DEADLINE_SLACK_SECONDS = 1.0
 _RECORD_SECONDS = 2.0
 
@@ -74,6 +75,7 @@
             Engines(settings),
             Versions(settings),
             Weights(settings),
+            Usage(settings),
             Steps(settings, policy, rng),
             Traffic(settings, policy, rng),
             Calls(settings, self.incarnation),
@@ -83,12 +85,22 @@
 
     async def start(self) -> None:
         """Start all services and serve the API."""
+        self._observe()
         await self.kernel.start()
         self._started.set()
         self.kernel.get(Events).emit(
             "host_started", zone=self.settings.zone, api_port=self.settings.api_port
         )
 
+    def _observe(self) -> None:
+        """Let the state of services that know nothing of metrics be measured."""
+        metrics = self.kernel.get(Metrics)
+        membership = self.kernel.get(Membership)
+        configuration = self.kernel.get(Configuration)
+        metrics.observe("peers", lambda: len(membership.live_peers()))
+        metrics.observe("config_offset", lambda: configuration.state.offset)
+        metrics.observe("log_up", lambda: int(configuration.log_up))
+
     async def stop(self) -> None:
         """Stop at once, whatever is in flight."""
         self.kernel.get(Events).emit("host_stopped")
--- a/cranberryrun/routing.py
+++ b/cranberryrun/routing.py
@@ -11,6 +11,7 @@
 
 _DRAWN = 8
 _MARGIN = 1.0
+_BOUND = 1.25
 _ZONE_MARGIN = 0.5
 _REPORT_HALF_LIFE_SECONDS = 2.0
 
@@ -21,7 +22,8 @@
 
     ``in_flight`` is this host's own count; ``reported`` is how much work the
     target said it had, ``report_age`` seconds ago; ``slots`` is what it runs at
-    once.
+    once. ``penalty`` is a load that stands for what else speaks against it; see
+    :func:`worthwhile`.
     """
 
     id: str
@@ -30,6 +32,7 @@
     in_flight: int = 0
     reported: int = 0
     report_age: float = float("inf")
+    penalty: float = 0.0
 
     @property
     def load(self) -> float:
@@ -47,6 +50,16 @@
     prefix: str | None = None
 
 
+def worthwhile(candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Return the candidates without those whose penalty outweighs their room."""
+    least = min((each.load + each.penalty for each in candidates), default=0.0)
+    return [
+        each
+        for each in candidates
+        if not each.penalty or each.load + each.penalty <= least
+    ]
+
+
 class RoutingPolicy(ABC):
     """Chooses one of several usable candidates."""
 
@@ -79,23 +92,28 @@
     Without a prefix, what ``otherwise`` chooses.
 
     :param margin: how many streams more than the least loaded the favourite may
-        have.
+        always have.
+    :param bound: how many times the mean load it may have.
     """
 
-    def __init__(self, otherwise: RoutingPolicy, margin: float = _MARGIN) -> None:
+    def __init__(
+        self,
+        otherwise: RoutingPolicy,
+        margin: float = _MARGIN,
+        bound: float = _BOUND,
+    ) -> None:
         self._otherwise = otherwise
         self._margin = margin
+        self._bound = bound
 
     def choose(self, candidates: Sequence[Candidate], need: Need) -> Candidate | None:
         """See :meth:`RoutingPolicy.choose`."""
         if need.prefix is None or not candidates:
             return self._otherwise.choose(candidates, need)
-        least = min(each.load for each in candidates)
-        roomy = {
-            each.id: each
-            for each in candidates
-            if each.load <= least + self._margin / each.slots
-        }
+        least = min(candidates, key=lambda each: each.load)
+        mean = sum(each.load for each in candidates) / len(candidates)
+        limit = max(least.load + self._margin / least.slots, mean * self._bound)
+        roomy = {each.id: each for each in candidates if each.load <= limit}
         favourite = owner_of(roomy, need.prefix)
         return roomy[favourite] if favourite is not None else None
 
