Choose a step's engines in a module of its own, and look at the pool less often

Cause: the dispatcher had grown to 560 lines and measured the whole pool several times for each sample that ended.

--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING, Any
 
 from . import clock
-from .budgets import BudgetPolicy, Demand, LentRate, granted_rate
+from .assignment import Assignment
+from .budgets import BudgetPolicy, LentRate
 from .engines import Engine, Engines, StreamOrder
 from .events import Events
 from .exceptions import (
@@ -20,7 +21,7 @@
 from .freshness import AtHandOver, FreshnessPolicy, SampleAge
 from .models import Placement, Sample
 from .pending import PendingSlots
-from .routing import Candidate, Need, worthwhile
+from .routing import Candidate
 from .samples import Attempt, collect
 from .slots import Slot, SlotKey, StepSlots, WholeSample
 from .state import Resource
@@ -36,9 +37,7 @@
 _MAX_AGAIN_PAUSE_SECONDS = 2.0
 _UNSTAMPED_OUT_SECONDS = 30.0
 _STARTS_AT_A_TIME = 16
-_REQUEST_SHARE = 0.125
-_BEHIND_LOAD = 2.0
-_LOADING_LOAD = 0.25
+_HELP_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,12 +63,13 @@
     ) -> None:
         self._steps = steps
         self._kernel = steps.kernel
-        self.workload = workload
+        self._workload = workload
         self.name = f"{workload.name}/{step}"
         self._names = StreamNames(workload.name, step, began_ms)
         self._events = self._kernel.get(Events)
         self._versions = self._kernel.get(Versions)
         self._engines = self._kernel.get(Engines)
+        self._assignment = Assignment(steps, workload)
         self._lengths = steps.lengths(workload.name)
         self._slots: StepSlots
         self._pending = PendingSlots(self._lengths)
@@ -78,8 +78,7 @@
         self._useful = 0.0
         self._held = 0
         self._wasted = 0.0
-        self._newest = -1
-        self._no_engine_since: float | None = None
+        self._helped_at = 0.0
         self._waiting = False
         self._wake = asyncio.Event()
         self.news = asyncio.Event()
@@ -88,7 +87,6 @@
     def begin(self, slots: StepSlots, placements: list[Placement]) -> None:
         """Take the slots in; those with a valid placement are resumed at once."""
         self._slots = slots
-        self._newest = self._versions.newest(self.workload.name)
         placement_by_key = {(each.group, each.index): each for each in placements}
         for key, slot in slots.by_key.items():
             engine = self._engine_of(slot, placement_by_key.get(key))
@@ -104,10 +102,14 @@
         if placement is None:
             return None
         engine = self._engines.by_name.get(placement.engine)
-        if engine is None or engine.spec.pool != self.workload.spec.pool:
+        if engine is None or engine.spec.pool != self._workload.spec.pool:
             return None
         return engine if self._names.is_of(slot, placement.stream) else None
 
+    def change(self, workload: Resource) -> None:
+        """Go on under a changed declaration of the workload."""
+        self._workload = self._assignment.workload = workload
+
     async def run(self) -> None:
         """Give slots out until cancelled."""
         while True:
@@ -150,9 +152,9 @@
         self._wake.set()
 
     def _too_old(self, oldest: int | None, newest_at_dispatch: int) -> bool:
-        newest = self._versions.newest(self.workload.name)
+        newest = self._versions.newest(self._workload.name)
         age = SampleAge(oldest, newest, newest_at_dispatch)
-        bound = self.workload.spec.freshness_bound
+        bound = self._workload.spec.freshness_bound
         return self._steps.policies.freshness.too_old(age, bound)
 
     def _attempt_too_old(self, attempt: Attempt) -> bool:
@@ -160,10 +162,10 @@
 
     def _judge(self) -> None:
         """After a new version, stop what can't be handed over any more."""
-        newest = self._versions.newest(self.workload.name)
-        if newest == self._newest:
+        newest = self._versions.newest(self._workload.name)
+        if newest == self._assignment.newest:
             return
-        self._newest = newest
+        self._assignment.newest = newest
         for key, whole in self._slots.waiting():
             if self.is_stale(whole):
                 self.make_again(key)
@@ -174,46 +176,25 @@
                     self._abandon(attempt)
                     self._again(attempt.slot)
 
-    # Engines and budget
-
-    def _demand(self) -> Demand:
-        spec = self.workload.spec
-        pool = self._engines.in_pool(spec.pool)
-        slots = sum(engine.spec.slots for engine in pool)
-        engines = self._engines.usable_count(spec.pool)
-        claims = self._steps.claims(self.workload)
-        return Demand(
-            rate=granted_rate(self.workload.name, claims, max(engines, 1.0)),
-            trainers=max(spec.trainers, self._steps.running_of(self.workload.name)),
-            slots=slots / max(len(pool), 1),
-            pool_slots=slots,
-            pool_busy=self._busy(pool),
-            held=self._held,
-            urgent=any(each.load and each.load.queued for each in pool),
-        )
-
-    def _allowed(self) -> int:
-        return self._steps.policies.budget.streams(self._demand())
-
-    def _busy(self, pool: list[Engine]) -> int:
-        return sum(
-            max(each.in_flight, each.load.running if each.load else 0) for each in pool
-        )
+    # Giving out
 
     async def _fill(self) -> None:
         """Give slots out while the budget and the engines have room."""
         started = 0
-        demand = self._demand()
-        allowed = self._steps.policies.budget.streams(demand)
-        own = self._steps.policies.budget.own_streams(demand)
-        candidates = self._candidates()
+        if not len(self._pending):
+            return
+        allowed = self._assignment.allowed(self._held)
+        if self._held >= allowed:
+            return
+        own = self._assignment.own(self._held)
+        candidates = self._assignment.candidates()
         while self._held < allowed and len(self._pending):
             slot = self._pending.pop(clock.now())
             if slot is None:
                 return
             if not self._slots.is_open(slot.key) or slot.key in self._attempts_by_key:
                 continue
-            engine = self._choose(slot, candidates)
+            engine = self._assignment.choose(slot, candidates)
             if engine is None:
                 self._pending.add(slot)
                 self._say_waiting()
@@ -222,7 +203,7 @@
             started += 1
             if started % _STARTS_AT_A_TIME == 0:
                 await asyncio.sleep(0)
-                candidates = self._candidates()
+                candidates = self._assignment.candidates()
 
     def _say_waiting(self) -> None:
         if self._held or self._waiting:
@@ -230,78 +211,6 @@
         self._waiting = True
         self._events.emit("step_waiting", step=self.name, missing=len(self._pending))
 
-    def _candidates(self) -> dict[str, Candidate]:
-        """Return the engines with room whose version is fresh enough."""
-        spec = self.workload.spec
-        room = [
-            engine
-            for engine in self._engines.usable(spec.pool)
-            if engine.in_flight < self._limit(engine)
-        ]
-        if self._running_at_least(room, self._newest):
-            self._no_engine_since = None
-        elif not self._waited_long():
-            return {}
-        oldest = self._newest - spec.freshness_bound
-        return {
-            engine.name: self._candidate(engine)
-            for engine in self._running_at_least(room, oldest)
-        }
-
-    def _candidate(self, engine: Engine) -> Candidate:
-        """Return the engine with what speaks against it: old weights, a load."""
-        candidate = engine.candidate()
-        spec = self.workload.spec
-        loaded = engine.version_of(self.workload.name) or 0
-        behind = max(0, self._newest - loaded)
-        candidate.penalty = behind * (1 - spec.idle_weight) * _BEHIND_LOAD
-        if engine.is_loading:
-            candidate.penalty += _LOADING_LOAD
-        return candidate
-
-    def _running_at_least(self, engines: list[Engine], version: int) -> list[Engine]:
-        chosen: list[Engine] = []
-        for engine in engines:
-            loaded = engine.version_of(self.workload.name)
-            if loaded is not None and loaded >= version:
-                chosen.append(engine)
-        return chosen
-
-    def _waited_long(self) -> bool:
-        """Say whether to take what the bound allows for want of the newest."""
-        now = clock.now()
-        if self._no_engine_since is None:
-            self._no_engine_since = now
-        freshness = self._steps.policies.freshness
-        weight = self.workload.spec.idle_weight
-        patience = freshness.patience(weight, self._lengths.mean_seconds)
-        return now - self._no_engine_since >= patience
-
-    def _limit(self, engine: Engine) -> int:
-        """Return how many streams of steps an engine may get from this host."""
-        if not self._steps.has_requests(engine.spec.pool):
-            return engine.spec.slots
-        kept = max(1, int(engine.spec.slots * _REQUEST_SHARE))
-        return max(1, engine.spec.slots - kept)
-
-    def _choose(
-        self, slot: Slot, by_name: dict[str, Candidate], but: str = ""
-    ) -> Engine | None:
-        candidates = [each for name, each in by_name.items() if name != but]
-        chosen = self._steps.policy.choose(
-            worthwhile(candidates), Need(self._steps.zone, slot.prefix)
-        )
-        if chosen is None:
-            return None
-        engine = self._engines.by_name.get(chosen.id)
-        chosen.in_flight += 1
-        if engine is None or chosen.in_flight >= self._limit(engine):
-            by_name.pop(chosen.id, None)
-            if not chosen.penalty and all(each.penalty for each in by_name.values()):
-                # Whether the others will do depends on how long to wait for these.
-                by_name.clear()
-        return engine
-
     # Attempts
 
     def _start_new(self, slot: Slot, engine: Engine, lent: bool = False) -> None:
@@ -330,7 +239,7 @@
             engine,
             stream,
             began_at=clock.now(),
-            newest_at_dispatch=self._versions.newest(self.workload.name),
+            newest_at_dispatch=self._versions.newest(self._workload.name),
             resumed=resumed,
             lent=lent,
         )
@@ -345,11 +254,11 @@
 
     def _order(self, attempt: Attempt) -> StreamOrder:
         slot = attempt.slot
-        spec = self.workload.spec
+        spec = self._workload.spec
         oldest = attempt.newest_at_dispatch - spec.freshness_bound
         return StreamOrder(
             stream=attempt.stream,
-            workload=self.workload.name,
+            workload=self._workload.name,
             prompt=slot.prompt,
             max_tokens=min(slot.max_tokens, spec.max_tokens),
             seed=slot.seed,
@@ -362,7 +271,7 @@
         usage = self._engines.usage
         slots = attempt.engine.spec.slots
         try:
-            with usage.stream(self.workload.name, slots) as attempt.meter:
+            with usage.stream(self._workload.name, slots) as attempt.meter:
                 sample = await collect(
                     attempt, self._order(attempt), self._engines, self._attempt_too_old
                 )
@@ -467,26 +376,32 @@
 
     def _give_back(self) -> None:
         """Stop the youngest streams beyond the budget; only lent ones can be."""
-        over = self._held - self._allowed()
+        over = self._held - self._assignment.allowed(self._held)
+        if over <= 0:
+            return
         lent = [
             rows[0]
             for rows in self._attempts_by_key.values()
             if len(rows) == 1 and rows[0].lent
         ]
         lent.sort(key=lambda attempt: attempt.tokens)
-        for attempt in lent[: max(0, over)]:
+        for attempt in lent[:over]:
             self._emit("sample_given_back", attempt, "its share was lent")
             self._abandon(attempt)
             self._again(attempt.slot)
 
     def _help_stragglers(self) -> None:
-        if len(self._pending) or not self._attempts_by_key:
+        now = clock.now()
+        if len(self._pending) or now - self._helped_at < _HELP_SECONDS:
             return
-        candidates = self._candidates()
+        self._helped_at = now
+        candidates = self._assignment.candidates()
         progress = self._progress(candidates)
         for key in self._steps.policies.stragglers.second_attempts(progress):
             first = self._attempts_by_key[key][0]
-            engine = self._choose(first.slot, candidates, but=first.engine.name)
+            engine = self._assignment.choose(
+                first.slot, candidates, but=first.engine.name
+            )
             if engine is None:
                 return
             self._emit("second_attempt", first, "")
@@ -503,8 +418,11 @@
             whole=self._slots.total - self._slots.unmade,
             waiting=self._slots.unmade - len(running),
             running=running,
-            idle_slots=min(self._allowed() - self._held, self._room(candidates)),
-            new_rate=self._new_rate(candidates),
+            idle_slots=min(
+                self._assignment.allowed(self._held) - self._held,
+                self._assignment.room(candidates),
+            ),
+            new_rate=self._assignment.new_rate(candidates),
             durations=self._durations,
             spent=self._useful + self._wasted + sum(each.elapsed for each in running),
             wasted=self._wasted,
@@ -522,21 +440,5 @@
             tokens=first.tokens,
             rate=first.rate(now),
             expected_tokens=self._lengths.expected(slot.prefix, slot.max_tokens),
-            max_tokens=min(slot.max_tokens, self.workload.spec.max_tokens),
+            max_tokens=min(slot.max_tokens, self._workload.spec.max_tokens),
         )
-
-    def _room(self, candidates: dict[str, Candidate]) -> int:
-        engines = [self._engines.by_name[name] for name in candidates]
-        return sum(self._limit(each) - each.in_flight for each in engines)
-
-    def _new_rate(self, candidates: dict[str, Candidate]) -> float:
-        rates: list[float] = []
-        for name in candidates:
-            engine = self._engines.by_name[name]
-            rate = engine.spec.tokens_per_second
-            running = engine.in_flight
-            if engine.load is not None:
-                rate = engine.load.tokens_per_second
-                running = max(running, engine.load.running)
-            rates.append(rate / (running + 1))
-        return min(max(rates, default=0.0), self._lengths.best_rate)
--- a/cranberryrun/runs.py
+++ b/cranberryrun/runs.py
@@ -165,7 +165,9 @@
         workload = state.get("workloads", self.workload.name)
         if workload is None:
             return WorkloadGoneError(f"workloads/{self.workload.name} was deleted")
-        self.workload = self._dispatcher.workload = workload
+        if workload is not self.workload:
+            self.workload = workload
+            self._dispatcher.change(workload)
         return None
 
     async def _send(self, event: Any) -> None:
