Lend half of the idle streams to steps, and load weights on one engine at once

Cause: declared shares lie idle while a step's long samples wait; two loads at once share the store's rate, so both engines are slow for twice as long.

--- a/bench/clients.py
+++ b/bench/clients.py
@@ -257,6 +257,13 @@
             self._open.add(task)
             task.add_done_callback(self._open.discard)
 
+    async def stop(self) -> None:
+        """Give up the requests that are open."""
+        tasks = list(self._open)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def _rate_now(self) -> float:
         if self.surge is None:
             return self.rate
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -112,6 +112,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        for callers in self.callers:
+            await callers.stop()
         await asyncio.sleep(_LAST_SECONDS)
         for engine in self.engine_by_name.values():
             engine.set_speed(engine.speed)
--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from . import clock
-from .budgets import BudgetPolicy, Demand, LentRate, granted_rate
+from .budgets import BudgetPolicy, DeclaredRate, Demand, granted_rate
 from .engines import Engine, Engines, StreamOrder
 from .events import Events
 from .exceptions import (
@@ -47,7 +47,7 @@
 
     stragglers: StragglerPolicy = field(default_factory=SecondAttempts)
     freshness: FreshnessPolicy = field(default_factory=AtHandOver)
-    budget: BudgetPolicy = field(default_factory=LentRate)
+    budget: BudgetPolicy = field(default_factory=DeclaredRate)
 
 
 class Dispatcher:
@@ -254,7 +254,7 @@
         spec = self.workload.spec
         loaded = engine.version_of(self.workload.name) or 0
         behind = max(0, self._newest - loaded)
-        candidate.penalty = behind * (1 - spec.idle_weight) * _BEHIND_LOAD
+        candidate.penalty = behind * (1 - spec.idle_weight) ** 2 * _BEHIND_LOAD
         if engine.is_loading:
             candidate.penalty += _LOADING_LOAD
         return candidate
--- a/cranberryrun/host.py
+++ b/cranberryrun/host.py
@@ -7,8 +7,10 @@
 
 from . import clock
 from .api import Api
+from .budgets import LentRate
 from .calls import Calls
 from .configuration import Configuration
+from .dispatch import StepPolicies
 from .engines import Engines
 from .events import Events
 from .http import HttpClients
@@ -76,7 +78,7 @@
             Versions(settings),
             Weights(settings),
             Usage(settings),
-            Steps(settings, policy, rng),
+            Steps(settings, policy, rng, StepPolicies(budget=LentRate())),
             Traffic(settings, policy, rng),
             Calls(settings, self.incarnation),
             Resources(),
--- a/cranberryrun/settings.py
+++ b/cranberryrun/settings.py
@@ -163,7 +163,7 @@
         default=12, ge=1, description="Peers asked at once where it is urgent."
     )
     weight_loads_at_once: int = Field(
-        default=2, ge=1, description="Engines of a workload that load weights at once."
+        default=1, ge=1, description="Engines of a workload that load weights at once."
     )
     engines_watched: int = Field(
         default=24,
