--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -34,11 +34,11 @@
             seeds = _SEEDS if policies in _MAIN else _FEW_SEEDS
             trials += [Trial(deployment, "healthy", policies, seed) for seed in seeds]
         for scenario in ("lost", "faults"):
-            for policies in (*_MAIN, "no-second-attempts"):
+            for policies in (*_MAIN, "no-second-attempts", "unlimited-retries"):
                 trials += [
                     Trial(deployment, scenario, policies, seed) for seed in _FEW_SEEDS
                 ]
-        for policies in ("adopted", "no-admission", "unlimited-retries"):
+        for policies in ("adopted", "no-admission"):
             trials.append(Trial(deployment, "surge", policies, 1))
     for deployment in STEADY_BY_NAME:
         trials += [Trial(deployment, "healthy", policies, 1) for policies in _MAIN]
--- a/bench/alternatives.py
+++ b/bench/alternatives.py
@@ -71,15 +71,24 @@
 
 
 def _adopted_routing(rng: random.Random) -> RoutingPolicy:
+    return BoundedAffinity(LeastLoaded(rng), bound=1.0)
+
+
+def _adopted_request_routing(rng: random.Random) -> RoutingPolicy:
     return BoundedAffinity(LeastLoaded(rng))
 
 
 @dataclass(frozen=True, slots=True)
 class PolicySet:
-    """The decisions of one run. ``routing`` makes a policy for one host."""
+    """The decisions of one run.
+
+    ``routing`` makes the policy of one host for samples, ``request_routing`` the
+    one for requests.
+    """
 
     name: str
     routing: Callable[[random.Random], RoutingPolicy] = _adopted_routing
+    request_routing: Callable[[random.Random], RoutingPolicy] = _adopted_request_routing
     stragglers: StragglerPolicy = field(default_factory=SecondAttempts)
     freshness: FreshnessPolicy = field(default_factory=AtHandOver)
     budget: BudgetPolicy = field(default_factory=LentRate)
@@ -102,27 +111,32 @@
 NAIVE = PolicySet(
     "naive",
     routing=RandomChoice,
+    request_routing=RandomChoice,
     stragglers=NoSecondAttempts(),
     pacing=AllAtOnce(),
 )
+
+
+def _routed(name: str, routing: Callable[[random.Random], RoutingPolicy]) -> PolicySet:
+    """Return the adopted policies but for all routing."""
+    return replace(ADOPTED, name=name, routing=routing, request_routing=routing)
+
+
 BASELINES = (
     NAIVE,
-    replace(ADOPTED, name="random-routing", routing=RandomChoice),
-    replace(ADOPTED, name="round-robin", routing=lambda rng: RoundRobin()),
-    replace(ADOPTED, name="least-reported", routing=lambda rng: LeastReported()),
-    replace(ADOPTED, name="nearest-roomy", routing=NearestRoomy),
-    replace(ADOPTED, name="no-affinity", routing=LeastLoaded),
+    _routed("random-routing", RandomChoice),
+    _routed("round-robin", lambda rng: RoundRobin()),
+    _routed("least-reported", lambda rng: LeastReported()),
+    _routed("nearest-roomy", NearestRoomy),
+    _routed("no-affinity", LeastLoaded),
     replace(ADOPTED, name="no-second-attempts", stragglers=NoSecondAttempts()),
     replace(ADOPTED, name="freshness-at-dispatch", freshness=AtDispatch()),
     replace(ADOPTED, name="all-at-once", pacing=AllAtOnce()),
+    replace(ADOPTED, name="mean-bound", routing=_adopted_request_routing),
     replace(ADOPTED, name="two-at-once", pacing=StaggeredLoads(2, 0.5)),
     replace(ADOPTED, name="declared-rate", budget=DeclaredRate()),
     replace(ADOPTED, name="no-admission", concurrency=100_000, queue=1_000_000),
     replace(ADOPTED, name="unlimited-retries", retry_share=1.0),
-    replace(
-        ADOPTED,
-        name="ageing-ranges",
-        routing=lambda rng: AgeingRanges(LeastLoaded(rng)),
-    ),
+    _routed("ageing-ranges", lambda rng: AgeingRanges(LeastLoaded(rng))),
 )
 POLICIES_BY_NAME = {each.name: each for each in (ADOPTED, *BASELINES)}
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -206,7 +206,6 @@
     def _services(self, settings: Settings) -> list[Service]:
         rng = random.Random(f"{settings.id}/{settings.incarnation}/{self._seed}")
         policies = self.policies
-        routing = policies.routing(rng)
         membership = Membership(settings, settings.incarnation)
         membership.use_list(self.host_list)
         limits = settings.limits
@@ -223,11 +222,11 @@
             ),
             Steps(
                 settings,
-                routing,
+                policies.routing(rng),
                 rng,
                 StepPolicies(policies.stragglers, policies.freshness, policies.budget),
             ),
-            Traffic(settings, routing, rng),
+            Traffic(settings, policies.request_routing(rng), rng),
             NoApi(settings),
         ]
 
--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -38,7 +38,6 @@
 _STARTS_AT_A_TIME = 16
 _REQUEST_SHARE = 0.125
 _BEHIND_LOAD = 2.0
-_LOADING_LOAD = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -249,14 +248,12 @@
         }
 
     def _candidate(self, engine: Engine) -> Candidate:
-        """Return the engine with what speaks against it: old weights, a load."""
+        """Return the engine with what speaks against it: old weights."""
         candidate = engine.candidate()
         spec = self.workload.spec
         loaded = engine.version_of(self.workload.name) or 0
         behind = max(0, self._newest - loaded)
         candidate.penalty = behind * (1 - spec.idle_weight) ** 2 * _BEHIND_LOAD
-        if engine.is_loading:
-            candidate.penalty += _LOADING_LOAD
         return candidate
 
     def _running_at_least(self, engines: list[Engine], version: int) -> list[Engine]:
--- a/cranberryrun/engines.py
+++ b/cranberryrun/engines.py
@@ -90,13 +90,6 @@
             return None
         return self.state.by_workload[workload].version
 
-    @property
-    def is_loading(self) -> bool:
-        """Whether it last said that it loads weights, which slows its streams."""
-        if self.state is None:
-            return False
-        return any(row.loading is not None for row in self.state.by_workload.values())
-
     def stamped(self, workload: str, version: int | None) -> None:
         """Note the version that made a piece just now."""
         if version is not None:
--- a/cranberryrun/host.py
+++ b/cranberryrun/host.py
@@ -63,7 +63,8 @@
     def _services(self, rng: random.Random) -> list[Service]:
         settings = self.settings
         timing = settings.timing
-        policy = BoundedAffinity(LeastLoaded(rng))
+        rollout_policy = BoundedAffinity(LeastLoaded(rng), bound=1.0)
+        request_policy = BoundedAffinity(LeastLoaded(rng))
         return [
             Events(settings.id, self.incarnation, settings.limits.event_ring),
             Metrics(settings.id),
@@ -78,8 +79,8 @@
             Versions(settings),
             Weights(settings),
             Usage(settings),
-            Steps(settings, policy, rng, StepPolicies(budget=LentRate())),
-            Traffic(settings, policy, rng),
+            Steps(settings, rollout_policy, rng, StepPolicies(budget=LentRate())),
+            Traffic(settings, request_policy, rng),
             Calls(settings, self.incarnation),
             Resources(),
             Api(settings),
