--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import random
+import unittest
 from unittest import mock
 
+import aiohttp
+
 from cranberryrun import clock
 from cranberryrun.configuration import Configuration
 from cranberryrun.engines import Engines
@@ -14,13 +17,18 @@
     LogGapError,
     LogUnavailableError,
 )
+from cranberryrun.host import Host
 from cranberryrun.kernel import Kernel
 from cranberryrun.log import Batch, Log, Record
 from cranberryrun.membership import Membership
+from cranberryrun.resources import Resources
 from cranberryrun.settings import LogSettings, Settings
 from cranberryrun.usage import Usage
 from cranberryrun.usage_ledger import UsageLedger
+from standins.deployment import free_port
 
+from .doubles import MemoryLog as SharedLog, settings
+from .test_drain import EmptyList
 from .virtual import VirtualTimeTestCase
 
 RETENTION_SECONDS = 600.0
@@ -183,3 +191,38 @@
         self.assertIn("rollup", kinds)
         self.assertLessEqual(kinds.count("rollup"), 4)
         await usage.stop()
+
+
+class UsageRouteTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.made = settings(api_port=free_port(), peer_port=free_port())
+        self.log = SharedLog()
+        self.host = Host(self.made, self.log)
+        self.host.kernel.get(Membership).use_list(EmptyList())
+        await self.host.start()
+        self.addAsyncCleanup(self.host.stop)
+        await self.host.kernel.get(Configuration).ready.wait()
+        spec = {"pool": "p", "freshness_bound": 1, "price_per_engine_hour": 3600}
+        await self.host.kernel.get(Resources).change(
+            "put", "workloads", "w", spec, None, None
+        )
+
+    async def _items(self, route: str) -> list[dict]:
+        url = f"http://127.0.0.1:{self.made.api_port}/v1/{route}"
+        async with aiohttp.ClientSession() as session:
+            async with session.get(url) as answer:
+                self.assertEqual(answer.status, 200)
+                return (await answer.json())["items"]
+
+    async def test_usage_and_forecast_over_http(self) -> None:
+        usage = self.host.kernel.get(Usage)
+        with self.host.kernel.get(Engines).usage.stream("w", 1) as meter:
+            meter.add(7)
+            await asyncio.sleep(0.05)
+        usage.record()
+        await usage.write()
+        used = await self._items("usage")
+        self.assertEqual([(row["workload"], row["tokens"]) for row in used], [("w", 7)])
+        self.assertGreaterEqual(used[0]["bill"], 0.05)
+        coming = await self._items("forecast")
+        self.assertEqual([row["workload"] for row in coming], ["w"])
