--- a/cranberryrun/assignment.py
+++ b/cranberryrun/assignment.py
@@ -18,7 +18,6 @@
 _DEMAND_SECONDS = 0.5
 _REQUEST_SHARE = 0.125
 _BEHIND_LOAD = 2.0
-_LOADING_LOAD = 0.25
 
 
 class Assignment:
@@ -98,14 +97,12 @@
         }
 
     def _candidate(self, engine: Engine) -> Candidate:
-        """Return the engine with what speaks against it: old weights, a load."""
+        """Return the engine with what speaks against it: old weights."""
         candidate = engine.candidate()
         spec = self.workload.spec
         loaded = engine.version_of(self.workload.name) or 0
         behind = max(0, self.newest - loaded)
         candidate.penalty = behind * (1 - spec.idle_weight) ** 2 * _BEHIND_LOAD
-        if engine.is_loading:
-            candidate.penalty += _LOADING_LOAD
         return candidate
 
     def _running_at_least(self, engines: list[Engine], version: int) -> list[Engine]:
--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -8,7 +8,7 @@
 
 from . import clock
 from .assignment import Assignment
-from .budgets import BudgetPolicy, LentRate
+from .budgets import BudgetPolicy, DeclaredRate
 from .engines import Engine, Engines, StreamOrder
 from .events import Events
 from .exceptions import (
@@ -47,7 +47,7 @@
 
     stragglers: StragglerPolicy = field(default_factory=SecondAttempts)
     freshness: FreshnessPolicy = field(default_factory=AtHandOver)
-    budget: BudgetPolicy = field(default_factory=LentRate)
+    budget: BudgetPolicy = field(default_factory=DeclaredRate)
 
 
 class Dispatcher:
