--- a/bench/alternatives.py
+++ b/bench/alternatives.py
@@ -9,7 +9,6 @@
 from cranberryrun.budgets import BudgetPolicy, DeclaredRate, LentRate
 from cranberryrun.freshness import AtDispatch, AtHandOver, FreshnessPolicy
 from cranberryrun.pacing import AllAtOnce, PacingPolicy, StaggeredLoads
-from cranberryrun.rendezvous import ranked
 from cranberryrun.routing import (
     BoundedAffinity,
     Candidate,
@@ -19,6 +18,8 @@
 )
 from cranberryrun.stragglers import NoSecondAttempts, SecondAttempts, StragglerPolicy
 
+from .ageing import AgeingRanges
+
 
 class RandomChoice(RoutingPolicy):
     """Any candidate."""
@@ -69,36 +70,25 @@
         return min(drawn, key=lambda each: each.load, default=None)
 
 
-class MeanBound(RoutingPolicy):
-    """The prefix's favourite unless it is loaded over a bound of the mean."""
-
-    def __init__(self, rng: random.Random, bound: float = 1.25) -> None:
-        self._otherwise = NearestRoomy(rng)
-        self._bound = bound
-
-    def choose(self, candidates: Sequence[Candidate], need: Need) -> Candidate | None:
-        """See :meth:`RoutingPolicy.choose`."""
-        if need.prefix is None or not candidates:
-            return self._otherwise.choose(candidates, need)
-        by_id = {each.id: each for each in candidates}
-        mean = sum(each.load for each in candidates) / len(candidates)
-        bound = max(1.0 / candidates[0].slots, mean * self._bound)
-        for each_id in ranked(by_id, need.prefix):
-            if by_id[each_id].load <= bound:
-                return by_id[each_id]
-        return self._otherwise.choose(candidates, need)
+def _adopted_routing(rng: random.Random) -> RoutingPolicy:
+    return BoundedAffinity(LeastLoaded(rng), bound=1.0)
 
 
-def _adopted_routing(rng: random.Random) -> RoutingPolicy:
+def _adopted_request_routing(rng: random.Random) -> RoutingPolicy:
     return BoundedAffinity(LeastLoaded(rng))
 
 
 @dataclass(frozen=True, slots=True)
 class PolicySet:
-    """The decisions of one run. ``routing`` makes a policy for one host."""
+    """The decisions of one run.
+
+    ``routing`` makes the policy of one host for samples, ``request_routing`` the
+    one for requests.
+    """
 
     name: str
     routing: Callable[[random.Random], RoutingPolicy] = _adopted_routing
+    request_routing: Callable[[random.Random], RoutingPolicy] = _adopted_request_routing
     stragglers: StragglerPolicy = field(default_factory=SecondAttempts)
     freshness: FreshnessPolicy = field(default_factory=AtHandOver)
     budget: BudgetPolicy = field(default_factory=LentRate)
@@ -121,22 +111,32 @@
 NAIVE = PolicySet(
     "naive",
     routing=RandomChoice,
+    request_routing=RandomChoice,
     stragglers=NoSecondAttempts(),
     pacing=AllAtOnce(),
 )
+
+
+def _routed(name: str, routing: Callable[[random.Random], RoutingPolicy]) -> PolicySet:
+    """Return the adopted policies but for all routing."""
+    return replace(ADOPTED, name=name, routing=routing, request_routing=routing)
+
+
 BASELINES = (
     NAIVE,
-    replace(ADOPTED, name="random-routing", routing=RandomChoice),
-    replace(ADOPTED, name="round-robin", routing=lambda rng: RoundRobin()),
-    replace(ADOPTED, name="least-reported", routing=lambda rng: LeastReported()),
-    replace(ADOPTED, name="nearest-roomy", routing=NearestRoomy),
-    replace(ADOPTED, name="no-affinity", routing=LeastLoaded),
+    _routed("random-routing", RandomChoice),
+    _routed("round-robin", lambda rng: RoundRobin()),
+    _routed("least-reported", lambda rng: LeastReported()),
+    _routed("nearest-roomy", NearestRoomy),
+    _routed("no-affinity", LeastLoaded),
     replace(ADOPTED, name="no-second-attempts", stragglers=NoSecondAttempts()),
     replace(ADOPTED, name="freshness-at-dispatch", freshness=AtDispatch()),
     replace(ADOPTED, name="all-at-once", pacing=AllAtOnce()),
+    replace(ADOPTED, name="mean-bound", routing=_adopted_request_routing),
     replace(ADOPTED, name="two-at-once", pacing=StaggeredLoads(2, 0.5)),
     replace(ADOPTED, name="declared-rate", budget=DeclaredRate()),
     replace(ADOPTED, name="no-admission", concurrency=100_000, queue=1_000_000),
     replace(ADOPTED, name="unlimited-retries", retry_share=1.0),
+    _routed("ageing-ranges", lambda rng: AgeingRanges(LeastLoaded(rng))),
 )
 POLICIES_BY_NAME = {each.name: each for each in (ADOPTED, *BASELINES)}
--- a/cranberryrun/host.py
+++ b/cranberryrun/host.py
@@ -7,8 +7,10 @@
 
 from . import clock
 from .api import Api
+from .budgets import LentRate
 from .calls import Calls
 from .configuration import Configuration
+from .dispatch import StepPolicies
 from .engines import Engines
 from .events import Events
 from .http import HttpClients
@@ -61,7 +63,8 @@
     def _services(self, rng: random.Random) -> list[Service]:
         settings = self.settings
         timing = settings.timing
-        policy = BoundedAffinity(LeastLoaded(rng))
+        rollout_policy = BoundedAffinity(LeastLoaded(rng), bound=1.0)
+        request_policy = BoundedAffinity(LeastLoaded(rng))
         return [
             Events(settings.id, self.incarnation, settings.limits.event_ring),
             Metrics(settings.id),
@@ -76,8 +79,8 @@
             Versions(settings),
             Weights(settings),
             Usage(settings),
-            Steps(settings, policy, rng),
-            Traffic(settings, policy, rng),
+            Steps(settings, rollout_policy, rng, StepPolicies(budget=LentRate())),
+            Traffic(settings, request_policy, rng),
             Calls(settings, self.incarnation),
             Resources(),
             Api(settings),
