--- a/cranberryrun/api.py
+++ b/cranberryrun/api.py
@@ -204,19 +204,16 @@
     async def _hosts(self, request: web.Request) -> web.Response:
         self._allow(request, "operator")
         membership = self.kernel.get(Membership)
-        live = set(membership.live_ids())
         rows = [
             {
                 "id": entry.id,
                 "zone": entry.zone,
                 "ip": entry.ip,
                 "api_port": entry.api_port,
-                "state": "live" if entry.id in live else "not live",
+                "state": membership.state_of(entry.id),
                 "offset": membership.offset_of(entry.id),
             }
-            for entry in sorted(
-                membership.entry_by_id.values(), key=lambda entry: entry.id
-            )
+            for entry in membership.all_entries()
         ]
         return web.json_response({"host": self._settings.id, "hosts": rows})
 
--- a/cranberryrun/ctl_explain.py
+++ b/cranberryrun/ctl_explain.py
@@ -84,7 +84,9 @@
         f"{seen['dispatched']} streams were begun, {seen['resumed']} resumed, "
         f"{seen['made_again']} samples made again.",
     ]
-    engines = Counter(row["engine"] for row in own if row.get("engine"))
+    engines = Counter(
+        row["engine"] for row in own if row["event"] == "sample_dispatched"
+    )
     if engines:
         shares = ", ".join(f"{name} {count}" for name, count in engines.most_common())
         lines.append(f"Streams by engine: {shares}.")
--- a/cranberryrun/membership.py
+++ b/cranberryrun/membership.py
@@ -261,6 +261,30 @@
             ids.append(self.id)
         return sorted(ids)
 
+    def all_entries(self) -> list[HostEntry]:
+        """Return all known entry hosts by id, this one also if it is not listed."""
+        settings = self._settings
+        own = HostEntry(
+            id=self.id,
+            kind="entry",
+            ip=settings.ip,
+            api_port=settings.api_port,
+            peer_port=settings.peer_port,
+            zone=settings.zone,
+            incarnation=self.incarnation,
+        )
+        entries = [*self.peers(), self.entry_by_id.get(self.id, own)]
+        return sorted(entries, key=lambda entry: entry.id)
+
+    def state_of(self, host_id: str) -> str:
+        """Return ``live``, ``suspected`` or ``leaving``."""
+        fact = self.views.get(FactKind.HOST, host_id)
+        if host_id in self.live_ids():
+            return "live"
+        if fact is not None and fact.value < LEAVING:
+            return "suspected"
+        return "leaving"
+
     def target_leaving(self, target_id: str) -> bool:
         """Say whether a target is leaving."""
         fact = self.views.get(FactKind.TARGET, target_id)
--- a/cranberryrun/resources.py
+++ b/cranberryrun/resources.py
@@ -9,7 +9,7 @@
 
 from . import clock
 from .configuration import Configuration
-from .engines import Engines
+from .engines import Engine, Engines
 from .exceptions import (
     ConflictError,
     CranberryrunError,
@@ -28,6 +28,7 @@
 _STATUS_SECONDS = 0.5
 _ASK_SECONDS = 0.2
 _HEADER_BY_FIELD = {"change_id": "Change-Id", "expected_generation": "If-Match"}
+_SHOWN_NAMES = 10
 _BOOKMARK_SECONDS = 10.0
 _ERROR_BY_CODE: dict[str, type[CranberryrunError]] = {
     error.code: error for error in (ConflictError, InvalidInputError, NotFoundError)
@@ -180,7 +181,7 @@
         self._behind.update(behind)
         self._asked.set()
         return _condition(
-            "InForce", False, "HostsBehind", f"not yet at {', '.join(sorted(behind))}"
+            "InForce", False, "HostsBehind", f"not yet at {_some(behind)}"
         )
 
     def _engine_conditions(self, resource: Resource) -> list[dict[str, Any]]:
@@ -211,12 +212,12 @@
         behind = [
             engine.name
             for engine in engines
-            if (engine.version_of(resource.name) or 0) < newest
+            if _version(engine, resource.name) < newest
         ]
         if behind:
-            message = f"version {newest} not yet at {', '.join(sorted(behind))}"
+            message = f"version {newest} not yet at {_some(behind)}"
             return [_condition("EnginesCurrent", False, "Loading", message)]
-        message = f"version {newest}"
+        message = f"version {newest}" if newest >= 0 else "no version announced"
         return [_condition("EnginesCurrent", True, "AllCurrent", message)]
 
     def _service_conditions(self, resource: Resource) -> list[dict[str, Any]]:
@@ -308,6 +309,18 @@
         return _watch_event("changed", offset, self.describe(resource))
 
 
+def _version(engine: Engine, workload: str) -> int:
+    version = engine.version_of(workload)
+    return -1 if version is None else version
+
+
+def _some(names: list[str]) -> str:
+    """Return the first of ``names``, and how many more there are."""
+    shown = ", ".join(sorted(names)[:_SHOWN_NAMES])
+    more = len(names) - _SHOWN_NAMES
+    return f"{shown} and {more} more" if more > 0 else shown
+
+
 def _bookmark(offset: int) -> dict[str, Any]:
     return {"event": "bookmark", "offset": offset}
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -12,6 +12,7 @@
 import click
 import uvloop
 
+from . import example
 from ._program import loop_time
 from .deployment import Deployment
 
@@ -269,6 +270,7 @@
 
 async def _run() -> int:
     shutil.rmtree(FOLDER, ignore_errors=True)
+    example.write(FOLDER / "example")
     async with Deployment(FOLDER) as deployment:
         report = await Demo(deployment).run()
     broken = report.broken()
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -78,9 +78,11 @@
                 sys.executable, "-m", *arguments, stdout=output, stderr=output
             )
 
-    async def standin(self, name: str, program: str, *options: str) -> Running:
-        """Start a stand-in and wait until it listens."""
-        port = free_port()
+    async def standin(
+        self, name: str, program: str, *options: str, port: int | None = None
+    ) -> Running:
+        """Start a stand-in, on a free port if none is given; wait until it listens."""
+        port = port or free_port()
         process = await self._spawn(
             name, f"standins.{program}", "--ip", IP, "--port", str(port), *options
         )
