--- a/cranberryrun/api.py
+++ b/cranberryrun/api.py
@@ -18,6 +18,7 @@
     CallerGoneError,
     CranberryrunError,
     InvalidInputError,
+    KernelError,
     MethodNotAllowedError,
     NotFoundError,
     NotReadyError,
@@ -100,7 +101,10 @@
             self._settings.api_port,
             ssl_context=server_context(self._settings.tls),
         )
-        await self._site.start()
+        try:
+            await self._site.start()
+        except OSError as error:
+            raise KernelError(f"can't listen for callers: {error}") from None
         self.accepting = True
 
     async def _end_connection(
--- a/cranberryrun/ctl_fleet.py
+++ b/cranberryrun/ctl_fleet.py
@@ -48,8 +48,8 @@
     async def work(client: ControlClient) -> None:
         listed = await client.get("/v1/engines")
         rows = [_engine_row(item) for item in listed["items"]]
-        heads = ["ENGINE", "POOL", "ZONE", "READY", "SLOTS", "RUNNING", "QUEUED"]
-        control.show(listed["items"], table([*heads, "VERSIONS"], rows))
+        heads = ["ENGINE", "POOL", "ZONE", "READY", "SLOTS", "VERSIONS"]
+        control.show(listed["items"], table(heads, rows))
 
     control.run(work)
 
@@ -69,8 +69,6 @@
         spec["zone"],
         state,
         spec["slots"],
-        seen.get("running"),
-        seen.get("queued"),
         versions or "-",
     ]
 
--- a/cranberryrun/daemon.py
+++ b/cranberryrun/daemon.py
@@ -13,11 +13,13 @@
 
 from . import logs
 from .api import Api
-from .exceptions import SettingsError
+from .exceptions import CranberryrunError, SettingsError
 from .host import Host
 from .settings import Settings, load_settings
 
+_EXIT_FAILED = 1
 _EXIT_SETTINGS = 2
+_EXIT_BY_ERROR = {SettingsError: _EXIT_SETTINGS}
 _DEFAULTS = {
     "id": "host-1",
     "zone": "zone-a",
@@ -91,8 +93,12 @@
     """Run a host until it is told to stop."""
     logs.set_up(settings.log_level)
     service = HostService(settings=settings)
-    with aiomisc.entrypoint(service, log_config=False, catch_signals=()) as loop:
-        loop.run_until_complete(service.ended.wait())
+    try:
+        with aiomisc.entrypoint(service, log_config=False, catch_signals=()) as loop:
+            loop.run_until_complete(service.ended.wait())
+    except CranberryrunError as error:
+        click.echo(f"cranberryrund: {error.code}: {error.detail}", err=True)
+        sys.exit(_EXIT_BY_ERROR.get(type(error), _EXIT_FAILED))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,111 @@
+"""The log over HTTP when it answers slowly, wrongly or not at all."""
+
+import asyncio
+import unittest
+
+from aiohttp import web
+
+from cranberryrun.exceptions import (
+    AppendUnknownError,
+    LogReadError,
+    LogUnavailableError,
+)
+from cranberryrun.http import HttpClients
+from cranberryrun.kernel import Kernel
+from cranberryrun.log import HttpLog, Log
+from cranberryrun.settings import LogSettings
+
+_PAGE = '{"records": [{"offset": 3, "time": 1.5, "value": [1]}], "first": 3, "next": 4}'
+_WRONG_BODIES = ("", "<html>", "[]", "7", "{}", '{"offset": "x"}', '{"offset": -1}')
+
+
+class HttpLogTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.answer = (200, "{}")
+        self.headers = {}
+        self.delay = 0.0
+        self.broken = False
+        app = web.Application()
+        app.add_routes([web.route("*", "/{path:.*}", self._answer)])
+        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        port = self.runner.addresses[0][1]
+        self.kernel = Kernel()
+        self.kernel.register(HttpClients(0.5))
+        self.kernel.register(
+            HttpLog(LogSettings(url=f"http://127.0.0.1:{port}"), timeout=0.3)
+        )
+        await self.kernel.start()
+        self.log = self.kernel.get(Log)
+
+    async def asyncTearDown(self):
+        await self.kernel.stop()
+        await self.runner.cleanup()
+
+    async def _answer(self, request):
+        await asyncio.sleep(self.delay)
+        if self.broken:
+            request.transport.abort()
+        status, text = self.answer
+        return web.Response(status=status, text=text)
+
+    async def append(self):
+        return await self.log.append("config", [1])
+
+    async def read(self):
+        return await self.log.read("config", 0, 10, 0)
+
+    async def test_whole_answers(self):
+        self.answer = (200, '{"offset": 7, "count": 1, "more": 1}')
+        self.assertEqual(await self.append(), 7)
+        self.answer = (200, _PAGE)
+        batch = await self.read()
+        self.assertEqual((batch.first, batch.next), (3, 4))
+        self.assertEqual(batch.records[0].value, [1])
+
+    async def test_an_append_is_refused_only_where_that_is_certain(self):
+        for answer in ((503, '{"appended": false}'), (429, "")):
+            self.answer = answer
+            with self.assertRaises(LogUnavailableError):
+                await self.append()
+        for answer in (
+            (503, '{"appended": true}'),
+            *((status, body) for status in (200, 503) for body in _WRONG_BODIES),
+            (500, '{"appended": false}'),
+            (404, ""),
+        ):
+            self.answer = answer
+            with self.assertRaises(AppendUnknownError, msg=answer):
+                await self.append()
+
+    async def test_a_read_that_is_not_whole_is_an_error(self):
+        wrong = [(200, body) for body in _WRONG_BODIES]
+        wrong += [(status, _PAGE) for status in (500, 502, 503, 404)]
+        wrong += [(200, _PAGE.replace("3,", "null,", 1)), (200, _PAGE[:40])]
+        for answer in wrong:
+            self.answer = answer
+            with self.assertRaises(LogReadError, msg=answer):
+                await self.read()
+
+    async def test_a_slow_log(self):
+        self.delay = 1.0
+        with self.assertRaises(AppendUnknownError):
+            await self.append()
+        with self.assertRaises(LogReadError):
+            await self.read()
+
+    async def test_a_broken_connection(self):
+        self.broken = True
+        with self.assertRaises(AppendUnknownError):
+            await self.append()
+        with self.assertRaises(LogReadError):
+            await self.read()
+
+    async def test_nothing_listens(self):
+        await self.runner.cleanup()
+        with self.assertRaises(LogUnavailableError):
+            await self.append()
+        with self.assertRaises(LogReadError):
+            await self.read()
