Choose from the time line at each host, and gather from the hosts at once

Cause: the time line asked one host after another for all of its events, and took only the oldest 10,000 of its own.

--- a/cranberryrun/api.py
+++ b/cranberryrun/api.py
@@ -5,6 +5,7 @@
 import json
 import uuid
 from collections.abc import Mapping
+from dataclasses import fields
 from typing import Any
 
 from absl import logging
@@ -13,6 +14,7 @@
 from . import clock
 from .calls import Calls, problem_answer
 from .configuration import Configuration
+from .event_pages import EventPages
 from .events import Events
 from .exceptions import (
     CallerGoneError,
@@ -22,7 +24,6 @@
     MethodNotAllowedError,
     NotFoundError,
     NotReadyError,
-    PeerError,
     TooLargeError,
     WatchExpiredError,
 )
@@ -30,13 +31,12 @@
 from .membership import Membership
 from .metrics import CONTENT_TYPE, Metrics
 from .models import StepRequest, VersionAnnouncement, check_json
-from .peers import Peers
 from .resources import Resources
 from .security import Tokens, server_context
 from .services import Answer, Call, Sink, forwarded
 from .settings import Settings
 from .steps import Steps
-from .timeline import merge
+from .timeline import Selection
 from .traffic import Traffic
 from .usage import Usage
 from .usage_reports import forecast_report, usage_report
@@ -45,7 +45,6 @@
 _JSON = "application/json"
 _NDJSON = "application/x-ndjson"
 _MAX_STEP = 2**53
-_EVENT_PAGE = 5_000
 _MAX_ID_CHARACTERS = 200
 
 
@@ -230,23 +229,8 @@
     async def _timeline(self, request: web.Request) -> web.Response:
         """Merge the events of all hosts; causes stand before their effects."""
         self._allow(request, "operator")
-        rows = [each.as_dict() for each in self.kernel.get(Events).after(-1)]
-        silent: list[str] = []
-        for peer in self.kernel.get(Membership).peers():
-            after = -1
-            while True:
-                try:
-                    page = await self.kernel.get(Peers).call(
-                        peer, "events", after, _EVENT_PAGE
-                    )
-                except PeerError:
-                    silent.append(peer.id)
-                    break
-                rows += json.loads(page.events)
-                if page.last == after:
-                    break
-                after = page.last
-        return _json({"events": merge(rows), "silent": silent})
+        rows, silent = await self.kernel.get(EventPages).gather(_selection(request))
+        return _json({"events": rows, "silent": silent})
 
     async def _usage(self, request: web.Request) -> web.Response:
         self._allow(request, "operator")
@@ -513,6 +497,21 @@
     raise ValueError(f"{text} is no JSON")
 
 
+def _selection(request: web.Request) -> Selection:
+    known = {each.name for each in fields(Selection)}
+    for name in request.query:
+        if name not in known:
+            raise InvalidInputError(f"{name} is not known", field=name)
+    query = dict(request.query)
+    since = query.pop("since", None)
+    try:
+        return Selection(**query, since=None if since is None else float(since))
+    except ValueError:
+        raise InvalidInputError(
+            "since must be seconds since 1970", field="since"
+        ) from None
+
+
 def _integer(text: str, field: str) -> int:
     try:
         value = int(text)
--- a/cranberryrun/configuration.py
+++ b/cranberryrun/configuration.py
@@ -131,6 +131,10 @@
                 raise
         except CranberryrunError:
             self._note_unknown(change.change_id)
+        except asyncio.CancelledError:
+            # The caller has gone, and the record may be in the log.
+            self._note_unknown(change.change_id)
+            raise
 
     def _note_unknown(self, change_id: str) -> None:
         self._unknown_ids[change_id] = None
--- a/cranberryrun/ctl_fleet.py
+++ b/cranberryrun/ctl_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
@@ -79,7 +80,7 @@
     """Show the steps in the hosts' time lines."""
 
     async def work(client: ControlClient) -> None:
-        found = ctl_timeline.steps_of(await _merged(client, control))
+        found = ctl_timeline.steps_of(await _merged(client))
         heads = ["STEP", "STATE", "SECONDS", "GROUPS", "SAMPLES", "BEGUN", "RESUMED"]
         rows = [
             [
@@ -99,8 +100,16 @@
     control.run(work)
 
 
-async def _merged(client: ControlClient, control: Control) -> list[Row]:
-    body = await client.get("/v1/timeline")
+async def _merged(
+    client: ControlClient, selection: Selection = Selection()
+) -> list[Row]:
+    """Return the chosen events of all hosts; say which hosts did not answer."""
+    chosen = {
+        name: str(value)
+        for name, value in asdict(selection).items()
+        if value is not None
+    }
+    body = await client.get("/v1/timeline", **chosen)
     for host in body["silent"]:
         click.echo(f"{host} did not give its events", err=True)
     return merge(body["events"])
@@ -130,8 +139,7 @@
     async def work(client: ControlClient) -> None:
         start = ctl_timeline.parse_since(since) if since else None
         selection = Selection(step, request, change, host, start)
-        rows = await _merged(client, control)
-        rows = [row for row in rows if selection.takes(row)]
+        rows = await _merged(client, selection)
         if page is None:
             control.show(rows, ctl_timeline.text(rows))
             return
@@ -149,7 +157,7 @@
     """Tell what happened to a step, a request or a change."""
 
     async def work(client: ControlClient) -> str:
-        rows = await _merged(client, control)
+        rows = await _merged(client)
         text = story(kind, name, rows)
         own = [row for row in rows if str(row.get(kind)) == name]
         if text:
--- a/cranberryrun/daemon.py
+++ b/cranberryrun/daemon.py
@@ -15,6 +15,7 @@
 from .api import Api
 from .exceptions import CranberryrunError, SettingsError
 from .host import Host
+from .security import peer_server_context, server_context
 from .settings import Settings, load_settings
 
 _EXIT_FAILED = 1
@@ -80,6 +81,8 @@
         raise click.UsageError("give a settings file, or see --help")
     try:
         settings = load_settings(settings_file)
+        server_context(settings.tls)
+        peer_server_context(settings.tls)
     except SettingsError as error:
         click.echo(f"cranberryrund: {error.detail}", err=True)
         sys.exit(_EXIT_SETTINGS)
--- a/cranberryrun/events.py
+++ b/cranberryrun/events.py
@@ -81,6 +81,11 @@
             return
         logging.log(level, "%s", json.dumps(event.as_dict(), default=str))
 
+    @property
+    def kept(self) -> int:
+        """How many events are kept now."""
+        return len(self._ring)
+
     def after(self, n: int, limit: int = 10_000) -> Iterator[Event]:
         """Yield at most ``limit`` kept events whose number is above ``n``."""
         left = limit
--- a/cranberryrun/host.py
+++ b/cranberryrun/host.py
@@ -10,6 +10,7 @@
 from .calls import Calls
 from .configuration import Configuration
 from .engines import Engines
+from .event_pages import EventPages
 from .events import Events
 from .http import HttpClients
 from .kernel import Kernel, Service
@@ -17,7 +18,7 @@
 from .membership import Membership
 from .metrics import Metrics
 from .pauses import Pauses
-from .peers import EventPages, Peers
+from .peers import Peers
 from .resources import Resources
 from .routing import BoundedAffinity, LeastLoaded
 from .security import target_context
--- a/cranberryrun/peers.py
+++ b/cranberryrun/peers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 import struct
 from collections import defaultdict
@@ -17,7 +16,6 @@
 from thriftpy2.transport import TTransportException
 
 from . import clock
-from .events import Events
 from .exceptions import PeerError, PeerRefusedError
 from .kernel import Service
 from .membership import HostEntry, Membership
@@ -110,9 +108,9 @@
     async def call(self, call: Any) -> Any:
         return await self._peers.handler_by_call["call"](call)
 
-    async def events(self, after: int, limit: int) -> Any:
+    async def events(self, after: int, limit: int, selection: str) -> Any:
         return await self._peers.handler_by_call["events"](
-            -1 if after is None else after, _bounded(limit)
+            -1 if after is None else after, _bounded(limit), selection or "{}"
         )
 
 
@@ -326,21 +324,3 @@
             count = min(self._settings.limits.peers_per_exchange, len(peers))
             for entry in self._rng.sample(peers, count):
                 await self.exchange_with(entry)
-
-
-class EventPages(Service):
-    """Gives a page of this host's time line to a peer."""
-
-    name = "event_pages"
-    requires = ("events", "peers")
-
-    async def start(self) -> None:
-        """Put the handler in."""
-        self.kernel.get(Peers).handler_by_call["events"] = self._events
-
-    async def _events(self, after: int, limit: int) -> Any:
-        rows = [
-            event.as_dict() for event in self.kernel.get(Events).after(after, limit)
-        ]
-        last = rows[-1]["n"] if rows else after
-        return wire.EventPage(events=json.dumps(rows, default=str), last=last)
--- a/cranberryrun/peers.thrift
+++ b/cranberryrun/peers.thrift
@@ -70,5 +70,5 @@
   Records records(1: i64 start, 2: i32 limit),
   Snapshot snapshot(),
   KeyedReply call(1: KeyedCall call),
-  EventPage events(1: i64 after, 2: i32 limit),
+  EventPage events(1: i64 after, 2: i32 limit, 3: string selection),
 }
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -38,6 +38,19 @@
         self.assertEqual(body["silent"], [])
         self.assertEqual({row["host"] for row in body["events"]}, {"host-1", "host-2"})
 
+    def test_a_selection_is_made_at_each_host(self):
+        change = self.put("wl-d")["metadata"]["change_id"]
+        self.fleet.run(asyncio.sleep(0.3))
+        body, _ = self.send("GET", f"/v1/timeline?change={change}", 200)
+        self.assertEqual({row["change"] for row in body["events"]}, {change})
+        self.assertEqual({row["host"] for row in body["events"]}, {"host-1", "host-2"})
+        body, _ = self.send("GET", "/v1/timeline?host=host-2&since=1", 200)
+        self.assertEqual({row["host"] for row in body["events"]}, {"host-2"})
+        body, _ = self.send("GET", "/v1/timeline?since=99999999999", 200)
+        self.assertEqual(body["events"], [])
+        body, _ = self.send("GET", "/v1/timeline?color=red", 422)
+        self.assertEqual(body["field"], "color")
+
     def test_events_after_a_number(self):
         self.put("wl-c")
         body, _ = self.send("GET", "/v1/events?after=0", 200)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -54,9 +54,12 @@
         ):
             with self.assertRaises(PeerError):
                 self.call(method, *arguments)
+        for selection in ("x", "[]", '{"color": 1}'):
+            with self.assertRaises(PeerError):
+                self.call("events", -1, 5, selection)
         self.assertEqual(self.call("records", None, None).records, [])
         self.assertEqual(self.call("records", -5, -5).records, [])
-        self.assertEqual(self.call("events", None, None).last, -1)
+        self.assertEqual(self.call("events", None, None, None).last, -1)
         self.assertTrue(self.call("snapshot").ready)
 
     def test_facts_without_a_valid_form_are_passed_over(self):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -20,6 +20,7 @@
     "log": {"url": "http://127.0.0.1:1"},
     "host_list_url": "http://127.0.0.1:2",
 }
+_NO_FILES = {"certificate": "no-such.pem", "key": "no-such.pem"}
 
 
 class SettingsTest(unittest.TestCase):
@@ -79,6 +80,7 @@
             ("{", "line 1"),
             ("", "line 1"),
             ("[]", "settings"),
+            (json.dumps(_LEAST | {"tls": _NO_FILES}), "tls.certificate"),
         ):
             result = self.check(text)
             self.assertEqual(result.exit_code, 2, text)
