--- a/cranberryrun/host.py
+++ b/cranberryrun/host.py
@@ -12,6 +12,7 @@
 from .configuration import Configuration
 from .dispatch import StepPolicies
 from .engines import Engines
+from .event_pages import EventPages
 from .events import Events
 from .http import HttpClients
 from .kernel import Kernel, Service
@@ -19,7 +20,7 @@
 from .membership import Membership
 from .metrics import Metrics
 from .pauses import Pauses
-from .peers import EventPages, Peers
+from .peers import Peers
 from .resources import Resources
 from .routing import BoundedAffinity, LeastLoaded
 from .security import target_context
