Move steps off a host that hears nothing, and never use unloaded engines

An engine that loads its first weights reports version 0, which the bound may allow: samples of no weights at all were made and dropped.

--- a/cranberryrun/assignment.py
+++ b/cranberryrun/assignment.py
@@ -91,7 +91,8 @@
             self._no_newest_since = None
         elif not self._waited_long():
             return {}
-        oldest = self.newest - spec.freshness_bound
+        # An engine that never loaded any weights reports version 0, too.
+        oldest = max(self.newest - spec.freshness_bound, min(self.newest, 1))
         return {
             engine.name: self._candidate(engine)
             for engine in self._running_at_least(room, oldest)
--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -255,7 +255,8 @@
     def _order(self, attempt: Attempt) -> StreamOrder:
         slot = attempt.slot
         spec = self._workload.spec
-        oldest = attempt.newest_at_dispatch - spec.freshness_bound
+        newest = attempt.newest_at_dispatch
+        oldest = max(newest - spec.freshness_bound, min(newest, 1))
         return StreamOrder(
             stream=attempt.stream,
             workload=self._workload.name,
--- a/cranberryrun/runs.py
+++ b/cranberryrun/runs.py
@@ -128,7 +128,7 @@
         while self._slots:
             if dispatch.done():
                 dispatch.result()
-            if self._moving:
+            if self._moving or self._is_blind():
                 await self._send_moved()
                 return
             error = self._failure()
@@ -141,6 +141,12 @@
         await self._send(DoneEvent())
         self._events.emit("step_done", step=self._name)
 
+    def _is_blind(self) -> bool:
+        """Say whether whole groups are held for a view that does not come."""
+        if not self._held_groups:
+            return False
+        return self._versions.view_age() > self._steps.blind_limit
+
     async def _wait(self) -> None:
         if not self._slots:
             return
@@ -218,6 +224,7 @@
     async def _hand_over(self, group: str) -> None:
         """Hand a whole group over; its age is judged right before the writing."""
         if self._versions.view_age() > self._steps.view_limit:
+            # Another host may hear what this one does not; see _is_blind.
             if group not in self._held_groups:
                 self._held_groups.add(group)
                 self._events.emit("hand_over_held", step=self._name, group=group)
--- a/cranberryrun/steps.py
+++ b/cranberryrun/steps.py
@@ -22,10 +22,13 @@
 from .samples import Attempt
 from .settings import Settings
 from .state import Resource
+from .versions import Versions
 from .views import FactKind
 
 __all__ = ["StepPolicies", "StepRun", "Steps"]
 
+_BLIND_FACTOR = 3
+
 
 class Steps(Service):
     """Holds the steps that run at this host and what they share."""
@@ -46,6 +49,7 @@
         self.zone = settings.zone
         self.checkpoint_seconds = settings.timing.checkpoint
         self.view_limit = settings.timing.view_limit
+        self.blind_limit = settings.timing.view_limit * _BLIND_FACTOR
         self._linger = settings.timing.stream_linger
         self._rng = rng
         self._runs: set[StepRun] = set()
@@ -112,6 +116,8 @@
         resource = configuration.state.get("workloads", workload)
         if resource is None:
             raise NotFoundError(f"there is no workloads/{workload}")
+        if self.kernel.get(Versions).view_age() > self.blind_limit:
+            raise NotReadyError("the host hears of no versions", retry_after=1)
         return resource
 
     async def run(
--- a/tests/rollouts.py
+++ b/tests/rollouts.py
@@ -230,7 +230,7 @@
 class GivenConfiguration(Configuration):
     """A configuration that a test writes."""
 
-    heard = True
+    age = 0.0
 
     async def start(self) -> None:
         """Follow nothing."""
@@ -238,7 +238,7 @@
 
     def heard_age(self) -> float:
         """See :meth:`Configuration.heard_age`."""
-        return 0.0 if self.heard else float("inf")
+        return self.age
 
 
 class GivenHostList(HostList):
--- a/tests/test_steps.py
+++ b/tests/test_steps.py
@@ -268,20 +268,32 @@
 
     async def test_a_view_that_is_too_old_holds_samples_until_it_is_renewed(self):
         rollouts = await self.begin()
-        rollouts.configuration.heard = False
         trainer = Trainer()
         task = self.start(rollouts, trainer)
+        rollouts.configuration.age = 10
         await asyncio.sleep(20)
         self.assertEqual(trainer.samples, [])
         self.assertEqual(len(rollouts.events("hand_over_held")), 2)
         rollouts.versions.learn(WORKLOAD, 3)
         rollouts.run_version(3)
-        rollouts.configuration.heard = True
+        rollouts.configuration.age = 0
         await task
         self.assert_whole(trainer, 2, 2)
         for sample in trainer.samples:
             self.assertGreaterEqual(min(s.version for s in sample.versions), 2)
 
+    async def test_a_host_that_hears_nothing_moves_its_steps_and_takes_none(self):
+        rollouts = await self.begin()
+        trainer = Trainer()
+        task = self.start(rollouts, trainer)
+        await asyncio.sleep(1)
+        rollouts.configuration.age = 60
+        await asyncio.wait_for(task, 30)
+        self.assertEqual(trainer.events[-1].event, "moved")
+        self.assertEqual(trainer.samples, [])
+        with self.assertRaises(NotReadyError):
+            rollouts.steps.check(WORKLOAD)
+
     async def test_a_changed_bound_is_in_force_for_a_step_under_way(self):
         rollouts = await self.begin()
         trainer = Trainer()
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -56,16 +56,16 @@
     async def test_a_view_is_as_old_as_the_log_or_a_peer_of_another_zone(self):
         rollouts = await self.begin()
         self.assertEqual(rollouts.versions.view_age(), 0.0)
-        rollouts.configuration.heard = False
+        rollouts.configuration.age = float("inf")
         self.assertEqual(rollouts.versions.view_age(), float("inf"))
-        rollouts.membership.heard_from("host-2")
+        rollouts.membership.agreed_with("host-2")
         self.assertEqual(rollouts.versions.view_age(), float("inf"))
-        rollouts.membership.heard_from("host-3")
+        rollouts.membership.agreed_with("host-3")
         self.assertEqual(rollouts.versions.view_age(), 0.0)
 
     async def test_in_a_single_zone_any_peer_counts(self):
         rollouts = await self.begin()
-        rollouts.configuration.heard = False
+        rollouts.configuration.age = float("inf")
         rollouts.membership.take_list([entry("host-1"), entry("host-2")])
-        rollouts.membership.heard_from("host-2")
+        rollouts.membership.agreed_with("host-2")
         self.assertEqual(rollouts.versions.view_age(), 0.0)
