--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -8,7 +8,7 @@
 
 from . import clock
 from .assignment import Assignment
-from .budgets import BudgetPolicy, LentRate
+from .budgets import BudgetPolicy, DeclaredRate
 from .engines import Engine, Engines, StreamOrder
 from .events import Events
 from .exceptions import (
@@ -20,6 +20,7 @@
 )
 from .freshness import AtHandOver, FreshnessPolicy, SampleAge
 from .models import Placement, Sample
+from .pauses import Pauses
 from .pending import PendingSlots
 from .routing import Candidate
 from .samples import Attempt, collect
@@ -46,7 +47,7 @@
 
     stragglers: StragglerPolicy = field(default_factory=SecondAttempts)
     freshness: FreshnessPolicy = field(default_factory=AtHandOver)
-    budget: BudgetPolicy = field(default_factory=LentRate)
+    budget: BudgetPolicy = field(default_factory=DeclaredRate)
 
 
 class Dispatcher:
@@ -114,9 +115,14 @@
         """Give slots out until cancelled."""
         while True:
             self._judge()
-            await self._fill()
+            pauses = self._kernel.get(Pauses)
+            await pauses.renew_if_old()
+            isolated = pauses.isolated()
+            if not isolated:
+                await self._fill()
             self._give_back()
-            self._help_stragglers()
+            if not isolated:
+                self._help_stragglers()
             self._wake.clear()
             try:
                 async with asyncio.timeout(_TICK_SECONDS):
--- a/cranberryrun/steps.py
+++ b/cranberryrun/steps.py
@@ -27,14 +27,14 @@
 
 __all__ = ["StepPolicies", "StepRun", "Steps"]
 
-_BLIND_FACTOR = 3
+_OUT_OF_TOUCH_FACTOR = 2
 
 
 class Steps(Service):
     """Holds the steps that run at this host and what they share."""
 
     name = "steps"
-    requires = ("engines", "versions", "configuration")
+    requires = ("engines", "versions", "configuration", "pauses")
 
     def __init__(
         self,
@@ -49,7 +49,6 @@
         self.zone = settings.zone
         self.checkpoint_seconds = settings.timing.checkpoint
         self.view_limit = settings.timing.view_limit
-        self.blind_limit = settings.timing.view_limit * _BLIND_FACTOR
         self._linger = settings.timing.stream_linger
         self._rng = rng
         self._runs: set[StepRun] = set()
@@ -100,6 +99,13 @@
             each.spec.pool for each in state.list("services") if each.spec.pool
         }
 
+    def out_of_touch(self) -> bool:
+        """Say whether this host could hand nothing over, but another one might."""
+        limit = self.view_limit * _OUT_OF_TOUCH_FACTOR
+        if self.kernel.get(Versions).view_age() <= limit:
+            return False
+        return bool(self.kernel.get(Membership).peers())
+
     def move_all(self) -> None:
         """Move every step to other hosts and take no new ones."""
         self._draining = True
@@ -116,7 +122,7 @@
         resource = configuration.state.get("workloads", workload)
         if resource is None:
             raise NotFoundError(f"there is no workloads/{workload}")
-        if self.kernel.get(Versions).view_age() > self.blind_limit:
+        if self.out_of_touch():
             raise NotReadyError("the host hears of no versions", retry_after=1)
         return resource
 
--- a/tests/test_steps.py
+++ b/tests/test_steps.py
@@ -9,7 +9,7 @@
 from cranberryrun.stragglers import NoSecondAttempts
 from cranberryrun.views import Fact, FactKind
 
-from .rollouts import WORKLOAD, Rollouts, ScriptedEngine, Trainer, request
+from .rollouts import WORKLOAD, Rollouts, ScriptedEngine, Trainer, entry, request
 from .virtual import VirtualTimeTestCase
 
 POOL_SPEC = {"pool": "rollout", "freshness_bound": 1, "rate": 100}
@@ -287,6 +287,8 @@
         trainer = Trainer()
         task = self.start(rollouts, trainer)
         await asyncio.sleep(1)
+        rollouts.hosts.entries.append(entry("host-2", "zone-b"))
+        await asyncio.sleep(1)
         rollouts.configuration.age = 60
         await asyncio.wait_for(task, 30)
         self.assertEqual(trainer.events[-1].event, "moved")
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -60,6 +60,8 @@
         self.assertEqual(rollouts.versions.view_age(), float("inf"))
         rollouts.membership.agreed_with("host-2")
         self.assertEqual(rollouts.versions.view_age(), float("inf"))
+        rollouts.membership.heard_from("host-3")
+        self.assertEqual(rollouts.versions.view_age(), float("inf"))
         rollouts.membership.agreed_with("host-3")
         self.assertEqual(rollouts.versions.view_age(), 0.0)
 
