--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -76,8 +76,8 @@
         ]
 
     async def _start(self) -> None:
-        log_url = await self._serve(LogProgram(self.log))
-        list_url = await self._serve(HostsProgram(self.list))
+        log_url = await self.serve(LogProgram(self.log))
+        list_url = await self.serve(HostsProgram(self.list))
         for n in range(self._count):
             await self._start_host(f"host-{n + 1}", log_url, list_url)
         async with asyncio.timeout(_CALL_SECONDS):
@@ -89,7 +89,8 @@
         ready = host.kernel.get(Configuration).ready.is_set()
         return ready and len(live) == self._count
 
-    async def _serve(self, program: Program) -> str:
+    async def serve(self, program: Program) -> str:
+        """Serve a stand-in on the fleet's loop and return its base URL."""
         runner = web.AppRunner(program.application(), shutdown_timeout=0.1)
         await runner.setup()
         await web.TCPSite(runner, _IP, 0).start()
--- a/tests/test_resources.py
+++ b/tests/test_resources.py
@@ -9,6 +9,7 @@
 
 from cranberryrun.configuration import Configuration
 from standins.hosts import HostEntry
+from standins.service import ServiceProgram, ServiceStandin
 
 from .fleet import Fleet
 
@@ -324,3 +325,21 @@
             b'"tokens_per_second": 1e999}}',
         )
         self.assertEqual(body["field"], "spec.tokens_per_second")
+
+
+class DeleteInUseTest(ApiTestCase):
+    async def _scenario(self):
+        service = ServiceStandin("portal-1", work=0.5)
+        url = await self.fleet.serve(ServiceProgram(service))
+        spec = {"targets": [{"id": "portal-1", "url": url, "zone": "zone-a"}]}
+        path = "/v1/services/portal"
+        await self._send("PUT", path, 0, {"json": {"spec": spec}})
+        call = asyncio.create_task(self._send("GET", "/call/portal/status", 0, {}))
+        await asyncio.sleep(0.2)
+        _, _, deleted = await self._send("DELETE", path, 0, {})
+        _, _, running = await call
+        _, _, new = await self._send("GET", "/call/portal/status", 0, {})
+        return deleted, running, new
+
+    def test_requests_in_flight_are_answered_and_new_ones_are_not(self):
+        self.assertEqual(self.fleet.run(self._scenario()), (200, 200, 404))
