Go on with a watch at the next host

Cause: a watch ended with its host, and a broken one began again from its first offset, which told changes twice.

--- a/cranberryrun/ctl_client.py
+++ b/cranberryrun/ctl_client.py
@@ -150,27 +150,50 @@
                 return HostsUnreachableError(f"{host} did not answer: {error!r}")
             return ChangeUnknownError(f"{host} did not answer: {error!r}")
 
-    async def lines(self, path: str, **params: str) -> AsyncIterator[Any]:
-        """Yield the JSON lines of a stream; errors as in :meth:`send`."""
-        last: ControlError = UsageError("no host is known; give --host")
-        for host in self._hosts:
-            request = Request("GET", path, params=params)
-            try:
-                async with self._session.get(
-                    host + path,
-                    params=params,
-                    headers=request.all_headers(self._token),
-                ) as response:
-                    if response.status != 200:
-                        problem = _body_of(await response.read())
-                        problem = problem if isinstance(problem, dict) else {}
-                        raise ProblemAnswerError(response.status, problem)
-                    async for line in response.content:
-                        yield json.loads(line)
-                    return
-            except aiohttp.ClientError as error:
-                last = HostsUnreachableError(f"{host}: {error!r}")
-        raise last
+    async def watch(self, path: str, offset: int | None) -> AsyncIterator[Any]:
+        """Yield the events of a watch; go on at the next host where one ends it.
+
+        :raises ProblemAnswerError: a host answered with a problem.
+        :raises HostsUnreachableError: no host could be reached.
+        """
+        while True:
+            heard = False
+            last: ControlError = HostsUnreachableError("no host could be reached")
+            for host in self._hosts:
+                try:
+                    async for event in self._lines(host, path, offset):
+                        heard = True
+                        if event["event"] != "current":
+                            offset = event.get("offset", offset)
+                        yield event
+                except aiohttp.ClientError as error:
+                    last = HostsUnreachableError(f"{host}: {error!r}")
+                except ProblemAnswerError as error:
+                    if not _may_retry(error):
+                        raise
+                    last = error
+            if not heard:
+                raise last
+            await asyncio.sleep(_RETRY_SECONDS)
+
+    async def _lines(
+        self, host: str, path: str, offset: int | None
+    ) -> AsyncIterator[Any]:
+        request = Request("GET", path)
+        async with self._session.get(
+            host + path,
+            params={"watch": "" if offset is None else str(offset)},
+            headers=request.all_headers(self._token),
+        ) as response:
+            if response.status != 200:
+                problem = _body_of(await response.read())
+                raise ProblemAnswerError(
+                    response.status, problem if isinstance(problem, dict) else {}
+                )
+            async for line in response.content:
+                event = _body_of(line)
+                if isinstance(event, dict) and "event" in event:
+                    yield event
 
 
 @dataclass(frozen=True, slots=True)
--- a/cranberryrun/ctl_resources.py
+++ b/cranberryrun/ctl_resources.py
@@ -121,14 +121,13 @@
     """Show each change of KIND, and of its status, as it happens."""
 
     async def work(client: ControlClient) -> None:
-        start = "" if offset is None else str(offset)
         seen = 0
-        async for event in client.lines(f"/v1/{plural(kind)}", watch=start):
+        async for event in client.watch(f"/v1/{plural(kind)}", offset):
             if event["event"] == "bookmark":
                 continue
             control.show(event, _watch_line(event))
             seen += 1
-            if seen == count:
+            if seen == count or event["event"] == "expired":
                 return
 
     control.run(work)
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -1,5 +1,6 @@
 """The operators' command line against hosts in this process."""
 
+import asyncio
 import json
 import unittest
 
@@ -7,6 +8,8 @@
 
 from cranberryrun.api import Api
 from cranberryrun.ctl import main
+from cranberryrun.ctl_apply import path_of
+from cranberryrun.ctl_client import ControlClient, Request
 
 from .fleet import Fleet
 
@@ -189,6 +192,29 @@
             self.assertIn("_CRANBERRYCTL_COMPLETE", script)
 
 
+class WatchTest(ControlTestCase):
+    async def _told(self):
+        client = ControlClient(self.fleet.urls, timeout=5)
+        told = []
+        async with client, asyncio.timeout(15):
+            async for event in client.watch("/v1/workloads", None):
+                told.append(event["event"])
+                if len(told) == 1:
+                    api = self.fleet.host_by_id["host-1"].kernel.get(Api)
+                    api.say_unready()
+                    request = Request(
+                        "PUT", path_of("workloads", "wl"), {"spec": _WORKLOAD["spec"]}
+                    )
+                    await client.send(request)
+                if event["event"] == "changed":
+                    return told
+
+    def test_a_watch_goes_on_at_the_next_host_and_tells_a_change_once(self):
+        told = self.fleet.run(self._told())
+        self.assertEqual(told.count("changed"), 1)
+        self.assertNotIn("current", told)
+
+
 class DrainTest(ControlTestCase):
     def test_drain_reaches_the_host_that_is_named(self):
         asked = []
