--- a/cranberryrun/calls.py
+++ b/cranberryrun/calls.py
@@ -13,7 +13,6 @@
 from returns.result import Failure, Result, Success
 
 from . import clock
-from .configuration import Configuration
 from .events import Events
 from .exceptions import (
     AnswerNotKeptError,
@@ -27,6 +26,7 @@
     OutcomeUnknownError,
     OverloadedError,
     PeerError,
+    PeerRefusedError,
     RefusedError,
 )
 from .kernel import Service
@@ -55,7 +55,7 @@
 _OWNER_CHECK_SECONDS = 0.25
 _CHECK_SECONDS = 0.5
 _MIN_SECONDS = 0.001
-_WINDOW_SHARE_OF_RETENTION = 1 / 3
+_WINDOW_SHARE_OF_RETENTION = 0.75
 
 
 class Calls(Service):
@@ -90,10 +90,6 @@
         """How many ends of calls still have to be appended to the log."""
         return self._recording
 
-    def ready(self) -> bool:
-        """Say whether keyed calls can be recorded now, as far as is known."""
-        return self.kernel.get(Configuration).log_up
-
     async def send(self, call: Call) -> Answer:
         """Run a keyed call at most once and return its answer.
 
@@ -106,7 +102,6 @@
 
     async def _detached(self, work: Any) -> Answer:
         """Return the answer of ``work``, which goes on if this is cancelled."""
-        self._running += 1
         task = self.spawn(self._settle(work))
         result = await asyncio.shield(task)
         if isinstance(result, Failure):
@@ -114,6 +109,7 @@
         return result.unwrap()
 
     async def _settle(self, work: Any) -> Result[Answer, CranberryrunError]:
+        self._running += 1
         try:
             return Success(await work)
         except CranberryrunError as error:
@@ -130,9 +126,24 @@
             return await self._run(number, call)
         try:
             return await self._forward(entry, call)
+        except PeerRefusedError:
+            return await self._run(number, call)
         except PeerError:
-            # The log decides whether the owner got as far as its intent.
+            return await self._run_after_silence(number, call)
+
+    async def _run_after_silence(self, number: int, call: Call) -> Answer:
+        """Run a call that its owner may have got; the log decides who does.
+
+        No refusal is true of it, for a paused owner may run it later.
+        """
+        try:
             return await self._run(number, call)
+        except (RefusedError, CallUnrecordedError) as error:
+            raise OutcomeUnknownError(
+                "another host may have run the call, or may still run it: "
+                f"{error.detail}",
+                retry_after=error.retry_after or 1,
+            ) from None
 
     def _partition_number(self, call: Call) -> int:
         count = self._settings.limits.key_partitions
--- a/cranberryrun/host.py
+++ b/cranberryrun/host.py
@@ -7,8 +7,10 @@
 
 from . import clock
 from .api import Api
+from .budgets import LentRate
 from .calls import Calls
 from .configuration import Configuration
+from .dispatch import StepPolicies
 from .engines import Engines
 from .event_pages import EventPages
 from .events import Events
@@ -62,7 +64,8 @@
     def _services(self, rng: random.Random) -> list[Service]:
         settings = self.settings
         timing = settings.timing
-        policy = BoundedAffinity(LeastLoaded(rng))
+        rollout_policy = BoundedAffinity(LeastLoaded(rng), bound=1.0)
+        request_policy = BoundedAffinity(LeastLoaded(rng))
         return [
             Events(settings.id, self.incarnation, settings.limits.event_ring),
             Metrics(settings.id),
@@ -77,8 +80,8 @@
             Versions(settings),
             Weights(settings),
             Usage(settings),
-            Steps(settings, policy, rng),
-            Traffic(settings, policy, rng),
+            Steps(settings, rollout_policy, rng, StepPolicies(budget=LentRate())),
+            Traffic(settings, request_policy, rng),
             Calls(settings, self.incarnation),
             Resources(),
             Api(settings),
