Measure the ring of events, and treat bounded quantities as flat

Cause: the line through 2, 4 and 8 hosts at rest gave 7.7% of a core at 410, though a host exchanges with two peers whatever their number. Ruled out: more processes; 410 don't fit this machine. Conclusion: the highest point stands for such a quantity.

--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -7,7 +7,7 @@
 
 import click
 
-from . import configuration, gossip, processes
+from . import configuration, events, gossip, processes
 from .report import table
 
 OUTPUT = Path(".bench/capacity.json")
@@ -17,7 +17,7 @@
 @click.option("--skip-processes", is_flag=True, help="Leave real processes out.")
 def main(skip_processes: bool) -> None:
     """Measure all slopes, write them to .bench/capacity.json and print a table."""
-    slopes = gossip.measure() + configuration.measure()
+    slopes = gossip.measure() + configuration.measure() + events.measure()
     if not skip_processes:
         slopes += processes.measure()
     OUTPUT.parent.mkdir(exist_ok=True)
--- a/bench/capacity/slopes.py
+++ b/bench/capacity/slopes.py
@@ -25,14 +25,19 @@
 
     :param unit: of the value, such as ``bytes/s``.
     :param per: what the size counts, such as ``hosts``.
+    :param is_flat: whether the design keeps the value from growing with the size;
+        the highest point then stands for all sizes.
     """
 
     name: str
     unit: str
     per: str
     points: list[Point]
+    is_flat: bool = False
 
     def _line(self) -> tuple[float, float]:
+        if self.is_flat:
+            return 0.0, max(point.value for point in self.points)
         sizes = [point.size for point in self.points]
         values = [point.value for point in self.points]
         if len(set(sizes)) < 2:
