--- a/cranberryrun/settings.py
+++ b/cranberryrun/settings.py
@@ -163,7 +163,9 @@
         default=12, ge=1, description="Peers asked at once where it is urgent."
     )
     weight_loads_at_once: int = Field(
-        default=1, ge=1, description="Engines of a workload that load weights at once."
+        default=1,
+        ge=1,
+        description="Loads of weights that run at once, of all workloads.",
     )
     engines_watched: int = Field(
         default=24,
@@ -171,7 +173,9 @@
         description="Engines of a pool that are polled as in use, at least.",
     )
     engine_polls_per_second: float = Field(
-        default=20.0, gt=0, description="All polls of engines out of use."
+        default=20.0,
+        gt=0,
+        description="Polls of engines a second from this host, at most.",
     )
     orders_at_once: int = Field(
         default=16, ge=1, description="Orders to engines at once."
