Read a long host list less often

Cause: each host read the whole list every second; with 410 hosts and 600 engines on it that is 123 KB/s a host, against 5 KB/s for all control. Ruled out: a few readers that pass the list on (needs addresses in views); conditional reads, which the platform does not promise. Conclusion: the interval grows with the list, to 2 minutes at most.

--- a/cranberryrun/membership.py
+++ b/cranberryrun/membership.py
@@ -19,6 +19,8 @@
 from .views import LEAVING, Fact, FactKind, Views
 
 _STEP_KEPT_MS = 2 * 3600 * 1000
+_LIST_ENTRY_BYTES = 170
+_MAX_LIST_INTERVAL_SECONDS = 120.0
 
 
 class HostEntry(BaseModel):
@@ -326,7 +328,17 @@
                     events.emit("host_list_lost", error=error.detail)
                 lost = True
             self._forget_old_steps()
-            await asyncio.sleep(self._settings.timing.list_poll)
+            await asyncio.sleep(self._list_interval())
+
+    def _list_interval(self) -> float:
+        """Return seconds until the next poll, so that a long list costs no more.
+
+        Other hosts poll at other times and pass on what is leaving.
+        """
+        timing = self._settings.timing
+        size = (len(self.entry_by_id) + len(self._target_by_id)) * _LIST_ENTRY_BYTES
+        within_rate = size / self._settings.limits.list_bytes_per_second
+        return min(max(timing.list_poll, within_rate), _MAX_LIST_INTERVAL_SECONDS)
 
     async def read_list(self) -> None:
         """Read the platform's list now; :raises HostListError:."""
--- a/cranberryrun/settings.py
+++ b/cranberryrun/settings.py
@@ -159,6 +159,11 @@
     peers_per_exchange: int = Field(
         default=2, ge=1, description="Peers in each exchange of views."
     )
+    list_bytes_per_second: float = Field(
+        default=2_000.0,
+        gt=0,
+        description="Read of the host list on average; a long list is read less often.",
+    )
     spread_at_once: int = Field(
         default=12, ge=1, description="Peers asked at once where it is urgent."
     )
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from cranberryrun.membership import HostEntry, Membership
+from cranberryrun.membership import HostEntry, HostList, Membership
 from cranberryrun.views import LEAVING, Fact, FactKind
 
 from .replicas import World, configuration_of, events_of, until
@@ -103,3 +103,41 @@
         await until(other.ready.is_set)
         await self.world.log.append("config", [{"record": "version"}] * 3)
         await until(lambda: one.offset_of("host-2") == 2, 10)
+
+
+class ListCostTest(HostTestCase):
+    ENTRIES = 410 + 600
+    CONTROL_BYTES_A_SECOND = 5_000
+
+    async def asyncSetUp(self):
+        self.world = World()
+
+    async def asyncTearDown(self):
+        await self.world.close()
+
+    async def test_a_long_list_is_read_within_what_control_may_cost(self):
+        kernel = await self.world.host(1)
+        membership = kernel.get(Membership)
+        long_list = CountingList(self.ENTRIES)
+        membership.use_list(long_list)
+        await asyncio.sleep(5)
+        before = long_list.bytes_read
+        await asyncio.sleep(600)
+        rate = (long_list.bytes_read - before) / 600
+        self.assertGreater(long_list.bytes_read, before)
+        self.assertLess(rate, self.CONTROL_BYTES_A_SECOND)
+
+
+class CountingList(HostList):
+    """A list of targets that counts the bytes of its answers."""
+
+    def __init__(self, entries: int) -> None:
+        self._entries = [
+            HostEntry(id=f"engine-{n:04}", kind="target", ip="10.0.0.1", zone="z1")
+            for n in range(entries)
+        ]
+        self.bytes_read = 0
+
+    async def read(self) -> list[HostEntry]:
+        self.bytes_read += sum(len(entry.model_dump_json()) for entry in self._entries)
+        return self._entries
