--- /dev/null
+++ b/cranberryrun/relay.py
@@ -0,0 +1,150 @@
+"""Calls of callers: read from a request, and answered whole or visibly cut."""
+
+from __future__ import annotations
+
+import json
+import uuid
+from collections.abc import Mapping
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from . import clock
+from .exceptions import CallerGoneError, CranberryrunError, InvalidInputError
+from .services import Answer, Call, Sink, forwarded
+
+_MAX_ID_CHARACTERS = 200
+_MAX_INTEGER = 2**53
+
+
+async def read_call(request: web.Request, caller: str, timeout: float) -> Call:
+    """Return the call that ``request`` to ``/call/{service}/{path}`` makes.
+
+    :param timeout: longest time for it, in seconds.
+    :raises InvalidInputError: naming the header at fault.
+    """
+    return Call(
+        service=request.match_info["service"],
+        method=request.method,
+        path=_rest_of_path(request),
+        request=_request_id(request),
+        caller=caller,
+        deadline=clock.now() + _seconds_left(request, timeout),
+        headers=forwarded(request.headers),
+        body=await request.read(),
+        key=_key(request),
+    )
+
+
+def _rest_of_path(request: web.Request) -> str:
+    """Return what follows the service's name, encoded as the caller sent it."""
+    return request.rel_url.raw_path_qs.split("/", 3)[3]
+
+
+def _request_id(request: web.Request) -> str:
+    """Return the caller's id of the request, or one made here."""
+    text = request.headers.get("X-Request-Id")
+    if text is not None and not 1 <= len(text) <= _MAX_ID_CHARACTERS:
+        raise InvalidInputError(
+            f"the id must have 1 to {_MAX_ID_CHARACTERS} characters",
+            field="X-Request-Id",
+        )
+    return text or uuid.uuid4().hex
+
+
+def _key(request: web.Request) -> str | None:
+    key = request.headers.get("Idempotency-Key")
+    if key is not None and not 1 <= len(key) <= _MAX_ID_CHARACTERS:
+        raise InvalidInputError(
+            f"the key must have 1 to {_MAX_ID_CHARACTERS} characters",
+            field="Idempotency-Key",
+        )
+    return key
+
+
+def _seconds_left(request: web.Request, limit: float) -> float:
+    text = request.headers.get("X-Deadline-Ms")
+    if text is None:
+        return limit
+    return min(limit, integer(text, "X-Deadline-Ms") / 1000)
+
+
+def integer(text: str, field: str) -> int:
+    """Return the number in ``text``; :raises InvalidInputError: naming ``field``."""
+    try:
+        value = int(text)
+    except ValueError:
+        raise InvalidInputError(
+            f"{field} must be a whole number", field=field
+        ) from None
+    if not -1 <= value <= _MAX_INTEGER:
+        raise InvalidInputError(f"{field} is out of range", field=field)
+    return value
+
+
+def problem_answer(error: CranberryrunError) -> Answer:
+    """Return ``error`` as an answer with a problem body."""
+    headers = CIMultiDict({"Content-Type": "application/problem+json"})
+    if error.retry_after is not None:
+        headers["Retry-After"] = str(max(1, round(error.retry_after)))
+    return Answer(error.status, headers, json.dumps(error.problem()).encode())
+
+
+def problem_response(error: CranberryrunError) -> web.Response:
+    """Return ``error`` as a response with a problem body."""
+    answer = problem_answer(error)
+    return web.Response(status=answer.status, headers=answer.headers, body=answer.body)
+
+
+def cut(request: web.Request) -> web.Response:
+    """Break the connection: the caller must see that the answer is not whole."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
+class ResponseSink(Sink):
+    """Sends an answer on to the caller while it comes, as fast as it is taken."""
+
+    def __init__(self, request: web.Request, request_id: str) -> None:
+        self._request = request
+        self._request_id = request_id
+        self._response: web.StreamResponse
+
+    async def begin(
+        self, status: int, headers: Mapping[str, str], length: int | None
+    ) -> None:
+        """See :meth:`Sink.begin`."""
+        self._response = web.StreamResponse(status=status, headers=headers)
+        self._response.headers["X-Request-Id"] = self._request_id
+        self._response.content_length = length
+        self.begun = True
+        try:
+            await self._response.prepare(self._request)
+        except ConnectionError:
+            raise CallerGoneError("the caller closed its connection") from None
+
+    async def write(self, data: bytes) -> None:
+        """See :meth:`Sink.write`."""
+        try:
+            await self._response.write(data)
+        except ConnectionError:
+            raise CallerGoneError("the caller closed its connection") from None
+
+    async def end(self) -> web.StreamResponse:
+        """End the answer, which is whole."""
+        await self._response.write_eof()
+        return self._response
+
+
+def whole_response(
+    answer: Answer, request: web.Request, request_id: str
+) -> web.Response:
+    """Return ``answer`` as the response to ``request``."""
+    response = web.Response(
+        status=answer.status, headers=answer.headers, body=answer.body or None
+    )
+    response.headers["X-Request-Id"] = request_id
+    if request.method == "HEAD" and answer.length is not None:
+        response.headers["Content-Length"] = str(answer.length)
+    return response
