Take an engine out only on the evidence of its own workload

Cause: a greater version number of another workload counted as a proof that the store gives the version; the new test saw engine_out before the fix. The engine's Ready condition now says LoadFailing (resources.py).

--- a/cranberryrun/resources.py
+++ b/cranberryrun/resources.py
@@ -193,6 +193,9 @@
             return [_condition("Ready", False, "Leaving", "gets no new work")]
         if not engine.health.usable():
             return [_condition("Ready", False, "Failing", "out for a while")]
+        if self.kernel.get(Engines).is_out(engine):
+            message = "its owner took it out: a version can't be loaded"
+            return [_condition("Ready", False, "LoadFailing", message)]
         versions = ", ".join(
             f"{workload}={row.version}"
             for workload, row in sorted(engine.state.by_workload.items())
--- a/cranberryrun/weights.py
+++ b/cranberryrun/weights.py
@@ -272,7 +272,9 @@
             version=progress.version,
             failures=progress.failures,
         )
-        if not progress.is_hopeless or not self._others_loaded(engine, progress):
+        if not progress.is_hopeless or not self._others_loaded(
+            engine, workload, progress.version
+        ):
             return
         if self.kernel.get(Engines).declare_out(engine, True):
             self._emit(
@@ -282,15 +284,13 @@
                 detail=f"version {progress.version} of {workload} can't be loaded",
             )
 
-    def _others_loaded(self, engine: Engine, progress: LoadProgress) -> bool:
+    def _others_loaded(self, engine: Engine, workload: str, version: int) -> bool:
         """Say whether another engine shows that the version can be loaded."""
-        others = self.kernel.get(Engines).in_pool(engine.spec.pool)
-        return any(
-            row.version >= progress.version
-            for other in others
-            if other is not engine and other.state is not None
-            for row in other.state.by_workload.values()
-        )
+        for other in self.kernel.get(Engines).in_pool(engine.spec.pool):
+            loaded = _loaded(other, workload)
+            if other is not engine and loaded is not None and loaded >= version:
+                return True
+        return False
 
     async def _send_version(
         self, engine: Engine, workload: str, progress: LoadProgress
--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -113,6 +113,15 @@
         await asyncio.sleep(60)
         self.assertEqual(rollouts.events("engine_out"), [])
 
+    async def test_another_workloads_version_shows_nothing(self):
+        rollouts = await self.begin()
+        await rollouts.put("workloads", SECOND, pool="rollout", freshness_bound=1)
+        rollouts.engine_by_name["engine-1"].run_version(9, SECOND)
+        for engine in rollouts.engine_by_name.values():
+            engine.fail_loads = 1000
+        await asyncio.sleep(60)
+        self.assertEqual(rollouts.events("engine_out"), [])
+
     async def test_an_engine_that_took_an_old_order_is_put_right(self):
         rollouts = await self.begin()
         await self.until_loaded(rollouts, 1)
