Ask engines for longer pieces of samples

Cause: one host runs a step, so at the target four hosts take 232,500 tokens a second each; with 8 tokens a piece that is 29,000 pieces a second. Ruled out: dividing a step among hosts now (results would cross hosts twice).

--- a/bench/capacity/processes.py
+++ b/bench/capacity/processes.py
@@ -23,7 +23,9 @@
 REQUEST_RATES = (20, 60, 120)
 REQUEST_SECONDS = 6
 STEP_SAMPLES = (64, 256, 1024)
-SAMPLE_TOKENS = 64
+SAMPLE_TOKENS = 1024
+PIECE_TOKENS = (8, 32, 128)
+PIECE_SAMPLES = 128
 MIB = 1024 * 1024
 
 
@@ -56,13 +58,13 @@
     return deployment.by_name[HOST].process.pid
 
 
-async def _platform(deployment: Deployment, hosts: int) -> None:
+async def _platform(deployment: Deployment, hosts: int, **limits: Any) -> None:
     await deployment.standin("log", "log")
     await deployment.standin("hosts", "hosts", "--lag", "1")
     names = [f"host-{n + 1}" for n in range(hosts)]
     for n, name in enumerate(names):
         settings = deployment.settings_for(
-            name, f"zone-{n % 3}", log_level="warning", timing={"balancer_lag": 0.2}
+            name, f"zone-{n % 3}", log_level="warning", limits=limits
         )
         await deployment.host(settings)
     await deployment.until_ready(*names)
@@ -132,10 +134,10 @@
     return {"version": 1, "deadline_seconds": 120, "groups": groups}
 
 
-async def _step(samples: int) -> tuple[float, float, float]:
-    """Return processor seconds, memory growth (MiB) and pieces of one step."""
+async def _step(samples: int, piece_tokens: int) -> tuple[float, float, float]:
+    """Return processor seconds, memory growth (MiB) and tokens of one step."""
     async with Deployment(FOLDER) as deployment:
-        await _platform(deployment, 1)
+        await _platform(deployment, 1, piece_tokens=piece_tokens)
         await _engines(deployment, 2)
         spec = {"pool": "rollout", "freshness_bound": 100, "rate": 100}
         await deployment.declare(HOST, "workloads", "train", spec)
@@ -154,7 +156,7 @@
                 highest = max(highest, probe.mebibytes())
                 for sample in event.get("samples", []):
                     tokens += sample["tokens"]
-        return probe.seconds(), highest - before, tokens / 8
+        return probe.seconds(), highest - before, tokens
 
 
 async def _measure() -> list[Slope]:
@@ -173,11 +175,14 @@
     )
     points = [Point(rate, await _requests(rate)) for rate in REQUEST_RATES]
     slopes.append(Slope("requests: processor", "% of a core", "requests/s", points))
-    steps = [(samples, await _step(samples)) for samples in STEP_SAMPLES]
+    steps = [(n, await _step(n, 128)) for n in STEP_SAMPLES]
     points = [Point(n, row[1]) for n, row in steps]
     slopes.append(Slope("a step: memory", "MiB", "samples in flight", points))
-    points = [Point(row[2], 100 * row[0]) for _, row in steps]
-    slopes.append(Slope("pieces: processor", "% of a core", "pieces/s", points))
+    for piece_tokens in PIECE_TOKENS:
+        seconds, _, tokens = await _step(PIECE_SAMPLES, piece_tokens)
+        points = [Point(0, 0.0), Point(tokens, 100 * seconds)]
+        name = f"a step, {piece_tokens} tokens a piece: processor"
+        slopes.append(Slope(name, "% of a core", "tokens/s", points))
     return slopes
 
 
--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -271,6 +271,7 @@
             seed=slot.seed,
             priority=spec.priority,
             min_version=oldest if oldest > 0 else None,
+            piece_tokens=self._steps.piece_tokens,
         )
 
     async def _attempt(self, attempt: Attempt) -> None:
--- a/cranberryrun/engine_client.py
+++ b/cranberryrun/engine_client.py
@@ -42,7 +42,9 @@
 class StreamOrder:
     """What an engine is asked to generate. A higher ``priority`` goes first.
 
-    An engine that can't reach ``min_version`` refuses.
+    An engine that can't reach ``min_version`` refuses. ``piece_tokens`` asks for
+    pieces of at least so many tokens, but where the version changes or the stream
+    ends; None leaves it to the engine.
     """
 
     stream: str
@@ -52,6 +54,7 @@
     seed: int
     priority: int
     min_version: int | None = None
+    piece_tokens: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,6 +170,8 @@
             "priority": order.priority,
             "min_version": order.min_version,
         }
+        if order.piece_tokens is not None:
+            body["piece_tokens"] = order.piece_tokens
         call = self._clients.once.post(
             f"{self._url}/v1/generate", json=body, timeout=self._stream_timeout
         )
--- a/cranberryrun/settings.py
+++ b/cranberryrun/settings.py
@@ -182,6 +182,11 @@
         gt=0,
         description="Polls of engines a second from this host, at most.",
     )
+    piece_tokens: int = Field(
+        default=32,
+        ge=1,
+        description="Tokens of one piece of a sample, as engines are asked for it.",
+    )
     orders_at_once: int = Field(
         default=16, ge=1, description="Orders to engines at once."
     )
--- a/cranberryrun/steps.py
+++ b/cranberryrun/steps.py
@@ -49,6 +49,7 @@
         self.zone = settings.zone
         self.checkpoint_seconds = settings.timing.checkpoint
         self.view_limit = settings.timing.view_limit
+        self.piece_tokens = settings.limits.piece_tokens
         self._linger = settings.timing.stream_linger
         self._rng = rng
         self._runs: set[StepRun] = set()
--- a/standins/_generation.py
+++ b/standins/_generation.py
@@ -68,10 +68,13 @@
     priority: int
     min_version: int | None
     arrival: int
+    piece_tokens: int = PIECE_TOKENS
     state: StreamState = StreamState.QUEUED
     prefill_left: float = 0.0
     credit: float = 0.0
     tokens: int = 0
+    unsent: int = 0
+    unsent_version: int | None = None
     pieces: list[Piece] = field(default_factory=list)
     versions: set[int] = field(default_factory=set)
     readers: int = 0
@@ -92,7 +95,7 @@
         return not self.is_open and self.state is not StreamState.FINISHED
 
     def earn(self, tokens: float, version: int | None) -> None:
-        """Generate the whole pieces that ``tokens`` more tokens allow."""
+        """Generate what ``tokens`` more tokens allow, and the whole pieces of it."""
         self.credit += tokens
         while self.is_open:
             count = min(PIECE_TOKENS, self.length - self.tokens)
@@ -102,14 +105,25 @@
             self._generate(count, version)
 
     def _generate(self, count: int, version: int | None) -> None:
-        text = generated_text(self.prompt, self.seed, self.tokens, count)
+        if self.unsent and self.unsent_version != version:
+            self._send_piece(done=False)
         self.tokens += count
-        if version is not None:
-            self.versions.add(version)
+        self.unsent += count
+        self.unsent_version = version
         done = self.tokens >= self.length
-        self.pieces.append(Piece(len(self.pieces), count, text, version, done))
+        if done or self.unsent >= self.piece_tokens:
+            self._send_piece(done)
         if done:
             self.end(StreamState.FINISHED)
+
+    def _send_piece(self, done: bool) -> None:
+        count, version = self.unsent, self.unsent_version
+        start = self.tokens - count
+        text = generated_text(self.prompt, self.seed, start, count)
+        if version is not None:
+            self.versions.add(version)
+        self.pieces.append(Piece(len(self.pieces), count, text, version, done))
+        self.unsent = 0
         self.notify()
 
     def end(self, state: StreamState) -> None:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -13,7 +13,13 @@
 from pydantic import BaseModel, Field, NonNegativeInt, PositiveInt
 
 from ._downloads import FixedDelaySource, HttpSource, WeightSource
-from ._generation import Piece, StreamState, TokenStream, generated_length
+from ._generation import (
+    PIECE_TOKENS,
+    Piece,
+    StreamState,
+    TokenStream,
+    generated_length,
+)
 from ._orders import Order, OrderBook, StaleFence
 from ._prefixes import PrefixCache, PrefixNotCached
 from ._program import (
@@ -71,6 +77,7 @@
     seed: int = 0
     priority: int = 0
     min_version: int | None = None
+    piece_tokens: PositiveInt = PIECE_TOKENS
 
 
 class ExportBody(BaseModel):
@@ -168,6 +175,7 @@
             priority=body.priority,
             min_version=body.min_version,
             arrival=len(self._streams),
+            piece_tokens=body.piece_tokens,
             unread_since=loop_time(),
         )
         self.by_stream[stream.id] = stream
--- a/tests/test_standins_engine.py
+++ b/tests/test_standins_engine.py
@@ -203,3 +203,19 @@
         lengths = sorted(generated_length("p", seed, 10_000) for seed in range(500))
         self.assertGreater(lengths[-5], 4 * lengths[250])
         self.assertEqual(generated_length("p", 1, 3), 3)
+
+    async def test_pieces_are_as_long_as_asked_and_split_where_weights_change(
+        self,
+    ) -> None:
+        engine = await self.start_engine()
+        engine.orders.accept(make_order(1, fence=1))
+        await asyncio.sleep(2)
+        engine.generate(make_body("a", piece_tokens=40))
+        await asyncio.sleep(0.3)
+        engine.orders.accept(make_order(2, fence=2))
+        pieces = await self.read_all(engine, "a")
+        self.assertEqual(sum(piece.tokens for piece in pieces), 80)
+        self.assertEqual({piece.version for piece in pieces}, {1, 2})
+        for piece, following in zip(pieces, pieces[1:]):
+            if piece.tokens < 40:
+                self.assertNotEqual(piece.version, following.version)
