Cancel again what missed the first cancel of a stop

Cause: on Python 3.11 asyncio.wait_for drops a cancel that comes at the same moment as its answer, and the thrift library waits with it; a host's stop then waited for ever. Seen in one whole run of the tests: the end of a class of tests took longer than 30 s, and the run was ended after 280 s. Ruled out: the writing of usage at a stop, which has a timeout. Conclusion: a stop cancels every 0.2 s what has not ended.

--- a/cranberryrun/kernel.py
+++ b/cranberryrun/kernel.py
@@ -13,6 +13,7 @@
 
 ServiceT = TypeVar("ServiceT", bound="Service")
 _RESTART_SECONDS = 0.5
+_CANCEL_AGAIN_SECONDS = 0.2
 
 
 class Service(ABC):
@@ -44,10 +45,12 @@
 
     async def stop(self) -> None:
         """End work. The default cancels what :meth:`spawn` started."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        tasks = set(self._tasks)
+        while tasks:
+            for task in tasks:
+                task.cancel()
+            # A task can miss a cancel that comes together with what it waits for.
+            _, tasks = await asyncio.wait(tasks, timeout=_CANCEL_AGAIN_SECONDS)
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run ``work`` as a task that ends with the service."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -49,7 +49,7 @@
         self.host_by_id: dict[str, Host] = {}
         self._runners: list[web.AppRunner] = []
         self._loop = asyncio.new_event_loop()
-        self._thread = threading.Thread(target=self._loop.run_forever)
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
 
     def __enter__(self) -> Fleet:
         self._thread.start()
@@ -57,9 +57,11 @@
         return self
 
     def __exit__(self, *error: object) -> None:
-        self.run(self._stop())
-        self._loop.call_soon_threadsafe(self._loop.stop)
-        self._thread.join()
+        try:
+            self.run(self._stop())
+        finally:
+            self._loop.call_soon_threadsafe(self._loop.stop)
+            self._thread.join()
         self._loop.close()
 
     def run(self, work: Coroutine[Any, Any, Any]) -> Any:
