--- a/tests/fakes_clients.py
+++ b/tests/fakes_clients.py
@@ -7,7 +7,7 @@
 
 from cranberryrun import clock
 from cranberryrun.api import Api
-from cranberryrun.calls import Calls, problem_answer
+from cranberryrun.calls import Calls
 from cranberryrun.exceptions import (
     CranberryrunError,
     OutcomeUnknownError,
@@ -15,6 +15,7 @@
     RequestError,
 )
 from cranberryrun.models import GroupEvent, StepRequest
+from cranberryrun.relay import problem_answer
 from cranberryrun.resources import Resources
 from cranberryrun.services import Answer, Call
 from cranberryrun.steps import Steps
