--- a/cranberryrun/steps.py
+++ b/cranberryrun/steps.py
@@ -22,10 +22,13 @@
 from .samples import Attempt
 from .settings import Settings
 from .state import Resource
+from .versions import Versions
 from .views import FactKind
 
 __all__ = ["StepPolicies", "StepRun", "Steps"]
 
+_OUT_OF_TOUCH_FACTOR = 2
+
 
 class Steps(Service):
     """Holds the steps that run at this host and what they share."""
@@ -96,6 +99,13 @@
             each.spec.pool for each in state.list("services") if each.spec.pool
         }
 
+    def out_of_touch(self) -> bool:
+        """Say whether this host could hand nothing over, but another one might."""
+        limit = self.view_limit * _OUT_OF_TOUCH_FACTOR
+        if self.kernel.get(Versions).view_age() <= limit:
+            return False
+        return bool(self.kernel.get(Membership).peers())
+
     def move_all(self) -> None:
         """Move every step to other hosts and take no new ones."""
         self._draining = True
@@ -112,6 +122,8 @@
         resource = configuration.state.get("workloads", workload)
         if resource is None:
             raise NotFoundError(f"there is no workloads/{workload}")
+        if self.out_of_touch():
+            raise NotReadyError("the host hears of no versions", retry_after=1)
         return resource
 
     async def run(
