Let an engine whose loads fail come last on every host

Cause: with one load at a time, an engine that fails and waits for its next try held the only place, on all hosts, and no other engine followed. Its owner now tells all hosts that it fails (views.py: an engine's fact has three marks).

--- a/cranberryrun/engines.py
+++ b/cranberryrun/engines.py
@@ -37,7 +37,7 @@
 from .routing import Candidate
 from .settings import Settings
 from .state import Resource
-from .views import Fact, FactKind
+from .views import EngineMark, Fact, FactKind
 
 __all__ = [
     "NOT_RUN_HEADER",
@@ -318,27 +318,37 @@
             )
         engine.out_until = now + seconds
 
-    def declare_out(self, engine: Engine, out: bool) -> bool:
-        """Tell all hosts whether ``engine`` is out of use; say if that is new."""
-        if self.is_out(engine) == out:
+    def declare(self, engine: Engine, mark: EngineMark) -> bool:
+        """Tell all hosts what this one, its owner, says of ``engine``.
+
+        :returns: whether that is new.
+        """
+        if self.mark_of(engine) is mark:
             return False
         membership = self.kernel.get(Membership)
         incarnation = engine.state.incarnation if engine.state else 0
         fact = membership.views.get(FactKind.ENGINE, engine.name)
-        value = 0
+        value = -1
         if fact is not None and fact.incarnation >= incarnation:
             incarnation, value = fact.incarnation, fact.value
-        value += 1 if value % 2 != out else 2
+        value += 1
+        value += (mark - value) % len(EngineMark)
         membership.learn([Fact(FactKind.ENGINE, engine.name, incarnation, value)])
         return True
 
-    def is_out(self, engine: Engine) -> bool:
-        """Say whether the engine's owner took it out of use."""
+    def mark_of(self, engine: Engine) -> EngineMark:
+        """Return what the engine's owner said of its present incarnation."""
         views = self.kernel.get(Membership).views
         fact = views.get(FactKind.ENGINE, engine.name)
-        if fact is None or fact.value % 2 == 0:
-            return False
-        return engine.state is None or fact.incarnation >= engine.state.incarnation
+        if fact is None:
+            return EngineMark.FINE
+        if engine.state is not None and fact.incarnation < engine.state.incarnation:
+            return EngineMark.FINE
+        return EngineMark(fact.value % len(EngineMark))
+
+    def is_out(self, engine: Engine) -> bool:
+        """Say whether the engine's owner took it out of use."""
+        return self.mark_of(engine) is EngineMark.OUT
 
     def usable_count(self, pool: str) -> float:
         """Return about how many engines of ``pool`` can be used.
--- a/cranberryrun/pacing.py
+++ b/cranberryrun/pacing.py
@@ -17,7 +17,7 @@
 
     ``seen`` is false where this host has no report of the engine; ``loaded`` and
     ``loading`` are what the engine reports; ``urgent`` says that the engine can't
-    serve the workload before; ``out`` that it is down or out of use. ``elapsed``
+    serve the workload before; ``last`` that it is down or its loads fail. ``elapsed``
     is in seconds since this host knew of the version.
     """
 
@@ -27,7 +27,7 @@
     loaded: bool = False
     loading: bool = False
     urgent: bool = False
-    out: bool = False
+    last: bool = False
     elapsed: float = 0.0
 
     @property
@@ -92,7 +92,7 @@
             for load in rollout.loads
             if load.seen and not load.loaded and not load.loading
         ]
-        waiting.sort(key=lambda load: (load.out, not load.urgent))
+        waiting.sort(key=lambda load: (load.last, not load.urgent))
         for load in waiting:
             if away.total() >= self._at_once:
                 break
--- a/cranberryrun/views.py
+++ b/cranberryrun/views.py
@@ -23,7 +23,7 @@
     more leaving. ``TARGET``: :data:`LEAVING` for a target that leaves.
     ``VERSION``: the newest weight version of a workload. ``STEP``: the
     incarnation is when a host began to run the step, in ms since 1970.
-    ``ENGINE``: an odd value is out of use, by the word of the engine's owner.
+    ``ENGINE``: the value modulo 3 is the owner's :class:`EngineMark`.
     """
 
     HOST = 1
@@ -33,6 +33,18 @@
     ENGINE = 6
 
 
+class EngineMark(IntEnum):
+    """What an engine's owner says of it.
+
+    ``FAILING``: its loads fail, so it comes last in a rollout. ``OUT``: it gets
+    no new work.
+    """
+
+    FINE = 0
+    FAILING = 1
+    OUT = 2
+
+
 FactKey = tuple[FactKind, str]
 # Steps are forgotten after a while, at no agreed time, so digests leave them out.
 _KINDS_IN_DIGEST = frozenset(
--- a/cranberryrun/weights.py
+++ b/cranberryrun/weights.py
@@ -17,6 +17,7 @@
 from .settings import Settings
 from .state import Resource
 from .versions import Versions
+from .views import EngineMark
 
 _FENCE_SHIFT = 32
 _ROLLOUT = "rollout"
@@ -194,7 +195,10 @@
         for (name, _), progress in self._progress_by_key.items():
             if name == engine.name and progress.failures:
                 return
-        if self.kernel.get(Engines).declare_out(engine, False):
+        engines = self.kernel.get(Engines)
+        was_out = engines.is_out(engine)
+        engines.declare(engine, EngineMark.FINE)
+        if was_out:
             self._emit("engine_in", engine)
 
     def _learn_duration(self, seconds: float) -> None:
@@ -228,7 +232,7 @@
             loaded=loaded is not None and loaded >= version,
             loading=self._is_loading(engine, workload),
             urgent=loaded is None or loaded < oldest,
-            out=not engine.health.usable() or engines.is_out(engine),
+            last=bool(engine.health.failures) or bool(engines.mark_of(engine)),
             elapsed=elapsed,
         )
 
@@ -272,11 +276,14 @@
             version=progress.version,
             failures=progress.failures,
         )
+        engines = self.kernel.get(Engines)
+        if not engines.is_out(engine):
+            engines.declare(engine, EngineMark.FAILING)
         if not progress.is_hopeless or not self._others_loaded(
             engine, workload, progress.version
         ):
             return
-        if self.kernel.get(Engines).declare_out(engine, True):
+        if engines.declare(engine, EngineMark.OUT):
             self._emit(
                 "engine_out",
                 engine,
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -5,6 +5,7 @@
 from cranberryrun.exceptions import StreamLostError
 from cranberryrun.ownership import Ownership
 from cranberryrun.rendezvous import owner_of
+from cranberryrun.views import EngineMark
 
 from .rollouts import WORKLOAD, Rollouts, ScriptedEngine, entry
 from .virtual import VirtualTimeTestCase
@@ -107,13 +108,22 @@
         await asyncio.sleep(1)
         engines = rollouts.engines
         engine = engines.by_name["engine-0"]
-        self.assertTrue(engines.declare_out(engine, True))
-        self.assertFalse(engines.declare_out(engine, True))
+        self.assertTrue(engines.declare(engine, EngineMark.OUT))
+        self.assertFalse(engines.declare(engine, EngineMark.OUT))
         self.assertEqual(engines.usable("rollout"), [])
         rollouts.engine_by_name["engine-0"].crash()
         await asyncio.sleep(6)
         self.assertEqual(engines.usable("rollout"), [engine])
 
+    async def test_marks_follow_each_other_in_any_order(self):
+        rollouts = await self.begin(engines=1)
+        engines = rollouts.engines
+        engine = engines.by_name["engine-0"]
+        marks = [*EngineMark, *reversed(EngineMark), EngineMark.OUT, EngineMark.FINE]
+        for mark in marks:
+            engines.declare(engine, mark)
+            self.assertIs(engines.mark_of(engine), mark)
+
     async def test_a_stamp_tells_the_version_before_the_next_poll(self):
         rollouts = await self.begin(engines=1)
         rollouts.run_version(1)
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -42,7 +42,7 @@
 
     def test_engines_that_serve_nothing_go_first_and_broken_ones_last(self):
         rows = loads(4)
-        rows[0] = replace(rows[0], out=True)
+        rows[0] = replace(rows[0], last=True)
         rows[3] = replace(rows[3], urgent=True)
         self.assertEqual(self.chosen(rows), [("e003", "w"), ("e001", "w")])
 
--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -113,12 +113,23 @@
         await asyncio.sleep(60)
         self.assertEqual(rollouts.events("engine_out"), [])
 
+    async def test_one_engine_that_fails_holds_up_no_other(self):
+        for broken in ("engine-0", "engine-1", "engine-2"):
+            rollouts = await self.begin(engines=3, limits={"weight_loads_at_once": 1})
+            await self.until_loaded(rollouts, 1)
+            rollouts.engine_by_name[broken].fail_loads = 1000
+            rollouts.versions.learn(WORKLOAD, 2)
+            await asyncio.sleep(40)
+            self.assertEqual(sorted(self.versions(rollouts)), [1, 2, 2], broken)
+
     async def test_another_workloads_version_shows_nothing(self):
         rollouts = await self.begin()
         await rollouts.put("workloads", SECOND, pool="rollout", freshness_bound=1)
-        rollouts.engine_by_name["engine-1"].run_version(9, SECOND)
+        await self.until_loaded(rollouts, 1)
         for engine in rollouts.engine_by_name.values():
+            engine.run_version(9, SECOND)
             engine.fail_loads = 1000
+        rollouts.versions.learn(WORKLOAD, 2)
         await asyncio.sleep(60)
         self.assertEqual(rollouts.events("engine_out"), [])
 
