--- a/cranberryrun/api.py
+++ b/cranberryrun/api.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import json
-import uuid
-from collections.abc import Mapping
 from dataclasses import fields
 from typing import Any
 
@@ -12,12 +10,11 @@
 from aiohttp import web
 
 from . import clock
-from .calls import Calls, problem_answer
+from .calls import Calls
 from .configuration import Configuration
 from .event_pages import EventPages
 from .events import Events
 from .exceptions import (
-    CallerGoneError,
     CranberryrunError,
     InvalidInputError,
     KernelError,
@@ -31,9 +28,17 @@
 from .membership import Membership
 from .metrics import CONTENT_TYPE, Metrics
 from .models import StepRequest, VersionAnnouncement, check_json
+from .relay import (
+    ResponseSink,
+    cut,
+    integer,
+    problem_answer,
+    problem_response,
+    read_call,
+    whole_response,
+)
 from .resources import Resources
 from .security import Tokens, server_context
-from .services import Answer, Call, Sink, forwarded
 from .settings import Settings
 from .steps import Steps
 from .timeline import Selection
@@ -44,8 +49,6 @@
 
 _JSON = "application/json"
 _NDJSON = "application/x-ndjson"
-_MAX_STEP = 2**53
-_MAX_ID_CHARACTERS = 200
 
 
 class Api(Service):
@@ -165,24 +168,24 @@
             return response
         except CranberryrunError as error:
             if request.get("head_sent"):
-                return _cut(request)
-            return _problem(error)
+                return cut(request)
+            return problem_response(error)
         except web.HTTPRequestEntityTooLarge as error:
-            return _problem(TooLargeError(error.text or ""))
+            return problem_response(TooLargeError(error.text or ""))
         except web.HTTPException as error:
             if error.status == 404:
-                return _problem(NotFoundError(f"there is no {request.path}"))
+                return problem_response(NotFoundError(f"there is no {request.path}"))
             if error.status == 405:
                 allowed = error.headers.get("Allow", "")
-                return _problem(MethodNotAllowedError(f"allowed: {allowed}"))
+                return problem_response(MethodNotAllowedError(f"allowed: {allowed}"))
             raise
         except ConnectionError:
-            return _cut(request)
+            return cut(request)
         except Exception as error:
             logging.exception("request %s failed", request.path)
             if request.get("head_sent"):
-                return _cut(request)
-            return _problem(CranberryrunError(type(error).__name__))
+                return cut(request)
+            return problem_response(CranberryrunError(type(error).__name__))
         finally:
             self._in_flight -= 1
             self._idle_since = clock.now()
@@ -222,7 +225,7 @@
 
     async def _events(self, request: web.Request) -> web.Response:
         self._allow(request, "operator")
-        after = _integer(request.query.get("after", "-1"), "after")
+        after = integer(request.query.get("after", "-1"), "after")
         events = self.kernel.get(Events).after(after)
         return _json({"events": [event.as_dict() for event in events]})
 
@@ -269,7 +272,7 @@
         self._allow(request, "trainer")
         steps = self.kernel.get(Steps)
         workload = steps.check(request.match_info["name"])
-        step = _integer(request.match_info["step"], "step")
+        step = integer(request.match_info["step"], "step")
         body = check_json(StepRequest, await request.read())
         response = web.StreamResponse(headers={"Content-Type": _NDJSON})
         await response.prepare(request)
@@ -282,7 +285,9 @@
         return response
 
     async def _call(self, request: web.Request) -> web.StreamResponse:
-        call = await self._read_call(request)
+        caller = self._allow(request, "caller")
+        resource = self.kernel.get(Traffic).service(request.match_info["service"])
+        call = await read_call(request, caller, resource.spec.timeout)
         self._latest_deadline = max(self._latest_deadline, call.deadline)
         sink = ResponseSink(request, call.request)
         try:
@@ -296,23 +301,7 @@
             answer = problem_answer(error)
         if answer.streamed:
             return await sink.end()
-        return _whole_response(answer, request)
-
-    async def _read_call(self, request: web.Request) -> Call:
-        caller = self._allow(request, "caller")
-        name = request.match_info["service"]
-        resource = self.kernel.get(Traffic).service(name)
-        return Call(
-            service=name,
-            method=request.method,
-            path=_rest_of_path(request),
-            request=_request_id(request),
-            caller=caller,
-            deadline=clock.now() + _seconds_left(request, resource.spec.timeout),
-            headers=forwarded(request.headers),
-            body=await request.read(),
-            key=_key(request),
-        )
+        return whole_response(answer, request, call.request)
 
     async def _list(self, request: web.Request) -> web.StreamResponse:
         self._allow(request, "operator")
@@ -325,7 +314,7 @@
 
     async def _watch(self, request: web.Request, kind: str) -> web.StreamResponse:
         text = request.query["watch"]
-        offset = _integer(text, "watch") if text else None
+        offset = integer(text, "watch") if text else None
         resources = self.kernel.get(Resources)
         resources.check_watch(offset)
         response = web.StreamResponse(headers={"Content-Type": _NDJSON})
@@ -383,85 +372,6 @@
         return _resource(resources.describe(resource))
 
 
-def _cut(request: web.Request) -> web.Response:
-    """Break the connection: the caller must see that the answer is not whole."""
-    if request.transport is not None:
-        request.transport.abort()
-    return web.Response()
-
-
-class ResponseSink(Sink):
-    """Sends an answer on to the caller while it comes, as fast as it is taken."""
-
-    def __init__(self, request: web.Request, request_id: str) -> None:
-        self._request = request
-        self._request_id = request_id
-        self._response: web.StreamResponse
-
-    async def begin(
-        self, status: int, headers: Mapping[str, str], length: int | None
-    ) -> None:
-        """See :meth:`Sink.begin`."""
-        self._response = web.StreamResponse(status=status, headers=headers)
-        self._response.headers["X-Request-Id"] = self._request_id
-        self._response.content_length = length
-        self.begun = True
-        try:
-            await self._response.prepare(self._request)
-        except ConnectionError:
-            raise CallerGoneError("the caller closed its connection") from None
-
-    async def write(self, data: bytes) -> None:
-        """See :meth:`Sink.write`."""
-        try:
-            await self._response.write(data)
-        except ConnectionError:
-            raise CallerGoneError("the caller closed its connection") from None
-
-    async def end(self) -> web.StreamResponse:
-        """End the answer, which is whole."""
-        await self._response.write_eof()
-        return self._response
-
-
-def _whole_response(answer: Answer, request: web.Request) -> web.Response:
-    response = web.Response(
-        status=answer.status, headers=answer.headers, body=answer.body or None
-    )
-    response.headers["X-Request-Id"] = _request_id(request)
-    if request.method == "HEAD" and answer.length is not None:
-        response.headers["Content-Length"] = str(answer.length)
-    return response
-
-
-def _rest_of_path(request: web.Request) -> str:
-    """Return what follows the service's name, encoded as the caller sent it."""
-    return request.rel_url.raw_path_qs.split("/", 3)[3]
-
-
-def _request_id(request: web.Request) -> str:
-    """Return the caller's id of the request, or one made here."""
-    if "request_id" not in request:
-        text = request.headers.get("X-Request-Id")
-        if text is not None and not 1 <= len(text) <= _MAX_ID_CHARACTERS:
-            raise InvalidInputError(
-                f"the id must have 1 to {_MAX_ID_CHARACTERS} characters",
-                field="X-Request-Id",
-            )
-        request["request_id"] = text or uuid.uuid4().hex
-    return request["request_id"]
-
-
-def _key(request: web.Request) -> str | None:
-    key = request.headers.get("Idempotency-Key")
-    if key is not None and not 1 <= len(key) <= _MAX_ID_CHARACTERS:
-        raise InvalidInputError(
-            f"the key must have 1 to {_MAX_ID_CHARACTERS} characters",
-            field="Idempotency-Key",
-        )
-    return key
-
-
 def _resource(body: dict[str, Any]) -> web.Response:
     response = _json(body)
     response.headers["ETag"] = f'"{body["metadata"]["generation"]}"'
@@ -476,11 +386,6 @@
     return json.dumps(event).encode() + b"\n"
 
 
-def _problem(error: CranberryrunError) -> web.Response:
-    answer = problem_answer(error)
-    return web.Response(status=answer.status, headers=answer.headers, body=answer.body)
-
-
 def _json_object(body: bytes) -> dict[str, Any]:
     try:
         data = json.loads(body, parse_constant=_no_constant)
@@ -512,29 +417,10 @@
         ) from None
 
 
-def _integer(text: str, field: str) -> int:
-    try:
-        value = int(text)
-    except ValueError:
-        raise InvalidInputError(
-            f"{field} must be a whole number", field=field
-        ) from None
-    if not -1 <= value <= _MAX_STEP:
-        raise InvalidInputError(f"{field} is out of range", field=field)
-    return value
-
-
 def _if_match(request: web.Request) -> int | None:
     if request.headers.get("If-None-Match") == "*":
         return 0
     text = request.headers.get("If-Match")
     if text is None or text == "*":
         return None
-    return _integer(text.strip().strip('"'), "If-Match")
-
-
-def _seconds_left(request: web.Request, limit: float) -> float:
-    text = request.headers.get("X-Deadline-Ms")
-    if text is None:
-        return limit
-    return min(limit, _integer(text, "X-Deadline-Ms") / 1000)
+    return integer(text.strip().strip('"'), "If-Match")
--- a/cranberryrun/calls.py
+++ b/cranberryrun/calls.py
@@ -5,7 +5,6 @@
 import asyncio
 import base64
 import hashlib
-import json
 from typing import Any
 
 import xxhash
@@ -13,6 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from . import clock
+from .call_wire import answer_from_wire, answer_to_wire, from_wire, to_wire
 from .events import Events
 from .exceptions import (
     AnswerNotKeptError,
@@ -43,7 +43,8 @@
 from .membership import HostEntry, Membership
 from .models import Model
 from .partitions import Partition, Unrecorded
-from .peers import Peers, wire
+from .peers import Peers
+from .relay import problem_answer
 from .rendezvous import owner_of
 from .services import Answer, Call
 from .settings import Settings
@@ -157,7 +158,7 @@
         left = max(_MIN_SECONDS, (call.deadline - clock.now()) * _FORWARD_SHARE)
         peers = self.kernel.get(Peers)
         asking = asyncio.ensure_future(
-            peers.call(entry, "call", _to_wire(call, left), timeout=left)
+            peers.call(entry, "call", to_wire(call, left), timeout=left)
         )
         membership = self.kernel.get(Membership)
         try:
@@ -167,21 +168,15 @@
                     raise PeerError(f"{entry.id} is silent")
         finally:
             asking.cancel()
-        reply = asking.result()
-        headers = CIMultiDict((each.name, each.value) for each in reply.headers or [])
-        return Answer(reply.status, headers, reply.body or b"")
+        return answer_from_wire(asking.result())
 
     async def _serve(self, forwarded: Any) -> Any:
-        call = _from_wire(forwarded)
+        call = from_wire(forwarded)
         try:
             answer = await self._detached(self._run(self._partition_number(call), call))
         except CranberryrunError as error:
             answer = problem_answer(error)
-        return wire.KeyedReply(
-            status=answer.status,
-            headers=_headers_to_wire(answer.headers),
-            body=answer.body,
-        )
+        return answer_to_wire(answer)
 
     def _partition(self, number: int) -> Partition:
         partition = self._partition_by_number.get(number)
@@ -439,43 +434,3 @@
             "an earlier request of this key has no known outcome", retry_after=2
         )
     return earlier.answer
-
-
-def _to_wire(call: Call, seconds: float) -> Any:
-    return wire.KeyedCall(
-        service_name=call.service,
-        method=call.method,
-        path=call.path,
-        key=call.key,
-        caller=call.caller,
-        request=call.request,
-        headers=_headers_to_wire(call.headers),
-        body=call.body,
-        deadline_seconds=seconds,
-    )
-
-
-def _from_wire(forwarded: Any) -> Call:
-    return Call(
-        service=forwarded.service_name,
-        method=forwarded.method,
-        path=forwarded.path,
-        request=forwarded.request,
-        caller=forwarded.caller,
-        deadline=clock.now() + forwarded.deadline_seconds,
-        headers=CIMultiDict((each.name, each.value) for each in forwarded.headers),
-        body=forwarded.body or b"",
-        key=forwarded.key,
-    )
-
-
-def _headers_to_wire(headers: Any) -> list[Any]:
-    return [wire.Header(name=name, value=value) for name, value in headers.items()]
-
-
-def problem_answer(error: CranberryrunError) -> Answer:
-    """Return ``error`` as an answer with a problem body."""
-    headers = CIMultiDict({"Content-Type": "application/problem+json"})
-    if error.retry_after is not None:
-        headers["Retry-After"] = str(max(1, round(error.retry_after)))
-    return Answer(error.status, headers, json.dumps(error.problem()).encode())
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -13,7 +13,7 @@
 from click.testing import CliRunner
 from multidict import CIMultiDict
 
-from cranberryrun.calls import _from_wire, _headers_to_wire, _to_wire
+from cranberryrun.call_wire import answer_to_wire, from_wire, to_wire
 from cranberryrun.configuration import Configuration
 from cranberryrun.daemon import main
 from cranberryrun.events import Events
@@ -26,8 +26,9 @@
 from cranberryrun.host import Host
 from cranberryrun.kernel import Kernel
 from cranberryrun.membership import HostEntry, Membership
-from cranberryrun.peers import Peers, wire
+from cranberryrun.peers import Peers
 from cranberryrun.security import ANONYMOUS, Tokens, server_context
+from cranberryrun.services import Answer
 from cranberryrun.settings import TlsSettings, TokenSettings
 from standins.deployment import free_port
 
@@ -257,14 +258,13 @@
         )
 
         async def serve(message: object) -> object:
-            got = _from_wire(message)
-            headers = _headers_to_wire(got.headers)
-            return wire.KeyedReply(status=201, headers=headers, body=got.body)
+            got = from_wire(message)
+            return answer_to_wire(Answer(201, got.headers, got.body))
 
         host.handler_by_call["call"] = serve
         made = host._settings
         entry = HostEntry(id="h1", kind="entry", ip=made.ip, peer_port=made.peer_port)
-        reply = await other.call(entry, "call", _to_wire(sent, 5), timeout=5)
+        reply = await other.call(entry, "call", to_wire(sent, 5), timeout=5)
         self.assertEqual((reply.status, reply.body), (201, sent.body))
         self.assertEqual(
             [(each.name, each.value) for each in reply.headers],
