--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,7 +14,7 @@
     SCENARIO_BY_NAME,
     STEADY_BY_NAME,
 )
-from .report import write
+from .report import plot_curve, write
 from .running import SIZE_BY_NAME, Trial, run_trials
 
 _SEEDS = (1, 2, 3, 4, 5)
@@ -64,7 +64,10 @@
 
 def _report(name: str, trials: list[Trial], workers: int) -> None:
     began = time.perf_counter()
-    click.echo(write(name, run_trials(trials, workers)))
+    figures_by_trial = run_trials(trials, workers)
+    click.echo(write(name, figures_by_trial))
+    if name == "curve":
+        plot_curve(figures_by_trial)
     click.echo(f"{len(trials)} runs in {time.perf_counter() - began:.0f} s", err=True)
 
 
--- a/bench/report.py
+++ b/bench/report.py
@@ -90,6 +90,31 @@
     return f"{summary.median:.4g} ({summary.low:.4g} to {summary.high:.4g})"
 
 
+def plot_curve(figures_by_trial: dict[Trial, Figures]) -> None:
+    """Draw idle time against staleness, a line a deployment, a point a weight."""
+    from matplotlib.backends.backend_agg import FigureCanvasAgg
+    from matplotlib.figure import Figure
+
+    runs: dict[tuple[str, float], list[Figures]] = defaultdict(list)
+    for trial, figures in figures_by_trial.items():
+        runs[trial.deployment, trial.idle_weight or 0.0].append(figures)
+    figure = Figure(figsize=(7, 5), layout="constrained")
+    FigureCanvasAgg(figure)
+    axes = figure.subplots()
+    for deployment in sorted({name for name, _ in runs}):
+        weights = sorted(weight for name, weight in runs if name == deployment)
+        rows = [summarise(runs[deployment, weight]) for weight in weights]
+        xs = [row["staleness_mean"].median for row in rows]
+        ys = [row["idle_above_floor"].median for row in rows]
+        axes.plot(xs, ys, marker="o", label=deployment)
+        for point in zip(weights, xs, ys):
+            axes.annotate(f"{point[0]:g}", point[1:])
+    axes.set_xlabel("mean staleness, versions")
+    axes.set_ylabel("idle above the floor, s a step")
+    axes.legend(title="points: idle weight")
+    figure.savefig(ROOT / "curve" / "curve.png", dpi=110)
+
+
 def _plot(path: Path, by_policy: dict[str, dict[str, Summary]]) -> None:
     from matplotlib.backends.backend_agg import FigureCanvasAgg
     from matplotlib.figure import Figure
