Fail a run for a failed subtest

Cause: the runner reports subtests as an outcome of their own, which the plugin passed over: a run whose only failures were subtests ended with 0 failed, exit 0. Ruled out: the runner's exit code alone, which can't pass over listed failures. Conclusion: a failed part fails its test; the run also asks the runner itself.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -30,7 +30,7 @@
 
 def main() -> int:
     """Run the tests; return 0 only if no unlisted test failed."""
-    nose2.main(
+    run = nose2.main(
         module=None,
         exit=False,
         argv=["nose2", "-v", *sys.argv[1:]],
@@ -51,9 +51,12 @@
         print(f"failed: {test_id}")
     skipped = counts["skipped"]
     print(f"{counts['passed']} passed, {len(failed_ids)} failed, {skipped} skipped")
-    if not outcome_by_id:
+    if not outcome_by_id or unlisted:
         return 1
-    return 1 if unlisted else 0
+    if not failed_ids and not run.result.wasSuccessful():
+        print("a failure was reported that no test accounts for")
+        return 1
+    return 0
 
 
 if __name__ == "__main__":
--- a/tests/outcomes.py
+++ b/tests/outcomes.py
@@ -12,8 +12,11 @@
     alwaysOn = True
 
     def testOutcome(self, event) -> None:
-        test_id = event.test.id()
-        outcome = event.outcome
+        test_id, outcome = event.test.id(), event.outcome
+        if outcome == "subtest":
+            if event.exc_info is None:
+                return
+            test_id, outcome = event.test.test_case.id(), "failed"
         if event.expected is False and outcome == "passed":
             outcome = "failed"
         if outcome_by_id.get(test_id) in ("failed", "error"):
