Give the in-memory fakes and the history checkers a package of their own

Ruled out: moving the fault matrix along; it is a table of tests. Conclusion: tests/ holds tests, fakes/ what they run against.

--- a/tests/fakes_clients.py
+++ b/fakes/clients.py
@@ -23,9 +23,9 @@
 from cranberryrun.versions import Versions
 from standins._generation import generated_length, generated_text
 
-from .fakes import World
-from .fakes_loop import start_for
-from .fakes_network import Broken, Channel, NetworkError, TimedOut
+from .loop import start_for
+from .network import Broken, Channel, NetworkError, TimedOut
+from .world import World
 
 WORKLOAD = "denoiser"
 SERVICE = "portal"
--- a/tests/fakes_network.py
+++ b/fakes/network.py
@@ -10,7 +10,7 @@
 from cranberryrun.peers import PeerHandler, Peers
 from cranberryrun.settings import Settings
 
-from .fakes_loop import start_for
+from .loop import start_for
 
 DELAY_SECONDS = 0.001
 
--- a/tests/fakes_platform.py
+++ b/fakes/platform.py
@@ -14,8 +14,8 @@
 from standins.hosts import HostsStandin, ListUnavailable
 from standins.log import AckLost, LogStandin, LogUnavailable, RateExceeded
 
-from .fakes_loop import BASE_WALL_SECONDS
-from .fakes_network import Broken, Network, Unreachable
+from .loop import BASE_WALL_SECONDS
+from .network import Broken, Network, Unreachable
 
 LOG = "log"
 LIST = "list"
--- a/tests/fakes_targets.py
+++ b/fakes/targets.py
@@ -42,8 +42,8 @@
 )
 from standins.service import Answer as ServiceAnswer, ServiceStandin
 
-from .fakes_loop import start_for
-from .fakes_network import Broken, Channel, Network, Unreachable
+from .loop import start_for
+from .network import Broken, Channel, Network, Unreachable
 
 ORDER_TIMEOUT_SECONDS = 2.0
 IDLE_SECONDS = 15.0
--- a/tests/fakes.py
+++ b/fakes/world.py
@@ -2,7 +2,7 @@
 
 What the model covers: each host is a real :class:`cranberryrun.host.Host` whose
 log, host list, peers, engines and plain services are reached over the in-memory
-network of :mod:`tests.fakes_network`. A killed host runs nothing more and its
+network of :mod:`fakes.network`. A killed host runs nothing more and its
 connections break. A paused host runs nothing while its connections stay open;
 what it sent before is still delivered. A cut swallows what is sent. HTTP and
 thrift are left out: callers use the services of a host directly, and one loop
@@ -34,16 +34,16 @@
 from standins.hosts import HostEntry, HostsStandin
 from standins.log import LogStandin
 
-from .fakes_loop import start_for, virtual_wall
-from .fakes_network import FakePeers, Network, Unreachable
-from .fakes_platform import LOG, FakeHostList, FakeLog
-from .fakes_targets import (
+from .history import History
+from .loop import start_for, virtual_wall
+from .network import FakePeers, Network, Unreachable
+from .platform import LOG, FakeHostList, FakeLog
+from .targets import (
     FakeEngine,
     FakeEngineClient,
     FakeService,
     FakeServiceClient,
 )
-from .history import History
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 ENGINES = ("engine-1", "engine-2", "engine-3")
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -15,9 +15,7 @@
 import click
 from absl import logging
 
-from .__main__ import known_red
-from .fakes import World
-from .fakes_clients import (
+from fakes.clients import (
     WORKLOAD,
     Caller,
     Operator,
@@ -25,8 +23,11 @@
     declare_all,
     workload_spec,
 )
-from .fakes_loop import HostLoop, start_for
-from .history import Violation, check_all
+from fakes.history import Violation, check_all
+from fakes.loop import HostLoop, start_for
+from fakes.world import World
+
+from .__main__ import known_red
 from .matrix_faults import FAULT_BY_NAME, begin_later, undo_later
 
 STEPS = (
--- a/tests/matrix_faults.py
+++ b/tests/matrix_faults.py
@@ -5,13 +5,12 @@
 from typing import ClassVar
 
 from cranberryrun.configuration import Configuration
+from fakes.clients import WORKLOAD, Operator, workload_spec
+from fakes.loop import start_for
+from fakes.platform import LIST, LOG
+from fakes.world import World
 from standins._orders import Order, StaleFence
 
-from .fakes import World
-from .fakes_clients import WORKLOAD, Operator, workload_spec
-from .fakes_loop import start_for
-from .fakes_platform import LIST, LOG
-
 CLIENTS = ("trainer", "announcer", "caller", "operator")
 HOSTS = tuple(f"host-{n}" for n in range(1, 8))
 OLD_FENCE = 1
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from .history import CHECKER_BY_PROMISE, History, check_all
+from fakes.history import CHECKER_BY_PROMISE, History, check_all
 
 SLOT = "denoiser/1/g0/0"
 
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -12,9 +12,7 @@
 from cranberryrun.rendezvous import owner_of
 from cranberryrun.steps import Steps
 from cranberryrun.versions import Versions
-
-from .fakes import World
-from .fakes_clients import (
+from fakes.clients import (
     WORKLOAD,
     Caller,
     Operator,
@@ -22,7 +20,9 @@
     declare_all,
     workload_spec,
 )
-from .history import VIEW_SECONDS, check_all
+from fakes.history import VIEW_SECONDS, check_all
+from fakes.world import World
+
 from .virtual import HostTestCase
 
 HOSTS = ("host-1", "host-2", "host-3")
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -5,7 +5,7 @@
 
 import looptime
 
-from .fakes_loop import HostLoop
+from fakes.loop import HostLoop
 
 
 class VirtualTimeTestCase(unittest.IsolatedAsyncioTestCase):
