Find who is behind once a change, not once a resource

Cause: every status walked all live hosts; a list or a watch of 600 engines did so 600 times, twice a second. Ruled out: a floor that only rises, which a new host at a lower offset breaks. Conclusion: offsets are sorted when something changed, and searched.

--- a/cranberryrun/membership.py
+++ b/cranberryrun/membership.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from bisect import bisect_left
 from collections.abc import Iterable
 from typing import Literal
 
@@ -100,6 +101,9 @@
         self.entry_by_id: dict[str, HostEntry] = {}
         self._target_by_id: dict[str, HostEntry] = {}
         self._offset_by_host: dict[str, tuple[int, int]] = {}
+        self._changes = 0
+        self._progress: list[tuple[int, str]] = []
+        self._progress_as_of = -1
         self._list_heard_at: float | None = None
         self._peer_heard_at: float | None = None
         self._agreed_at_by_zone: dict[str, float] = {}
@@ -136,6 +140,7 @@
     def learn(self, facts: Iterable[Fact]) -> list[Fact]:
         """Merge ``facts``, answer a wrong suspicion, and return the news."""
         news = self.views.merge(facts, self.host_count)
+        self._changes += bool(news)
         for fact in news:
             self._refute(fact)
             self._note_return(fact)
@@ -225,6 +230,7 @@
         self.heard_from(host_id)
         seed = f"{entry.ip}:{entry.peer_port}"
         if entry.id == seed and host_id and seed in self._entry_by_seed:
+            self._changes += 1
             self._entry_by_seed[seed] = entry.model_copy(
                 update={"id": host_id, "zone": zone or ""}
             )
@@ -304,7 +310,22 @@
     def note_offset(self, host_id: str, incarnation: int, offset: int) -> None:
         """Note the configuration offset that a host says it has applied."""
         known = self._offset_by_host.get(host_id, (0, -1))
-        self._offset_by_host[host_id] = max(known, (incarnation, offset))
+        newest = max(known, (incarnation, offset))
+        if newest != known:
+            self._offset_by_host[host_id] = newest
+            self._changes += 1
+
+    def behind(self, offset: int) -> list[str]:
+        """Return the live peers that are not known to have applied ``offset``."""
+        if self._progress_as_of != self._changes:
+            self._progress = sorted(
+                (self.offset_of(peer.id), peer.id) for peer in self.live_peers()
+            )
+            self._progress_as_of = self._changes
+        return [peer for _, peer in self._progress[: self._count_below(offset)]]
+
+    def _count_below(self, offset: int) -> int:
+        return bisect_left(self._progress, offset, key=lambda row: row[0])
 
     def offset_of(self, host_id: str) -> int:
         """Return the newest configuration offset a host said it has applied."""
@@ -347,6 +368,7 @@
     def take_list(self, entries: list[HostEntry]) -> None:
         """Take in what the platform's list says now."""
         self._list_heard_at = clock.now()
+        self._changes += 1
         self.entry_by_id = {each.id: each for each in entries if each.kind == "entry"}
         self._target_by_id = {
             each.id: each for each in entries if each.kind == "target"
@@ -365,4 +387,5 @@
         oldest = int(clock.wall() * 1000) - _STEP_KEPT_MS
         for fact in self.views.all():
             if fact.kind is FactKind.STEP and fact.incarnation < oldest:
+                self._changes += 1
                 self.views.forget(fact.key)
--- a/cranberryrun/resources.py
+++ b/cranberryrun/resources.py
@@ -170,12 +170,7 @@
         return {"incarnation": engine.state.incarnation, "versions": versions}
 
     def _in_force(self, resource: Resource) -> dict[str, Any]:
-        membership = self.kernel.get(Membership)
-        behind = [
-            peer.id
-            for peer in membership.live_peers()
-            if membership.offset_of(peer.id) < resource.offset
-        ]
+        behind = self.kernel.get(Membership).behind(resource.offset)
         if not behind:
             return _condition("InForce", True, "AppliedEverywhere", "")
         self._behind.update(behind)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -141,3 +141,24 @@
     async def read(self) -> list[HostEntry]:
         self.bytes_read += sum(len(entry.model_dump_json()) for entry in self._entries)
         return self._entries
+
+
+class ProgressTest(HostTestCase):
+    async def asyncSetUp(self):
+        self.world = World()
+
+    async def asyncTearDown(self):
+        await self.world.close()
+
+    async def test_who_is_behind_follows_every_change(self):
+        kernel = await self.world.host(1)
+        await self.world.host(2)
+        membership = kernel.get(Membership)
+        await until(lambda: len(membership.live_ids()) == 2)
+        offset = membership.offset_of("host-2") + 1
+        self.assertEqual(membership.behind(offset), ["host-2"])
+        membership.note_offset("host-2", 1, offset)
+        self.assertEqual(membership.behind(offset), [])
+        self.assertEqual(membership.behind(offset + 1), ["host-2"])
+        membership.learn([Fact(FactKind.HOST, "host-2", 1, LEAVING)])
+        self.assertEqual(membership.behind(offset + 1), [])
