Give each audience of the API a module of its own

api.py keeps the Api service: listening, middleware, drain signals, health and roles. The routes come from api_resources, api_trainers, api_calls and api_fleet; each group is a Handlers that looks up its services in the kernel. api_answers holds JSON answers and what is read from headers, query and body. api_handlers holds the base, and Listener: what the groups need of Api, so that they don't import api.py, which imports them. Problem bodies and whole numbers stay in relay.py, where calls.py and the fakes import them.

Ruled out: looking up Api itself in the groups (a circular import); passing them the settings and tokens (a second copy of whether the host accepts).

--- /dev/null
+++ b/cranberryrun/api_calls.py
@@ -0,0 +1,40 @@
+"""The route for requests of callers."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from .api_handlers import Handlers
+from .calls import Calls
+from .exceptions import CranberryrunError
+from .relay import ResponseSink, problem_answer, read_call, whole_response
+from .traffic import Traffic
+
+
+class CallHandlers(Handlers):
+    """Pass requests of callers on to targets."""
+
+    def routes(self) -> list[web.AbstractRouteDef]:
+        """See :meth:`Handlers.routes`."""
+        return [
+            web.route("*", "/call/{service}/{path:.*}", self._call),
+        ]
+
+    async def _call(self, request: web.Request) -> web.StreamResponse:
+        caller = self.allow(request, "caller")
+        resource = self.kernel.get(Traffic).service(request.match_info["service"])
+        call = await read_call(request, caller, resource.spec.timeout)
+        self.api.note_deadline(call.deadline)
+        sink = ResponseSink(request, call.request)
+        try:
+            if call.key is not None:
+                answer = await self.kernel.get(Calls).send(call)
+            else:
+                answer = await self.kernel.get(Traffic).send(call, sink)
+        except CranberryrunError as error:
+            if sink.begun:
+                raise
+            answer = problem_answer(error)
+        if answer.streamed:
+            return await sink.end()
+        return whole_response(answer, request, call.request)
--- /dev/null
+++ b/cranberryrun/api_resources.py
@@ -0,0 +1,103 @@
+"""Routes for operators' resources and their watch."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from aiohttp import web
+
+from .api_answers import (
+    NDJSON,
+    if_match,
+    json_answer,
+    json_line,
+    json_object,
+    resource_answer,
+)
+from .api_handlers import Handlers
+from .exceptions import InvalidInputError, WatchExpiredError
+from .relay import integer
+from .resources import Resources
+
+
+class ResourceHandlers(Handlers):
+    """Let operators read, change and watch resources."""
+
+    def routes(self) -> list[web.AbstractRouteDef]:
+        """See :meth:`Handlers.routes`."""
+        return [
+            web.get("/v1/{kind}", self._list),
+            web.get("/v1/{kind}/{name}", self._get),
+            web.put("/v1/{kind}/{name}", self._put),
+            web.delete("/v1/{kind}/{name}", self._delete),
+        ]
+
+    async def _list(self, request: web.Request) -> web.StreamResponse:
+        self.allow(request, "operator")
+        resources = self.kernel.get(Resources)
+        kind = resources.kind(request.match_info["kind"])
+        if "watch" in request.query:
+            return await self._watch(request, kind)
+        rows, offset = resources.list(kind)
+        return json_answer({"kind": kind, "offset": offset, "items": rows})
+
+    async def _watch(self, request: web.Request, kind: str) -> web.StreamResponse:
+        text = request.query["watch"]
+        offset = integer(text, "watch") if text else None
+        resources = self.kernel.get(Resources)
+        resources.check_watch(offset)
+        response = web.StreamResponse(headers={"Content-Type": NDJSON})
+        await response.prepare(request)
+        try:
+            async for event in resources.watch(kind, offset, self._ended):
+                await response.write(json_line(event))
+        except WatchExpiredError as error:
+            await response.write(
+                json_line({"event": "expired", "error": error.problem()})
+            )
+        await response.write_eof()
+        return response
+
+    def _ended(self) -> bool:
+        return not self.api.accepting
+
+    async def _get(self, request: web.Request) -> web.Response:
+        self.allow(request, "operator")
+        resources = self.kernel.get(Resources)
+        resource = resources.get(request.match_info["kind"], request.match_info["name"])
+        return resource_answer(resources.describe(resource))
+
+    async def _put(self, request: web.Request) -> web.Response:
+        self.allow(request, "operator")
+        body = json_object(await request.read())
+        unknown = set(body) - {"spec", "kind", "name", "metadata", "status"}
+        if unknown:
+            field = sorted(unknown)[0]
+            raise InvalidInputError(f"{field} is not known", field=field)
+        if "spec" not in body:
+            raise InvalidInputError("spec is missing", field="spec")
+        for field in ("kind", "name"):
+            if body.get(field, request.match_info[field]) != request.match_info[field]:
+                raise InvalidInputError(f"{field} differs from the path's", field=field)
+        return await self._change(request, "put", body["spec"])
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        self.allow(request, "operator")
+        return await self._change(request, "delete", None)
+
+    async def _change(
+        self, request: web.Request, operation: str, spec: Any
+    ) -> web.Response:
+        resources = self.kernel.get(Resources)
+        resource = await resources.change(
+            operation,
+            request.match_info["kind"],
+            request.match_info["name"],
+            spec,
+            if_match(request),
+            request.headers.get("Change-Id"),
+        )
+        if resource is None:
+            kind, name = request.match_info["kind"], request.match_info["name"]
+            return web.json_response({"kind": kind, "name": name, "deleted": True})
+        return resource_answer(resources.describe(resource))
