Forget the facts of what is gone from the platform's list for an hour

Cause: facts of hosts, targets and engines were never dropped, and the exchange of all facts would have brought a dropped one back from a peer. Ruled out: dropping alone (a peer that holds the fact gives it back); forgetting what only the list lacks (an engine or target that is declared but not listed would lose its mark: declared ids are kept). Now: after 300 s of absence a fact no longer counts in the digest and in the exchange of all facts, after an hour it is dropped and refused for another hour. Absence is judged only when the list is read, so a list that is down forgets nothing. Conclusion: what is held is bounded by what is listed or declared and by two hours of replacements. A host that is listed again after more than an hour with the incarnation that said it was leaving is taken as the list has it.

--- a/cranberryrun/configuration.py
+++ b/cranberryrun/configuration.py
@@ -6,6 +6,7 @@
 import json
 import random
 from collections import OrderedDict, deque
+from collections.abc import Iterable
 from typing import Any
 
 from absl import logging
@@ -66,6 +67,7 @@
 
     async def start(self) -> None:
         """Serve peers, then begin to follow the log."""
+        self.kernel.get(Membership).keep(self._declared_ids)
         peers = self.kernel.get(Peers)
         peers.handler_by_call["records"] = self._serve_records
         peers.handler_by_call["snapshot"] = self._serve_snapshot
@@ -90,6 +92,13 @@
         """Return the oldest offset that :meth:`recent` can give."""
         return self._recent[0].offset if self._recent else self.state.offset + 1
 
+    def _declared_ids(self) -> Iterable[str]:
+        """Yield the names of engines and the ids of plain services' targets."""
+        for engine in self.state.list("engines"):
+            yield engine.name
+        for service in self.state.list("services"):
+            yield from (target.id for target in service.spec.targets)
+
     async def wait_past(self, offset: int, timeout: float) -> None:
         """Wait until a record above ``offset`` is applied, or ``timeout`` seconds."""
         try:
@@ -383,7 +392,7 @@
         ready = self.ready.is_set()
         state = self.state.snapshot(membership.id).model_dump_json() if ready else ""
         return wire.Snapshot(
-            ready=ready, state=state, facts=to_wire(membership.views.all())
+            ready=ready, state=state, facts=to_wire(membership.views.shared())
         )
 
     def _compare_snapshot(self, record: Record) -> None:
--- a/cranberryrun/membership.py
+++ b/cranberryrun/membership.py
@@ -4,13 +4,14 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Literal
 
 import aiohttp
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 from . import clock
+from .absences import Absences
 from .events import Events
 from .exceptions import HostListError
 from .http import HttpClients
@@ -97,6 +98,8 @@
         self._settings = settings
         self.incarnation = incarnation
         self.views = Views()
+        self._absences = Absences()
+        self._kept: list[Callable[[], Iterable[str]]] = []
         self.entry_by_id: dict[str, HostEntry] = {}
         self._target_by_id: dict[str, HostEntry] = {}
         self._offset_by_host: dict[str, tuple[int, int]] = {}
@@ -112,6 +115,10 @@
         """Read from ``host_list`` in place of the one in the settings."""
         self._host_list = host_list
 
+    def keep(self, ids: Callable[[], Iterable[str]]) -> None:
+        """Never forget the facts of what ``ids`` returns, also if not listed."""
+        self._kept.append(ids)
+
     async def start(self) -> None:
         """Take this host's own facts in and begin to poll the list."""
         if self._host_list is None:
@@ -360,6 +367,16 @@
                 continue
             facts.append(Fact(kind, entry.id, entry.incarnation, LEAVING))
         self.learn(facts)
+        self._forget_absent(entries)
+
+    def _forget_absent(self, entries: list[HostEntry]) -> None:
+        now = clock.now()
+        listed = {entry.id for entry in entries} | {self.id}
+        for ids in self._kept:
+            listed.update(ids())
+        self._absences.note(self.views.by_key, listed, now)
+        self.views.leave_out(self._absences.left_out(now))
+        self.views.refuse(self._absences.forgotten(now))
 
     def _forget_old_steps(self) -> None:
         oldest = int(clock.wall() * 1000) - _STEP_KEPT_MS
--- a/cranberryrun/peers.py
+++ b/cranberryrun/peers.py
@@ -173,7 +173,7 @@
     ) -> Any:
         membership = self.kernel.get(Membership)
         views = membership.views
-        facts = views.all() if send_all else views.take(_MAX_FACTS)
+        facts = views.shared() if send_all else views.take(_MAX_FACTS)
         about_peer = views.get(FactKind.HOST, peer_id)
         if about_peer and about_peer.value % 2 == 1 and about_peer not in facts:
             # A peer that was away must learn what is said of it, to refute it.
--- a/cranberryrun/views.py
+++ b/cranberryrun/views.py
@@ -87,10 +87,15 @@
         self.by_key: dict[FactKey, Fact] = {}
         self._sends_left_by_key: dict[FactKey, int] = {}
         self._digest = 0
+        self._left_out_keys: set[FactKey] = set()
+        self._refused_keys: set[FactKey] = set()
 
     @property
     def digest(self) -> int:
-        """Equal for two views that hold the same facts, but for steps."""
+        """Equal for two views that hold the same facts.
+
+        Steps and what :meth:`leave_out` names don't count.
+        """
         return self._digest
 
     @property
@@ -113,7 +118,9 @@
             known = self.by_key.get(fact.key)
             if known is not None and known.rank >= fact.rank:
                 continue
-            self._digest ^= fact.hash ^ (known.hash if known else 0)
+            if fact.key in self._refused_keys:
+                continue
+            self._digest ^= self._share(fact) ^ self._share(known)
             self.by_key[fact.key] = fact
             self._sends_left_by_key[fact.key] = _sends(hosts)
             news.append(fact)
@@ -135,12 +142,38 @@
         """Return every fact."""
         return list(self.by_key.values())
 
+    def shared(self) -> list[Fact]:
+        """Return the facts that a peer needs to know all this view knows."""
+        return [fact for fact in self.all() if fact.key not in self._left_out_keys]
+
+    def leave_out(self, keys: set[FactKey]) -> None:
+        """Keep just the facts of ``keys`` out of the digest and :meth:`shared`."""
+        for key in self._left_out_keys ^ keys:
+            known = self.by_key.get(key)
+            self._digest ^= known.hash if known else 0
+        self._left_out_keys = set(keys)
+
+    def refuse(self, keys: set[FactKey]) -> None:
+        """Drop the facts of ``keys`` and take in no more of them.
+
+        Facts that were refused before and are not in ``keys`` are heard again.
+        """
+        for key in keys - self._refused_keys:
+            self.forget(key)
+        self._refused_keys = set(keys)
+
     def forget(self, key: FactKey) -> None:
         """Drop a fact that no host needs any more."""
         known = self.by_key.pop(key, None)
-        self._digest ^= known.hash if known else 0
+        self._digest ^= self._share(known)
         self._sends_left_by_key.pop(key, None)
 
+    def _share(self, fact: Fact | None) -> int:
+        """Return what a fact adds to the digest of this view now."""
+        if fact is None or fact.key in self._left_out_keys:
+            return 0
+        return fact.hash
+
 
 def _sends(hosts: int) -> int:
     return _SPREAD_FACTOR * math.ceil(math.log2(hosts + 1))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -97,6 +97,44 @@
         fact = one.views.get(FactKind.HOST, "host-1")
         self.assertEqual((fact.value % 2, fact.value < LEAVING), (0, True))
 
+    async def test_what_is_gone_for_an_hour_is_forgotten_by_all(self):
+        one, two = await self.memberships(2)
+        gone = [
+            Fact(FactKind.HOST, "host-9", 1, 1),
+            Fact(FactKind.TARGET, "target-9", 1, LEAVING),
+        ]
+        one.learn(gone)
+        await until(lambda: one.views.digest == two.views.digest, 15)
+        self.assertIsNotNone(two.views.get(FactKind.HOST, "host-9"))
+        await asyncio.sleep(3700)
+        for each in (one, two):
+            self.assertEqual(len(each.views.by_key), 2)
+        one.learn(gone)
+        await asyncio.sleep(30)
+        for each in (one, two):
+            self.assertEqual(len(each.views.by_key), 2)
+        self.assertEqual(one.views.digest, two.views.digest)
+
+    async def test_what_is_declared_is_kept_though_not_listed(self):
+        (one,) = await self.memberships(1)
+        mark = Fact(FactKind.ENGINE, "engine-9", 1, 2)
+        one.learn([mark])
+        one.keep(lambda: ["engine-9"])
+        await asyncio.sleep(3700)
+        self.assertEqual(one.views.get(*mark.key), mark)
+
+    async def test_what_is_listed_again_is_heard_again(self):
+        (one,) = await self.memberships(1)
+        gone = Fact(FactKind.HOST, "host-9", 1, LEAVING)
+        one.learn([gone])
+        await asyncio.sleep(3700)
+        self.assertEqual(one.learn([gone]), [])
+        self.assertIsNone(one.views.get(FactKind.HOST, "host-9"))
+        self.world.enlist(9, 2)
+        await asyncio.sleep(5)
+        back = Fact(FactKind.HOST, "host-9", 2, 0)
+        self.assertEqual(one.learn([back]), [back])
+
     async def test_offsets_reach_the_others(self):
         one, two = await self.memberships(2)
         other = configuration_of(two.kernel)
