Count a resumed stream's tokens once

Cause: a host that resumes a stream reads it from its first piece and its meter counted all pieces, also those that the host before had counted. Ruled out: resuming at the checkpoint's piece (the sample's text and stamps need all pieces). Now: pieces up to the placement's count add no tokens, a placement never says fewer than were seen, and a host that hands its streams over counts no more after the last placements it sends. One stream resumed after 3 of 5 pieces, tests.test_samples: 50 before, 20 after. Conclusion: a planned move counts each piece once. After a crash or a lost connection the last checkpoint is a lower bound, so pieces that the old host read since then, and wrote to the log, are counted twice. Engine-seconds are left as they were. The count is the trainer's to send back.

--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -94,9 +94,10 @@
             if engine is None:
                 self._pending.add(slot)
                 continue
-            stream = placement_by_key[key].stream
+            placement = placement_by_key[key]
+            stream = placement.stream
             self._events.emit("sample_resumed", step=self.name, stream=stream)
-            self._start(slot, engine, stream, resumed=True)
+            self._start(slot, engine, stream, resumed=True, seen=placement.pieces)
 
     def _engine_of(self, slot: Slot, placement: Placement | None) -> Engine | None:
         """Return where the checkpoint's stream runs, if it is a stream of ``slot``."""
@@ -144,6 +145,13 @@
         rows = [rows[0].placement() for rows in self._attempts_by_key.values()]
         return rows + [whole.placement for _, whole in self._slots.waiting()]
 
+    def last_placements(self) -> list[Placement]:
+        """Return :meth:`placements`; the next host counts all pieces after them."""
+        rows = self.placements()
+        for attempts in self._attempts_by_key.values():
+            attempts[0].meter = None
+        return rows
+
     # Freshness
 
     def is_stale(self, whole: WholeSample) -> bool:
@@ -239,6 +247,7 @@
         stream: str,
         resumed: bool = False,
         lent: bool = False,
+        seen: int = 0,
     ) -> None:
         attempt = Attempt(
             slot,
@@ -248,6 +257,7 @@
             newest_at_dispatch=self._versions.newest(self._workload.name),
             resumed=resumed,
             lent=lent,
+            seen=seen,
         )
         slot.attempts = max(slot.attempts, 1)
         self._attempts_by_key.setdefault(slot.key, []).append(attempt)
--- a/cranberryrun/runs.py
+++ b/cranberryrun/runs.py
@@ -195,7 +195,7 @@
 
     async def _send_moved(self) -> None:
         self._events.emit("step_moved", step=self._name)
-        placements = self._dispatcher.placements()
+        placements = self._dispatcher.last_placements()
         await self._send(
             MovedEvent(placements=placements, retry_after=_MOVED_RETRY_SECONDS)
         )
@@ -205,7 +205,7 @@
         self._events.emit(
             "step_failed", step=self._name, error=error.code, detail=error.detail
         )
-        placements = self._dispatcher.placements()
+        placements = self._dispatcher.last_placements()
         self._told_streams = {each.stream for each in placements}
         await self._send(FailedEvent(problem=error.problem(), placements=placements))
 
--- a/cranberryrun/samples.py
+++ b/cranberryrun/samples.py
@@ -35,7 +35,7 @@
 
     ``newest_at_dispatch`` is the newest version that was known when it began;
     ``lent`` says that it goes beyond the step's declared share; ``meter`` counts
-    what it uses.
+    what it uses. Another host had ``seen`` so many pieces and counted them.
     """
 
     slot: Slot
@@ -50,6 +50,7 @@
     oldest: int | None = None
     task: asyncio.Task[Any] | None = None
     meter: Meter | None = None
+    seen: int = 0
     _rate: float | None = None
     _marked_at: float = 0.0
     _marked_tokens: int = 0
@@ -60,7 +61,7 @@
             raise UnstampedStreamError(f"piece {piece.seq} has no version")
         self.pieces.append(piece)
         if self.meter is not None:
-            self.meter.add(piece.tokens)
+            self.meter.add(piece.tokens if len(self.pieces) > self.seen else 0)
         if piece.tokens == 0:
             return
         self.tokens += piece.tokens
@@ -85,7 +86,7 @@
             index=self.slot.index,
             engine=self.engine.name,
             stream=self.stream,
-            pieces=len(self.pieces),
+            pieces=max(len(self.pieces), self.seen),
         )
 
     def sample(self) -> Sample:
--- a/tests/test_samples.py
+++ b/tests/test_samples.py
@@ -12,6 +12,7 @@
     TargetUnreachableError,
     UnstampedStreamError,
 )
+from cranberryrun.meters import Meter
 from cranberryrun.samples import Attempt, collect
 from cranberryrun.slots import Slot
 
@@ -102,6 +103,17 @@
         self.assertEqual(sample.tokens, 50)
         self.assertEqual(len(self.scripted.generated), 1)
 
+    async def test_only_pieces_that_no_host_had_seen_are_counted(self):
+        await self.begin()
+        await self.collect(self.attempt())
+        attempt = self.attempt(resumed=True)
+        attempt.seen = 3
+        attempt.meter = Meter(WORKLOAD, 1)
+        self.assertEqual(attempt.placement().pieces, 3)
+        self.assertEqual((await self.collect(attempt)).tokens, 50)
+        self.assertEqual(attempt.meter.tokens, 20)
+        self.assertEqual(attempt.placement().pieces, 5)
+
     async def test_an_unknown_stream_of_a_checkpoint_is_lost(self):
         await self.begin()
         with self.assertRaises(StreamLostError):
--- a/tests/test_steps.py
+++ b/tests/test_steps.py
@@ -209,6 +209,7 @@
         await self.start(rollouts, second, checkpoint=checkpoint)
         self.assert_whole(second, 2, 2)
         self.assertEqual(len(rollouts.generated()), 4)
+        self.assertEqual(rollouts.engines.usage.take()[WORKLOAD].tokens, 4 * 50)
 
     async def test_a_checkpoint_of_another_slot_is_not_resumed(self):
         rollouts = await self.begin()
