Let explain ask only for the events that it tells

Cause: explain fetched the whole time line of all hosts, although the API chooses by step, request and change. Ruled out: fetching only what bears the name. A step's story names the warnings meanwhile (fetched from the step's first event on), a rejected change's story names the change that came first (still the whole time line). Figures: the selections sent for one change and one request, tests.test_ctl: none before, the change and the request after; the test failed before. Conclusion: requests and applied changes cost only their own events. A step or a rejected change is fetched in two parts, so a silent host is named twice.

--- a/cranberryrun/ctl_explain.py
+++ b/cranberryrun/ctl_explain.py
@@ -19,7 +19,7 @@
     """Return the story of ``name``.
 
     :param kind: ``step``, ``request`` or ``change``.
-    :param rows: the whole merged time line.
+    :param rows: the merged time line, or all of it that the story can name.
     """
     own = [row for row in rows if str(row.get(kind)) == name]
     if not own:
--- a/cranberryrun/ctl_fleet.py
+++ b/cranberryrun/ctl_fleet.py
@@ -149,6 +149,17 @@
     control.run(work)
 
 
+async def _around(client: ControlClient, kind: str, own: list[Row]) -> list[Row]:
+    """Return ``own`` and, where its story names others' events, those too."""
+    if kind == "step" and own:
+        since = min(row["wall"] for row in own)
+        return await _merged(client, Selection(since=since))
+    if any(row["event"] == "change_rejected" for row in own):
+        # The change that came first may be of any time.
+        return await _merged(client)
+    return own
+
+
 @click.command()
 @click.argument("kind", type=click.Choice(["step", "request", "change"]))
 @click.argument("name")
@@ -157,9 +168,8 @@
     """Tell what happened to a step, a request or a change."""
 
     async def work(client: ControlClient) -> str:
-        rows = await _merged(client)
-        text = story(kind, name, rows)
-        own = [row for row in rows if str(row.get(kind)) == name]
+        own = await _merged(client, Selection(**{kind: name}))
+        text = story(kind, name, await _around(client, kind, own))
         if text:
             control.show(own, text)
         return text
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
 from click.testing import CliRunner
 
@@ -174,6 +175,25 @@
         self.call("timeline", "--since", "yesterday", code=2)
         self.assertEqual(self.call("timeline", "--host", "host-9").output.strip(), "")
 
+    def test_explain_asks_only_for_what_it_tells(self):
+        self.apply(self.named("wl-x"), options=["--wait"])
+        shown = json.loads(
+            self.call("--output", "json", "get", "workload", "wl-x").stdout
+        )
+        change = shown["metadata"]["change_id"]
+        asked = []
+        get = ControlClient.get
+
+        async def noted(client, path, **chosen):
+            if path == "/v1/timeline":
+                asked.append(chosen)
+            return await get(client, path, **chosen)
+
+        with mock.patch.object(ControlClient, "get", noted):
+            self.call("explain", "change", change)
+            self.call("explain", "request", "none", code=3)
+        self.assertEqual(asked, [{"change": change}, {"request": "none"}])
+
     def test_the_page_has_a_lane_for_each_process(self):
         runner = CliRunner()
         with runner.isolated_filesystem():
