Measure the retry budget where it binds

Cause: in no scenario did retries reach their budget, so its effect was not shown. Ruled out: a surge (admission refuses there before any target is asked).

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -23,6 +23,7 @@
 _UNDER_FAULTS = {
     "lost": _MAIN,
     "faults": (*_MAIN, "no-second-attempts", "unlimited-retries"),
+    "refusals": ("adopted", "unlimited-retries"),
 }
 _ONLY_UNDER_LOAD = ("no-admission", "unlimited-retries", "ageing-ranges")
 _CURVE_WEIGHTS = (0.0, 0.25, 0.5, 0.75, 1.0)
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -125,8 +125,9 @@
 class Fault:
     """Something that goes wrong ``at`` a time and ends ``after`` seconds.
 
-    ``kind`` is crash, slow (an engine), log, host or zone; ``factor`` is the
-    part of its speed that a slow engine keeps.
+    ``kind`` is crash, slow or refuse (an engine), log, host or zone; ``factor`` is
+    the part of its speed that a slow engine keeps, or the share of its orders that
+    one refuses.
     """
 
     kind: str
@@ -169,5 +170,14 @@
     ),
 )
 SURGE = Scenario("surge", seconds=240.0, surge=(60.0, 40.0, 25.0))
+REFUSALS = Scenario(
+    "refusals",
+    seconds=240.0,
+    faults=tuple(
+        Fault("refuse", f"portal-{n}", 60, 120, factor=0.7) for n in (1, 2, 3)
+    ),
+)
 SHORT = Scenario("short", seconds=180.0)
-SCENARIO_BY_NAME = {each.name: each for each in (SHORT, HEALTHY, LOST, FAULTS, SURGE)}
+SCENARIO_BY_NAME = {
+    each.name: each for each in (SHORT, HEALTHY, LOST, FAULTS, SURGE, REFUSALS)
+}
--- a/bench/engine.py
+++ b/bench/engine.py
@@ -100,6 +100,8 @@
         self.speed = 1.0
         self.incarnation = 1
         self.requests_asked = 0
+        self.refused_share = 0.0
+        self._refused_before = 0.0
         self.request_prefill = 10.0
         self.streams: dict[str, FakeStream] = {}
         self.history: list[FakeStream] = []
@@ -121,6 +123,7 @@
             raise StreamExistsError("the stream runs already")
         if len(self._queue) >= _QUEUE_LIMIT:
             raise TargetRefusedError("the engine's queue is full")
+        self._refuse_some()
         stream = FakeStream(
             order.stream,
             order.workload,
@@ -137,6 +140,13 @@
         self._arm()
         return stream
 
+    def _refuse_some(self) -> None:
+        """Refuse the share of orders that the engine should, evenly spread."""
+        self._refused_before += self.refused_share
+        if self._refused_before >= 1:
+            self._refused_before -= 1
+            raise TargetRefusedError("the engine refuses a share of its orders")
+
     def _prefill(self, prompt: str) -> float:
         if prompt in self._prefixes:
             self._prefixes.move_to_end(prompt)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -323,6 +323,8 @@
             engine.crash()
         if fault.kind == "slow":
             engine.set_speed(fault.factor)
+        if fault.kind == "refuse":
+            engine.refused_share = fault.factor
         if fault.kind == "log":
             self.log.down = True
         if fault.kind == "host":
@@ -336,6 +338,8 @@
             engine.down = False
         if fault.kind == "slow":
             engine.set_speed(1.0)
+        if fault.kind == "refuse":
+            engine.refused_share = 0.0
         if fault.kind == "log":
             self.log.down = False
         if fault.kind == "host":
