--- a/cranberryrun/weights.py
+++ b/cranberryrun/weights.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from . import clock
 from .configuration import Configuration
@@ -11,6 +11,7 @@
 from .events import Events
 from .exceptions import CranberryrunError, LoadFailedError, StaleFenceError
 from .kernel import Service
+from .load_progress import LoadProgress
 from .membership import Membership
 from .pacing import LoadKey, PacingPolicy, Rollout, StaggeredLoads, WeightLoad
 from .rendezvous import score
@@ -24,10 +25,6 @@
 _FIRST_LOAD_SECONDS = 2.0
 _LOAD_WEIGHT = 0.3
 _MIN_LOAD_SECONDS = 0.1
-_MAX_FAILED_LOADS = 3
-_MAX_FAILING_SECONDS = 5.0
-_FIRST_RETRY_SECONDS = 0.5
-_MAX_RETRY_SECONDS = 10.0
 _NAMED_AGAIN_SECONDS = 5.0
 
 
@@ -39,46 +36,6 @@
     return ((offset + 1) << _FENCE_SHIFT) | max(version, 0)
 
 
-@dataclass(slots=True)
-class LoadProgress:
-    """How an engine this host owns comes to a workload's version.
-
-    Times are of the loop; ``incarnation`` is the engine's when it was ordered.
-    ``is_open`` says that the last order was taken and nothing is known of it.
-    """
-
-    version: int
-    incarnation: int
-    orders: int = 0
-    failures: int = 0
-    is_open: bool = False
-    ordered_at: float = -1.0
-    failing_since: float = 0.0
-    not_before: float = 0.0
-
-    def begin(self, version: int) -> None:
-        """Go on with a newer version."""
-        self.version = version
-        self.is_open = False
-        self.not_before = 0.0
-
-    def failed(self) -> None:
-        """Note a failed load or order; the next one waits longer."""
-        self.is_open = False
-        if not self.failures:
-            self.failing_since = clock.now()
-        self.failures += 1
-        pause = _FIRST_RETRY_SECONDS * 2 ** min(self.failures - 1, 8)
-        self.not_before = clock.now() + min(pause, _MAX_RETRY_SECONDS)
-
-    @property
-    def is_hopeless(self) -> bool:
-        """Whether it failed often and for long."""
-        if self.failures < _MAX_FAILED_LOADS:
-            return False
-        return clock.now() - self.failing_since >= _MAX_FAILING_SECONDS
-
-
 class Weights(Service):
     """Compares what engines run with what they should, and orders the difference.
 
