--- a/cranberryrun/configuration.py
+++ b/cranberryrun/configuration.py
@@ -30,7 +30,6 @@
 from .membership import HostEntry, Membership
 from .models import Change, SnapshotRecord
 from .peers import Peers, from_wire, to_wire, wire
-from .rendezvous import ranked
 from .settings import Settings
 from .state import ConfigState, Outcome, Resource, digest_of
 from .views import Fact, FactKind
@@ -39,10 +38,6 @@
 _READ_LIMIT = 500
 _KEPT_RECORDS = 2_000
 _RETRY_SECONDS = 0.5
-_SNAPSHOTS_PER_RETENTION = 3
-_SNAPSHOT_TURN_SECONDS = 1.0
-_SNAPSHOT_JITTER_SECONDS = 0.3
-_MAX_SNAPSHOT_TURNS = 30
 _MAX_UNKNOWN_CHANGES = 4_000
 
 
@@ -72,7 +67,6 @@
         peers.handler_by_call["records"] = self._serve_records
         peers.handler_by_call["snapshot"] = self._serve_snapshot
         self.supervise(self._follow)
-        self.supervise(self._write_snapshots)
 
     def heard_age(self) -> float:
         """Return seconds since the log was last heard."""
@@ -407,40 +401,6 @@
                 "snapshot_differs", offset=record.offset, writer=value.get("host")
             )
 
-    async def _write_snapshots(self) -> None:
-        await self.ready.wait()
-        while True:
-            await asyncio.sleep(self._settings.timing.snapshot_check)
-            if not self._snapshot_due():
-                continue
-            await asyncio.sleep(self._snapshot_delay())
-            if self._snapshot_due() and self.log_up:
-                await self._append_snapshot()
-
-    def _snapshot_due(self) -> bool:
-        if self.state.offset < 0:
-            return False
-        every = self._settings.log.retention / _SNAPSHOTS_PER_RETENTION
-        return clock.wall() - self.state.snapshot_time >= every
-
-    def _snapshot_delay(self) -> float:
-        """Return the seconds until this host's turn; the first host's is now."""
-        membership = self.kernel.get(Membership)
-        order = ranked(membership.live_ids(), f"snapshot/{self.state.snapshot_time}")
-        turn = _MAX_SNAPSHOT_TURNS
-        if membership.id in order:
-            turn = min(turn, order.index(membership.id))
-        jitter = self._rng.uniform(0, _SNAPSHOT_JITTER_SECONDS)
-        return turn * _SNAPSHOT_TURN_SECONDS + jitter
-
-    async def _append_snapshot(self) -> None:
-        record = self.state.snapshot(self._settings.id)
-        try:
-            await self.kernel.get(Log).append(STREAM, [record.model_dump(mode="json")])
-        except CranberryrunError:
-            return
-        self.kernel.get(Events).emit("snapshot_written", offset=record.covers)
-
 
 def _last_snapshot(records: list[Record], reach: int) -> SnapshotRecord | None:
     """Return the newest valid snapshot in ``records`` that covers offset ``reach``."""
--- a/cranberryrun/host.py
+++ b/cranberryrun/host.py
@@ -25,6 +25,7 @@
 from .routing import BoundedAffinity, LeastLoaded
 from .security import target_context
 from .settings import Settings
+from .snapshots import Snapshots
 from .steps import Steps
 from .traffic import Traffic
 from .usage import Usage
@@ -76,6 +77,7 @@
             Pauses(settings),
             EventPages(),
             Configuration(settings, rng),
+            Snapshots(settings, rng),
             Engines(settings),
             Versions(settings),
             Weights(settings),
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -22,6 +22,7 @@
 from cranberryrun.models import Change
 from cranberryrun.peers import Peers, wire
 from cranberryrun.settings import parse_settings
+from cranberryrun.snapshots import Snapshots
 from standins.log import AckLost, LogStandin, LogUnavailable, RateExceeded
 
 WORKLOAD_SPEC = {"pool": "rollout", "freshness_bound": 2}
@@ -162,6 +163,7 @@
             DirectPeers(self, settings, rng),
             StandinLog(self.log),
             Configuration(settings, rng),
+            Snapshots(settings, rng),
         ):
             kernel.register(service)
         self.kernel_by_port[settings.peer_port] = kernel
