Count an answer as news of when it was asked for

A host that was paused for 24.8 s into a cut counted answers that had lain unread in its buffers as heard at that moment, took itself for in touch, and sent a request to a target that had been leaving for 20.6 s. The same held for peers' views and the log. Ruled out: the renewal after a pause, which ran and heard nobody; the list's lag. Conclusion: a peer's or list's word is as old as the question, the log's at most as old as the question and its wait; what peers ask says nothing of now.

--- a/cranberryrun/configuration.py
+++ b/cranberryrun/configuration.py
@@ -57,6 +57,7 @@
         self._changed = asyncio.Condition()
         self._recent: deque[Record] = deque(maxlen=_KEPT_RECORDS)
         self._log_heard_at: float | None = None
+        self._read_at = 0.0
         self._log_back_at = float("-inf")
         self._unknown_ids: OrderedDict[str, None] = OrderedDict()
 
@@ -181,7 +182,7 @@
 
     def _log_is(self, up: bool) -> None:
         if up:
-            self._log_heard_at = clock.now()
+            self._log_heard_at = self._read_at
         if up and not self.log_up:
             self._log_back_at = clock.now()
         if up != self.log_up:
@@ -245,7 +246,10 @@
         """
         log = self.kernel.get(Log)
         seconds = self._settings.timing.log_wait if wait is None else wait
+        asked_at = clock.now()
         batch = await log.read(STREAM, self.state.offset + 1, _READ_LIMIT, seconds)
+        # An answer may have lain unread while this process was paused.
+        self._read_at = min(clock.now(), asked_at + seconds)
         if batch.first > self.state.offset + 1:
             await self._cross_gap(batch)
             return False
--- a/cranberryrun/membership.py
+++ b/cranberryrun/membership.py
@@ -210,15 +210,23 @@
         fact = self.views.get(FactKind.HOST, host_id)
         return fact is not None and fact.value < LEAVING and fact.value % 2 == 1
 
-    def heard_from(self, host_id: str) -> None:
-        """Note that a peer answered just now."""
-        self._peer_heard_at = clock.now()
+    def heard_from(self, host_id: str, at: float | None = None) -> None:
+        """Note that a peer answered what it was asked at loop time ``at``.
 
-    def agreed_with(self, host_id: str) -> None:
-        """Note that this host knows all that a peer knows now."""
+        An answer may have lain unread while this process was paused, so what it
+        says is as old as the question. Without ``at``: it was asked just now.
+        """
+        heard_at = clock.now() if at is None else at
+        self._peer_heard_at = max(self._peer_heard_at or heard_at, heard_at)
+
+    def agreed_with(self, host_id: str, at: float | None = None) -> None:
+        """Note that this host knows all that a peer knew at loop time ``at``."""
         entry = self.entry_by_id.get(host_id)
-        if entry is not None:
-            self._agreed_at_by_zone[entry.zone] = clock.now()
+        if entry is None:
+            return
+        agreed_at = clock.now() if at is None else at
+        known = self._agreed_at_by_zone.get(entry.zone, agreed_at)
+        self._agreed_at_by_zone[entry.zone] = max(known, agreed_at)
 
     def peer_age(self) -> float:
         """Return seconds since this host knew all that a peer of another zone knew.
@@ -232,9 +240,9 @@
         times = [at for at in heard if at is not None]
         return clock.now() - max(times) if times else float("inf")
 
-    def met(self, entry: HostEntry, host_id: str, zone: str) -> None:
-        """Note that a peer answered, and who a seed is."""
-        self.heard_from(host_id)
+    def met(self, entry: HostEntry, host_id: str, zone: str, at: float) -> None:
+        """Note that a peer answered what it was asked at ``at``, and who a seed is."""
+        self.heard_from(host_id, at)
         seed = f"{entry.ip}:{entry.peer_port}"
         if entry.id == seed and host_id and seed in self._entry_by_seed:
             self._changes += 1
@@ -370,11 +378,13 @@
 
     async def read_list(self) -> None:
         """Read the platform's list now; :raises HostListError:."""
-        self.take_list(await self._host_list.read())
+        asked_at = clock.now()
+        entries = await self._host_list.read()
+        self.take_list(entries, asked_at)
 
-    def take_list(self, entries: list[HostEntry]) -> None:
-        """Take in what the platform's list says now."""
-        self._list_heard_at = clock.now()
+    def take_list(self, entries: list[HostEntry], at: float | None = None) -> None:
+        """Take in what the platform's list said when asked at loop time ``at``."""
+        self._list_heard_at = clock.now() if at is None else at
         self._changes += 1
         self.entry_by_id = {each.id: each for each in entries if each.kind == "entry"}
         self._target_by_id = {
--- a/cranberryrun/peers.py
+++ b/cranberryrun/peers.py
@@ -155,12 +155,11 @@
                 client.close()
 
     def answer_exchange(self, theirs: Any) -> Any:
-        """Take a peer's facts in and return this host's news, or all it has."""
+        """Take a peer's facts in and return this host's news, or all it has.
+
+        What a peer asks says nothing of now: it may have lain unread in a pause.
+        """
         self._take(theirs)
-        membership = self.kernel.get(Membership)
-        membership.heard_from(theirs.sender)
-        if theirs.digest == membership.views.digest:
-            membership.agreed_with(theirs.sender)
         send_all = bool(theirs.all_facts)
         return self._exchange_message(theirs.sender, send_all=send_all)
 
@@ -264,12 +263,13 @@
         message = self._exchange_message(
             entry.id, send_all=everything, ask_all=everything
         )
+        asked_at = clock.now()
         theirs = await self.call(entry, "exchange", message)
         self._take(theirs)
-        membership.met(entry, theirs.sender, theirs.zone)
+        membership.met(entry, theirs.sender, theirs.zone, asked_at)
         views = membership.views
         if everything or theirs.digest == views.digest:
-            membership.agreed_with(theirs.sender)
+            membership.agreed_with(theirs.sender, asked_at)
             return
         # A host that was away can't wait until its own news has gone round.
         away = membership.peer_age() > self._settings.timing.view_limit
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -53,6 +53,9 @@
         cells = pair_cells(SEED)
         self._run_all(cells[:: len(cells) // PAIRS][:PAIRS])
 
+    def test_an_answer_that_lay_unread_in_a_pause_is_no_news(self):
+        self._run_all([parse_cell("pause_host+retention_passed/admit", 4)])
+
     def test_a_cell_that_cannot_occur_is_named(self):
         cell = parse_cell("ack_lost/stream", SEED)
         cell.run()
