Remove the membership's waiters, which nothing waits on

Cause: watch and unwatch of the first path have no caller any more. Conclusion: 14 lines less, behaviour unchanged.

--- a/cranberryrun/membership.py
+++ b/cranberryrun/membership.py
@@ -111,7 +111,6 @@
         self._peer_heard_at: float | None = None
         self._agreed_at_by_zone: dict[str, float] = {}
         self._host_list: HostList | None = None
-        self._waiters: set[asyncio.Event] = set()
         self._suspected_ids: set[str] = set()
         self._entry_by_seed = _seeds(settings)
 
@@ -153,9 +152,6 @@
             self._note_return(fact)
             if fact.kind is FactKind.TARGET and fact.value >= LEAVING:
                 self.kernel.get(Events).emit("target_leaving", target=fact.name)
-        if news:
-            for waiter in self._waiters:
-                waiter.set()
         return news
 
     def _refute(self, fact: Fact) -> None:
@@ -179,16 +175,6 @@
     def _own(self, value: int) -> Fact:
         return Fact(FactKind.HOST, self.id, self.incarnation, value)
 
-    def watch(self) -> asyncio.Event:
-        """Return an event that is set at each piece of news; end with unwatch."""
-        waiter = asyncio.Event()
-        self._waiters.add(waiter)
-        return waiter
-
-    def unwatch(self, waiter: asyncio.Event) -> None:
-        """Stop setting ``waiter``."""
-        self._waiters.discard(waiter)
-
     def say_leaving(self) -> None:
         """Tell the others that this host is leaving."""
         self.learn([self._own(LEAVING)])
