Serve the users' platform by a thin whole path

What is new: the store as an abstract service (topics, newest values, groups), the directory of manifest, targets and versions, a lease by group membership, durable batches in one log topic, a runner with one plan for all open batches, loads of weights, a forwarder for requests, and the adapter in cranberryrun/platform/ which only translates.

--- /dev/null
+++ b/cranberryrun/batches/dispatch.py
@@ -0,0 +1,177 @@
+"""Which waiting item runs next, and at which engine. Pure decisions, no I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from ..fleet.engine_pool import Engine
+from .models import BatchState, Item, Piece
+
+# Between two events of an engine that nothing is known of, in seconds.
+DEFAULT_GAP_SECONDS = 0.04
+# An engine is slow from this multiple of the fastest one's gap on.
+SLOW_FACTOR = 1.8
+# Waiting for a fast engine pays if it saves more than this, in seconds.
+_WORTH_WAITING_SECONDS = 0.3
+
+CARRIED, WANTED, SPARE = range(3)
+
+
+@dataclass(slots=True, eq=False)
+class Work:
+    """An item that is being made. ``due`` is in seconds since 1970.
+
+    ``expected_events`` is how long its stream is thought to be. ``recorded`` is how
+    many of ``pieces`` the log has.
+    """
+
+    item: Item
+    state: BatchState
+    services: frozenset[str]
+    due: float
+    expected_events: float
+    carried: bool = False
+    pieces: list[Piece] = field(default_factory=list)
+    recorded: int = 0
+    failures: int = 0
+    engine: Engine | None = None
+    finished: bool = False
+
+    @property
+    def waiting(self) -> bool:
+        """Whether the item may be started."""
+        return self.engine is None and not self.finished
+
+    def remaining_events(self) -> float:
+        """Return how many events are expected still; one at least."""
+        return max(1.0, self.expected_events - len(self.pieces))
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """A decision: run this item at this engine."""
+
+    work: Work
+    engine: Engine
+
+
+def usable_pieces(pieces: Sequence[Piece], min_version: int) -> bool:
+    """Say whether a text with these pieces may still be handed to the trainer."""
+    return all(piece.version >= min_version for piece in pieces)
+
+
+def fastest_gap(engines: Iterable[Engine]) -> float:
+    """Return the least gap between events of any engine, in seconds."""
+    gaps = [gap for engine in engines if (gap := engine.expected_gap())]
+    return min(gaps, default=DEFAULT_GAP_SECONDS)
+
+
+def is_slow(engine: Engine, fastest: float) -> bool:
+    """Say whether an engine is far slower than the fastest."""
+    return engine.expected_gap() > SLOW_FACTOR * fastest
+
+
+def rank_by_group(works: Sequence[Work]) -> dict[tuple[str, str], int]:
+    """Return how much the trainer needs each open group, by batch and group.
+
+    Groups that were carried over are always needed. Of the others those that end
+    soonest make up the number wanted; the rest is spare.
+    """
+    longest: dict[str, dict[str, float]] = {}
+    state_by_batch: dict[str, BatchState] = {}
+    carried: set[tuple[str, str]] = set()
+    for work in works:
+        batch = work.state.batch
+        state_by_batch[batch.id] = work.state
+        by_group = longest.setdefault(batch.id, {})
+        remaining = 0.0 if work.finished else work.remaining_events()
+        by_group[work.item.group] = max(by_group.get(work.item.group, 0.0), remaining)
+        if work.carried:
+            carried.add((batch.id, work.item.group))
+    ranks: dict[tuple[str, str], int] = {}
+    for batch_id, by_group in longest.items():
+        state = state_by_batch[batch_id]
+        all_groups = {item.group for item in state.batch.items}
+        wanted = state.batch.wanted_groups - len(all_groups - set(by_group))
+        for group in sorted(by_group, key=lambda name: by_group[name]):
+            key = (batch_id, group)
+            if key in carried:
+                ranks[key] = CARRIED
+                wanted -= 1
+        for group in sorted(by_group, key=lambda name: by_group[name]):
+            key = (batch_id, group)
+            if key in ranks:
+                continue
+            ranks[key] = WANTED if wanted > 0 else SPARE
+            wanted -= 1
+    return ranks
+
+
+def plan(
+    works: Sequence[Work], engines: Sequence[Engine], now_wall: float
+) -> list[Start]:
+    """Return what to start now: needed groups first, least slack first within."""
+    ranks = rank_by_group(works)
+    gap = fastest_gap(engines)
+
+    def urgency(work: Work) -> tuple[bool, float]:
+        rank = ranks[work.state.batch.id, work.item.group]
+        slack = work.due - now_wall - work.remaining_events() * gap
+        return rank == SPARE, slack
+
+    free_by_id = {engine.id: engine.free() for engine in engines}
+    engine_by_group: dict[str, str] = {}
+    for work in works:
+        if work.engine is not None:
+            engine_by_group[work.item.group] = work.engine.id
+    starts = []
+    for work in sorted((work for work in works if work.waiting), key=urgency):
+        eligible = [
+            engine
+            for engine in engines
+            if engine.target.service in work.services
+            and free_by_id[engine.id] > 0
+            and may_run(work, engine)
+        ]
+        chosen = _choose(work, eligible, gap, free_by_id, engine_by_group)
+        if chosen is None:
+            continue
+        free_by_id[chosen.id] -= 1
+        engine_by_group[work.item.group] = chosen.id
+        starts.append(Start(work, chosen))
+    return starts
+
+
+def may_run(work: Work, engine: Engine) -> bool:
+    """Say whether the engine's weights are new enough for the item's batch."""
+    version = engine.version(work.state.batch.model)
+    return version is not None and version >= work.state.batch.min_version
+
+
+def _choose(
+    work: Work,
+    engines: Sequence[Engine],
+    fastest: float,
+    free_by_id: dict[str, int],
+    engine_by_group: dict[str, str],
+) -> Engine | None:
+    remaining = work.remaining_events()
+    best: Engine | None = None
+    best_cost = 0.0
+    for engine in engines:
+        gap = engine.expected_gap() or fastest
+        lost = remaining * (gap - fastest)
+        if is_slow(engine, fastest) and lost > _WORTH_WAITING_SECONDS:
+            continue
+        cost = lost + gap * _crowding(engine, free_by_id[engine.id])
+        if engine_by_group.get(work.item.group) == engine.id:
+            # Its prompt is in this engine's cache.
+            cost -= gap
+        if best is None or cost < best_cost:
+            best, best_cost = engine, cost
+    return best
+
+
+def _crowding(engine: Engine, free: int) -> float:
+    return 1.0 - free / engine.target.slots
--- /dev/null
+++ b/cranberryrun/batches/runner.py
@@ -0,0 +1,384 @@
+"""Runs the items of all open batches while this host holds the lease."""
+
+from __future__ import annotations
+
+import asyncio
+
+from .. import clock
+from ..events import Events
+from ..exceptions import (
+    LogReadError,
+    RefusedError,
+    TargetFailedError,
+    TargetUnreachableError,
+)
+from ..fleet.client import (
+    ItemImpossibleError,
+    RunFailedError,
+    TargetClient,
+    WrongVersionError,
+)
+from ..fleet.directory import Directory
+from ..fleet.engine_pool import Engine, EnginePool
+from ..fleet.lease import Lease
+from ..fleet.loads import Loads
+from ..fleet.manifest import Route
+from ..kernel import Service
+from .dispatch import (
+    DEFAULT_GAP_SECONDS,
+    Work,
+    fastest_gap,
+    is_slow,
+    may_run,
+    plan,
+    usable_pieces,
+)
+from .log import BatchLog
+from .models import BatchState, Item, Result, result_of
+from .results import ResultWriter
+
+_TICK_SECONDS = 0.1
+_RETRY_SECONDS = 0.1
+# An engine that refused a run is asked again after this, in seconds.
+_REFUSED_SECONDS = 0.1
+# Silence of this many mean gaps, and of this long at least, ends a run.
+_SILENT_GAPS = 8.0
+_SILENT_SECONDS = 0.7
+# The first event waits for the prompt and for a place as well.
+_FIRST_EVENT_SECONDS = 1.0
+# Loads stop an engine's runs for about a second.
+_LOAD_STALL_SECONDS = 2.0
+# Runs of an ended batch go on this long, as their groups may come again.
+_CARRY_SECONDS = 2.5
+# Moving a run pays if it saves more than this, in seconds.
+_WORTH_MOVING_SECONDS = 0.4
+
+
+class Runner(Service):
+    """Starts items where :func:`~.dispatch.plan` says and collects their results.
+
+    A holder that was replaced without knowing does harm to nobody: the first result
+    of an item counts, whoever wrote it.
+    """
+
+    name = "runner"
+    requires = (
+        "events",
+        "lease",
+        "directory",
+        "engine_pool",
+        "batch_log",
+        "loads",
+        "result_writer",
+        "target_client",
+    )
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._work_by_item: dict[str, Work] = {}
+        self._task_by_item: dict[str, asyncio.Task[None]] = {}
+        self._ended_at_by_batch: dict[str, float] = {}
+        self._wake = asyncio.Event()
+        self._stopping = False
+
+    async def start(self) -> None:
+        """Begin to run batches whenever the lease is held."""
+        self.kernel.get(Lease).observers.append(self._wake.set)
+        self.kernel.get(EnginePool).observers.append(self._wake.set)
+        self.supervise(self._serve)
+
+    @property
+    def running(self) -> int:
+        """How many items run now."""
+        return len(self._task_by_item)
+
+    async def hand_over(self) -> None:
+        """Stop all runs and record how far they came, for the next holder."""
+        self._stopping = True
+        await self._cancel(list(self._task_by_item))
+        writer = self.kernel.get(ResultWriter)
+        await writer.record(list(self._work_by_item.values()))
+
+    async def _serve(self) -> None:
+        lease = self.kernel.get(Lease)
+        log = self.kernel.get(BatchLog)
+        while True:
+            await self._pause(_TICK_SECONDS)
+            if not lease.held or self._stopping:
+                continue
+            async with log.following():
+                await self._hold(lease, log)
+
+    async def _hold(self, lease: Lease, log: BatchLog) -> None:
+        while lease.assigned:
+            try:
+                await log.catch_up()
+                break
+            except LogReadError:
+                await asyncio.sleep(_RETRY_SECONDS)
+        follow = self.spawn(self._wake_on_change(log))
+        try:
+            while lease.assigned and not self._stopping:
+                self._follow_table(log)
+                self._dispatch()
+                self._move_from_slow()
+                await self._pause(_TICK_SECONDS)
+        finally:
+            follow.cancel()
+
+    async def _wake_on_change(self, log: BatchLog) -> None:
+        while True:
+            if await log.changed(clock.now() + 1.0):
+                self._wake.set()
+
+    async def _pause(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+        self._wake.clear()
+
+    def _follow_table(self, log: BatchLog) -> None:
+        """Take up the items of open batches; drop what nobody waits for."""
+        needed: dict[str, int] = {}
+        for state in log.table.open_states():
+            batch = state.batch
+            route = self._route(batch.host, batch.items[0].path)
+            if route is None:
+                continue
+            needed[batch.model] = max(needed.get(batch.model, 0), batch.min_version)
+            for item in batch.items:
+                if item.id not in state.result_by_item:
+                    self._take_up(log, state, item, route)
+        self.kernel.get(Loads).needed_version_by_model = needed
+        for item_id, work in list(self._work_by_item.items()):
+            self._drop_if_done(item_id, work)
+
+    def _route(self, host: str, path: str) -> Route | None:
+        manifest = self.kernel.get(Directory).manifest
+        return manifest.route_for(host, path) if manifest is not None else None
+
+    def _take_up(
+        self, log: BatchLog, state: BatchState, item: Item, route: Route
+    ) -> None:
+        batch = state.batch
+        work = self._work_by_item.get(item.id)
+        if work is None:
+            work = Work(item, state, frozenset(), 0.0, 0.0)
+            work.pieces = list(log.table.pieces_by_item.get(item.id, ()))
+            work.recorded = len(work.pieces)
+            self._work_by_item[item.id] = work
+        elif work.state is not state:
+            work.state = state
+            work.finished = False
+            work.recorded = 0
+        elif work.services:
+            self._give_up_if_old(work, route)
+            return
+        manifest = self.kernel.get(Directory).manifest
+        assert manifest is not None
+        work.services = frozenset(backend.service for backend in route.backends)
+        work.due = batch.submitted_at + route.run_limit
+        tokens = max(
+            manifest.tokens_per_event_by_service.get(name, 1.0)
+            for name in work.services
+        )
+        work.expected_events = item.expected_tokens / tokens
+        work.carried = log.table.carried(batch, item)
+        if not usable_pieces(work.pieces, batch.min_version):
+            work.pieces = []
+            work.recorded = 0
+            self._stop_run(item.id)
+        earlier = log.table.earlier_result(item)
+        if earlier is not None and min(earlier.versions) >= batch.min_version:
+            self._stop_run(item.id)
+            self._finish(work, earlier, "its earlier text fits")
+
+    def _give_up_if_old(self, work: Work, route: Route) -> None:
+        age = clock.wall() - work.state.batch.submitted_at
+        if route.keep_limit and age > route.keep_limit and not work.finished:
+            self._stop_run(work.item.id)
+            self._finish(work, Result(work.item.id, False), "it is too old")
+
+    def _drop_if_done(self, item_id: str, work: Work) -> None:
+        batch_id = work.state.batch.id
+        if item_id in work.state.result_by_item:
+            self._stop_run(item_id)
+            del self._work_by_item[item_id]
+            return
+        if not work.state.ended:
+            return
+        ended_at = self._ended_at_by_batch.setdefault(batch_id, clock.now())
+        running = work.engine is not None
+        if running and clock.now() < ended_at + _CARRY_SECONDS:
+            return
+        if not running and clock.now() < ended_at + 2 * _CARRY_SECONDS:
+            return
+        self._stop_run(item_id)
+        del self._work_by_item[item_id]
+
+    def _dispatch(self) -> None:
+        works = [work for work in self._work_by_item.values() if work.state.open]
+        if not any(work.waiting for work in works):
+            return
+        services = frozenset().union(*(work.services for work in works))
+        engines = self.kernel.get(EnginePool).usable(services)
+        for start in plan(works, engines, clock.wall()):
+            work, engine = start.work, start.engine
+            work.engine = engine
+            engine.in_flight += 1
+            self._task_by_item[work.item.id] = self.spawn(self._run(work, engine))
+
+    def _move_from_slow(self) -> None:
+        """Take runs away from slow engines while faster ones have room."""
+        pool = self.kernel.get(EnginePool)
+        engines = list(pool.engine_by_id.values())
+        fastest = fastest_gap(engines)
+        slow = {engine.id for engine in engines if is_slow(engine, fastest)}
+        if not slow:
+            return
+        for work in list(self._work_by_item.values()):
+            engine = work.engine
+            if engine is None or engine.id not in slow or not work.state.open:
+                continue
+            saved = work.remaining_events() * (engine.expected_gap() - fastest)
+            if saved < _WORTH_MOVING_SECONDS:
+                continue
+            room = sum(
+                other.free()
+                for other in pool.usable(work.services)
+                if other.id not in slow and may_run(work, other)
+            )
+            if room <= 0:
+                continue
+            self._emit("item_moved", work, engine, reason="its engine is slow")
+            self._stop_run(work.item.id)
+
+    def _stop_run(self, item_id: str) -> None:
+        task = self._task_by_item.pop(item_id, None)
+        if task is not None:
+            task.cancel()
+
+    async def _cancel(self, item_ids: list[str]) -> None:
+        tasks = [self._task_by_item[item_id] for item_id in item_ids]
+        for item_id in item_ids:
+            self._stop_run(item_id)
+        if tasks:
+            await asyncio.wait(tasks)
+
+    async def _run(self, work: Work, engine: Engine) -> None:
+        me = asyncio.current_task()
+        began = clock.now()
+        had = len(work.pieces)
+        reason = "cancelled"
+        try:
+            reason = await self._stream(work, engine)
+        finally:
+            engine.in_flight -= 1
+            if work.engine is engine:
+                work.engine = None
+            if self._task_by_item.get(work.item.id) is me:
+                del self._task_by_item[work.item.id]
+            self._emit(
+                "item_run",
+                work,
+                engine,
+                had=had,
+                pieces=len(work.pieces),
+                seconds=round(clock.now() - began, 3),
+                outcome=reason,
+            )
+            self._wake.set()
+
+    async def _stream(self, work: Work, engine: Engine) -> str:
+        """Run the item to its end or failure; return what happened, for the log."""
+        try:
+            await self._read_pieces(work, engine)
+        except ItemImpossibleError:
+            self._finish(work, Result(work.item.id, False), "it can never be done")
+            return "impossible"
+        except RunFailedError as error:
+            work.failures += 1
+            self._lose_if_spent(work)
+            return f"failed: {error.detail}"
+        except TimeoutError:
+            engine.health.failed()
+            return "the engine was silent"
+        except WrongVersionError as error:
+            engine.block(_REFUSED_SECONDS)
+            return f"refused: {error.detail}"
+        except TargetUnreachableError as error:
+            engine.health.failed()
+            return f"unreachable: {error.detail}"
+        except RefusedError as error:
+            engine.block(_REFUSED_SECONDS)
+            return f"refused: {error.detail}"
+        except TargetFailedError as error:
+            if not work.pieces:
+                engine.health.failed()
+            return f"broken off: {error.detail}"
+        engine.health.answered()
+        result = result_of(work.item.id, work.pieces)
+        self._finish(work, result, "whole")
+        return "whole"
+
+    async def _read_pieces(self, work: Work, engine: Engine) -> None:
+        batch = work.state.batch
+        version = engine.version(batch.model) or 0
+        done = len(work.pieces)
+        client = self.kernel.get(TargetClient)
+        deadline = clock.now() + self._time_left(work)
+        last_at: float | None = None
+        async with asyncio.timeout(_FIRST_EVENT_SECONDS) as patience:
+            async for piece in client.run(
+                engine.target, batch.host, work.item, version, done, deadline
+            ):
+                now = clock.now()
+                if last_at is not None:
+                    engine.heard(now - last_at)
+                last_at = now
+                work.pieces.append(piece)
+                patience.reschedule(now + self._patience(engine))
+
+    def _time_left(self, work: Work) -> float:
+        batch = work.state.batch
+        route = self._route(batch.host, work.item.path)
+        keep = route.keep_limit if route is not None else 0.0
+        return max(1.0, batch.submitted_at + keep - clock.wall())
+
+    def _patience(self, engine: Engine) -> float:
+        gap = engine.expected_gap() or DEFAULT_GAP_SECONDS
+        stall = _LOAD_STALL_SECONDS if engine.ordered else 0.0
+        return max(_SILENT_SECONDS, _SILENT_GAPS * gap) + stall
+
+    def _lose_if_spent(self, work: Work) -> None:
+        route = self._route(work.state.batch.host, work.item.path)
+        if route is not None and work.failures < route.max_attempts:
+            return
+        self._finish(work, Result(work.item.id, False), "all its runs failed")
+
+    def _finish(self, work: Work, result: Result, reason: str) -> None:
+        if work.finished:
+            return
+        work.finished = True
+        self.kernel.get(ResultWriter).add(work.state.batch.id, result)
+        self.kernel.get(Events).emit(
+            "item_finished",
+            sample=work.item.id,
+            step=work.state.batch.id,
+            succeeded=result.succeeded,
+            versions=list(result.versions),
+            reason=reason,
+        )
+
+    def _emit(self, name: str, work: Work, engine: Engine, **fields: object) -> None:
+        batch = work.state.batch
+        self.kernel.get(Events).emit(
+            name,
+            sample=work.item.id,
+            step=batch.id,
+            engine=engine.id,
+            version=engine.version(batch.model),
+            **fields,
+        )
--- /dev/null
+++ b/cranberryrun/batches/service.py
@@ -0,0 +1,153 @@
+"""What callers may do with batches: submit, read, fetch a body, end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .. import clock
+from ..events import Events
+from ..exceptions import (
+    CranberryrunError,
+    LogReadError,
+    LogUnavailableError,
+    NotFoundError,
+    NotReadyError,
+)
+from ..kernel import Service
+from .log import BatchLog
+from .models import Batch, BatchState, Result
+from .records import Accepted, Ended
+
+# The most text that one answer carries, in bytes.
+_PAGE_BYTES = 1_000_000
+# An append that fails at once is tried again for this long before it is refused.
+_APPEND_SECONDS = 1.5
+# Another host may have the store, so the caller need not wait to ask it.
+_RETRY_AFTER_SECONDS = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class ResultPage:
+    """Results from one position on. ``total`` is the number of items."""
+
+    total: int
+    next: int
+    results: list[Result]
+
+
+class Batches(Service):
+    """Answers for batches from the batch log; any host can."""
+
+    name = "batches"
+    requires = ("events", "batch_log")
+
+    async def submit(self, batch: Batch, deadline: float) -> None:
+        """Accept ``batch``; return once the store has it for certain.
+
+        :param deadline: until when the caller waits, in loop seconds.
+        :raises LogUnavailableError: nothing of it was kept.
+        :raises AppendUnknownError: it may have been accepted.
+        """
+        log = self.kernel.get(BatchLog)
+        if batch.id in log.table.state_by_id:
+            self._emit("batch_accepted", batch, "it was accepted before")
+            return
+        until = min(deadline, clock.now() + _APPEND_SECONDS)
+        try:
+            await log.append([Accepted(batch)], until)
+        except LogUnavailableError as error:
+            self._emit("batch_refused", batch, error.detail)
+            raise LogUnavailableError(
+                error.detail, retry_after=_RETRY_AFTER_SECONDS
+            ) from None
+        except CranberryrunError as error:
+            self._emit("batch_unknown", batch, error.detail)
+            raise
+        self._emit("batch_accepted", batch, "the store has it")
+
+    def _emit(self, name: str, batch: Batch, reason: str) -> None:
+        self.kernel.get(Events).emit(
+            name,
+            step=batch.id,
+            workload=batch.model,
+            number_of_step=batch.step,
+            min_version=batch.min_version,
+            samples=len(batch.items),
+            reason=reason,
+        )
+
+    async def results(self, batch_id: str, after: int, wait: float) -> ResultPage:
+        """Return results at position ``after`` and following, waiting for the first.
+
+        :raises NotFoundError: there is no such batch.
+        :raises NotReadyError: this host can't be sure.
+        """
+        log = self.kernel.get(BatchLog)
+        deadline = clock.now() + wait
+        state = log.table.state_by_id.get(batch_id)
+        if state is None or len(state.results) <= after:
+            state = await self._current(batch_id)
+        if len(state.results) <= after and wait > 0 and state.open:
+            async with log.following():
+                while len(state.results) <= after and state.open:
+                    if not await log.changed(deadline):
+                        break
+        return _page(state, after)
+
+    async def body(self, batch_id: str, item_id: str) -> bytes:
+        """Return the body of an item.
+
+        :raises NotFoundError: there is no such batch or item.
+        :raises NotReadyError: this host can't be sure.
+        """
+        state = self.kernel.get(BatchLog).table.state_by_id.get(batch_id)
+        if state is None:
+            state = await self._current(batch_id)
+        item = state.item(item_id)
+        if item is None:
+            raise NotFoundError(f"batch {batch_id} has no item {item_id}")
+        return item.body
+
+    async def end(self, batch_id: str, deadline: float) -> None:
+        """End a batch; return once the store has its end.
+
+        :raises NotFoundError: there is no such batch.
+        :raises NotReadyError: this host can't be sure.
+        :raises LogUnavailableError: the end was not taken.
+        :raises AppendUnknownError: the end may have been taken.
+        """
+        log = self.kernel.get(BatchLog)
+        state = log.table.state_by_id.get(batch_id)
+        if state is None:
+            state = await self._current(batch_id)
+        if state.ended:
+            return
+        await log.append(
+            [Ended(batch_id)], min(deadline, clock.now() + _APPEND_SECONDS)
+        )
+        self._emit("batch_ended", state.batch, f"{len(state.results)} results listed")
+
+    async def _current(self, batch_id: str) -> BatchState:
+        log = self.kernel.get(BatchLog)
+        try:
+            await log.catch_up()
+        except LogReadError as error:
+            raise NotReadyError(
+                f"the batch log can't be read: {error}",
+                retry_after=_RETRY_AFTER_SECONDS,
+            ) from None
+        state = log.table.state_by_id.get(batch_id)
+        if state is None:
+            raise NotFoundError(f"there is no batch {batch_id}")
+        return state
+
+
+def _page(state: BatchState, after: int) -> ResultPage:
+    results: list[Result] = []
+    size = 0
+    for result in state.results[after:]:
+        size += len(result.text)
+        if results and size > _PAGE_BYTES:
+            break
+        results.append(result)
+    return ResultPage(len(state.batch.items), after + len(results), results)
--- a/cranberryrun/exceptions.py
+++ b/cranberryrun/exceptions.py
@@ -368,10 +368,23 @@
 
 
 class LogGapError(LogReadError):
-    """Records that were not read yet are no longer kept."""
+    """Records that were not read yet are no longer kept.
+
+    :param first: the oldest offset that is kept, where it is known.
+    """
 
     code = "log_gap"
 
+    def __init__(self, detail: str = "", *, first: int = 0) -> None:
+        super().__init__(detail)
+        self.first = first
+
+
+class RecordInvalidError(CranberryrunError):
+    """A record of the store has no valid form; it is passed over."""
+
+    code = "record_invalid"
+
 
 class HostListError(CranberryrunError):
     """The platform's list could not be read."""
--- a/cranberryrun/http.py
+++ b/cranberryrun/http.py
@@ -8,6 +8,8 @@
 
 from .kernel import Service
 
+_IDLE_SECONDS = 15.0
+
 
 class HttpClients(Service):
     """Holds two sessions; neither keeps cookies.
@@ -19,12 +21,23 @@
 
     :param connect_timeout: in seconds.
     :param tls: what the certificates of targets are checked with.
+    :param idle: seconds for which an unused connection is kept.
+    :param decode: whether compressed answers are unpacked.
     """
 
     name = "http"
 
-    def __init__(self, connect_timeout: float, tls: ssl.SSLContext | None = None):
+    def __init__(
+        self,
+        connect_timeout: float,
+        tls: ssl.SSLContext | None = None,
+        *,
+        idle: float = _IDLE_SECONDS,
+        decode: bool = True,
+    ) -> None:
         super().__init__()
+        self._idle = idle
+        self._decode = decode
         self._connect_timeout = connect_timeout
         self._tls = tls
         self.shared: aiohttp.ClientSession
@@ -39,10 +52,14 @@
 
     def _session(self, keep: bool) -> aiohttp.ClientSession:
         connector = aiohttp.TCPConnector(
-            limit=0, force_close=not keep, ssl=self._tls or True
+            limit=0,
+            force_close=not keep,
+            ssl=self._tls or True,
+            **({"keepalive_timeout": self._idle} if keep else {}),
         )
         return aiohttp.ClientSession(
             connector=connector,
+            auto_decompress=self._decode,
             # Callers share the sessions; one's cookies are not another's.
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(
--- /dev/null
+++ b/cranberryrun/platform/events.py
@@ -0,0 +1,65 @@
+"""Takes the event streams of engines apart."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..exceptions import TruncatedAnswerError
+
+_SEPARATOR = b"\n\n"
+# An event at which the weights change begins with a line of this name.
+_VERSION_FIELD = b"x-cranberryrun-weight-versions"
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEvent:
+    """One event. ``version`` is given where the weights changed with it."""
+
+    number: int | None
+    data: str
+    version: int | None
+    raw: bytes
+
+
+class EventParser:
+    """Gives whole events as their bytes come."""
+
+    def __init__(self) -> None:
+        self._buffer = b""
+
+    def feed(self, chunk: bytes) -> list[StreamEvent]:
+        """Return the events that ``chunk`` completes.
+
+        :raises TruncatedAnswerError: an event is malformed.
+        """
+        self._buffer += chunk
+        *blocks, self._buffer = self._buffer.split(_SEPARATOR)
+        return [_event(block) for block in blocks if block.strip()]
+
+    @property
+    def broken(self) -> bool:
+        """Whether the stream stands in the middle of an event."""
+        return bool(self._buffer.strip())
+
+
+def _event(block: bytes) -> StreamEvent:
+    number: int | None = None
+    version: int | None = None
+    data: list[bytes] = []
+    for line in block.split(b"\n"):
+        name, _, value = line.partition(b":")
+        value = value.removeprefix(b" ")
+        try:
+            if name == b"id":
+                number = int(value)
+            elif name == _VERSION_FIELD:
+                version = int(value)
+            elif name == b"data":
+                data.append(value)
+        except ValueError:
+            raise TruncatedAnswerError(f"an event has {line[:80]!r}") from None
+    try:
+        text = b"\n".join(data).decode()
+    except UnicodeDecodeError as error:
+        raise TruncatedAnswerError(f"an event is not text: {error}") from None
+    return StreamEvent(number, text, version, block + _SEPARATOR)
--- /dev/null
+++ b/cranberryrun/platform/front.py
@@ -0,0 +1,228 @@
+"""The front door: what callers of the platform speak, and the readiness answer."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from urllib.parse import parse_qs
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from .. import clock
+from ..batches.service import Batches
+from ..events import Events
+from ..exceptions import (
+    CranberryrunError,
+    NotFoundError,
+    NotReadyError,
+    RequestError,
+    TooLargeError,
+)
+from ..fleet.client import Answer, Request
+from ..fleet.directory import Directory
+from ..fleet.manifest import Limits, Manifest, Route, RouteKind
+from ..kernel import Service
+from ..metrics import CONTENT_TYPE, Metrics
+from ..requests.forwarder import Forwarder
+from . import wire
+from .settings import HostSettings, split_address
+
+_RESULTS_PREFIX = "/v1/lots/"
+_BODY_PREFIX = "/v1/items/"
+_READY_PATH = "/v1/readyz"
+# Callers without a stated deadline wait this long at most.
+_DEFAULT_DEADLINE_SECONDS = 10.0
+_STARTING_RETRY_SECONDS = 0.3
+_BACKLOG = 512
+# Kept connections of callers end a little after the limit that callers keep to.
+_IDLE_SLACK_SECONDS = 5.0
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class Front(Service):
+    """Serves callers on one address and readiness on another."""
+
+    name = "front"
+    requires = ("events", "metrics", "directory", "forwarder", "batches")
+
+    def __init__(self, settings: HostSettings) -> None:
+        super().__init__()
+        self._settings = settings
+        self._sites: list[web.TCPSite] = []
+        self._runners: list[web.ServerRunner] = []
+        self.in_flight = 0
+        self.stopping = False
+
+    async def start(self) -> None:
+        """Listen on both addresses."""
+        idle = Limits().idle_timeout + _IDLE_SLACK_SECONDS
+        await self._listen(self._settings.front_address, self._serve, idle)
+        await self._listen(self._settings.ready_address, self._say_ready, idle)
+        if self._settings.metrics_port is not None:
+            address = f"{self._settings.ip}:{self._settings.metrics_port}"
+            await self._listen(address, self._show_metrics, idle)
+
+    async def _listen(self, address: str, handler: Handler, idle: float) -> None:
+        host, port = split_address(address)
+        server = web.Server(
+            handler,
+            handler_cancellation=True,
+            keepalive_timeout=idle,
+            access_log=None,
+            lingering_time=1.0,
+        )
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        site = web.TCPSite(runner, host, port, backlog=_BACKLOG, reuse_address=True)
+        await site.start()
+        self._runners.append(runner)
+        self._sites.append(site)
+
+    async def stop(self) -> None:
+        """Close all listeners and connections."""
+        for runner in self._runners:
+            await runner.cleanup()
+        await super().stop()
+
+    async def stop_listening(self) -> None:
+        """Take no new connections from callers."""
+        await self._sites[0].stop()
+
+    async def _say_ready(self, request: web.BaseRequest) -> web.Response:
+        ready = self.kernel.get(Directory).ready and not self.stopping
+        return web.Response(status=200 if ready else 503)
+
+    async def _show_metrics(self, request: web.BaseRequest) -> web.Response:
+        return web.Response(
+            body=self.kernel.get(Metrics).scrape(),
+            headers={"Content-Type": CONTENT_TYPE},
+        )
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.in_flight += 1
+        try:
+            response = await self._answer(request)
+        except CranberryrunError as error:
+            response = self._failure(request, error)
+        finally:
+            self.in_flight -= 1
+        if self.stopping:
+            response.force_close()
+        return response
+
+    def _failure(
+        self, request: web.BaseRequest, error: CranberryrunError
+    ) -> web.Response:
+        headers = {}
+        if error.retry_after is not None:
+            headers["Retry-After"] = f"{error.retry_after:g}"
+        self.kernel.get(Events).emit(
+            "answer_failed",
+            request=request.headers.get(wire.ATTEMPT_ID),
+            method=request.method,
+            path=request.path,
+            status=error.status,
+            code=error.code,
+            reason=error.detail,
+        )
+        return web.json_response(error.problem(), status=error.status, headers=headers)
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        path = request.rel_url.raw_path
+        if path.startswith(_RESULTS_PREFIX):
+            return await self._batch_call(request, path.removeprefix(_RESULTS_PREFIX))
+        if path.startswith(_BODY_PREFIX):
+            return await self._item_body(request, path.removeprefix(_BODY_PREFIX))
+        manifest = self.kernel.get(Directory).manifest
+        if manifest is None or not self.kernel.get(Directory).ready:
+            raise NotReadyError(
+                "no manifest is known yet", retry_after=_STARTING_RETRY_SECONDS
+            )
+        route = manifest.route_for(request.headers.get("Host", ""), path)
+        if route is None:
+            raise NotFoundError(f"manifest {manifest.version} has no route for {path}")
+        body = await self._read_body(request, manifest)
+        if route.kind is RouteKind.ROLLOUT:
+            return await self._submit(request, route, body)
+        return await self._forward(request, route, body)
+
+    async def _read_body(self, request: web.BaseRequest, manifest: Manifest) -> bytes:
+        limit = manifest.limits.body_bytes
+        if (request.content_length or 0) > limit:
+            raise TooLargeError(f"the body is over {limit} bytes")
+        chunks = []
+        size = 0
+        async for chunk in request.content.iter_any():
+            size += len(chunk)
+            if size > limit:
+                raise TooLargeError(f"the body is over {limit} bytes")
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+    async def _forward(
+        self, request: web.BaseRequest, route: Route, body: bytes
+    ) -> web.StreamResponse:
+        forwarded = Request(
+            id=request.headers.get(wire.ATTEMPT_ID, ""),
+            method=request.method,
+            target=request.raw_path,
+            headers=tuple(request.headers.items()),
+            body=body,
+            deadline=min(_deadline(request), clock.now() + route.timeout),
+        )
+        answer = await self.kernel.get(Forwarder).forward(route, forwarded)
+        return _response(answer)
+
+    async def _submit(
+        self, request: web.BaseRequest, route: Route, body: bytes
+    ) -> web.Response:
+        batch_id = request.headers.get(wire.ATTEMPT_ID, "")
+        if request.method != "POST" or not batch_id:
+            raise RequestError("a batch is submitted by POST, with an id")
+        batch = wire.decode_batch(batch_id, route, body)
+        await self.kernel.get(Batches).submit(batch, _deadline(request))
+        return web.json_response({}, status=202)
+
+    async def _batch_call(
+        self, request: web.BaseRequest, batch_id: str
+    ) -> web.Response:
+        batches = self.kernel.get(Batches)
+        if request.method == "DELETE":
+            await batches.end(batch_id, _deadline(request))
+            return web.json_response({})
+        after = _number(_query(request, "after"), 0)
+        wait = _number(request.headers.get(wire.WAIT_MS), 0) / 1000
+        page = await batches.results(batch_id, after, wait)
+        return web.json_response(wire.encode_results(page))
+
+    async def _item_body(self, request: web.BaseRequest, batch_id: str) -> web.Response:
+        item_id = _query(request, "id") or ""
+        body = await self.kernel.get(Batches).body(batch_id, item_id)
+        return web.Response(body=body)
+
+
+def _response(answer: Answer) -> web.Response:
+    return web.Response(
+        status=answer.status, body=answer.body, headers=CIMultiDict(answer.headers)
+    )
+
+
+def _deadline(request: web.BaseRequest) -> float:
+    stated = _number(request.headers.get(wire.DEADLINE_MS), 0)
+    seconds = stated / 1000 if stated > 0 else _DEFAULT_DEADLINE_SECONDS
+    return clock.now() + seconds
+
+
+def _query(request: web.BaseRequest, name: str) -> str | None:
+    values = parse_qs(request.rel_url.raw_query_string).get(name)
+    return values[0] if values else None
+
+
+def _number(text: str | None, default: int) -> int:
+    if text is None or not text.strip():
+        return default
+    try:
+        return max(0, int(float(text)))
+    except (ValueError, OverflowError):
+        raise RequestError(f"{text[:40]!r} is not a number") from None
--- /dev/null
+++ b/cranberryrun/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers to plain services and engines."""
