Notice the store's return at once, and resume runs after a change of holder

Change: reads after a failure do not wait; answers of the store count as lost after 0.6 s; runs are recorded every 0.4 s and resumed; the lease lasts 1 s; idle time follows the targets' Keep-Alive.

--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -50,6 +50,8 @@
 _LOAD_STALL_SECONDS = 2.0
 # Runs of an ended batch go on this long, as their groups may come again.
 _CARRY_SECONDS = 2.5
+# The next holder resumes runs from what was recorded at most this long ago.
+_RECORD_SECONDS = 0.4
 # Moving a run pays if it saves more than this, in seconds.
 _WORTH_MOVING_SECONDS = 0.4
 
@@ -78,6 +80,8 @@
         self._work_by_item: dict[str, Work] = {}
         self._task_by_item: dict[str, asyncio.Task[None]] = {}
         self._ended_at_by_batch: dict[str, float] = {}
+        self._record_at = 0.0
+        self._recording: asyncio.Task[None] | None = None
         self._wake = asyncio.Event()
         self._stopping = False
 
@@ -122,6 +126,7 @@
                 self._follow_table(log)
                 self._dispatch()
                 self._move_from_slow()
+                self._record_progress()
                 await self._pause(_TICK_SECONDS)
         finally:
             follow.cancel()
@@ -255,6 +260,19 @@
             self._emit("item_moved", work, engine, reason="its engine is slow")
             self._stop_run(work.item.id)
 
+    def _record_progress(self) -> None:
+        """Record from time to time how far the runs came."""
+        if clock.now() < self._record_at or self._recording is not None:
+            return
+        self._record_at = clock.now() + _RECORD_SECONDS
+        running = [work for work in self._work_by_item.values() if work.state.open]
+        writer = self.kernel.get(ResultWriter)
+        self._recording = self.spawn(writer.record(running))
+        self._recording.add_done_callback(self._recorded)
+
+    def _recorded(self, task: asyncio.Task[None]) -> None:
+        self._recording = None
+
     def _stop_run(self, item_id: str) -> None:
         task = self._task_by_item.pop(item_id, None)
         if task is not None:
--- a/cranberryrun/fleet/directory.py
+++ b/cranberryrun/fleet/directory.py
@@ -15,9 +15,9 @@
 from .manifest import Manifest
 
 # Long polls end at least this often, so that a lost store is noticed.
-_POLL_SECONDS = 2.0
+_POLL_SECONDS = 1.0
+# The configuration has 2 s from the store's return to be in force everywhere.
 _RETRY_SECONDS = 0.2
-_MAX_RETRY_SECONDS = 1.0
 # The platform's bound for entries that lapsed in an outage to be back.
 _LAPSE_GRACE_SECONDS = 2.0
 # Heartbeats come about once a second; silence of this length means an outage.
@@ -148,7 +148,7 @@
     ) -> None:
         store = self.kernel.get(Store)
         offset: int | None = None
-        pause = _RETRY_SECONDS
+        wait = 0.0
         while True:
             try:
                 if offset is None:
@@ -157,7 +157,7 @@
                     replace(newest.records)
                     offset = newest.next
                 else:
-                    page = await store.read(topic, offset, _POLL_SECONDS)
+                    page = await store.read(topic, offset, wait)
                     self._heard(topic)
                     self._apply_page(page.records, apply)
                     offset = page.next
@@ -166,10 +166,11 @@
                 continue
             except LogReadError as error:
                 self._failed(topic, error)
-                await asyncio.sleep(pause)
-                pause = min(_MAX_RETRY_SECONDS, pause * 2)
+                await asyncio.sleep(_RETRY_SECONDS)
+                # A long poll into a silent store would hide its return.
+                wait = 0.0
                 continue
-            pause = _RETRY_SECONDS
+            wait = _POLL_SECONDS
             self._changed()
 
     def _apply_page(
--- a/cranberryrun/fleet/lease.py
+++ b/cranberryrun/fleet/lease.py
@@ -15,8 +15,8 @@
 TOPIC = "batches"
 PARTITION = 0
 # A silent holder is replaced after this; the store's least is 1 s.
-_TTL_SECONDS = 1.5
-_RENEW_SECONDS = 0.4
+_TTL_SECONDS = 1.0
+_RENEW_SECONDS = 0.25
 
 
 class Lease(Service):
@@ -36,6 +36,7 @@
         self._share = GroupShare(0, frozenset())
         self._renewed_at = float("-inf")
         self._held_since = float("inf")
+        self._lapsed: tuple[int, float] | None = None
         self.observers: list[Callable[[], None]] = []
         self._leaving = False
 
@@ -94,7 +95,7 @@
             self.kernel.get(Events).emit(
                 "lease_lost", fence=self.fence, reason=error.detail
             )
-            # Held anew once the store answers; orders wait again until then.
+            self._lapsed = (self._share.generation, self._held_since)
             self._take(GroupShare(self._share.generation, frozenset()))
 
     def _take(self, share: GroupShare) -> None:
@@ -103,6 +104,12 @@
         if self.assigned == had:
             return
         self._held_since = clock.now() if self.assigned else float("inf")
+        if self.assigned and self._lapsed is not None:
+            generation, held_since = self._lapsed
+            if generation == share.generation:
+                # Nobody held it in between: the group did not change.
+                self._held_since = held_since
+        self._lapsed = None
         name = "lease_taken" if self.assigned else "lease_given_up"
         self.kernel.get(Events).emit(name, fence=share.generation)
         for observer in self.observers:
--- a/cranberryrun/http.py
+++ b/cranberryrun/http.py
@@ -9,6 +9,17 @@
 from .kernel import Service
 
 _IDLE_SECONDS = 15.0
+# A request on its way while the target closes the connection would be lost.
+_IDLE_MARGIN_SECONDS = 1.0
+
+
+class _Connector(aiohttp.TCPConnector):
+    """A connector whose idle time can be changed while it is used."""
+
+    def keep(self, seconds: float) -> None:
+        """Keep unused connections for ``seconds`` from now on."""
+        # There is no public setter; a test counts connections.
+        self._keepalive_timeout = seconds
 
 
 class HttpClients(Service):
@@ -37,6 +48,7 @@
     ) -> None:
         super().__init__()
         self._idle = idle
+        self._told_idle: float | None = None
         self._decode = decode
         self._connect_timeout = connect_timeout
         self._tls = tls
@@ -51,7 +63,7 @@
         self.once._retry_connection = False
 
     def _session(self, keep: bool) -> aiohttp.ClientSession:
-        connector = aiohttp.TCPConnector(
+        connector = _Connector(
             limit=0,
             force_close=not keep,
             ssl=self._tls or True,
@@ -67,6 +79,16 @@
             ),
         )
 
+    def targets_keep(self, seconds: float) -> None:
+        """Follow what a target says of its own idle time; the least one counts."""
+        kept = seconds - _IDLE_MARGIN_SECONDS
+        if kept <= 0 or (self._told_idle is not None and kept >= self._told_idle):
+            return
+        self._told_idle = kept
+        connector = self.shared.connector
+        assert isinstance(connector, _Connector)
+        connector.keep(kept)
+
     async def stop(self) -> None:
         """Close the sessions."""
         await self.shared.close()
--- a/cranberryrun/platform/store_client.py
+++ b/cranberryrun/platform/store_client.py
@@ -23,7 +23,7 @@
 _PARTITION = 0
 # The store answers within some milliseconds, or 60 times that when it is slow; an
 # answer that is this late is lost, and its connection with it.
-_ANSWER_SECONDS = 1.0
+_ANSWER_SECONDS = 0.6
 _READ_KB = 1024
 _RETRY_AFTER_SECONDS = 0.2
 _LENGTH = struct.Struct(">I")
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -61,6 +62,7 @@
 _AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 # A report or order that takes longer is lost; they take some milliseconds.
 _CONTROL_SECONDS = 0.6
+_IDLE_TIME = re.compile(r"timeout=(\d+)")
 _ORDER_PATH = "/v1/order"
 _REPORT_PATH = "/v1/report"
 
@@ -132,6 +134,7 @@
                 skip_auto_headers=_AUTO_HEADERS,
                 **options,
             ) as response:
+                self._follow_idle_time(response)
                 _raise_refusal(response)
                 yield response
         except aiohttp.ClientConnectorError as error:
@@ -141,6 +144,11 @@
         except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
             raise TargetFailedError(f"{url.authority}: {error!r}") from None
 
+    def _follow_idle_time(self, response: aiohttp.ClientResponse) -> None:
+        stated = _IDLE_TIME.search(response.headers.get("Keep-Alive", ""))
+        if stated is not None:
+            self.kernel.get(HttpClients).targets_keep(float(stated[1]))
+
     async def run(
         self,
         target: Target,
--- a/cranberryrun/requests/forwarder.py
+++ b/cranberryrun/requests/forwarder.py
@@ -205,6 +205,7 @@
             raise self._verdict(late=True) from None
         finally:
             for task in self._running:
+                task.add_done_callback(_retrieve)
                 task.cancel()
 
     async def _first_answer(self) -> Answer:
@@ -218,10 +219,11 @@
             if not done:
                 self._start()
                 continue
+            failures = [error for task in done if (error := task.exception())]
             for task in done:
-                error = task.exception()
-                if error is None:
+                if task.exception() is None:
                     return task.result()
+            for error in failures:
                 self._failed(error)
         raise self._verdict(late=False)
 
@@ -262,3 +264,9 @@
         if isinstance(self._failure, RefusedError):
             self._failure.retry_after = _RETRY_AFTER_SECONDS
         return self._failure
+
+
+def _retrieve(task: asyncio.Task[Answer]) -> None:
+    """Take the outcome of an attempt that nobody waits for; it was logged."""
+    if not task.cancelled():
+        task.exception()
