Place long texts on fast engines and move runs that would end sooner elsewhere

Cause: texts at their cap of 186 events took 9.4 to 9.6 s at the two engines that are 1.3 times slower (7.2 s at the others), past the step's 8.2 s; the speed of an engine was forgotten after 4 s, so long texts went anywhere.

Ruled out as the cause: the loads, which stop running texts for under 0.2 s.

Change: the speed is a mean over six events; a run stays a second before it may move, and only for 15% of speed and 0.4 s. Loads of a version go to an engine's share of one model, at once instead of when idle.

--- a/cranberryrun/batches/dispatch.py
+++ b/cranberryrun/batches/dispatch.py
@@ -12,6 +12,10 @@
 DEFAULT_GAP_SECONDS = 0.04
 # An engine is slow from this multiple of the fastest one's gap on.
 SLOW_FACTOR = 1.8
+# Between engines whose gaps are this close no run is moved.
+_SAME_FACTOR = 1.15
+# Lengths have a heavy tail: of a text that overran, this share is to come again.
+_OVERRUN_SHARE = 0.5
 # Waiting for a fast engine pays if it saves more than this, in seconds.
 _WORTH_WAITING_SECONDS = 0.3
 
@@ -22,6 +26,7 @@
 class Work:
     """An item that is being made. ``due`` is in seconds since 1970.
 
+    ``settled_at`` is from when its run may be moved, in loop seconds;
     ``expected_events`` is how long its stream is thought to be. ``recorded`` is how
     many of ``pieces`` the log has.
     """
@@ -36,6 +41,7 @@
     recorded: int = 0
     failures: int = 0
     engine: Engine | None = None
+    settled_at: float = 0.0
     finished: bool = False
 
     @property
@@ -44,8 +50,12 @@
         return self.engine is None and not self.finished
 
     def remaining_events(self) -> float:
-        """Return how many events are expected still; one at least."""
-        return max(1.0, self.expected_events - len(self.pieces))
+        """Return how many events are expected still; one at least.
+
+        A text that is longer than was thought tends to be longer still.
+        """
+        done = len(self.pieces)
+        return max(1.0, self.expected_events - done, _OVERRUN_SHARE * done)
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,13 +73,13 @@
 
 def fastest_gap(engines: Iterable[Engine]) -> float:
     """Return the least gap between events of any engine, in seconds."""
-    gaps = [gap for engine in engines if (gap := engine.expected_gap())]
+    gaps = [engine.gap for engine in engines if engine.gap]
     return min(gaps, default=DEFAULT_GAP_SECONDS)
 
 
 def is_slow(engine: Engine, fastest: float) -> bool:
     """Say whether an engine is far slower than the fastest."""
-    return engine.expected_gap() > SLOW_FACTOR * fastest
+    return engine.expected_gap(fastest) > SLOW_FACTOR * fastest
 
 
 def rank_by_group(works: Sequence[Work]) -> dict[tuple[str, str], int]:
@@ -145,7 +155,10 @@
 
 def may_run(work: Work, engine: Engine) -> bool:
     """Say whether the engine's weights are new enough for the item's batch."""
-    version = engine.version(work.state.batch.model)
+    model = work.state.batch.model
+    version = engine.version(model)
+    if engine.loading_model == model:
+        return False
     return version is not None and version >= work.state.batch.min_version
 
 
@@ -160,7 +173,7 @@
     best: Engine | None = None
     best_cost = 0.0
     for engine in engines:
-        gap = engine.expected_gap() or fastest
+        gap = engine.expected_gap(fastest)
         lost = remaining * (gap - fastest)
         if is_slow(engine, fastest) and lost > _WORTH_WAITING_SECONDS:
             continue
@@ -173,5 +186,25 @@
     return best
 
 
+def better_engine(
+    work: Work, engines: Sequence[Engine], fastest: float
+) -> tuple[Engine, float] | None:
+    """Return the engine where a running item would end soonest, and what it saves.
+
+    :return: None if no other engine has room; else the engine and seconds.
+    """
+    assert work.engine is not None
+    here = work.engine.expected_gap(fastest)
+    best: Engine | None = None
+    for engine in engines:
+        if engine is work.engine or engine.free() <= 0 or not may_run(work, engine):
+            continue
+        if best is None or engine.expected_gap(fastest) < best.expected_gap(fastest):
+            best = engine
+    if best is None or here < _SAME_FACTOR * best.expected_gap(fastest):
+        return None
+    return best, work.remaining_events() * (here - best.expected_gap(fastest))
+
+
 def _crowding(engine: Engine, free: int) -> float:
     return 1.0 - free / engine.target.slots
--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -19,7 +19,7 @@
     WrongVersionError,
 )
 from ..fleet.directory import Directory
-from ..fleet.engine_pool import Engine, EnginePool
+from ..fleet.engine_pool import GAP_EVENTS, Engine, EnginePool
 from ..fleet.lease import Lease
 from ..fleet.loads import Loads
 from ..fleet.manifest import Route
@@ -27,9 +27,8 @@
 from .dispatch import (
     DEFAULT_GAP_SECONDS,
     Work,
+    better_engine,
     fastest_gap,
-    is_slow,
-    may_run,
     plan,
     usable_pieces,
 )
@@ -52,6 +51,8 @@
 _CARRY_SECONDS = 2.5
 # The next holder resumes runs from what was recorded at most this long ago.
 _RECORD_SECONDS = 0.4
+# A run stays where it began for this long, so that its engine shows its speed.
+_SETTLE_SECONDS = 1.0
 # Moving a run pays if it saves more than this, in seconds.
 _WORTH_MOVING_SECONDS = 0.4
 
@@ -230,35 +231,37 @@
         services = frozenset().union(*(work.services for work in works))
         engines = self.kernel.get(EnginePool).usable(services)
         for start in plan(works, engines, clock.wall()):
-            work, engine = start.work, start.engine
-            work.engine = engine
-            engine.in_flight += 1
-            self._task_by_item[work.item.id] = self.spawn(self._run(work, engine))
+            self._begin(start.work, start.engine)
+
+    def _begin(self, work: Work, engine: Engine) -> None:
+        work.engine = engine
+        work.settled_at = clock.now() + _SETTLE_SECONDS
+        engine.in_flight += 1
+        self._task_by_item[work.item.id] = self.spawn(self._run(work, engine))
 
     def _move_from_slow(self) -> None:
-        """Take runs away from slow engines while faster ones have room."""
+        """Let runs go on at an engine that ends them much sooner."""
         pool = self.kernel.get(EnginePool)
-        engines = list(pool.engine_by_id.values())
-        fastest = fastest_gap(engines)
-        slow = {engine.id for engine in engines if is_slow(engine, fastest)}
-        if not slow:
-            return
-        for work in list(self._work_by_item.values()):
-            engine = work.engine
-            if engine is None or engine.id not in slow or not work.state.open:
+        fastest = fastest_gap(pool.engine_by_id.values())
+        works = [
+            work
+            for work in self._work_by_item.values()
+            if work.engine is not None and work.state.open and not work.finished
+        ]
+        works.sort(key=Work.remaining_events, reverse=True)
+        for work in works:
+            if clock.now() < work.settled_at:
                 continue
-            saved = work.remaining_events() * (engine.expected_gap() - fastest)
-            if saved < _WORTH_MOVING_SECONDS:
-                continue
-            room = sum(
-                other.free()
-                for other in pool.usable(work.services)
-                if other.id not in slow and may_run(work, other)
-            )
-            if room <= 0:
+            found = better_engine(work, pool.usable(work.services), fastest)
+            if found is None or found[1] < _WORTH_MOVING_SECONDS:
                 continue
-            self._emit("item_moved", work, engine, reason="its engine is slow")
-            self._stop_run(work.item.id)
+            self._move(work, *found)
+
+    def _move(self, work: Work, engine: Engine, saved: float) -> None:
+        assert work.engine is not None
+        self._emit("item_moved", work, work.engine, to=engine.id, saves=round(saved, 2))
+        self._task_by_item.pop(work.item.id).cancel()
+        self._begin(work, engine)
 
     def _record_progress(self) -> None:
         """Record from time to time how far the runs came."""
@@ -294,10 +297,10 @@
             reason = await self._stream(work, engine)
         finally:
             engine.in_flight -= 1
-            if work.engine is engine:
-                work.engine = None
             if self._task_by_item.get(work.item.id) is me:
                 del self._task_by_item[work.item.id]
+            if work.item.id not in self._task_by_item:
+                work.engine = None
             self._emit(
                 "item_run",
                 work,
@@ -347,16 +350,20 @@
         done = len(work.pieces)
         client = self.kernel.get(TargetClient)
         deadline = clock.now() + self._time_left(work)
-        last_at: float | None = None
+        counted_at = 0.0
+        counted = 0
         async with asyncio.timeout(_FIRST_EVENT_SECONDS) as patience:
             async for piece in client.run(
                 engine.target, batch.host, work.item, version, done, deadline
             ):
                 now = clock.now()
-                if last_at is not None:
-                    engine.heard(now - last_at)
-                last_at = now
                 work.pieces.append(piece)
+                counted += 1
+                if counted == 1:
+                    counted_at = now
+                elif counted > GAP_EVENTS:
+                    engine.heard((now - counted_at) / GAP_EVENTS)
+                    counted, counted_at = 1, now
                 patience.reschedule(now + self._patience(engine))
 
     def _time_left(self, work: Work) -> float:
@@ -366,8 +373,8 @@
         return max(1.0, batch.submitted_at + keep - clock.wall())
 
     def _patience(self, engine: Engine) -> float:
-        gap = engine.expected_gap() or DEFAULT_GAP_SECONDS
-        stall = _LOAD_STALL_SECONDS if engine.ordered else 0.0
+        gap = engine.gap or DEFAULT_GAP_SECONDS
+        stall = _LOAD_STALL_SECONDS if engine.loading_model else 0.0
         return max(_SILENT_SECONDS, _SILENT_GAPS * gap) + stall
 
     def _lose_if_spent(self, work: Work) -> None:
--- a/cranberryrun/fleet/engine_pool.py
+++ b/cranberryrun/fleet/engine_pool.py
@@ -10,10 +10,14 @@
 from ..kernel import Service
 from .directory import Directory, Target
 
-# Weight of the newest gap in an engine's mean gap; about ten events count.
-_GAP_WEIGHT = 0.15
-# A mean gap this old says nothing about the engine any more, in seconds.
-_GAP_AGE_SECONDS = 4.0
+# Events come in bursts, so gaps are means over this many.
+GAP_EVENTS = 6
+# Weight of the newest gap in an engine's mean gap; about six bursts count.
+_GAP_WEIGHT = 0.25
+# A stall counts as this many mean gaps at most: it is not a slow engine.
+_GAP_LIMIT = 4.0
+# What is known of an engine's slowness loses half its weight in this time.
+_GAP_HALF_LIFE_SECONDS = 4.0
 
 
 @dataclass(slots=True)
@@ -30,7 +34,7 @@
     gap: float = 0.0
     gap_at: float = 0.0
     blocked_until: float = 0.0
-    ordered: bool = False
+    loading_model: str | None = None
     ordered_version_by_model: dict[str, int] = field(default_factory=dict)
 
     @property
@@ -47,7 +51,7 @@
 
     def free(self) -> int:
         """Return how many runs may be started at it now."""
-        if self.ordered or not self.health.usable():
+        if not self.health.usable():
             return 0
         if clock.now() < self.blocked_until:
             return 0
@@ -60,16 +64,19 @@
         self.blocked_until = max(self.blocked_until, clock.now() + seconds)
 
     def heard(self, gap: float) -> None:
-        """Note the time between two events of one stream."""
+        """Note the mean time between some events of one stream."""
         weight = _GAP_WEIGHT if self.gap else 1.0
+        if self.gap:
+            gap = min(gap, _GAP_LIMIT * self.gap)
         self.gap += weight * (gap - self.gap)
         self.gap_at = clock.now()
 
-    def expected_gap(self) -> float:
-        """Return the mean gap, or 0 where it is not known or too old to say."""
-        if clock.now() - self.gap_at > _GAP_AGE_SECONDS:
-            return 0.0
-        return self.gap
+    def expected_gap(self, fastest: float) -> float:
+        """Return the mean gap to expect, given that of the fastest engine."""
+        if not self.gap:
+            return fastest
+        weight = 0.5 ** ((clock.now() - self.gap_at) / _GAP_HALF_LIFE_SECONDS)
+        return fastest + weight * (self.gap - fastest)
 
 
 class EnginePool(Service):
--- a/cranberryrun/fleet/loads.py
+++ b/cranberryrun/fleet/loads.py
@@ -22,15 +22,14 @@
 # A load that is not complete by then is looked at anew.
 _LOAD_LIMIT_SECONDS = 8.0
 _RETRY_SECONDS = 0.4
-# An engine with no more runs than this is as good as idle.
-_FEW_RUNS = 0
 
 
 class Loads(Service):
-    """Orders one load an engine for each version, few at a time, idle ones first.
+    """Orders loads for each named version, few at a time.
 
-    A load that is not needed yet waits until its engine is idle; one that an open
-    batch needs is ordered at once.
+    Where several models share the engines, a version goes to the engine's share of
+    one model, those with the oldest version first: each version serves two steps, so
+    all engines stay usable. What an open batch needs is loaded everywhere.
     """
 
     name = "loads"
@@ -62,30 +61,47 @@
             if not engine.target.draining
         ]
         room = max(1, int(len(engines) * _LOADING_SHARE)) - len(self._loading)
-        behind = []
+        candidates = []
         for engine in engines:
-            model = self._behind(engine)
-            if model is None or engine.id in self._loading:
+            if engine.id in self._loading:
                 continue
             if clock.now() < self._retry_at.get(engine.id, 0.0):
                 continue
-            urgent = self._urgent(engine, model)
-            if not urgent and engine.in_flight > _FEW_RUNS:
+            model = self._behind(engine, engines)
+            if model is None:
                 continue
-            behind.append((not urgent, engine.in_flight, engine.id, engine, model))
-        for *_, engine, model in sorted(behind)[: max(0, room)]:
+            urgent = self._urgent(engine, model)
+            version = engine.version(model) or 0
+            candidates.append(
+                (not urgent, version, engine.in_flight, engine.id, engine, model)
+            )
+        candidates.sort(key=lambda row: row[:4])
+        for *_, engine, model in candidates[: max(0, room)]:
             self._begin(engine, model)
 
-    def _behind(self, engine: Engine) -> str | None:
-        """Return a model whose version the engine lacks, the most urgent first."""
+    def _behind(self, engine: Engine, engines: list[Engine]) -> str | None:
+        """Return a model whose named version the engine should get, if any."""
         named = self.kernel.get(Directory).version_by_model
-        behind = [
-            model
-            for model in engine.target.version_by_model
-            if (engine.version(model) or 0) < named.get(model, 0)
-        ]
-        behind.sort(key=lambda model: not self._urgent(engine, model))
-        return behind[0] if behind else None
+        behind = []
+        for model, version in named.items():
+            has = engine.version(model)
+            if has is None or has >= version:
+                continue
+            if self._urgent(engine, model):
+                return model
+            if not self._shared_out(model, version, engines):
+                behind.append((has - version, model))
+        return min(behind)[1] if behind else None
+
+    def _shared_out(self, model: str, version: int, engines: list[Engine]) -> bool:
+        """Say whether a model's share of the engines has or gets the version."""
+        serving = [each for each in engines if each.version(model) is not None]
+        models = max((len(each.target.version_by_model) for each in serving), default=1)
+        have = sum(
+            (each.version(model) or 0) >= version or each.loading_model == model
+            for each in serving
+        )
+        return have * models >= len(serving)
 
     def _urgent(self, engine: Engine, model: str) -> bool:
         needed = self.needed_version_by_model.get(model, 0)
@@ -93,7 +109,7 @@
 
     def _begin(self, engine: Engine, model: str) -> None:
         version = self.kernel.get(Directory).version_by_model[model]
-        engine.ordered = True
+        engine.loading_model = model
         task = self.spawn(self._load(engine, model, version))
         self._loading[engine.id] = task
 
@@ -105,7 +121,7 @@
         except (CranberryrunError, TimeoutError) as error:
             self._note_failure(engine, model, version, error)
         finally:
-            engine.ordered = False
+            engine.loading_model = None
             self._loading.pop(engine.id, None)
             self.kernel.get(EnginePool).changed()
 
