--- a/cranberryrun/batches/log.py
+++ b/cranberryrun/batches/log.py
@@ -21,7 +21,8 @@
 from .records import Decoder, Message, encode, packed
 from .table import BatchTable
 
-_POLL_SECONDS = 1.0
+# A long poll can miss a record; one this short finds it soon after.
+_POLL_SECONDS = 0.2
 _RETRY_SECONDS = 0.1
 _APPEND_RETRY_SECONDS = 0.1
 
--- a/cranberryrun/batches/service.py
+++ b/cranberryrun/batches/service.py
@@ -73,6 +73,8 @@
             number_of_step=batch.step,
             min_version=batch.min_version,
             samples=len(batch.items),
+            groups=len({item.group for item in batch.items}),
+            wanted_groups=batch.wanted_groups,
             reason=reason,
         )
 
--- a/cranberryrun/fleet/directory.py
+++ b/cranberryrun/fleet/directory.py
@@ -14,8 +14,8 @@
 from ..store import KeyedRecord, Store
 from .manifest import Manifest
 
-# Long polls end at least this often, so that a lost store is noticed.
-_POLL_SECONDS = 1.0
+# Long polls end at least this often: a lost store is noticed, a missed record found.
+_POLL_SECONDS = 0.5
 # The configuration has 2 s from the store's return to be in force everywhere.
 _RETRY_SECONDS = 0.2
 # The platform's bound for entries that lapsed in an outage to be back.
