Stop a run whose version is too old when its item comes again

The new test fails before the change and passes after.

Adds a store, engines and a deployment in memory (fakes/) on the virtual clock. Ruled out: a wrong stamp by the engine; its answer bore version 4.

--- a/cranberryrun/batches/dispatch.py
+++ b/cranberryrun/batches/dispatch.py
@@ -26,6 +26,7 @@
 class Work:
     """An item that is being made. ``due`` is in seconds since 1970.
 
+    ``run_version`` is the version that its engine had when its run began;
     ``settled_at`` is from when its run may be moved, in loop seconds;
     ``expected_events`` is how long its stream is thought to be. ``recorded`` is how
     many of ``pieces`` the log has.
@@ -41,6 +42,7 @@
     recorded: int = 0
     failures: int = 0
     engine: Engine | None = None
+    run_version: int = 0
     settled_at: float = 0.0
     finished: bool = False
 
--- a/cranberryrun/batches/results.py
+++ b/cranberryrun/batches/results.py
@@ -52,11 +52,14 @@
         """How many results the store does not have yet."""
         return len(self._waiting)
 
-    async def record(self, works: list[Work]) -> None:
-        """Append how far ``works`` came; without success, they are made again."""
+    async def record(self, works: list[Work], least: int = _LEAST_PIECES) -> None:
+        """Append how far ``works`` came; without success, they are made again.
+
+        :param least: fewer new pieces than this are not worth a record.
+        """
         messages: list[Message] = []
         for work in works:
-            if work.finished or len(work.pieces) - work.recorded < _LEAST_PIECES:
+            if work.finished or len(work.pieces) - work.recorded < least:
                 continue
             fresh = work.pieces[work.recorded :]
             messages.append(
--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -102,7 +102,7 @@
         self._stopping = True
         await self._cancel(list(self._task_by_item))
         writer = self.kernel.get(ResultWriter)
-        await writer.record(list(self._work_by_item.values()))
+        await writer.record(list(self._work_by_item.values()), least=1)
 
     async def _serve(self) -> None:
         lease = self.kernel.get(Lease)
@@ -192,7 +192,8 @@
         )
         work.expected_events = item.expected_tokens / tokens
         work.carried = log.table.carried(batch, item)
-        if not usable_pieces(work.pieces, batch.min_version):
+        too_old = work.engine is not None and work.run_version < batch.min_version
+        if too_old or not usable_pieces(work.pieces, batch.min_version):
             work.pieces = []
             work.recorded = 0
             self._stop_run(item.id)
@@ -235,6 +236,7 @@
 
     def _begin(self, work: Work, engine: Engine) -> None:
         work.engine = engine
+        work.run_version = engine.version(work.state.batch.model) or 0
         work.settled_at = clock.now() + _SETTLE_SECONDS
         engine.in_flight += 1
         self._task_by_item[work.item.id] = self.spawn(self._run(work, engine))
@@ -346,7 +348,6 @@
 
     async def _read_pieces(self, work: Work, engine: Engine) -> None:
         batch = work.state.batch
-        version = engine.version(batch.model) or 0
         done = len(work.pieces)
         client = self.kernel.get(TargetClient)
         deadline = clock.now() + self._time_left(work)
@@ -354,7 +355,7 @@
         counted = 0
         async with asyncio.timeout(_FIRST_EVENT_SECONDS) as patience:
             async for piece in client.run(
-                engine.target, batch.host, work.item, version, done, deadline
+                engine.target, batch.host, work.item, work.run_version, done, deadline
             ):
                 now = clock.now()
                 work.pieces.append(piece)
--- /dev/null
+++ b/fakes/deployment.py
@@ -0,0 +1,227 @@
+"""One host's services for batches, with a store and engines in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+from cranberryrun import clock
+from cranberryrun.batches.log import BatchLog
+from cranberryrun.batches.models import Batch, Item
+from cranberryrun.batches.results import ResultWriter
+from cranberryrun.batches.runner import Runner
+from cranberryrun.batches.service import Batches
+from cranberryrun.events import Event, Events
+from cranberryrun.exceptions import RecordInvalidError
+from cranberryrun.fleet.directory import Decoder, Directory, Target
+from cranberryrun.fleet.engine_pool import EnginePool
+from cranberryrun.fleet.lease import Lease
+from cranberryrun.fleet.loads import Loads
+from cranberryrun.fleet.manifest import Backend, Limits, Manifest, Route, RouteKind
+from cranberryrun.kernel import Kernel
+
+from .engines import FakeEngine, FakeTargets
+from .store import MemoryStore
+
+SERVICE = "models"
+MODEL = "m"
+HOST = "rollouts.example"
+PATH = "/batch/"
+
+
+def batch_route(**changes: Any) -> Route:
+    """Return the route of batches."""
+    fields: dict[str, Any] = dict(
+        name="batches",
+        host=HOST,
+        path_prefix=PATH,
+        kind=RouteKind.ROLLOUT,
+        backends=(Backend(SERVICE, 1.0),),
+        timeout=10.0,
+        latency_goal=0.5,
+        priority=1,
+        max_attempts=3,
+        run_limit=7.5,
+        keep_limit=40.0,
+    )
+    return Route(**(fields | changes))
+
+
+def manifest(version: int = 1, *routes: Route) -> Manifest:
+    """Return a manifest with ``routes``, by default that of batches."""
+    return Manifest(
+        version=version,
+        routes=routes or (batch_route(),),
+        services=frozenset({SERVICE}),
+        limits=Limits(),
+        models_by_service={SERVICE: (MODEL,)},
+        tokens_per_event_by_service={SERVICE: 10.0},
+    )
+
+
+def batch(
+    batch_id: str = "b1",
+    groups: int = 2,
+    size: int = 2,
+    events: int = 10,
+    submitted_at: float | None = None,
+    **changes: Any,
+) -> Batch:
+    """Return a batch whose items are ``<batch>-g<group>-<index>``."""
+    items = tuple(
+        Item(
+            f"{batch_id}-g{group}-{index}",
+            f"g{group}",
+            PATH + "1",
+            {},
+            b"x",
+            events * 10.0,
+        )
+        for group in range(groups)
+        for index in range(size)
+    )
+    fields: dict[str, Any] = dict(
+        id=batch_id,
+        route="batches",
+        host=HOST,
+        model=MODEL,
+        step=0,
+        min_version=1,
+        wanted_groups=groups,
+        submitted_at=clock.wall() if submitted_at is None else submitted_at,
+        items=items,
+    )
+    return Batch(**(fields | changes))
+
+
+class JsonDecoder(Decoder):
+    """Reads what :class:`Deployment` writes into the store."""
+
+    operator_topic = "keyed.operator"
+    target_topic = "keyed.targets"
+
+    def __init__(self) -> None:
+        self.manifest_by_version: dict[int, Manifest] = {}
+
+    def manifest(self, key: str, value: bytes) -> Manifest | None:
+        """Return the manifest whose version the record names."""
+        if key != "manifest":
+            return None
+        try:
+            return self.manifest_by_version[int(value)]
+        except (ValueError, KeyError):
+            raise RecordInvalidError("no such manifest") from None
+
+    def version(self, key: str, value: bytes) -> tuple[str, int] | None:
+        """Return the version that the record names."""
+        if not key.startswith("version/"):
+            return None
+        return key.removeprefix("version/"), int(value)
+
+    def target(self, key: str, value: bytes) -> Target:
+        """Return the target that the record describes."""
+        try:
+            return Target(id=key, **json.loads(value))
+        except (ValueError, TypeError):
+            raise RecordInvalidError("the entry is malformed") from None
+
+
+class Deployment:
+    """A store, engines, and hosts that share them."""
+
+    def __init__(self) -> None:
+        self.store = MemoryStore()
+        self.targets = FakeTargets()
+        self.decoder = JsonDecoder()
+        self.kernels: list[Kernel] = []
+        self.events: list[Event] = []
+        self._sequence = 0
+
+    def add_engine(self, engine_id: str, **state: Any) -> FakeEngine:
+        """Add an engine and its entry."""
+        engine = FakeEngine(**state)
+        self.targets.engine_by_id[engine_id] = engine
+        self.register(engine_id)
+        return engine
+
+    def register(self, target_id: str, **changes: Any) -> None:
+        """Write an engine's entry."""
+        engine = self.targets.engine_by_id.get(target_id, FakeEngine())
+        self._sequence += 1
+        entry: dict[str, Any] = dict(
+            service=SERVICE,
+            address="10.0.0.1:80",
+            zone="a",
+            slots=engine.slots,
+            draining=False,
+            born=1,
+            sequence=self._sequence,
+            version_by_model={MODEL: engine.version},
+        )
+        value = json.dumps(entry | changes).encode()
+        self.store.put_keyed(self.decoder.target_topic, target_id, value)
+
+    def put_manifest(self, value: Manifest) -> None:
+        """Bring a manifest into force."""
+        self.decoder.manifest_by_version[value.version] = value
+        self.store.put_keyed(
+            self.decoder.operator_topic, "manifest", str(value.version).encode()
+        )
+
+    def name_version(self, version: int) -> None:
+        """Name a version as the trainer does."""
+        key = f"version/{MODEL}"
+        self.store.put_keyed(self.decoder.operator_topic, key, str(version).encode())
+
+    async def start_host(
+        self, name: str = "host-1", orders_after: float = 0.0
+    ) -> Kernel:
+        """Start one host's services; stop them by the kernel that is returned."""
+        kernel = Kernel()
+        events = Events(name, 1, 10_000)
+        for service in (
+            events,
+            _shared(self.store),
+            _shared(self.targets),
+            Directory(self.decoder),
+            Lease(name, 1, orders_after),
+            EnginePool(),
+            Loads(name),
+            BatchLog(262_144, 2_097_152, 120.0),
+            ResultWriter(),
+            Runner(),
+            Batches(),
+        ):
+            kernel.register(service)
+        events.observers.append(self.events.append)
+        await kernel.start()
+        self.kernels.append(kernel)
+        return kernel
+
+    async def stop(self) -> None:
+        """Stop all hosts that were started."""
+        for kernel in self.kernels:
+            await kernel.stop()
+
+    async def submit(self, kernel: Kernel, value: Batch) -> None:
+        """Submit a batch at a host."""
+        loop = asyncio.get_running_loop()
+        await kernel.get(Batches).submit(value, loop.time() + 5.0)
+
+    async def results(self, kernel: Kernel, batch_id: str, seconds: float) -> list:
+        """Return a batch's results once it is whole, or after ``seconds``."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        page = await kernel.get(Batches).results(batch_id, 0, 0)
+        while page.next < page.total and loop.time() < until:
+            await asyncio.sleep(0.05)
+            page = await kernel.get(Batches).results(batch_id, 0, 0)
+        return page.results
+
+
+def _shared(service: Any) -> Any:
+    """Return a twin of ``service`` with the same state, for another kernel."""
+    twin = type(service).__new__(type(service))
+    twin.__dict__ = service.__dict__
+    return twin
--- /dev/null
+++ b/fakes/engines.py
@@ -0,0 +1,168 @@
+"""Engines of the platform in memory, on the test's clock."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from cranberryrun.batches.models import Item, Piece
+from cranberryrun.exceptions import (
+    StaleFenceError,
+    TargetFailedError,
+    TargetRefusedError,
+    TargetUnreachableError,
+    TruncatedAnswerError,
+)
+from cranberryrun.fleet.client import (
+    Answer,
+    EngineReport,
+    ItemImpossibleError,
+    LoadOrder,
+    OrderRefusedError,
+    Request,
+    RunFailedError,
+    StreamedAnswer,
+    TargetClient,
+    WrongVersionError,
+)
+from cranberryrun.fleet.directory import Target
+
+
+@dataclass(slots=True)
+class FakeEngine:
+    """One engine. ``gap`` is the time between events, in seconds.
+
+    ``cut_after`` breaks each run off after so many events; ``dark`` answers nothing;
+    ``gone`` refuses connections; ``stalled`` holds back first events until it is set.
+    """
+
+    version: int = 1
+    gap: float = 0.04
+    load_seconds: float = 0.9
+    slots: int = 12
+    cut_after: int | None = None
+    dark: bool = False
+    gone: bool = False
+    status: int = 200
+    started: asyncio.Event | None = None
+    loading: bool = False
+    fence: int = 0
+    sequence: int = 0
+    running: int = 0
+    most_running: int = 0
+    runs: list[tuple[str, int]] = field(default_factory=list)
+    orders: list[LoadOrder] = field(default_factory=list)
+    lose_orders: int = 0
+
+
+class FakeTargets(TargetClient):
+    """Answers for engines by id; items have as many events as ``events_by_item``."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.engine_by_id: dict[str, FakeEngine] = {}
+        self.events_by_item: dict[str, int] = {}
+        self.answers_by_target: dict[str, list[object]] = {}
+        self.sent: list[tuple[str, str]] = []
+
+    async def send(self, target: Target, request: Request) -> Answer:
+        """Give the next scripted answer of the target: an answer, error or delay."""
+        self.sent.append((target.id, request.id))
+        script = self.answers_by_target.get(target.id, [])
+        step = script.pop(0) if script else 0.03
+        if isinstance(step, (int, float)):
+            await asyncio.sleep(step)
+            return Answer(200, (), target.id.encode())
+        if isinstance(step, Exception):
+            await asyncio.sleep(0.001)
+            raise step
+        assert isinstance(step, Answer)
+        return step
+
+    async def stream(
+        self, target: Target, request: Request, after: int | None
+    ) -> StreamedAnswer:
+        """Not scripted."""
+        raise TargetRefusedError("no streams here")
+
+    async def run(
+        self,
+        target: Target,
+        host: str,
+        item: Item,
+        version: int,
+        done: int,
+        deadline: float,
+    ) -> AsyncIterator[Piece]:
+        """See :meth:`TargetClient.run`."""
+        engine = self.engine_by_id[target.id]
+        await asyncio.sleep(0.001)
+        if engine.gone:
+            raise TargetUnreachableError("connection refused")
+        if engine.dark:
+            await asyncio.sleep(3600)
+        if engine.status == 422:
+            raise ItemImpossibleError("status 422")
+        if engine.status == 500:
+            engine.runs.append((item.id, done))
+            raise RunFailedError("status 500")
+        if version != engine.version:
+            raise WrongVersionError("it has another version")
+        if engine.loading or engine.running >= engine.slots:
+            raise TargetRefusedError("not executed")
+        engine.runs.append((item.id, done))
+        engine.running += 1
+        engine.most_running = max(engine.most_running, engine.running)
+        try:
+            if engine.started is not None:
+                await engine.started.wait()
+            async for piece in self._events(engine, item, done):
+                yield piece
+        finally:
+            engine.running -= 1
+
+    async def _events(
+        self, engine: FakeEngine, item: Item, done: int
+    ) -> AsyncIterator[Piece]:
+        made = 0
+        while done < self.events_by_item.get(item.id, 10):
+            await asyncio.sleep(engine.gap)
+            if engine.gone or engine.cut_after == made:
+                raise TruncatedAnswerError("the stream broke off")
+            if engine.dark:
+                await asyncio.sleep(3600)
+            made += 1
+            done += 1
+            yield Piece(f"{item.id}/{done}", engine.version)
+
+    async def report(self, target: Target) -> EngineReport:
+        """See :meth:`TargetClient.report`."""
+        engine = self.engine_by_id[target.id]
+        await asyncio.sleep(0.001)
+        if engine.gone or engine.dark:
+            raise TargetFailedError("no report")
+        versions = {model: engine.version for model in target.version_by_model}
+        return EngineReport(engine.loading, engine.sequence, versions)
+
+    async def order(self, target: Target, order: LoadOrder) -> None:
+        """See :meth:`TargetClient.order`."""
+        engine = self.engine_by_id[target.id]
+        engine.orders.append(order)
+        await asyncio.sleep(0.001)
+        if order.fence < engine.fence:
+            raise StaleFenceError("a higher token was seen")
+        engine.fence = order.fence
+        if engine.loading or order.sequence != engine.sequence:
+            raise OrderRefusedError("status 409")
+        if engine.lose_orders:
+            engine.lose_orders -= 1
+            raise TargetFailedError("the answer is lost")
+        engine.sequence += 1
+        engine.loading = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(engine.load_seconds, self._loaded, engine, order.version)
+
+    def _loaded(self, engine: FakeEngine, version: int) -> None:
+        engine.loading = False
+        engine.version = version
--- /dev/null
+++ b/fakes/store.py
@@ -0,0 +1,127 @@
+"""A store in memory, on the test's clock, that can be slow, down or forgetful."""
+
+from __future__ import annotations
+
+import asyncio
+
+from cranberryrun.exceptions import (
+    AppendUnknownError,
+    LogGapError,
+    LogReadError,
+    LogUnavailableError,
+)
+from cranberryrun.store import GroupShare, KeyedRecord, Newest, Page, Store
+
+_ANSWER_SECONDS = 0.004
+
+
+class MemoryStore(Store):
+    """Holds topics of one partition. Several hosts' kernels share one by ``view``.
+
+    ``down`` refuses every call; ``silent`` answers none for ``silence`` seconds and
+    then fails; ``lost_answers`` carries out that many appends without an answer.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.records_by_topic: dict[str, list[bytes]] = {}
+        self.first_by_topic: dict[str, int] = {}
+        self.down = False
+        self.silent = False
+        self.silence = 0.6
+        self.lost_answers = 0
+        self.holder: str | None = None
+        self.generation = 0
+        self.members: set[str] = set()
+        self._grown = asyncio.Event()
+
+    def put(self, topic: str, record: bytes) -> None:
+        """Append a record as somebody else would."""
+        self.records_by_topic.setdefault(topic, []).append(record)
+        grown, self._grown = self._grown, asyncio.Event()
+        grown.set()
+
+    def put_keyed(self, topic: str, key: str, value: bytes | None) -> None:
+        """Append a keyed record as the operator or a target would."""
+        name = key.encode()
+        self.put(topic, bytes([len(name)]) + name + (value or b""))
+
+    async def append(self, topic: str, records: list[bytes]) -> int:
+        """See :meth:`Store.append`."""
+        await self._answer(LogUnavailableError, AppendUnknownError)
+        start = len(self.records_by_topic.setdefault(topic, []))
+        for record in records:
+            self.put(topic, record)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise AppendUnknownError("the answer is lost")
+        return start
+
+    async def read(self, topic: str, start: int, wait: float) -> Page:
+        """See :meth:`Store.read`."""
+        await self._answer(LogReadError, LogReadError)
+        first = self.first_by_topic.get(topic, 0)
+        if start < first:
+            raise LogGapError("records were deleted", first=first)
+        until = asyncio.get_running_loop().time() + wait
+        while len(self.records_by_topic.get(topic, [])) <= start:
+            try:
+                async with asyncio.timeout_at(until):
+                    await self._grown.wait()
+            except TimeoutError:
+                break
+        records = self.records_by_topic.get(topic, [])
+        return Page(start, records[start:], len(records))
+
+    async def newest(self, topic: str) -> Newest:
+        """See :meth:`Store.newest`."""
+        await self._answer(LogReadError, LogReadError)
+        by_key: dict[str, KeyedRecord] = {}
+        records = self.records_by_topic.get(topic, [])
+        for raw in records:
+            record = self.keyed(raw)
+            if record is None:
+                continue
+            by_key.pop(record.key, None)
+            if record.value is not None:
+                by_key[record.key] = record
+        return Newest(list(by_key.values()), len(records))
+
+    def keyed(self, record: bytes) -> KeyedRecord | None:
+        """See :meth:`Store.keyed`."""
+        if not record or len(record) < 1 + record[0]:
+            return None
+        end = 1 + record[0]
+        return KeyedRecord(record[1:end].decode(), record[end:] or None)
+
+    async def join(
+        self, group: str, member: str, topic: str, ttl: float, generation: int
+    ) -> GroupShare:
+        """See :meth:`Store.join`."""
+        await self._answer(LogUnavailableError, LogUnavailableError)
+        if member not in self.members:
+            self.members.add(member)
+            self.generation += 1
+        if self.holder is None:
+            self.holder = member
+        held = frozenset({0}) if self.holder == member else frozenset()
+        return GroupShare(self.generation, held)
+
+    async def leave(self, group: str, member: str) -> None:
+        """See :meth:`Store.leave`."""
+        await self._answer(LogUnavailableError, LogUnavailableError)
+        self.members.discard(member)
+        self.give(None)
+
+    def give(self, member: str | None) -> None:
+        """Let ``member`` hold the lease from now on."""
+        self.generation += 1
+        self.holder = member
+
+    async def _answer(self, refused: type, lost: type) -> None:
+        if self.silent:
+            await asyncio.sleep(self.silence)
+            raise lost("the store is silent")
+        await asyncio.sleep(_ANSWER_SECONDS)
+        if self.down:
+            raise refused("the store is down")
--- /dev/null
+++ b/tests/test_batch_runner.py
@@ -0,0 +1,212 @@
+"""Running batches: groups, versions, slow and failing engines, changes of holder."""
+
+import asyncio
+
+from cranberryrun import clock
+from cranberryrun.batches.log import BatchLog
+from cranberryrun.batches.runner import Runner
+from cranberryrun.batches.service import Batches
+from cranberryrun.fleet.lease import Lease
+from fakes.deployment import Deployment, batch, batch_route, manifest
+
+from .virtual import VirtualTimeTestCase
+
+
+class RunnerTestCase(VirtualTimeTestCase):
+    async def asyncSetUp(self):
+        self.deployment = Deployment()
+        self.deployment.put_manifest(manifest())
+        self.addAsyncCleanup(self.deployment.stop)
+
+    async def start(self, *engines, **options):
+        self.engines = [
+            self.deployment.add_engine(f"e{index}", **state)
+            for index, state in enumerate(engines)
+        ]
+        self.host = await self.deployment.start_host(**options)
+        await asyncio.sleep(1.0)
+
+
+class WholeBatchTest(RunnerTestCase):
+    async def test_every_item_is_listed_once_with_its_whole_text(self):
+        await self.start({}, {})
+        await self.deployment.submit(self.host, batch(groups=3, size=4))
+        results = await self.deployment.results(self.host, "b1", 5.0)
+        self.assertEqual(len({result.item for result in results}), 12)
+        for result in results:
+            lines = [f"{result.item}/{number}" for number in range(1, 11)]
+            self.assertEqual(result.text.split("\n"), lines)
+            self.assertEqual(result.versions, (1,))
+
+    async def test_a_batch_is_accepted_once(self):
+        await self.start({})
+        for _ in range(2):
+            await self.deployment.submit(self.host, batch())
+        other = await self.deployment.start_host("host-2")
+        await self.deployment.submit(other, batch())
+        results = await self.deployment.results(other, "b1", 5.0)
+        self.assertEqual(len(results), 4)
+        self.assertEqual(len(self.engines[0].runs), 4)
+
+    async def test_a_broken_stream_goes_on_after_its_last_event(self):
+        await self.start({"cut_after": 4})
+        await self.deployment.submit(self.host, batch(groups=1, size=1))
+        (result,) = await self.deployment.results(self.host, "b1", 5.0)
+        self.assertEqual(len(result.text.split("\n")), 10)
+        self.assertEqual([done for _, done in self.engines[0].runs], [0, 4, 8])
+
+    async def test_an_item_that_fails_each_time_is_lost_after_its_attempts(self):
+        await self.start({"status": 500})
+        await self.deployment.submit(self.host, batch(groups=1, size=1))
+        (result,) = await self.deployment.results(self.host, "b1", 5.0)
+        self.assertFalse(result.succeeded)
+        self.assertEqual(len(self.engines[0].runs), batch_route().max_attempts)
+
+    async def test_an_item_that_can_never_be_done_is_lost_at_once(self):
+        await self.start({"status": 422})
+        await self.deployment.submit(self.host, batch(groups=1, size=1))
+        (result,) = await self.deployment.results(self.host, "b1", 1.0)
+        self.assertFalse(result.succeeded)
+
+    async def test_an_ended_batch_starts_nothing_more(self):
+        await self.start({"slots": 1})
+        await self.deployment.submit(self.host, batch(groups=4, size=4, events=50))
+        await asyncio.sleep(0.2)
+        await self.host.get(Batches).end("b1", self.now() + 1)
+        await asyncio.sleep(0.1)
+        begun = len(self.engines[0].runs)
+        await asyncio.sleep(10.0)
+        self.assertEqual(len(self.engines[0].runs), begun)
+        self.assertEqual(self.engines[0].running, 0)
+
+
+class CarriedGroupTest(RunnerTestCase):
+    """Load pattern: the group that a step left unfinished comes again in the next."""
+
+    async def end_and_carry(self, min_version):
+        self.deployment.targets.events_by_item["b1-g0-0"] = 60
+        first = batch(groups=1, size=1, events=60)
+        await self.deployment.submit(self.host, first)
+        await asyncio.sleep(0.5)
+        await self.host.get(Batches).end("b1", self.now() + 1)
+        self.second = batch("b2", min_version=min_version, items=first.items)
+
+    async def test_its_text_is_used_again_where_its_versions_fit(self):
+        await self.start({})
+        await self.end_and_carry(min_version=1)
+        await asyncio.sleep(0.5)
+        await self.deployment.submit(self.host, self.second)
+        (result,) = await self.deployment.results(self.host, "b2", 5.0)
+        self.assertEqual(len(result.text.split("\n")), 60)
+        self.assertEqual(len(self.engines[0].runs), 1)
+
+    async def test_a_run_under_an_old_version_is_not_used_even_before_its_first_event(
+        self,
+    ):
+        """lelc-enrol trouble-2: VERSION broken at 29.515 s."""
+        held = asyncio.Event()
+        await self.start({"started": held}, {"gone": True})
+        await self.end_and_carry(min_version=2)
+        self.engines[1].gone = False
+        self.engines[1].version = 2
+        self.deployment.register("e1")
+        await asyncio.sleep(0.1)
+        await self.deployment.submit(self.host, self.second)
+        await asyncio.sleep(0.01)
+        held.set()
+        (result,) = await self.deployment.results(self.host, "b2", 8.0)
+        self.assertEqual(result.versions, (2,))
+
+
+class SlowEngineTest(RunnerTestCase):
+    """Load pattern: one engine of several turns slow while long texts run there."""
+
+    async def test_long_texts_end_on_the_fast_engine(self):
+        await self.start({"gap": 0.04}, {"gap": 0.14})
+        for group in range(2):
+            for index in range(4):
+                self.deployment.targets.events_by_item[f"b1-g{group}-{index}"] = 100
+        began = self.now()
+        await self.deployment.submit(self.host, batch(groups=2, size=4, events=100))
+        results = await self.deployment.results(self.host, "b1", 20.0)
+        self.assertEqual(len(results), 8)
+        # All at the fast engine take 4 s, at the slow one 14 s.
+        self.assertLess(self.now() - began, 6.5)
+
+    async def test_runs_do_not_move_between_engines_of_one_speed(self):
+        await self.start({"gap": 0.04}, {"gap": 0.042})
+        for group in range(2):
+            for index in range(4):
+                self.deployment.targets.events_by_item[f"b1-g{group}-{index}"] = 100
+        await self.deployment.submit(self.host, batch(groups=2, size=4, events=100))
+        await self.deployment.results(self.host, "b1", 20.0)
+        runs = sum(len(engine.runs) for engine in self.engines)
+        self.assertEqual(runs, 8)
+
+    async def test_a_dark_engine_s_runs_go_on_elsewhere(self):
+        await self.start({}, {})
+        self.deployment.targets.events_by_item["b1-g0-0"] = 50
+        await self.deployment.submit(self.host, batch(groups=1, size=1, events=50))
+        await asyncio.sleep(0.5)
+        busy = [engine for engine in self.engines if engine.running]
+        busy[0].dark = True
+        (result,) = await self.deployment.results(self.host, "b1", 5.0)
+        self.assertTrue(result.succeeded)
+        self.assertEqual(len(result.text.split("\n")), 50)
+
+
+class ChangeOfHolderTest(RunnerTestCase):
+    """Load pattern: the holder of the lease dies or is cut off in mid-step."""
+
+    async def test_the_next_holder_resumes_from_what_was_recorded(self):
+        await self.start({"slots": 4})
+        self.deployment.targets.events_by_item["b1-g0-0"] = 100
+        await self.deployment.submit(self.host, batch(groups=1, size=1, events=100))
+        other = await self.deployment.start_host("host-2")
+        await asyncio.sleep(2.0)
+        await self.host.stop()
+        self.deployment.store.give("host-2/1")
+        (result,) = await self.deployment.results(other, "b1", 8.0)
+        self.assertEqual(len(result.text.split("\n")), 100)
+        resumed_at = self.engines[0].runs[-1][1]
+        # 2 s at 25 events a second, recorded every 0.4 s.
+        self.assertGreaterEqual(resumed_at, 30)
+
+    async def test_results_of_a_holder_that_lost_the_store_are_kept_until_it_is_back(
+        self,
+    ):
+        await self.start({})
+        await self.deployment.submit(self.host, batch(groups=1, size=2, events=10))
+        await asyncio.sleep(0.1)
+        self.deployment.store.silent = True
+        await asyncio.sleep(4.0)
+        self.deployment.store.silent = False
+        results = await self.deployment.results(self.host, "b1", 3.0)
+        self.assertEqual(len(results), 2)
+        self.assertEqual(len(self.engines[0].runs), 2)
+
+    async def test_a_planned_stop_hands_over_where_the_runs_stand(self):
+        await self.start({})
+        self.deployment.targets.events_by_item["b1-g0-0"] = 100
+        await self.deployment.submit(self.host, batch(groups=1, size=1, events=100))
+        other = await self.deployment.start_host("host-2")
+        await asyncio.sleep(1.0)
+        await self.host.get(Runner).hand_over()
+        await self.host.get(Lease).leave()
+        self.assertEqual(self.engines[0].running, 0)
+        (result,) = await self.deployment.results(other, "b1", 8.0)
+        self.assertEqual(len(result.text.split("\n")), 100)
+        self.assertGreaterEqual(self.engines[0].runs[-1][1], 20)
+
+
+class AgeTest(RunnerTestCase):
+    async def test_an_item_that_nobody_can_run_is_lost_when_it_is_too_old(self):
+        await self.start()
+        await self.deployment.submit(self.host, batch(groups=1, size=1))
+        state = self.host.get(BatchLog).table.state_by_id
+        await asyncio.sleep(2.0)
+        self.assertEqual(state["b1"].results, [])
+        aged = batch("b2", groups=1, size=1, submitted_at=clock.wall() - 41.0)
+        await self.deployment.submit(self.host, aged)
+        (result,) = await self.deployment.results(self.host, "b2", 1.0)
+        self.assertFalse(result.succeeded)
