Hold the rollout duty by a lease in a topic of the store

Change: 'taken' is appended under the condition that the topic ends where it was read, its offset is the fencing token; others take it only after they could read the topic for a lease time without a renewal. A planned stop keeps running while the store can't take the progress.

--- a/cranberryrun/batches/log.py
+++ b/cranberryrun/batches/log.py
@@ -15,7 +15,6 @@
     LogUnavailableError,
     RecordInvalidError,
 )
-from ..fleet.lease import TOPIC
 from ..kernel import Service
 from ..store import Page, Store
 from .records import Decoder, Message, encode, packed
@@ -23,6 +22,7 @@
 
 # A long poll can miss a record; one this short finds it soon after.
 _POLL_SECONDS = 0.2
+TOPIC = "batches"
 _RETRY_SECONDS = 0.1
 _APPEND_RETRY_SECONDS = 0.1
 
--- a/cranberryrun/batches/results.py
+++ b/cranberryrun/batches/results.py
@@ -52,16 +52,18 @@
         """How many results the store does not have yet."""
         return len(self._waiting)
 
-    async def record(self, works: list[Work], least: int = _LEAST_PIECES) -> None:
-        """Append how far ``works`` came; without success, they are made again.
+    async def record(self, works: list[Work], least: int = _LEAST_PIECES) -> bool:
+        """Append how far ``works`` came; return whether the store has it.
 
         :param least: fewer new pieces than this are not worth a record.
         """
         messages: list[Message] = []
+        upto: list[tuple[Work, int]] = []
         for work in works:
             if work.finished or len(work.pieces) - work.recorded < least:
                 continue
             fresh = work.pieces[work.recorded :]
+            upto.append((work, len(work.pieces)))
             messages.append(
                 Progressed(
                     batch=work.state.batch.id,
@@ -71,9 +73,8 @@
                     versions=[piece.version for piece in fresh],
                 )
             )
-            work.recorded = len(work.pieces)
         if not messages:
-            return
+            return True
         log = self.kernel.get(BatchLog)
         try:
             await log.append(messages, clock.now() + _COLLECT_SECONDS)
@@ -81,6 +82,11 @@
             self.kernel.get(Events).emit(
                 "progress_unrecorded", samples=len(messages), reason=error.detail
             )
+            return False
+        for work, count in upto:
+            if len(work.pieces) >= count:
+                work.recorded = max(work.recorded, count)
+        return True
 
     async def _write(self) -> None:
         log = self.kernel.get(BatchLog)
--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -7,6 +7,7 @@
 from .. import clock
 from ..events import Events
 from ..exceptions import (
+    CranberryrunError,
     LogReadError,
     RefusedError,
     TargetFailedError,
@@ -97,22 +98,44 @@
         """How many items run now."""
         return len(self._task_by_item)
 
-    async def hand_over(self) -> None:
-        """Stop all runs and record how far they came, for the next holder."""
+    async def hand_over(self, deadline: float) -> None:
+        """Record how far the runs came and give the lease up, for the next holder.
+
+        While the store can't take that, the runs go on, until ``deadline`` at most.
+        """
+        lease = self.kernel.get(Lease)
+        writer = self.kernel.get(ResultWriter)
+        while lease.assigned and clock.now() < deadline:
+            works = list(self._work_by_item.values())
+            if await writer.record(works, least=1) and await self._release(lease):
+                break
+            await asyncio.sleep(_RETRY_SECONDS)
         self._stopping = True
         await self._cancel(list(self._task_by_item))
-        writer = self.kernel.get(ResultWriter)
-        await writer.record(list(self._work_by_item.values()), least=1)
+
+    async def _release(self, lease: Lease) -> bool:
+        try:
+            await lease.release()
+        except CranberryrunError as error:
+            self.kernel.get(Events).emit("lease_kept", reason=error.detail)
+        return not lease.assigned
 
     async def _serve(self) -> None:
         lease = self.kernel.get(Lease)
         log = self.kernel.get(BatchLog)
         while True:
             await self._pause(_TICK_SECONDS)
-            if not lease.held or self._stopping:
+            if not lease.assigned or self._stopping:
                 continue
             async with log.following():
                 await self._hold(lease, log)
+            if not self._stopping:
+                await self._drop_all()
+
+    async def _drop_all(self) -> None:
+        """Leave the items to the next holder; it has what was recorded."""
+        await self._cancel(list(self._task_by_item))
+        self._work_by_item.clear()
 
     async def _hold(self, lease: Lease, log: BatchLog) -> None:
         while lease.assigned:
--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -55,7 +55,7 @@
     (211, "manifest_applied", INFO, "A manifest came into force at this host."),
     (220, "lease_taken", INFO, "This host runs batches and orders loads now."),
     (221, "lease_given_up", INFO, "Another host may run batches now."),
-    (222, "lease_lost", WARNING, "The lease lapsed: the store was out of reach."),
+    (222, "lease_unsure", WARNING, "The lease can't be renewed; no orders are sent."),
     (223, "lease_kept", WARNING, "The lease could not be given up; it will lapse."),
     (300, "step_started", INFO, "A trainer's step began or went on at this host."),
     (301, "step_done", INFO, "Every sample of the step was handed over."),
--- a/cranberryrun/exceptions.py
+++ b/cranberryrun/exceptions.py
@@ -189,6 +189,12 @@
     code = "log_unavailable"
 
 
+class AppendConflictError(LogUnavailableError):
+    """The log did not end where the append was to begin; nothing was appended."""
+
+    code = "append_conflict"
+
+
 class TargetRefusedError(RefusedError):
     """The target refused the request and said that it was not run."""
 
--- a/cranberryrun/fleet/lease.py
+++ b/cranberryrun/fleet/lease.py
@@ -1,116 +1,239 @@
-"""The lease of the rollout duty: one host at a time runs batches and orders loads."""
+"""The lease of the rollout duty: one host at a time runs batches and orders loads.
+
+The lease is a topic of the store. Whoever appends *taken* at the topic's end, under
+the condition that nothing came in between, holds it; the offset of that record is the
+fencing token. The holder renews it. Others take it after it was released, or after
+they could read the topic for a whole lease time and saw no renewal. So an outage of
+the store changes no holder.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Literal
+
+from pydantic import TypeAdapter, ValidationError
 
 from .. import clock
 from ..events import Events
-from ..exceptions import CranberryrunError
+from ..exceptions import AppendUnknownError, CranberryrunError, LogGapError
 from ..kernel import Service
-from ..store import GroupShare, Store
+from ..store import Store
 
-GROUP = "rollouts"
-TOPIC = "batches"
-PARTITION = 0
-# A silent holder is replaced after this; the store's least is 1 s.
+TOPIC = "lease"
+# A silent holder is replaced after this, in seconds.
 _TTL_SECONDS = 1.0
 _RENEW_SECONDS = 0.25
+_POLL_SECONDS = 0.3
+_RETRY_SECONDS = 0.1
+# Hosts that see the lease end wait for different times, so that one of them asks.
+_JITTER_SECONDS = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRecord:
+    """A change or renewal of the lease.
+
+    ``fence`` names the *taken* record that a renewal or release is about;
+    ``since_order`` is how long before a release the last order was sent, in seconds.
+    """
+
+    kind: Literal["taken", "renewed", "released"]
+    holder: str
+    fence: int = -1
+    since_order: float = 0.0
+
+
+_RECORD: TypeAdapter[LeaseRecord] = TypeAdapter(LeaseRecord)
 
 
 class Lease(Service):
-    """Keeps this host a member of the group, and says whether it holds the lease.
+    """Follows the lease, takes it when it is free, and renews it.
 
-    :param orders_after: seconds for which a new holder sends no orders, so that
-        orders of two holders never alternate within the engines' lease time.
+    :param member: this start of this host.
+    :param orders_after: seconds between the last order of one holder and the first
+        of the next, so that orders never alternate within the engines' lease time.
+    :param boot_clock: seconds that also count while the host is suspended.
     """
 
     name = "lease"
     requires = ("events", "store")
 
-    def __init__(self, host_id: str, incarnation: int, orders_after: float) -> None:
+    def __init__(
+        self,
+        member: str,
+        orders_after: float,
+        rng: random.Random,
+        boot_clock: Callable[[], float] = clock.now,
+    ) -> None:
         super().__init__()
-        self._member = f"{host_id}/{incarnation}"
+        self._member = member
         self._orders_after = orders_after
-        self._share = GroupShare(0, frozenset())
+        self._rng = rng
+        self._now = boot_clock
+        self._next = 0
+        self._holder: str | None = None
+        self._fence = -1
+        self._heard_at = float("-inf")
         self._renewed_at = float("-inf")
-        self._held_since = float("inf")
-        self._lapsed: tuple[int, float] | None = None
-        self.observers: list[Callable[[], None]] = []
+        self._orders_from = float("inf")
+        self._ordered_at = float("-inf")
         self._leaving = False
+        self._unsure = False
+        self.observers: list[Callable[[], None]] = []
 
     @property
-    def held(self) -> bool:
-        """Whether this host holds the lease for certain."""
-        return self.assigned and clock.now() < self._renewed_at + _TTL_SECONDS
+    def assigned(self) -> bool:
+        """Whether this host holds the lease, as far as it knows."""
+        return self._holder == self._member
 
     @property
-    def assigned(self) -> bool:
-        """Whether the store's last answer gave this host the lease."""
-        return PARTITION in self._share.partitions
+    def held(self) -> bool:
+        """Whether this host holds the lease for certain."""
+        return self.assigned and self._now() < self._renewed_at + _TTL_SECONDS
 
     @property
     def may_order(self) -> bool:
         """Whether this host may send orders to engines."""
-        return self.held and clock.now() >= self._held_since + self._orders_after
+        return self.held and self._now() >= self._orders_from
 
     @property
     def fence(self) -> int:
         """The fencing token of this host's orders; higher for each new holder."""
-        return self._share.generation
+        return self._fence
+
+    def ordered(self) -> None:
+        """Note that an order is sent now."""
+        self._ordered_at = self._now()
 
     async def start(self) -> None:
-        """Join the group and stay in it."""
+        """Begin to follow the lease."""
+        self.spawn(self._follow())
         self.spawn(self._renew())
 
-    async def leave(self) -> None:
-        """Give the lease up, so that another host need not wait for its end."""
+    async def release(self) -> None:
+        """Give the lease up and take it no more.
+
+        :raises CranberryrunError: others may have to wait for its end.
+        """
         self._leaving = True
-        self._take(GroupShare(self._share.generation, frozenset()))
+        if not self.assigned:
+            return
+        since_order = self._now() - self._ordered_at
+        record = LeaseRecord(
+            "released", self._member, self._fence, min(since_order, 3600.0)
+        )
+        self._set_holder(None, self._fence)
+        await self.kernel.get(Store).append(TOPIC, [_RECORD.dump_json(record)])
+
+    async def _follow(self) -> None:
+        store = self.kernel.get(Store)
+        wait = 0.0
+        while True:
+            asked_at = self._now()
+            try:
+                page = await store.read(TOPIC, self._next, wait)
+            except LogGapError as error:
+                self._next = max(self._next, error.first)
+                continue
+            except CranberryrunError:
+                # Silence counts only while the topic can be read.
+                self._heard_at = float("inf")
+                await asyncio.sleep(_RETRY_SECONDS)
+                wait = 0.0
+                continue
+            if self._heard_at == float("inf"):
+                self._heard_at = asked_at
+            wait = _POLL_SECONDS
+            for offset, raw in enumerate(page.records, page.start):
+                self._apply(offset, raw)
+            self._next = page.next
+            if page.next >= page.end:
+                await self._take_if_free()
+
+    def _apply(self, offset: int, raw: bytes) -> None:
+        try:
+            record = _RECORD.validate_json(raw)
+        except ValidationError as error:
+            self.kernel.get(Events).emit(
+                "record_invalid", topic=TOPIC, offset=offset, reason=str(error)
+            )
+            return
+        if record.kind == "taken":
+            self._heard_at = self._now()
+            self._set_holder(record.holder, offset)
+        elif record.fence == self._fence:
+            self._heard_at = self._now()
+            if record.kind == "released":
+                self._orders_from = self._now() - record.since_order
+                self._set_holder(None, self._fence)
+
+    async def _take_if_free(self) -> None:
+        if self._leaving or self.assigned:
+            return
+        released = self._holder is None
+        if not released and self._now() < self._heard_at + _TTL_SECONDS:
+            return
+        await asyncio.sleep(self._rng.uniform(0, _JITTER_SECONDS))
+        asked_at = self._now()
+        record = _RECORD.dump_json(LeaseRecord("taken", self._member))
         try:
-            await self.kernel.get(Store).leave(GROUP, self._member)
-        except CranberryrunError as error:
-            self.kernel.get(Events).emit("lease_kept", reason=error.detail)
+            offset = await self.kernel.get(Store).append(TOPIC, [record], at=self._next)
+        except AppendUnknownError:
+            # If it was appended, the next read shows it.
+            return
+        except CranberryrunError:
+            await asyncio.sleep(_RETRY_SECONDS)
+            return
+        if self._leaving:
+            return
+        self._renewed_at = asked_at
+        first = offset == 0
+        last_order_at = self._orders_from if released and not first else asked_at
+        self._set_holder(self._member, offset)
+        self._orders_from = asked_at if first else last_order_at + self._orders_after
 
     async def _renew(self) -> None:
         store = self.kernel.get(Store)
-        while not self._leaving:
-            asked_at = clock.now()
+        while True:
+            await asyncio.sleep(_RENEW_SECONDS)
+            if not self.assigned:
+                continue
+            asked_at = self._now()
+            fence = self._fence
+            record = LeaseRecord("renewed", self._member, fence)
             try:
-                share = await store.join(
-                    GROUP, self._member, TOPIC, _TTL_SECONDS, self._share.generation
-                )
+                await store.append(TOPIC, [_RECORD.dump_json(record)])
             except CranberryrunError as error:
-                self._failed(error)
-            else:
-                if self._leaving:
-                    return
+                if not self.held:
+                    self._note_unsure(error)
+                continue
+            # A renewal behind another's *taken* is void; the follower reads that.
+            if self.assigned and self._fence == fence:
                 self._renewed_at = asked_at
-                self._take(share)
-            await asyncio.sleep(_RENEW_SECONDS)
+                self._unsure = False
 
-    def _failed(self, error: CranberryrunError) -> None:
-        if self.assigned and not self.held:
-            self.kernel.get(Events).emit(
-                "lease_lost", fence=self.fence, reason=error.detail
-            )
-            self._lapsed = (self._share.generation, self._held_since)
-            self._take(GroupShare(self._share.generation, frozenset()))
+    def _note_unsure(self, error: CranberryrunError) -> None:
+        if self._unsure:
+            return
+        self._unsure = True
+        self.kernel.get(Events).emit(
+            "lease_unsure", fence=self._fence, reason=error.detail
+        )
 
-    def _take(self, share: GroupShare) -> None:
+    def _set_holder(self, holder: str | None, fence: int) -> None:
         had = self.assigned
-        self._share = share
+        self._holder = holder
+        self._fence = fence
         if self.assigned == had:
             return
-        self._held_since = clock.now() if self.assigned else float("inf")
-        if self.assigned and self._lapsed is not None:
-            generation, held_since = self._lapsed
-            if generation == share.generation:
-                # Nobody held it in between: the group did not change.
-                self._held_since = held_since
-        self._lapsed = None
-        name = "lease_taken" if self.assigned else "lease_given_up"
-        self.kernel.get(Events).emit(name, fence=share.generation)
+        self.kernel.get(Events).emit(
+            "lease_taken" if self.assigned else "lease_given_up",
+            fence=fence,
+            holder=holder,
+        )
         for observer in self.observers:
             observer()
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import sys
+import time
 
 import aiomisc
 import click
@@ -45,6 +46,11 @@
 _EXIT_SECONDS = 1.0
 
 
+def _boot_seconds() -> float:
+    """Return seconds that also count while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class PlatformHost:
     """One host: the product's services, with the platform's clients."""
 
@@ -66,7 +72,12 @@
             StoreClient(settings.store.address),
             HttpTargetClient(),
             Directory(WireDecoder()),
-            Lease(settings.host_id, incarnation, bounds.engine_lease_ms / 1000),
+            Lease(
+                f"{settings.host_id}/{incarnation}",
+                bounds.engine_lease_ms / 1000,
+                rng,
+                _boot_seconds,
+            ),
             EnginePool(),
             Loads(settings.host_id),
             BatchLog(
@@ -97,12 +108,10 @@
         limit = began + self._settings.bounds.grace_ms / 1000 - _EXIT_SECONDS
         self.kernel.get(Events).emit("host_draining", in_flight=front.in_flight)
         front.stopping = True
-        lease = self.kernel.get(Lease)
-        if lease.assigned:
-            await self.kernel.get(Runner).hand_over()
-        await lease.leave()
+        handing_over = asyncio.create_task(self.kernel.get(Runner).hand_over(limit))
         await asyncio.sleep(_ENTRY_LAG_SECONDS)
         await front.stop_listening()
+        await handing_over
         while front.in_flight or self.kernel.get(ResultWriter).waiting:
             if clock.now() > limit:
                 self.kernel.get(Events).emit("drain_limit", in_flight=front.in_flight)
--- a/cranberryrun/platform/store_client.py
+++ b/cranberryrun/platform/store_client.py
@@ -6,19 +6,19 @@
 import base64
 import binascii
 import struct
-from typing import Any
 
 import aiohttp
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from ..exceptions import (
+    AppendConflictError,
     AppendUnknownError,
     LogGapError,
     LogReadError,
     LogUnavailableError,
 )
 from ..http import HttpClients
-from ..store import GroupShare, KeyedRecord, Newest, Page, Store
+from ..store import KeyedRecord, Newest, Page, Store
 
 _PARTITION = 0
 # The store answers within some milliseconds, or 60 times that when it is slow; an
@@ -58,12 +58,6 @@
     end: int
 
 
-class _Joined(_Answer):
-    generation: int
-    # Rows of topic, partition and committed offset.
-    parts: list[tuple[str, int, Any]] = []
-
-
 class StoreClient(Store):
     """Speaks to the store; one attempt a call.
 
@@ -76,12 +70,19 @@
         super().__init__()
         self._url = f"http://{address}"
 
-    async def append(self, topic: str, records: list[bytes]) -> int:
+    async def append(
+        self, topic: str, records: list[bytes], at: int | None = None
+    ) -> int:
         """See :meth:`Store.append`."""
         body = b"".join(_LENGTH.pack(len(record)) + record for record in records)
-        status, answer = await self._write(
-            "/v1/log-append", {"topic": topic, "part": str(_PARTITION)}, data=body
-        )
+        params = {"topic": topic, "part": str(_PARTITION)}
+        if at is not None:
+            params["at"] = str(at)
+        status, answer = await self._write("/v1/log-append", params, body)
+        if status == 412:
+            raise AppendConflictError(
+                f"topic {topic} does not end at {at}", retry_after=0
+            )
         if status == 200:
             try:
                 return _Appended.model_validate_json(answer).offset
@@ -139,48 +140,14 @@
             return None
         return KeyedRecord(key, record[end:] or None)
 
-    async def join(
-        self, group: str, member: str, topic: str, ttl: float, generation: int
-    ) -> GroupShare:
-        """See :meth:`Store.join`."""
-        body = {
-            "group-id": group,
-            "member": member,
-            "topics": [topic],
-            "ttl-ms": int(ttl * 1000),
-            "generation": generation,
-        }
-        status, answer = await self._write_once("/v1/log-join", body)
-        try:
-            joined = _Joined.model_validate_json(answer)
-        except ValidationError as error:
-            raise LogUnavailableError(
-                f"the store answered {status}: {error}",
-                retry_after=_RETRY_AFTER_SECONDS,
-            ) from None
-        held = {row[1] for row in joined.parts if row[0] == topic}
-        return GroupShare(joined.generation, frozenset(held))
-
-    async def leave(self, group: str, member: str) -> None:
-        """See :meth:`Store.leave`."""
-        await self._write_once("/v1/log-leave", {"group-id": group, "member": member})
-
-    async def _write_once(self, path: str, body: dict[str, Any]) -> tuple[int, bytes]:
-        try:
-            return await self._write(path, {}, json=body)
-        except AppendUnknownError as error:
-            raise LogUnavailableError(
-                error.detail, retry_after=_RETRY_AFTER_SECONDS
-            ) from None
-
     async def _write(
-        self, path: str, params: dict[str, str], **body: Any
+        self, path: str, params: dict[str, str], body: bytes
     ) -> tuple[int, bytes]:
         session = self.kernel.get(HttpClients).shared
         timeout = aiohttp.ClientTimeout(total=_ANSWER_SECONDS)
         try:
             async with session.post(
-                self._url + path, params=params, timeout=timeout, **body
+                self._url + path, params=params, timeout=timeout, data=body
             ) as response:
                 status, answer = response.status, await response.read()
         except aiohttp.ClientConnectorError as error:
--- a/cranberryrun/store.py
+++ b/cranberryrun/store.py
@@ -1,4 +1,4 @@
-"""The platform's store: topics of records, newest values by key, groups of members."""
+"""The platform's store: topics of records, and newest values by key."""
 
 from __future__ import annotations
 
@@ -42,18 +42,6 @@
     next: int
 
 
-@dataclass(frozen=True, slots=True)
-class GroupShare:
-    """What a member of a group holds.
-
-    ``generation`` rises with each change of the group, so a partition has one holder
-    in a generation.
-    """
-
-    generation: int
-    partitions: frozenset[int]
-
-
 class Store(Service):
     """What the product asks of the platform's store. Only adapters know its wire.
 
@@ -64,9 +52,13 @@
     name = "store"
 
     @abstractmethod
-    async def append(self, topic: str, records: list[bytes]) -> int:
+    async def append(
+        self, topic: str, records: list[bytes], at: int | None = None
+    ) -> int:
         """Append ``records`` in one call, all or none; return the first's offset.
 
+        :param at: append only if the topic ends at this offset.
+        :raises AppendConflictError: the topic does not end there.
         :raises LogUnavailableError: nothing was appended.
         :raises AppendUnknownError: nobody can tell; it may still be appended later.
         """
@@ -90,20 +82,3 @@
     @abstractmethod
     def keyed(self, record: bytes) -> KeyedRecord | None:
         """Split a record that was read from a keyed topic; None if it is malformed."""
-
-    @abstractmethod
-    async def join(
-        self, group: str, member: str, topic: str, ttl: float, generation: int
-    ) -> GroupShare:
-        """Join ``group`` or stay in it for ``ttl`` seconds more.
-
-        :param generation: the last one that this member was given; 0 at first.
-        :raises LogUnavailableError: the membership was not renewed.
-        """
-
-    @abstractmethod
-    async def leave(self, group: str, member: str) -> None:
-        """Leave ``group`` at once.
-
-        :raises LogUnavailableError: the membership ends when it lapses.
-        """
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 from typing import Any
 
 from cranberryrun import clock
@@ -182,10 +183,10 @@
         events = Events(name, 1, 10_000)
         for service in (
             events,
-            _shared(self.store),
-            _shared(self.targets),
+            shared(self.store),
+            shared(self.targets),
             Directory(self.decoder),
-            Lease(name, 1, orders_after),
+            Lease(name, orders_after, random.Random(name)),
             EnginePool(),
             Loads(name),
             BatchLog(262_144, 2_097_152, 120.0),
@@ -220,7 +221,7 @@
         return page.results
 
 
-def _shared(service: Any) -> Any:
+def shared(service: Any) -> Any:
     """Return a twin of ``service`` with the same state, for another kernel."""
     twin = type(service).__new__(type(service))
     twin.__dict__ = service.__dict__
--- a/fakes/store.py
+++ b/fakes/store.py
@@ -5,12 +5,13 @@
 import asyncio
 
 from cranberryrun.exceptions import (
+    AppendConflictError,
     AppendUnknownError,
     LogGapError,
     LogReadError,
     LogUnavailableError,
 )
-from cranberryrun.store import GroupShare, KeyedRecord, Newest, Page, Store
+from cranberryrun.store import KeyedRecord, Newest, Page, Store
 
 _ANSWER_SECONDS = 0.004
 
@@ -30,9 +31,6 @@
         self.silent = False
         self.silence = 0.6
         self.lost_answers = 0
-        self.holder: str | None = None
-        self.generation = 0
-        self.members: set[str] = set()
         self._grown = asyncio.Event()
 
     def put(self, topic: str, record: bytes) -> None:
@@ -46,10 +44,14 @@
         name = key.encode()
         self.put(topic, bytes([len(name)]) + name + (value or b""))
 
-    async def append(self, topic: str, records: list[bytes]) -> int:
+    async def append(
+        self, topic: str, records: list[bytes], at: int | None = None
+    ) -> int:
         """See :meth:`Store.append`."""
         await self._answer(LogUnavailableError, AppendUnknownError)
         start = len(self.records_by_topic.setdefault(topic, []))
+        if at is not None and at != start:
+            raise AppendConflictError(f"it ends at {start}")
         for record in records:
             self.put(topic, record)
         if self.lost_answers:
@@ -94,30 +96,6 @@
         end = 1 + record[0]
         return KeyedRecord(record[1:end].decode(), record[end:] or None)
 
-    async def join(
-        self, group: str, member: str, topic: str, ttl: float, generation: int
-    ) -> GroupShare:
-        """See :meth:`Store.join`."""
-        await self._answer(LogUnavailableError, LogUnavailableError)
-        if member not in self.members:
-            self.members.add(member)
-            self.generation += 1
-        if self.holder is None:
-            self.holder = member
-        held = frozenset({0}) if self.holder == member else frozenset()
-        return GroupShare(self.generation, held)
-
-    async def leave(self, group: str, member: str) -> None:
-        """See :meth:`Store.leave`."""
-        await self._answer(LogUnavailableError, LogUnavailableError)
-        self.members.discard(member)
-        self.give(None)
-
-    def give(self, member: str | None) -> None:
-        """Let ``member`` hold the lease from now on."""
-        self.generation += 1
-        self.holder = member
-
     async def _answer(self, refused: type, lost: type) -> None:
         if self.silent:
             await asyncio.sleep(self.silence)
--- a/tests/test_batch_runner.py
+++ b/tests/test_batch_runner.py
@@ -6,7 +6,6 @@
 from cranberryrun.batches.log import BatchLog
 from cranberryrun.batches.runner import Runner
 from cranberryrun.batches.service import Batches
-from cranberryrun.fleet.lease import Lease
 from fakes.deployment import Deployment, batch, batch_route, manifest
 
 from .virtual import VirtualTimeTestCase
@@ -165,7 +164,6 @@
         other = await self.deployment.start_host("host-2")
         await asyncio.sleep(2.0)
         await self.host.stop()
-        self.deployment.store.give("host-2/1")
         (result,) = await self.deployment.results(other, "b1", 8.0)
         self.assertEqual(len(result.text.split("\n")), 100)
         resumed_at = self.engines[0].runs[-1][1]
@@ -191,8 +189,7 @@
         await self.deployment.submit(self.host, batch(groups=1, size=1, events=100))
         other = await self.deployment.start_host("host-2")
         await asyncio.sleep(1.0)
-        await self.host.get(Runner).hand_over()
-        await self.host.get(Lease).leave()
+        await self.host.get(Runner).hand_over(self.now() + 7.0)
         self.assertEqual(self.engines[0].running, 0)
         (result,) = await self.deployment.results(other, "b1", 8.0)
         self.assertEqual(len(result.text.split("\n")), 100)
