Keep a third of an engine's places for long texts; bound the log

Change: a text of under 1.5 s leaves a third of an engine's places free. The log goes to standard output through a bounded queue and a thread, with a limit of lines for each kind of event and counts of what was left out or dropped.

--- a/cranberryrun/batches/dispatch.py
+++ b/cranberryrun/batches/dispatch.py
@@ -19,6 +19,10 @@
 # Waiting for a fast engine pays if it saves more than this, in seconds.
 _WORTH_WAITING_SECONDS = 0.3
 
+# Texts that take this long decide when a step ends; they always find a place.
+_LONG_SECONDS = 1.5
+_RESERVED_SHARE = 1 / 3
+
 CARRIED, WANTED, SPARE = range(3)
 
 
@@ -143,7 +147,7 @@
             engine
             for engine in engines
             if engine.target.service in work.services
-            and free_by_id[engine.id] > 0
+            and free_by_id[engine.id] > _reserve(work, engine, gap)
             and may_run(work, engine)
         ]
         chosen = _choose(work, eligible, gap, free_by_id, engine_by_group)
@@ -155,6 +159,13 @@
     return starts
 
 
+def _reserve(work: Work, engine: Engine, gap: float) -> int:
+    """Return how many places of an engine stay free for longer texts than this."""
+    if work.remaining_events() * gap >= _LONG_SECONDS:
+        return 0
+    return int(engine.target.slots * _RESERVED_SHARE)
+
+
 def may_run(work: Work, engine: Engine) -> bool:
     """Say whether the engine's weights are new enough for the item's batch."""
     model = work.state.batch.model
--- a/cranberryrun/daemon.py
+++ b/cranberryrun/daemon.py
@@ -19,6 +19,8 @@
 from .settings import Settings, load_settings
 
 _EXIT_FAILED = 1
+# A stopping process waits this long for the reader of its log.
+_LOG_DRAIN_SECONDS = 0.2
 _EXIT_SETTINGS = 2
 _EXIT_BY_ERROR = {SettingsError: _EXIT_SETTINGS}
 _DEFAULTS = {
@@ -93,7 +95,7 @@
 
 def run(settings: Settings) -> None:
     """Run a host until it is told to stop."""
-    logs.set_up(settings.log_level)
+    log = logs.set_up(settings.log_level)
     service = HostService(settings=settings)
     try:
         with aiomisc.entrypoint(service, log_config=False, catch_signals=()) as loop:
@@ -101,6 +103,8 @@
     except CranberryrunError as error:
         click.echo(f"cranberryrund: {error.code}: {error.detail}", err=True)
         sys.exit(_EXIT_BY_ERROR.get(type(error), _EXIT_FAILED))
+    finally:
+        log.drain(_LOG_DRAIN_SECONDS)
 
 
 if __name__ == "__main__":
--- a/cranberryrun/events.py
+++ b/cranberryrun/events.py
@@ -14,6 +14,9 @@
 from .catalogue import ERROR, EVENT_BY_NAME, WARNING, EventKind
 from .kernel import Service
 
+# Lines of one kind of event that the log takes; OPERATIONS.md states them.
+_LINES_PER_SECOND = 200.0
+_BURST_LINES = 1000.0
 _LEVEL_BY_NAME = {ERROR: logging.ERROR, WARNING: logging.WARNING}
 
 
@@ -43,9 +46,30 @@
         }
 
 
+class _LineLimiter:
+    """Bounds the lines a second of each kind of event; the ring takes them all."""
+
+    def __init__(self) -> None:
+        self._bucket_by_name: dict[str, tuple[float, float]] = {}
+        self._left_out_by_name: dict[str, int] = {}
+
+    def admit(self, name: str, now: float) -> int | None:
+        """Return how many lines were left out before this one; None to leave it out."""
+        tokens, at = self._bucket_by_name.get(name, (_BURST_LINES, now))
+        tokens = min(_BURST_LINES, tokens + (now - at) * _LINES_PER_SECOND)
+        if tokens < 1:
+            self._bucket_by_name[name] = (tokens, now)
+            self._left_out_by_name[name] = self._left_out_by_name.get(name, 0) + 1
+            return None
+        self._bucket_by_name[name] = (tokens - 1, now)
+        return self._left_out_by_name.pop(name, 0)
+
+
 class Events(Service):
     """Takes events and keeps the newest ``ring`` of them.
 
+    Each kind has its own limit of lines, so a flood of one hides no other.
+
     Fields that link events over processes keep one name everywhere: ``step``,
     ``request``, ``change``, ``offset``, ``stream``, ``engine``, ``workload``.
     """
@@ -58,6 +82,7 @@
         self._incarnation = incarnation
         self._ring: deque[Event] = deque(maxlen=ring)
         self._next = 0
+        self._limiter = _LineLimiter()
         self.observers: list[Callable[[Event], None]] = []
 
     def emit(self, name: str, **fields: Any) -> None:
@@ -79,7 +104,13 @@
         level = _LEVEL_BY_NAME.get(kind.level, logging.INFO)
         if logging.get_verbosity() < level:
             return
-        logging.log(level, "%s", json.dumps(event.as_dict(), default=str))
+        left_out = self._limiter.admit(kind.name, event.loop)
+        if left_out is None:
+            return
+        line = event.as_dict()
+        if left_out:
+            line["left_out"] = left_out
+        logging.log(level, "%s", json.dumps(line, default=str))
 
     @property
     def kept(self) -> int:
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -42,6 +42,8 @@
 # The entry asks for readiness once a second and needs two answers to notice.
 _ENTRY_LAG_SECONDS = 2.5
 _DRAIN_TICK_SECONDS = 0.05
+# A stopping process waits this long for the reader of its log.
+_LOG_DRAIN_SECONDS = 0.2
 # Left of the grace period for closing down, in seconds.
 _EXIT_SECONDS = 1.0
 
@@ -172,7 +174,7 @@
     if check_settings:
         click.echo("valid")
         return
-    logs.set_up(settings.log_level)
+    log = logs.set_up(settings.log_level)
     service = PlatformService(settings=settings)
     try:
         with aiomisc.entrypoint(service, log_config=False, catch_signals=()) as loop:
@@ -180,6 +182,8 @@
     except CranberryrunError as error:
         click.echo(f"cranberryrun: {error.code}: {error.detail}", err=True)
         sys.exit(_EXIT_FAILED)
+    finally:
+        log.drain(_LOG_DRAIN_SECONDS)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,76 @@
+"""The log: JSON lines, bounded, and nothing ever waits for its reader."""
+
+import asyncio
+import io
+import json
+import logging as standard_logging
+import os
+import time
+import unittest
+
+from absl import logging
+
+from cranberryrun.events import _BURST_LINES, Events
+from cranberryrun.logs import BoundedHandler
+
+from .virtual import VirtualTimeTestCase
+
+
+def record(message):
+    return standard_logging.LogRecord("absl", 20, "x.py", 1, message, None, None)
+
+
+class BoundedHandlerTest(unittest.TestCase):
+    def test_a_reader_that_stands_still_delays_nobody(self):
+        reading, writing = os.pipe()
+        self.addCleanup(os.close, reading)
+        handler = BoundedHandler(os.fdopen(writing, "w"), limit=100)
+        began = time.monotonic()
+        for number in range(5000):
+            handler.handle(record(json.dumps({"n": number, "filler": "x" * 100})))
+        self.assertLess(time.monotonic() - began, 1.0)
+
+    def test_the_line_after_a_gap_says_how_many_were_dropped(self):
+        reading, writing = os.pipe()
+        handler = BoundedHandler(os.fdopen(writing, "w"), limit=10)
+        for number in range(2000):
+            handler.handle(record(json.dumps({"n": number, "filler": "x" * 200})))
+        lines = []
+        with os.fdopen(reading) as reader:
+            for _ in range(100):
+                lines.append(json.loads(reader.readline()))
+                if len(lines) > 50:
+                    break
+            time.sleep(0.05)
+            handler.handle(record('{"n": "after"}'))
+            while lines[-1]["n"] != "after":
+                lines.append(json.loads(reader.readline()))
+        written = len(lines) - 1
+        dropped = sum(line.get("dropped_before", 0) for line in lines)
+        self.assertGreater(dropped, 0)
+        self.assertEqual(written + dropped, 2000)
+
+    def test_what_is_no_event_becomes_an_object_too(self):
+        stream = io.StringIO()
+        handler = BoundedHandler(stream)
+        handler.handle(record("plain words"))
+        handler.drain(1.0)
+        self.assertEqual(json.loads(stream.getvalue())["message"], "plain words")
+
+
+class LineLimitTest(VirtualTimeTestCase):
+    async def test_a_flood_of_one_event_leaves_room_for_another(self):
+        verbosity = logging.get_verbosity()
+        self.addCleanup(logging.set_verbosity, verbosity)
+        logging.set_verbosity(logging.INFO)
+        events = Events("host-1", 1, 10)
+        with self.assertLogs("absl", "INFO") as logs:
+            for _ in range(5000):
+                events.emit("request_answered", request="r")
+            events.emit("request_refused", request="q")
+            await asyncio.sleep(1.0)
+            events.emit("request_answered", request="last")
+        lines = [json.loads(line.split(":", 2)[2]) for line in logs.output]
+        self.assertEqual(len(lines), _BURST_LINES + 2)
+        self.assertEqual(lines[-2]["event"], "request_refused")
+        self.assertEqual(lines[-1]["left_out"], 5000 - _BURST_LINES)
