Let a restarted holder take its lease again at once, and save results until the kill

Change: a record of the lease names its host, and a later start of that host takes it without waiting; hosts that were restarted in a rolling restart go before old ones; a stopping host keeps results until 0.15 s before the kill.

--- a/cranberryrun/fleet/lease.py
+++ b/cranberryrun/fleet/lease.py
@@ -29,19 +29,24 @@
 _RENEW_SECONDS = 0.25
 _POLL_SECONDS = 0.3
 _RETRY_SECONDS = 0.1
-# Hosts that see the lease end wait for different times, so that one of them asks.
-_JITTER_SECONDS = 0.1
+# Hosts that see the lease end wait for different times, so that one of them asks. In
+# a rolling restart those that were restarted already go first: an age of a minute
+# costs the whole delay.
+_JITTER_SECONDS = 0.04
+_AGE_DELAY_SECONDS = 0.15
+_OLD_SECONDS = 60.0
 
 
 @dataclass(frozen=True, slots=True)
 class LeaseRecord:
-    """A change or renewal of the lease.
+    """A change or renewal of the lease. ``holder`` is one start of ``host``.
 
     ``fence`` names the *taken* record that a renewal or release is about;
     ``since_order`` is how long before a release the last order was sent, in seconds.
     """
 
     kind: Literal["taken", "renewed", "released"]
+    host: str
     holder: str
     fence: int = -1
     since_order: float = 0.0
@@ -53,7 +58,8 @@
 class Lease(Service):
     """Follows the lease, takes it when it is free, and renews it.
 
-    :param member: this start of this host.
+    :param host: the name of this host.
+    :param incarnation: this start of it.
     :param orders_after: seconds between the last order of one holder and the first
         of the next, so that orders never alternate within the engines' lease time.
     :param boot_clock: seconds that also count while the host is suspended.
@@ -64,23 +70,28 @@
 
     def __init__(
         self,
-        member: str,
+        host: str,
+        incarnation: int,
         orders_after: float,
         rng: random.Random,
         boot_clock: Callable[[], float] = clock.now,
     ) -> None:
         super().__init__()
-        self._member = member
+        self._host = host
+        self._member = f"{host}/{incarnation}"
         self._orders_after = orders_after
         self._rng = rng
         self._now = boot_clock
         self._next = 0
         self._holder: str | None = None
+        self._holder_host: str | None = None
         self._fence = -1
         self._heard_at = float("-inf")
         self._renewed_at = float("-inf")
         self._orders_from = float("inf")
+        self._released_order_at = float("-inf")
         self._ordered_at = float("-inf")
+        self._started_at = 0.0
         self._leaving = False
         self._unsure = False
         self.observers: list[Callable[[], None]] = []
@@ -111,6 +122,7 @@
 
     async def start(self) -> None:
         """Begin to follow the lease."""
+        self._started_at = self._now()
         self.spawn(self._follow())
         self.spawn(self._renew())
 
@@ -123,11 +135,15 @@
         if not self.assigned:
             return
         since_order = self._now() - self._ordered_at
-        record = LeaseRecord(
-            "released", self._member, self._fence, min(since_order, 3600.0)
-        )
+        record = self._record("released", min(since_order, 3600.0))
         self._set_holder(None, self._fence)
-        await self.kernel.get(Store).append(TOPIC, [_RECORD.dump_json(record)])
+        await self.kernel.get(Store).append(TOPIC, [record])
+
+    def _record(
+        self, kind: Literal["taken", "renewed", "released"], since_order: float = 0.0
+    ) -> bytes:
+        record = LeaseRecord(kind, self._host, self._member, self._fence, since_order)
+        return _RECORD.dump_json(record)
 
     async def _follow(self) -> None:
         store = self.kernel.get(Store)
@@ -164,22 +180,27 @@
             return
         if record.kind == "taken":
             self._heard_at = self._now()
+            self._holder_host = record.host
             self._set_holder(record.holder, offset)
         elif record.fence == self._fence:
             self._heard_at = self._now()
             if record.kind == "released":
-                self._orders_from = self._now() - record.since_order
+                self._released_order_at = self._now() - record.since_order
                 self._set_holder(None, self._fence)
 
     async def _take_if_free(self) -> None:
         if self._leaving or self.assigned:
             return
         released = self._holder is None
-        if not released and self._now() < self._heard_at + _TTL_SECONDS:
-            return
-        await asyncio.sleep(self._rng.uniform(0, _JITTER_SECONDS))
+        # An earlier start of this host ended, or this one would not run.
+        own = not released and self._holder_host == self._host
+        if not released and not own:
+            if self._now() < self._heard_at + _TTL_SECONDS:
+                return
+        if not own:
+            await asyncio.sleep(self._jitter())
         asked_at = self._now()
-        record = _RECORD.dump_json(LeaseRecord("taken", self._member))
+        record = self._record("taken")
         try:
             offset = await self.kernel.get(Store).append(TOPIC, [record], at=self._next)
         except AppendUnknownError:
@@ -191,10 +212,16 @@
         if self._leaving:
             return
         self._renewed_at = asked_at
-        first = offset == 0
-        last_order_at = self._orders_from if released and not first else asked_at
+        last_order_at = self._released_order_at if released else asked_at
         self._set_holder(self._member, offset)
-        self._orders_from = asked_at if first else last_order_at + self._orders_after
+        # Orders of one host are orders of one holder.
+        alone = own or offset == 0
+        self._orders_from = asked_at if alone else last_order_at + self._orders_after
+
+    def _jitter(self) -> float:
+        age = self._now() - self._started_at
+        delay = _AGE_DELAY_SECONDS * min(1.0, age / _OLD_SECONDS)
+        return delay + self._rng.uniform(0, _JITTER_SECONDS)
 
     async def _renew(self) -> None:
         store = self.kernel.get(Store)
@@ -204,9 +231,8 @@
                 continue
             asked_at = self._now()
             fence = self._fence
-            record = LeaseRecord("renewed", self._member, fence)
             try:
-                await store.append(TOPIC, [_RECORD.dump_json(record)])
+                await store.append(TOPIC, [self._record("renewed")])
             except CranberryrunError as error:
                 if not self.held:
                     self._note_unsure(error)
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -44,8 +44,9 @@
 _DRAIN_TICK_SECONDS = 0.05
 # A stopping process waits this long for the reader of its log.
 _LOG_DRAIN_SECONDS = 0.2
-# Left of the grace period for closing down, in seconds.
-_EXIT_SECONDS = 1.0
+# Left of the grace period for closing down, in seconds. Results that the store does
+# not have yet are worth every moment before the process is killed.
+_EXIT_SECONDS = 0.15
 
 
 def _boot_seconds() -> float:
@@ -75,7 +76,8 @@
             HttpTargetClient(),
             Directory(WireDecoder()),
             Lease(
-                f"{settings.host_id}/{incarnation}",
+                settings.host_id,
+                incarnation,
                 bounds.engine_lease_ms / 1000,
                 rng,
                 _boot_seconds,
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -186,7 +186,7 @@
             shared(self.store),
             shared(self.targets),
             Directory(self.decoder),
-            Lease(name, orders_after, random.Random(name)),
+            Lease(name, 1, orders_after, random.Random(name)),
             EnginePool(),
             Loads(name),
             BatchLog(262_144, 2_097_152, 120.0),
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -20,11 +20,17 @@
         self.kernel_by_name = {}
         self.suspended = 0.0
 
-    async def start(self, name):
+    async def start(self, name, incarnation=1):
         kernel = Kernel()
         kernel.register(Events(name, 1, 1000))
         kernel.register(shared(self.store))
-        lease = Lease(name, ORDERS_AFTER_SECONDS, random.Random(name), self.boot_clock)
+        lease = Lease(
+            name,
+            incarnation,
+            ORDERS_AFTER_SECONDS,
+            random.Random(name),
+            self.boot_clock,
+        )
         kernel.register(lease)
         await kernel.start()
         self.kernel_by_name[name] = kernel
@@ -96,11 +102,34 @@
         self.suspended = 4.0
         self.assertFalse(first.held)
 
+    async def test_a_holder_that_was_killed_takes_it_again_as_soon_as_it_starts(self):
+        """All hosts lose power at once: nobody needs to wait for the lease's end."""
+        first = await self.start("host-1")
+        await asyncio.sleep(1.0)
+        await self.kernel_by_name["host-1"].stop()
+        fence = first.fence
+        again = await self.start("host-1", incarnation=2)
+        await self.start("host-2")
+        await asyncio.sleep(0.2)
+        self.assertTrue(again.may_order)
+        self.assertGreater(again.fence, fence)
+
+    async def test_in_a_rolling_restart_a_host_that_was_restarted_takes_it(self):
+        """mushi-arusha trouble-2: each host in turn is stopped, every 2 s."""
+        old = [await self.start(f"host-{number}") for number in range(6)]
+        await asyncio.sleep(20.0)
+        holder = next(lease for lease in old if lease.held)
+        young = await self.start("host-9")
+        await asyncio.sleep(1.0)
+        await holder.release()
+        await asyncio.sleep(1.0)
+        self.assertTrue(young.held)
+
     async def test_a_malformed_record_is_passed_over(self):
         first = await self.start("host-1")
         await asyncio.sleep(1.0)
         self.store.put(TOPIC, b"{")
-        self.store.put(TOPIC, b'{"kind": "stolen", "holder": "x"}')
+        self.store.put(TOPIC, b'{"kind": "stolen", "host": "x", "holder": "x"}')
         await asyncio.sleep(2.0)
         self.assertTrue(first.held)
 
