Test the adapter against stand-ins that speak the platform's protocol

Found: nothing red in the host; a stream whose break is read together with its events loses them (the library raises before it gives them out), so its run begins earlier than it need. Conclusion: harmless, noted here.

--- /dev/null
+++ b/standins/platform_target.py
@@ -0,0 +1,168 @@
+"""One target of the users' platform on loopback: a plain service or an engine."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+
+from aiohttp import web
+
+_ATTEMPT_ID = "X-Cranberryrun-Attempt-Id"
+_SIGNATURE = "X-Cranberryrun-Server-Signature"
+_VERSION = "X-Cranberryrun-Weight-Versions"
+_NOT_EXECUTED = "X-Cranberryrun-Not-Executed"
+_EXPECT_INSTANCE = "X-Cranberryrun-Expect-Instance"
+_EXPECT_VERSION = "X-Cranberryrun-Expect-Version"
+_EVENT_SECONDS = 0.002
+_BREAK_SECONDS = 0.05
+
+
+class PlatformTarget:
+    """Answers requests, runs items as event streams and takes load orders.
+
+    ``script`` holds what happens to the next requests: ``full`` (503, not executed),
+    ``error`` (500), ``foreign`` (another request's answer), ``unsigned``, ``short``
+    (fewer bytes than announced), ``reset``, ``silent``, ``cut`` (a stream that ends
+    in the middle of an event), ``impossible`` (422); none is a good answer.
+    """
+
+    def __init__(self, target_id: str, service: str, model: str | None = None) -> None:
+        self.id = target_id
+        self.service = service
+        self.model = model
+        self.version = 1
+        self.sequence = 0
+        self.script: deque[str] = deque()
+        self.requests: list[dict[str, str]] = []
+        self.orders: list[dict[str, object]] = []
+        self.events = 6
+        self.open_requests = 0
+        self.address = ""
+        self._runner: web.AppRunner | None = None
+
+    def entry(self, state: str = "ready") -> dict[str, object]:
+        """Return the entry that the target writes into the store."""
+        models = []
+        if self.model is not None:
+            models = [{"name": self.model, "version": self.version, "adapters": []}]
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "cold-remaining-ms": 0,
+            "born": 1,
+            "sequence": self.sequence,
+            "models": models,
+        }
+
+    async def start(self) -> None:
+        """Listen on a free port of loopback."""
+        app = web.Application(client_max_size=1 << 24)
+        app.router.add_get("/v1/report", self._report)
+        app.router.add_post("/v1/order", self._order)
+        app.router.add_route("*", "/{path:.*}", self._answer)
+        self._runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _report(self, request: web.Request) -> web.Response:
+        entry = self.entry()
+        return web.json_response(
+            {"models": entry["models"], "busy": False, "sequence": self.sequence}
+        )
+
+    async def _order(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        self.orders.append(order)
+        if order["precondition"] != self.sequence:
+            return web.json_response({}, status=409)
+        self.sequence += 1
+        self.version = order["version"]
+        return web.json_response({}, status=202)
+
+    async def _answer(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        self.requests.append(
+            {
+                **request.headers,
+                "method": request.method,
+                "path": request.raw_path,
+                "body": body.decode("latin-1"),
+            }
+        )
+        self.open_requests += 1
+        try:
+            return await self._act(request, body)
+        finally:
+            self.open_requests -= 1
+
+    async def _act(self, request: web.Request, body: bytes) -> web.StreamResponse:
+        expected = request.headers.get(_EXPECT_INSTANCE, self.id)
+        version = request.headers.get(_EXPECT_VERSION, str(self.version))
+        if expected != self.id or version != str(self.version):
+            return web.Response(status=421, headers={_NOT_EXECUTED: "1"})
+        step = self.script.popleft() if self.script else ""
+        headers = {
+            _ATTEMPT_ID: request.headers.get(_ATTEMPT_ID, ""),
+            _SIGNATURE: "1.2.3",
+            "X-Own": "kept",
+        }
+        if step == "full":
+            return web.Response(status=503, headers={_NOT_EXECUTED: "1"})
+        if step == "error":
+            return web.Response(status=500, headers=headers, body=b"broken")
+        if step == "impossible":
+            return web.Response(status=422, headers=headers)
+        if step == "foreign":
+            headers[_ATTEMPT_ID] = "somebody-else"
+        if step == "unsigned":
+            del headers[_SIGNATURE]
+        if step == "silent":
+            await asyncio.sleep(3600)
+        if step == "reset":
+            assert request.transport is not None
+            request.transport.abort()
+        if step == "short":
+            headers["Content-Length"] = "1000"
+            response = web.StreamResponse(headers=headers)
+            await response.prepare(request)
+            await response.write(b"part")
+            assert request.transport is not None
+            request.transport.close()
+            return response
+        if self.model is not None:
+            return await self._stream(request, headers, cut=step == "cut")
+        return web.Response(headers=headers, body=b"answer to " + body)
+
+    async def _stream(
+        self, request: web.Request, headers: dict[str, str], cut: bool
+    ) -> web.StreamResponse:
+        headers |= {_VERSION: str(self.version), "Content-Type": "text/event-stream"}
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        done = int(request.headers.get("Last-Event-Id", 0))
+        for number in range(done + 1, self.events + 1):
+            await asyncio.sleep(_EVENT_SECONDS)
+            event = f"id: {number}\ndata: {request.headers[_ATTEMPT_ID]}/{number}\n\n"
+            if cut and number == done + 3:
+                await response.write(event[:7].encode())
+                # What came before the break has been read by now.
+                await asyncio.sleep(_BREAK_SECONDS)
+                assert request.transport is not None
+                request.transport.close()
+                return response
+            await response.write(event.encode())
+        return response
--- /dev/null
+++ b/tests/test_platform_host.py
@@ -0,0 +1,375 @@
+"""The platform's host against stand-ins that speak the platform's protocol."""
+
+import asyncio
+import base64
+import json
+import socket
+import unittest
+
+import aiohttp
+
+from cranberryrun.batches.log import BatchLog
+from cranberryrun.fleet.directory import Directory
+from cranberryrun.platform.__main__ import PlatformHost
+from cranberryrun.platform.settings import HostSettings
+from standins.platform_store import PlatformStore
+from standins.platform_target import PlatformTarget
+
+HOST_NAME = "site.example"
+ATTEMPT_ID = "X-Cranberryrun-Attempt-Id"
+DEADLINE_MS = "X-Cranberryrun-Deadline-Ms"
+OPERATOR, TARGETS = "keyed.op", "keyed.servers"
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def route(name, kind, service, **fields):
+    return {
+        "name": name,
+        "host": HOST_NAME,
+        "path-prefix": f"/{name}/",
+        "kind": kind,
+        "service": service,
+        "timeout-ms": 2000,
+        "target-latency-ms": 200,
+        "max-attempts": 2,
+    } | fields
+
+
+def manifest(version=1, **extra):
+    return {
+        "version": version,
+        "routes": [
+            route("status", "safe", "portal"),
+            route("hold", "unsafe", "portal"),
+            route(
+                "rollout",
+                "rollout",
+                "lm",
+                **{"max-attempts": 3, "queue-ttl-s": 40.0, "run-deadline-ms": 7500},
+            ),
+            *extra.get("routes", []),
+        ],
+        "services": [
+            {"name": "portal"},
+            {"name": "lm", "engine": {"stride": 10, "models": [{"name": "m"}]}},
+        ],
+        "limits": {"max-body-bytes": 100_000},
+    }
+
+
+def submission(items=4, size=2, **fields):
+    return {
+        "step": 0,
+        "model": "m",
+        "min-version": 1,
+        "group-count": items // size,
+        "items": [
+            {
+                "id": f"item-{number}",
+                "path": "/rollout/1",
+                "headers": {"X-Cranberryrun-Model": "m"},
+                "body": base64.b64encode(f"prompt {number}".encode()).decode(),
+                "tokens": 60,
+                "group-id": f"g{number // size}",
+            }
+            for number in range(items)
+        ],
+    } | fields
+
+
+class PlatformTestCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = PlatformStore()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        self.portals = [PlatformTarget(f"p{n}", "portal") for n in range(2)]
+        self.engine = PlatformTarget("e0", "lm", "m")
+        for target in (*self.portals, self.engine):
+            await target.start()
+            self.addAsyncCleanup(target.stop)
+            self.store.put(TARGETS, target.id, target.entry())
+        self.store.put(OPERATOR, "config", manifest())
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+        self.host, self.url, self.ready_url = await self.start_host()
+
+    async def start_host(self, name="host-1"):
+        front, ready = free_port(), free_port()
+        settings = HostSettings(
+            host_id=name,
+            zone="a",
+            ip="127.0.0.1",
+            front_address=f"127.0.0.1:{front}",
+            ready_address=f"127.0.0.1:{ready}",
+            store={"address": self.store.address},
+        )
+        host = PlatformHost(settings)
+        await host.start()
+        self.addAsyncCleanup(host.kernel.stop)
+        directory = host.kernel.get(Directory)
+        await self.until(lambda: directory.ready and len(directory.target_by_id) == 3)
+        return host, f"http://127.0.0.1:{front}", f"http://127.0.0.1:{ready}"
+
+    async def until(self, condition, seconds=5.0):
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def ask(self, method, path, attempt_id="r1", url=None, **options):
+        headers = {"Host": HOST_NAME, ATTEMPT_ID: attempt_id, DEADLINE_MS: "3000"}
+        headers |= options.pop("headers", {})
+        async with self.session.request(
+            method, (url or self.url) + path, headers=headers, **options
+        ) as response:
+            return response.status, response.headers, await response.read()
+
+    def script(self, *steps):
+        for portal in self.portals:
+            portal.script.extend(steps)
+
+    def portal_requests(self):
+        return [each for portal in self.portals for each in portal.requests]
+
+
+class RequestTest(PlatformTestCase):
+    async def test_an_answer_is_passed_on_unchanged(self):
+        status, headers, body = await self.ask("POST", "/status/a%20b?x=1", data=b"hi")
+        self.assertEqual((status, body), (200, b"answer to hi"))
+        self.assertEqual(headers["X-Own"], "kept")
+        self.assertEqual(headers[ATTEMPT_ID], "r1")
+        (seen,) = self.portal_requests()
+        self.assertEqual(seen["path"], "/status/a%20b?x=1")
+        self.assertLessEqual(int(seen[DEADLINE_MS]), 2000)
+
+    async def test_a_bad_answer_to_a_safe_request_is_asked_for_elsewhere(self):
+        for step in ("foreign", "unsigned", "short", "reset", "full", "error"):
+            with self.subTest(step=step):
+                for portal in self.portals:
+                    portal.script.clear()
+                self.portals[0].script.append(step)
+                self.portals[1].script.append("")
+                for number in range(4):
+                    status, _, body = await self.ask(
+                        "POST", "/status/x", f"{step}-{number}", data=b"hi"
+                    )
+                    self.assertEqual((status, body), (200, b"answer to hi"))
+
+    async def test_a_silent_target_does_not_delay_a_safe_request_much(self):
+        self.portals[0].script.append("silent")
+        loop = asyncio.get_running_loop()
+        for number in range(4):
+            began = loop.time()
+            status, _, _ = await self.ask("POST", "/status/x", f"r{number}")
+            self.assertEqual(status, 200)
+            self.assertLess(loop.time() - began, 1.0)
+
+    async def test_an_unsafe_request_that_may_have_run_is_not_sent_again(self):
+        for step in ("short", "reset", "foreign"):
+            with self.subTest(step=step):
+                before = len(self.portal_requests())
+                for portal in self.portals:
+                    portal.script.clear()
+                self.script(step)
+                status, _, _ = await self.ask("POST", "/hold/x", step)
+                self.assertIn(status, (502, 504))
+                self.assertEqual(len(self.portal_requests()), before + 1)
+
+    async def test_an_unsafe_request_that_was_not_run_goes_to_another_target(self):
+        self.portals[0].script.append("full")
+        self.portals[1].script.append("full")
+        status, headers, _ = await self.ask("POST", "/hold/x")
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", headers)
+        status, _, _ = await self.ask("POST", "/hold/x", "r2")
+        self.assertEqual(status, 200)
+
+    async def test_an_engine_s_own_failure_of_an_unsafe_request_is_passed_on(self):
+        self.script("error")
+        status, headers, body = await self.ask("POST", "/hold/x")
+        self.assertEqual((status, body), (500, b"broken"))
+        self.assertIn("X-Cranberryrun-Server-Signature", headers)
+
+    async def test_what_the_manifest_does_not_know_is_not_found(self):
+        status, _, _ = await self.ask("GET", "/nowhere/x")
+        self.assertEqual(status, 404)
+
+    async def test_a_route_that_is_added_is_served_soon(self):
+        added = manifest(2, routes=[route("late", "safe", "portal")])
+        self.store.put(OPERATOR, "config", added)
+        await asyncio.sleep(0.3)
+        status, _, _ = await self.ask("POST", "/late/x")
+        self.assertEqual(status, 200)
+
+    async def test_a_body_over_the_limit_is_refused(self):
+        status, _, _ = await self.ask("POST", "/status/x", data=b"x" * 200_000)
+        self.assertEqual(status, 413)
+        self.assertEqual(self.portal_requests(), [])
+
+    async def test_a_caller_that_leaves_ends_its_request_at_the_target(self):
+        self.script("silent", "silent")
+        task = asyncio.create_task(self.ask("POST", "/hold/x"))
+        await self.until(lambda: any(p.open_requests for p in self.portals))
+        task.cancel()
+        await self.until(
+            lambda: not any(p.open_requests for p in self.portals), seconds=0.5
+        )
+
+    async def test_a_leaving_target_gets_no_new_request(self):
+        self.portals[0].sequence += 1
+        self.store.put(TARGETS, "p0", self.portals[0].entry("draining"))
+        await asyncio.sleep(0.2)
+        for number in range(6):
+            await self.ask("POST", "/status/x", f"r{number}")
+        self.assertEqual(self.portals[0].requests, [])
+
+    async def test_malformed_entries_name_no_target_and_harm_no_other(self):
+        self.store.put(TARGETS, "ghost", {"service": 7})
+        self.store.put(TARGETS, "other", {"service": "portal", "state": "odd"})
+        self.store.put_raw(TARGETS, b"\x05ab")
+        self.store.put(OPERATOR, "config", {"version": "x"})
+        await asyncio.sleep(0.2)
+        status, _, _ = await self.ask("POST", "/status/x")
+        self.assertEqual(status, 200)
+        ids = set(self.host.kernel.get(Directory).target_by_id)
+        self.assertEqual(ids, {"p0", "p1", "e0"})
+
+
+class BatchTest(PlatformTestCase):
+    async def submit(self, batch_id="b1", url=None, **fields):
+        return await self.ask(
+            "POST", "/rollout/b", batch_id, url=url, json=submission(**fields)
+        )
+
+    async def results(self, batch_id="b1", url=None):
+        headers = {"X-Cranberryrun-Wait-Ms": "300"}
+        after, results = 0, []
+        for _ in range(40):
+            _, _, body = await self.ask(
+                "GET", f"/v1/lots/{batch_id}?after={after}", url=url, headers=headers
+            )
+            page = json.loads(body)
+            results += page["results"]
+            after = page["next"]
+            if after == page["total"]:
+                return results
+        self.fail(f"only {after} results came")
+
+    async def test_a_batch_is_accepted_run_and_read_at_any_host(self):
+        _, other_url, _ = await self.start_host("host-2")
+        self.assertEqual((await self.submit())[0], 202)
+        self.assertEqual((await self.submit(url=other_url))[0], 202)
+        first = await self.results()
+        self.assertEqual(await self.results(url=other_url), first)
+        self.assertEqual(len(first), 4)
+        for result in first:
+            lines = [f"{result['id']}/{number}" for number in range(1, 7)]
+            self.assertEqual(result["text"].split("\n"), lines)
+            self.assertEqual((result["state"], result["versions"]), ("succeeded", [1]))
+        bodies = sorted(each["body"] for each in self.engine.requests)
+        self.assertEqual(bodies, [f"prompt {number}" for number in range(4)])
+
+    async def test_a_stream_that_is_cut_in_an_event_is_resumed(self):
+        self.engine.script.append("cut")
+        await self.submit(items=1, size=1)
+        (result,) = await self.results()
+        self.assertEqual(len(result["text"].split("\n")), 6)
+        self.assertEqual(self.engine.requests[-1]["Last-Event-Id"], "2")
+
+    async def test_an_item_that_can_never_be_done_is_lost(self):
+        self.engine.script.append("impossible")
+        await self.submit(items=1, size=1)
+        (result,) = await self.results()
+        self.assertEqual(result["state"], "lost")
+
+    async def test_a_body_is_given_back_and_an_end_is_final(self):
+        await self.submit()
+        status, _, body = await self.ask("GET", "/v1/items/b1?id=item-2")
+        self.assertEqual((status, body), (200, b"prompt 2"))
+        for _ in range(2):
+            self.assertEqual((await self.ask("DELETE", "/v1/lots/b1"))[0], 200)
+        for path in ("/v1/lots/none", "/v1/items/b1?id=none"):
+            self.assertEqual((await self.ask("GET", path))[0], 404)
+
+    async def test_a_malformed_batch_is_refused_and_nothing_is_kept(self):
+        twice = submission(items=1)["items"] * 2
+        for fields in ({"items": []}, {"items": twice}, {"items": [{"id": 1}]}):
+            status, _, _ = await self.ask(
+                "POST", "/rollout/b", "b9", json=submission() | fields
+            )
+            self.assertEqual(status, 400)
+        self.assertEqual((await self.ask("GET", "/v1/lots/b9"))[0], 404)
+
+    async def test_a_store_that_refuses_makes_a_refusal_that_says_when_to_return(self):
+        self.store.mode = "busy"
+        status, headers, _ = await self.submit()
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", headers)
+        self.assertEqual((await self.ask("GET", "/v1/lots/b1"))[0], 503)
+        self.store.mode = "up"
+        self.assertEqual((await self.submit())[0], 202)
+        self.assertEqual(len(await self.results()), 4)
+
+    async def test_an_append_whose_answer_is_lost_is_accepted_once(self):
+        self.store.lose_answers = 1
+        self.assertEqual((await self.submit())[0], 202)
+        self.assertEqual(len(await self.results()), 4)
+        self.assertEqual(len(self.engine.requests), 4)
+
+    async def test_a_named_version_is_loaded_with_fence_and_precondition(self):
+        key = "version/m"
+        self.store.put(OPERATOR, key, {"model": "m", "version": 2})
+        await self.until(lambda: self.engine.version == 2)
+        (order,) = self.engine.orders
+        self.assertEqual((order["switch-mode"], order["precondition"]), ("retain", 0))
+        self.assertGreaterEqual(order["fencing-token"], 0)
+
+
+class StopTest(PlatformTestCase):
+    async def ready(self):
+        async with self.session.get(self.ready_url + "/v1/readyz") as response:
+            return response.status
+
+    async def test_a_planned_stop_says_so_and_finishes_what_runs(self):
+        self.assertEqual(await self.ready(), 200)
+        drain = asyncio.create_task(self.host.drain())
+        await asyncio.sleep(0.05)
+        self.assertEqual(await self.ready(), 503)
+        status, headers, _ = await self.ask("POST", "/status/x")
+        self.assertEqual((status, headers["Connection"]), (200, "close"))
+        async with asyncio.timeout(8.0):
+            await drain
+
+    async def test_a_store_that_is_away_costs_no_request(self):
+        self.store.mode = "silent"
+        await asyncio.sleep(1.5)
+        self.assertEqual(await self.ready(), 200)
+        self.assertEqual((await self.ask("POST", "/status/x"))[0], 200)
+
+    async def test_a_host_that_starts_without_the_store_is_not_ready(self):
+        self.store.mode = "busy"
+        front, ready = free_port(), free_port()
+        settings = HostSettings(
+            host_id="host-3",
+            zone="a",
+            ip="127.0.0.1",
+            front_address=f"127.0.0.1:{front}",
+            ready_address=f"127.0.0.1:{ready}",
+            store={"address": self.store.address},
+        )
+        host = PlatformHost(settings)
+        await host.start()
+        self.addAsyncCleanup(host.kernel.stop)
+        url = f"http://127.0.0.1:{front}"
+        status, headers, _ = await self.ask("POST", "/status/x", url=url)
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", headers)
+        self.store.mode = "up"
+        log = host.kernel.get(BatchLog)
+        self.assertEqual(log.table.state_by_id, {})
+        await self.until(lambda: host.kernel.get(Directory).ready)
+        self.assertEqual((await self.ask("POST", "/status/x", url=url))[0], 200)
