--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -278,7 +278,7 @@
         await self.submit(items=1, size=1)
         (result,) = await self.results()
         self.assertEqual(len(result["text"].split("\n")), 6)
-        self.assertEqual(self.engine.requests[-1]["Last-Event-Id"], "2")
+        self.assertEqual(self.engine.requests[-1]["Last-Event-ID"], "2")
 
     async def test_an_item_that_can_never_be_done_is_lost(self):
         self.engine.script.append("impossible")
