--- a/fakes/store.py
+++ b/fakes/store.py
@@ -61,7 +61,7 @@
 
     async def read(self, topic: str, start: int, wait: float) -> Page:
         """See :meth:`Store.read`."""
-        await self._answer(LogReadError, LogReadError)
+        await self._answer(LogReadError, LogReadError, wait)
         first = self.first_by_topic.get(topic, 0)
         if start < first:
             raise LogGapError("records were deleted", first=first)
@@ -96,9 +96,9 @@
         end = 1 + record[0]
         return KeyedRecord(record[1:end].decode(), record[end:] or None)
 
-    async def _answer(self, refused: type, lost: type) -> None:
+    async def _answer(self, refused: type, lost: type, wait: float = 0.0) -> None:
         if self.silent:
-            await asyncio.sleep(self.silence)
+            await asyncio.sleep(self.silence + wait)
             raise lost("the store is silent")
         await asyncio.sleep(_ANSWER_SECONDS)
         if self.down:
