Serve batch calls through a neighbour when the store turns a host away

Change: hosts register in a keyed topic; a host that has lost the store passes submit, read, fetch and end on, once, to up to two neighbours. A test with a refusing and a silent store fails without it (503) and passes with it.

Ruled out: waiting at the host until the store is back, which took 9 s here.

--- a/cranberryrun/batches/service.py
+++ b/cranberryrun/batches/service.py
@@ -21,7 +21,7 @@
 # The most text that one answer carries, in bytes.
 _PAGE_BYTES = 1_000_000
 # An append that fails at once is tried again for this long before it is refused.
-_APPEND_SECONDS = 1.5
+_APPEND_SECONDS = 0.5
 # Another host may have the store, so the caller need not wait to ask it.
 _RETRY_AFTER_SECONDS = 0.1
 
--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -84,6 +84,7 @@
         ERROR,
         "Records of batches expired before they were read.",
     ),
+    (325, "call_relayed", INFO, "A batch call went through another host."),
     (330, "item_run", INFO, "A run of an item ended, in whatever way."),
     (331, "item_moved", INFO, "A run is to go on at a faster engine."),
     (332, "item_finished", INFO, "An item's text is whole, or it was given up."),
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -22,15 +22,17 @@
 from ..fleet.engine_pool import EnginePool
 from ..fleet.lease import Lease
 from ..fleet.loads import Loads
+from ..fleet.neighbours import Neighbour, Neighbours
 from ..http import HttpClients
 from ..kernel import Kernel, Service
 from ..metrics import Metrics
 from ..requests.forwarder import Forwarder
 from .front import Front
+from .relay import Relay
 from .settings import HostSettings, load_host_settings, settings_path
 from .store_client import StoreClient
 from .target_client import HttpTargetClient
-from .wire import WireDecoder
+from .wire import HOST_TOPIC, WireDecoder
 
 _EXIT_SETTINGS = 2
 _EXIT_FAILED = 1
@@ -93,6 +95,12 @@
             Runner(),
             Batches(),
             Forwarder(settings.zone, rng),
+            Neighbours(
+                HOST_TOPIC,
+                Neighbour(host=settings.host_id, front=settings.front_address),
+                rng,
+            ),
+            Relay(settings.host_id),
             Front(settings),
         ]
 
--- a/cranberryrun/platform/front.py
+++ b/cranberryrun/platform/front.py
@@ -12,7 +12,9 @@
 from ..batches.service import Batches
 from ..events import Events
 from ..exceptions import (
+    AppendUnknownError,
     CranberryrunError,
+    LogUnavailableError,
     NotFoundError,
     NotReadyError,
     RequestError,
@@ -25,6 +27,7 @@
 from ..metrics import CONTENT_TYPE, Metrics
 from ..requests.forwarder import Forwarder
 from . import wire
+from .relay import RELAYED_BY, Relay
 from .settings import HostSettings, split_address
 
 _RESULTS_PREFIX = "/v1/lots/"
@@ -37,6 +40,9 @@
 # Kept connections of callers end a little after the limit that callers keep to.
 _IDLE_SLACK_SECONDS = 5.0
 
+# What a host that reaches the store would not have raised.
+_STORE_FAILURES = (AppendUnknownError, LogUnavailableError, NotReadyError)
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -44,7 +50,7 @@
     """Serves callers on one address and readiness on another."""
 
     name = "front"
-    requires = ("events", "metrics", "directory", "forwarder", "batches")
+    requires = ("events", "metrics", "directory", "forwarder", "batches", "relay")
 
     def __init__(self, settings: HostSettings) -> None:
         super().__init__()
@@ -181,25 +187,68 @@
         if request.method != "POST" or not batch_id:
             raise RequestError("a batch is submitted by POST, with an id")
         batch = wire.decode_batch(batch_id, route, body)
-        await self.kernel.get(Batches).submit(batch, _deadline(request))
-        return web.json_response({}, status=202)
+
+        async def submit() -> web.Response:
+            await self.kernel.get(Batches).submit(batch, _deadline(request))
+            return web.json_response({}, status=202)
+
+        return await self._with_store(request, body, 0.0, submit)
+
+    async def _with_store(
+        self,
+        request: web.BaseRequest,
+        body: bytes,
+        wait: float,
+        local: Callable[[], Awaitable[web.Response]],
+    ) -> web.Response:
+        """Answer a call that needs the store, through a neighbour if need be."""
+        relayed = RELAYED_BY in request.headers
+        lost = self.kernel.get(Directory).store_lost
+        if relayed and lost:
+            raise NotReadyError("the store turns this host away too")
+        failure: CranberryrunError | None = None
+        if not lost:
+            try:
+                return await local()
+            except _STORE_FAILURES as error:
+                failure = error
+        if relayed:
+            assert failure is not None
+            raise failure
+        answer = await self.kernel.get(Relay).ask(request, body, wait)
+        if answer is not None:
+            return answer
+        if failure is not None:
+            raise failure
+        return await local()
 
     async def _batch_call(
         self, request: web.BaseRequest, batch_id: str
     ) -> web.Response:
         batches = self.kernel.get(Batches)
-        if request.method == "DELETE":
-            await batches.end(batch_id, _deadline(request))
-            return web.json_response({})
         after = _number(_query(request, "after"), 0)
         wait = _number(request.headers.get(wire.WAIT_MS), 0) / 1000
-        page = await batches.results(batch_id, after, wait)
-        return web.json_response(wire.encode_results(page))
+
+        async def end() -> web.Response:
+            await batches.end(batch_id, _deadline(request))
+            return web.json_response({})
+
+        async def read() -> web.Response:
+            page = await batches.results(batch_id, after, wait)
+            return web.json_response(wire.encode_results(page))
+
+        if request.method == "DELETE":
+            return await self._with_store(request, b"", 0.0, end)
+        return await self._with_store(request, b"", wait, read)
 
     async def _item_body(self, request: web.BaseRequest, batch_id: str) -> web.Response:
         item_id = _query(request, "id") or ""
-        body = await self.kernel.get(Batches).body(batch_id, item_id)
-        return web.Response(body=body)
+
+        async def fetch() -> web.Response:
+            body = await self.kernel.get(Batches).body(batch_id, item_id)
+            return web.Response(body=body)
+
+        return await self._with_store(request, b"", 0.0, fetch)
 
 
 def _response(answer: Answer) -> web.Response:
--- a/cranberryrun/platform/store_client.py
+++ b/cranberryrun/platform/store_client.py
@@ -90,6 +90,11 @@
                 raise AppendUnknownError(f"the answer is malformed: {error}") from None
         raise AppendUnknownError(f"the store answered {status}: {answer[:200]!r}")
 
+    async def put(self, topic: str, key: str, value: bytes) -> None:
+        """See :meth:`Store.put`."""
+        name = key.encode()
+        await self.append(topic, [bytes([len(name)]) + name + value])
+
     async def read(self, topic: str, start: int, wait: float) -> Page:
         """See :meth:`Store.read`."""
         params = {
--- a/cranberryrun/platform/wire.py
+++ b/cranberryrun/platform/wire.py
@@ -20,6 +20,9 @@
 from ..fleet.directory import Decoder, Target
 from ..fleet.manifest import Backend, Limits, Manifest, Route, RouteKind
 
+# The keyed topic in which hosts register.
+HOST_TOPIC = "keyed.hosts"
+
 # Headers of requests and answers.
 ATTEMPT_ID = "X-Cranberryrun-Attempt-Id"
 DEADLINE_MS = "X-Cranberryrun-Deadline-Ms"
--- a/cranberryrun/store.py
+++ b/cranberryrun/store.py
@@ -63,6 +63,14 @@
         :raises AppendUnknownError: nobody can tell; it may still be appended later.
         """
 
+    @abstractmethod
+    async def put(self, topic: str, key: str, value: bytes) -> None:
+        """Set the newest value of ``key`` in a keyed topic.
+
+        :raises LogUnavailableError: it was not set.
+        :raises AppendUnknownError: nobody can tell.
+        """
+
     @abstractmethod
     async def read(self, topic: str, start: int, wait: float) -> Page:
         """Return records from ``start`` on, waiting ``wait`` seconds for the first.
--- a/fakes/store.py
+++ b/fakes/store.py
@@ -33,7 +33,7 @@
         self.lost_answers = 0
         self._grown = asyncio.Event()
 
-    def put(self, topic: str, record: bytes) -> None:
+    def add(self, topic: str, record: bytes) -> None:
         """Append a record as somebody else would."""
         self.records_by_topic.setdefault(topic, []).append(record)
         grown, self._grown = self._grown, asyncio.Event()
@@ -42,7 +42,12 @@
     def put_keyed(self, topic: str, key: str, value: bytes | None) -> None:
         """Append a keyed record as the operator or a target would."""
         name = key.encode()
-        self.put(topic, bytes([len(name)]) + name + (value or b""))
+        self.add(topic, bytes([len(name)]) + name + (value or b""))
+
+    async def put(self, topic: str, key: str, value: bytes) -> None:
+        """See :meth:`Store.put`."""
+        await self._answer(LogUnavailableError, AppendUnknownError)
+        self.put_keyed(topic, key, value)
 
     async def append(
         self, topic: str, records: list[bytes], at: int | None = None
@@ -53,7 +58,7 @@
         if at is not None and at != start:
             raise AppendConflictError(f"it ends at {start}")
         for record in records:
-            self.put(topic, record)
+            self.add(topic, record)
         if self.lost_answers:
             self.lost_answers -= 1
             raise AppendUnknownError("the answer is lost")
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -128,8 +128,8 @@
     async def test_a_malformed_record_is_passed_over(self):
         first = await self.start("host-1")
         await asyncio.sleep(1.0)
-        self.store.put(TOPIC, b"{")
-        self.store.put(TOPIC, b'{"kind": "stolen", "host": "x", "holder": "x"}')
+        self.store.add(TOPIC, b"{")
+        self.store.add(TOPIC, b'{"kind": "stolen", "host": "x", "holder": "x"}')
         await asyncio.sleep(2.0)
         self.assertTrue(first.held)
 
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -5,13 +5,16 @@
 import json
 import socket
 import unittest
+import unittest.mock
 
 import aiohttp
 
 from cranberryrun.batches.log import BatchLog
 from cranberryrun.fleet.directory import Directory
+from cranberryrun.fleet.neighbours import Neighbours
 from cranberryrun.platform.__main__ import PlatformHost
 from cranberryrun.platform.settings import HostSettings
+from cranberryrun.store import Store
 from standins.platform_store import PlatformStore
 from standins.platform_target import PlatformTarget
 
@@ -314,6 +317,33 @@
         self.assertEqual((await self.submit())[0], 202)
         self.assertEqual(len(await self.results()), 4)
 
+    async def test_a_host_that_the_store_turns_away_serves_through_another(self):
+        """lelc-enrol, incident: a batch met two such hosts and was lost."""
+        other, other_url, _ = await self.start_host("host-2")
+        neighbours = other.kernel.get(Neighbours)
+        await self.until(lambda: neighbours.choose(1), seconds=12.0)
+        client = other.kernel.get(Store)
+        for trouble in ("refused", "silent"):
+            with self.subTest(trouble=trouble):
+                batch_id = f"b-{trouble}"
+                with unittest.mock.patch.object(client, "_url", self.away(trouble)):
+                    await self.until(lambda: other.kernel.get(Directory).store_lost)
+                    status, _, _ = await self.submit(batch_id, url=other_url)
+                    self.assertEqual(status, 202)
+                    results = await self.results(batch_id, url=other_url)
+                    self.assertEqual(len(results), 4)
+                    path = f"/v1/lots/{batch_id}"
+                    status, _, _ = await self.ask("DELETE", path, url=other_url)
+                    self.assertEqual(status, 200)
+                await self.until(lambda: not other.kernel.get(Directory).store_lost)
+
+    def away(self, trouble):
+        if trouble == "refused":
+            return f"http://127.0.0.1:{free_port()}"
+        silent = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(silent.close)
+        return f"http://127.0.0.1:{silent.getsockname()[1]}"
+
     async def test_an_append_whose_answer_is_lost_is_accepted_once(self):
         self.store.lose_answers = 1
         self.assertEqual((await self.submit())[0], 202)
