--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -6,48 +6,27 @@
 
 from .. import clock
 from ..events import Events
-from ..exceptions import (
-    CranberryrunError,
-    LogReadError,
-    RefusedError,
-    TargetFailedError,
-    TargetUnreachableError,
-)
-from ..fleet.client import (
-    ItemImpossibleError,
-    RunFailedError,
-    TargetClient,
-    WrongVersionError,
-)
+from ..exceptions import CranberryrunError, LogReadError
 from ..fleet.directory import Directory
-from ..fleet.engine_pool import GAP_EVENTS, Engine, EnginePool
+from ..fleet.engine_pool import Engine, EnginePool
 from ..fleet.lease import Lease
 from ..fleet.loads import Loads
 from ..fleet.manifest import Route
 from ..kernel import Service
 from .dispatch import (
-    DEFAULT_GAP_SECONDS,
     Work,
     better_engine,
     fastest_gap,
     plan,
     usable_pieces,
 )
+from .item_run import Outcome, run_item
 from .log import BatchLog
-from .models import BatchState, Item, Result, result_of
+from .models import BatchState, Item, Result
 from .results import ResultWriter
 
 _TICK_SECONDS = 0.1
 _RETRY_SECONDS = 0.1
-# An engine that refused a run is asked again after this, in seconds.
-_REFUSED_SECONDS = 0.1
-# Silence of this many mean gaps, and of this long at least, ends a run.
-_SILENT_GAPS = 8.0
-_SILENT_SECONDS = 0.7
-# The first event waits for the prompt and for a place as well.
-_FIRST_EVENT_SECONDS = 1.0
-# Loads stop an engine's runs for about a second.
-_LOAD_STALL_SECONDS = 2.0
 # Runs of an ended batch go on this long, as their groups may come again.
 _CARRY_SECONDS = 2.5
 # The next holder resumes runs from what was recorded at most this long ago.
@@ -170,10 +149,11 @@
 
     def _follow_table(self, log: BatchLog) -> None:
         """Take up the items of open batches; drop what nobody waits for."""
+        directory = self.kernel.get(Directory)
         needed: dict[str, int] = {}
         for state in log.table.open_states():
             batch = state.batch
-            route = self._route(batch.host, batch.items[0].path)
+            route = directory.route_for(batch.host, batch.items[0].path)
             if route is None:
                 continue
             needed[batch.model] = max(needed.get(batch.model, 0), batch.min_version)
@@ -184,10 +164,6 @@
         for item_id, work in list(self._work_by_item.items()):
             self._drop_if_done(item_id, work)
 
-    def _route(self, host: str, path: str) -> Route | None:
-        manifest = self.kernel.get(Directory).manifest
-        return manifest.route_for(host, path) if manifest is not None else None
-
     def _take_up(
         self, log: BatchLog, state: BatchState, item: Item, route: Route
     ) -> None:
@@ -317,9 +293,11 @@
         me = asyncio.current_task()
         began = clock.now()
         had = len(work.pieces)
-        reason = "cancelled"
+        outcome = Outcome("cancelled")
         try:
-            reason = await self._stream(work, engine)
+            outcome = await run_item(self.kernel, work, engine)
+            if outcome.result is not None:
+                self._finish(work, outcome.result, outcome.reason)
         finally:
             engine.in_flight -= 1
             if self._task_by_item.get(work.item.id) is me:
@@ -333,80 +311,10 @@
                 had=had,
                 pieces=len(work.pieces),
                 seconds=round(clock.now() - began, 3),
-                outcome=reason,
+                outcome=outcome.reason,
             )
             self._wake.set()
 
-    async def _stream(self, work: Work, engine: Engine) -> str:
-        """Run the item to its end or failure; return what happened, for the log."""
-        try:
-            await self._read_pieces(work, engine)
-        except ItemImpossibleError:
-            self._finish(work, Result(work.item.id, False), "it can never be done")
-            return "impossible"
-        except RunFailedError as error:
-            work.failures += 1
-            self._lose_if_spent(work)
-            return f"failed: {error.detail}"
-        except TimeoutError:
-            engine.health.failed()
-            return "the engine was silent"
-        except WrongVersionError as error:
-            engine.block(_REFUSED_SECONDS)
-            return f"refused: {error.detail}"
-        except TargetUnreachableError as error:
-            engine.health.failed()
-            return f"unreachable: {error.detail}"
-        except RefusedError as error:
-            engine.block(_REFUSED_SECONDS)
-            return f"refused: {error.detail}"
-        except TargetFailedError as error:
-            if not work.pieces:
-                engine.health.failed()
-            return f"broken off: {error.detail}"
-        engine.health.answered()
-        result = result_of(work.item.id, work.pieces)
-        self._finish(work, result, "whole")
-        return "whole"
-
-    async def _read_pieces(self, work: Work, engine: Engine) -> None:
-        batch = work.state.batch
-        done = len(work.pieces)
-        client = self.kernel.get(TargetClient)
-        deadline = clock.now() + self._time_left(work)
-        counted_at = 0.0
-        counted = 0
-        async with asyncio.timeout(_FIRST_EVENT_SECONDS) as patience:
-            async for piece in client.run(
-                engine.target, batch.host, work.item, work.run_version, done, deadline
-            ):
-                now = clock.now()
-                work.pieces.append(piece)
-                counted += 1
-                if counted == 1:
-                    counted_at = now
-                elif counted > GAP_EVENTS:
-                    engine.heard((now - counted_at) / GAP_EVENTS)
-                    counted, counted_at = 1, now
-                patience.reschedule(now + self._patience(engine))
-
-    def _time_left(self, work: Work) -> float:
-        batch = work.state.batch
-        route = self._route(batch.host, work.item.path)
-        keep = route.keep_limit if route is not None else 0.0
-        return max(1.0, batch.submitted_at + keep - clock.wall())
-
-    def _patience(self, engine: Engine) -> float:
-        gap = engine.gap or DEFAULT_GAP_SECONDS
-        stall = _LOAD_STALL_SECONDS if engine.loading_model else 0.0
-        return max(_SILENT_SECONDS, _SILENT_GAPS * gap) + stall
-
-    def _lose_if_spent(self, work: Work) -> None:
-        route = self._route(work.state.batch.host, work.item.path)
-        if route is not None and work.failures < route.max_attempts:
-            return
-        self._finish(work, Result(work.item.id, False), "all its runs failed")
-
     def _finish(self, work: Work, result: Result, reason: str) -> None:
         if work.finished:
             return
--- a/cranberryrun/fleet/client.py
+++ b/cranberryrun/fleet/client.py
@@ -60,15 +60,6 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class StreamedAnswer:
-    """A target's answer whose body is passed on as it comes."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    chunks: AsyncIterator[bytes]
-
-
 @dataclass(frozen=True, slots=True)
 class EngineReport:
     """What an engine says of itself; some hundred milliseconds old.
@@ -112,12 +103,6 @@
     async def send(self, target: Target, request: Request) -> Answer:
         """Send a request and return the answer once it is whole and its own."""
 
-    @abstractmethod
-    async def stream(
-        self, target: Target, request: Request, after: int | None
-    ) -> StreamedAnswer:
-        """Send a request whose answer is a stream, resumed after event ``after``."""
-
     @abstractmethod
     def run(
         self,
--- a/cranberryrun/fleet/directory.py
+++ b/cranberryrun/fleet/directory.py
@@ -12,7 +12,7 @@
 from ..exceptions import LogGapError, LogReadError, RecordInvalidError
 from ..kernel import Service
 from ..store import KeyedRecord, Store
-from .manifest import Manifest
+from .manifest import Manifest, Route
 
 # Long polls end at least this often: a lost store is noticed, a missed record found.
 _POLL_SECONDS = 0.5
@@ -132,6 +132,12 @@
             self._outage_by_topic[topic] = _Outage()
             self.spawn(self._follow(topic, apply, replace))
 
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Return the route of a request, if the manifest is known and has one."""
+        if self.manifest is None:
+            return None
+        return self.manifest.route_for(host, path)
+
     def targets_of(self, service: str) -> list[Target]:
         """Return the targets of ``service`` that may get new work."""
         return [
--- a/cranberryrun/pages.py
+++ b/cranberryrun/pages.py
@@ -13,6 +13,7 @@
 
 from .catalogue import EVENT_BY_NAME
 from .models import EngineSpec, ServiceSpec, ServiceTarget, WorkloadSpec
+from .platform.settings import BoundSettings, HostSettings, StoreSettings
 from .settings import (
     LimitSettings,
     LogSettings,
@@ -65,6 +66,21 @@
     ("Services", "The `spec` of `/v1/services/{name}`.", ServiceSpec),
     ("A service's targets", "A list of these.", ServiceTarget),
 )
+_PLATFORM_HEAD = """
+# On the users' platform
+
+The platform renders `deploy/settings.json` at each start and puts it where the
+variable `CRANBERRYRUN_SETTINGS` says. `python -m cranberryrun.platform
+--check-settings` checks it. On SIGHUP the file is read again: `settings_read` says
+which fields changed, they come into force at the next start; a bad file is
+`settings_kept`, and the old one holds. Times are in milliseconds here, as the
+platform gives them.
+"""
+_PLATFORM_MODELS = (
+    ("Host", "", HostSettings),
+    ("store", "", StoreSettings),
+    ("bounds", "", BoundSettings),
+)
 _BOUND_SIGNS = {"ge": "≥", "gt": ">", "le": "≤", "lt": "<"}
 
 
@@ -81,13 +97,21 @@
 def configuration_page() -> str:
     """Return the page of the settings and of the resources' specs."""
     parts = [_CONFIGURATION_HEAD]
-    for title, text, model in _MODELS:
+    parts += _tables(_MODELS)
+    parts.append(_PLATFORM_HEAD)
+    parts += _tables(_PLATFORM_MODELS)
+    return "".join(parts)
+
+
+def _tables(models: tuple[tuple[str, str, type[BaseModel]], ...]) -> list[str]:
+    parts = []
+    for title, text, model in models:
         parts.append(f"\n## {title}\n\n" + (f"{text}\n\n" if text else ""))
         parts.append("| field | value | default | meaning |\n|---|---|---|---|\n")
         parts += [
             _field_row(name, field) + "\n" for name, field in model.model_fields.items()
         ]
-    return "".join(parts)
+    return parts
 
 
 def _field_row(name: str, field: FieldInfo) -> str:
--- a/cranberryrun/platform/front.py
+++ b/cranberryrun/platform/front.py
@@ -22,7 +22,7 @@
 )
 from ..fleet.client import Answer, Request
 from ..fleet.directory import Directory
-from ..fleet.manifest import Limits, Manifest, Route, RouteKind
+from ..fleet.manifest import Manifest, Route, RouteKind
 from ..kernel import Service
 from ..metrics import CONTENT_TYPE, Metrics
 from ..requests.forwarder import Forwarder
@@ -37,8 +37,8 @@
 _DEFAULT_DEADLINE_SECONDS = 10.0
 _STARTING_RETRY_SECONDS = 0.3
 _BACKLOG = 512
-# Kept connections of callers end a little after the limit that callers keep to.
-_IDLE_SLACK_SECONDS = 5.0
+# Kept connections of callers may be idle this long: more than any manifest allows.
+_IDLE_SECONDS = 75.0
 
 # What a host that reaches the store would not have raised.
 _STORE_FAILURES = (AppendUnknownError, LogUnavailableError, NotReadyError)
@@ -62,7 +62,7 @@
 
     async def start(self) -> None:
         """Listen on both addresses."""
-        idle = Limits().idle_timeout + _IDLE_SLACK_SECONDS
+        idle = _IDLE_SECONDS
         await self._listen(self._settings.front_address, self._serve, idle)
         await self._listen(self._settings.ready_address, self._say_ready, idle)
         if self._settings.metrics_port is not None:
--- a/cranberryrun/platform/settings.py
+++ b/cranberryrun/platform/settings.py
@@ -27,7 +27,6 @@
 class BoundSettings(_Section):
     """The platform's bounds that the product keeps to, in milliseconds."""
 
-    drain_ms: float = Field(2000, ge=0, description="A leaving target's last work.")
     grace_ms: float = Field(8000, gt=0, description="SIGTERM to SIGKILL.")
     engine_lease_ms: float = Field(
         3000, ge=0, description="Orders of two holders are at least this far apart."
@@ -46,8 +45,8 @@
     front_address: str = Field(description="Where callers connect.")
     ready_address: str = Field(description="Where readiness is asked.")
     metrics_port: int | None = Field(None, description="Port of /metrics.")
-    store: StoreSettings
-    bounds: BoundSettings = BoundSettings()
+    store: StoreSettings = Field(description="The platform's store.")
+    bounds: BoundSettings = Field(BoundSettings(), description="The platform's bounds.")
     log_level: str = Field("info", description="debug, info, warning or error.")
 
 
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -30,7 +30,6 @@
     OrderRefusedError,
     Request,
     RunFailedError,
-    StreamedAnswer,
     TargetClient,
     WrongVersionError,
 )
@@ -74,33 +73,6 @@
 
     async def send(self, target: Target, request: Request) -> Answer:
         """See :meth:`TargetClient.send`."""
-        async with self._opened(target, request, None) as response:
-            body = await _whole_body(response)
-            _check_answer(response, request.id)
-            return Answer(response.status, _kept_headers(response), body)
-
-    async def stream(
-        self, target: Target, request: Request, after: int | None
-    ) -> StreamedAnswer:
-        """See :meth:`TargetClient.stream`."""
-        opened = self._opened(target, request, after)
-        response = await opened.__aenter__()
-
-        async def chunks() -> AsyncIterator[bytes]:
-            try:
-                async for chunk in response.content.iter_any():
-                    yield chunk
-            except (aiohttp.ClientError, asyncio.TimeoutError) as error:
-                raise TruncatedAnswerError(repr(error)) from None
-            finally:
-                await opened.__aexit__(None, None, None)
-
-        return StreamedAnswer(response.status, _kept_headers(response), chunks())
-
-    @asynccontextmanager
-    async def _opened(
-        self, target: Target, request: Request, after: int | None
-    ) -> AsyncIterator[aiohttp.ClientResponse]:
         left = request.deadline - clock.now()
         headers = CIMultiDict(
             (name, value)
@@ -109,8 +81,6 @@
         )
         headers[wire.DEADLINE_MS] = str(max(1, int(left * 1000)))
         headers[wire.EXPECT_INSTANCE] = target.id
-        if after is not None:
-            headers[wire.LAST_EVENT_ID] = str(after)
         async with self._exchange(
             request.method,
             _url(target, request.target),
@@ -118,7 +88,9 @@
             data=request.body or None,
             timeout=aiohttp.ClientTimeout(total=max(0.001, left)),
         ) as response:
-            yield response
+            body = await _whole_body(response)
+            _check_answer(response, request.id)
+            return Answer(response.status, _kept_headers(response), body)
 
     @asynccontextmanager
     async def _exchange(
--- a/fakes/engines.py
+++ b/fakes/engines.py
@@ -22,7 +22,6 @@
     OrderRefusedError,
     Request,
     RunFailedError,
-    StreamedAnswer,
     TargetClient,
     WrongVersionError,
 )
@@ -80,12 +79,6 @@
         assert isinstance(step, Answer)
         return step
 
-    async def stream(
-        self, target: Target, request: Request, after: int | None
-    ) -> StreamedAnswer:
-        """Not scripted."""
-        raise TargetRefusedError("no streams here")
-
     async def run(
         self,
         target: Target,
