Read the log's pipe by a thread in its test

With the writing thread late, fewer than the 51 lines that the test read first may exist at all; it waited for the next one for ever.

Change: nobody reads until the flood is over, so lines are dropped for certain; then a thread reads to the end. The assertions stay, and the last line is checked besides.

--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -5,6 +5,7 @@
 import json
 import logging as standard_logging
 import os
+import threading
 import time
 import unittest
 
@@ -32,20 +33,25 @@
 
     def test_the_line_after_a_gap_says_how_many_were_dropped(self):
         reading, writing = os.pipe()
-        handler = BoundedHandler(os.fdopen(writing, "w"), limit=10)
+        stream = os.fdopen(writing, "w")
+        handler = BoundedHandler(stream, limit=10)
+        # More than the pipe and the queue hold together: nobody reads yet.
         for number in range(2000):
             handler.handle(record(json.dumps({"n": number, "filler": "x" * 200})))
         lines = []
-        with os.fdopen(reading) as reader:
-            for _ in range(100):
-                lines.append(json.loads(reader.readline()))
-                if len(lines) > 50:
-                    break
-            # What was read made room for all that the queue holds.
-            handler.drain(10.0)
-            handler.handle(record('{"n": "after"}'))
-            while lines[-1]["n"] != "after":
-                lines.append(json.loads(reader.readline()))
+
+        def read():
+            with os.fdopen(reading) as reader:
+                lines.extend(json.loads(line) for line in reader)
+
+        reader = threading.Thread(target=read)
+        reader.start()
+        handler.drain(10.0)
+        handler.handle(record('{"n": "after"}'))
+        handler.drain(10.0)
+        stream.close()
+        reader.join(10.0)
+        self.assertEqual(lines[-1]["n"], "after")
         written = len(lines) - 1
         dropped = sum(line.get("dropped_before", 0) for line in lines)
         self.assertGreater(dropped, 0)
