Keep a stopping host from taking the lease

Cause: only a holder said that it leaves, so a host that was stopping without the lease could take it while it drained, and then ran nothing. Found by reading the change.

The new test fails before the change and passes after; the tests of runner and lease pass.

--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -89,6 +89,8 @@
             if await writer.record(works, least=1) and await self._release(lease):
                 break
             await asyncio.sleep(_RETRY_SECONDS)
+        # A host that does not hold the lease must not take it any more either.
+        await self._release(lease)
         self._stopping = True
         await self._cancel(list(self._task_by_item))
 
--- a/tests/test_batch_runner.py
+++ b/tests/test_batch_runner.py
@@ -6,6 +6,7 @@
 from cranberryrun.batches.log import BatchLog
 from cranberryrun.batches.runner import Runner
 from cranberryrun.batches.service import Batches
+from cranberryrun.fleet.lease import Lease
 from fakes.deployment import Deployment, batch, batch_route, manifest
 
 from .virtual import VirtualTimeTestCase
@@ -195,6 +196,15 @@
         self.assertEqual(len(result.text.split("\n")), 100)
         self.assertGreaterEqual(self.engines[0].runs[-1][1], 20)
 
+    async def test_a_host_that_is_stopping_does_not_take_the_lease(self):
+        await self.start({})
+        stopping = await self.deployment.start_host("host-2")
+        await asyncio.sleep(1.0)
+        await stopping.get(Runner).hand_over(self.now() + 7.0)
+        await self.host.stop()
+        await asyncio.sleep(3.0)
+        self.assertFalse(stopping.get(Lease).assigned)
+
 
 class AgeTest(RunnerTestCase):
     async def test_an_item_that_nobody_can_run_is_lost_when_it_is_too_old(self):
