Filter connection headers in one place, and drop two names that nothing uses

Cause: the same filter and list of headers stood in services, target_client and twice in relay. http.forwardable and http.HOP_HEADERS serve all; services adds its own names. Manifest.route_named and a path constant had no caller.

--- a/cranberryrun/fleet/manifest.py
+++ b/cranberryrun/fleet/manifest.py
@@ -91,10 +91,3 @@
             if path.startswith(route.path_prefix):
                 return route
         return None
-
-    def route_named(self, name: str) -> Route | None:
-        """Return the route called ``name``, if there is one."""
-        for route in self.routes:
-            if route.name == name:
-                return route
-        return None
--- a/cranberryrun/http.py
+++ b/cranberryrun/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ssl
+from collections.abc import Mapping
 
 import aiohttp
 
@@ -13,6 +14,32 @@
 _IDLE_MARGIN_SECONDS = 1.0
 
 
+# Headers that concern one connection only, or that the library sets itself.
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def forwardable(headers: Mapping[str, str]) -> tuple[tuple[str, str], ...]:
+    """Return the headers that may be passed on to another connection."""
+    return tuple(
+        (name, value)
+        for name, value in headers.items()
+        if name.lower() not in HOP_HEADERS
+    )
+
+
 class _Connector(aiohttp.TCPConnector):
     """A connector whose idle time can be changed while it is used."""
 
--- a/cranberryrun/platform/front.py
+++ b/cranberryrun/platform/front.py
@@ -32,7 +32,6 @@
 
 _RESULTS_PREFIX = "/v1/lots/"
 _BODY_PREFIX = "/v1/items/"
-_READY_PATH = "/v1/readyz"
 # Callers without a stated deadline wait this long at most.
 _DEFAULT_DEADLINE_SECONDS = 10.0
 _STARTING_RETRY_SECONDS = 0.3
--- a/cranberryrun/platform/relay.py
+++ b/cranberryrun/platform/relay.py
@@ -13,10 +13,9 @@
 from ..events import Events
 from ..exceptions import AppendUnknownError
 from ..fleet.neighbours import Neighbours
-from ..http import HttpClients
+from ..http import HttpClients, forwardable
 from ..kernel import Service
 from . import wire
-from .target_client import HOP_HEADERS
 
 # A call that bears this header was passed on once and is not passed on again.
 RELAYED_BY = "X-Relayed-By"
@@ -72,11 +71,7 @@
     async def _send(
         self, front: str, request: web.BaseRequest, body: bytes, wait: float
     ) -> web.Response:
-        headers = CIMultiDict(
-            (name, value)
-            for name, value in request.headers.items()
-            if name.lower() not in HOP_HEADERS
-        )
+        headers = CIMultiDict(forwardable(request.headers))
         headers[RELAYED_BY] = self._host_id
         session = self.kernel.get(HttpClients).shared
         async with session.request(
@@ -90,9 +85,5 @@
             return web.Response(
                 status=response.status,
                 body=await response.read(),
-                headers=CIMultiDict(
-                    (name, value)
-                    for name, value in response.headers.items()
-                    if name.lower() not in HOP_HEADERS
-                ),
+                headers=CIMultiDict(forwardable(response.headers)),
             )
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -34,25 +34,10 @@
     WrongVersionError,
 )
 from ..fleet.directory import Target
-from ..http import HttpClients
+from ..http import HOP_HEADERS, HttpClients, forwardable
 from . import wire
 from .events import EventParser
 
-# Headers that concern one connection only, or that this client sets itself.
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-    }
-)
 _SET_HERE = HOP_HEADERS | {
     name.lower()
     for name in (wire.DEADLINE_MS, wire.EXPECT_INSTANCE, wire.EXPECT_VERSION)
@@ -90,7 +75,7 @@
         ) as response:
             body = await _whole_body(response)
             _check_answer(response, request.id)
-            return Answer(response.status, _kept_headers(response), body)
+            return Answer(response.status, forwardable(response.headers), body)
 
     @asynccontextmanager
     async def _exchange(
@@ -245,14 +230,6 @@
     return "Content-Length" in headers or "Transfer-Encoding" in headers
 
 
-def _kept_headers(response: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
-    return tuple(
-        (name, value)
-        for name, value in response.headers.items()
-        if name.lower() not in HOP_HEADERS
-    )
-
-
 async def _pieces(response: aiohttp.ClientResponse, done: int) -> AsyncIterator[Piece]:
     """Yield the pieces of a run that goes on after ``done`` events."""
     stamp = response.headers.get(wire.WEIGHT_VERSION)
--- a/cranberryrun/services.py
+++ b/cranberryrun/services.py
@@ -21,31 +21,19 @@
     TargetUnreachableError,
     TruncatedAnswerError,
 )
-from .http import HttpClients
+from .http import HOP_HEADERS, HttpClients
 from .models import ServiceTarget
 
 _RETRY_AFTER_SECONDS = 1.0
 _HELD_BYTES = 256 * 1024
 _MAX_WHOLE_BYTES = 32 * 1024 * 1024
-_HOP_HEADERS = frozenset(
-    {
-        "authorization",
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "x-deadline-ms",
-        "x-request-id",
-    }
-)
+_HOP_HEADERS = HOP_HEADERS | {
+    "authorization",
+    "expect",
+    "host",
+    "x-deadline-ms",
+    "x-request-id",
+}
 _LIBRARY_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
 
