Ask another target when one fails a request that may be repeated

The forwarder passed a target's own failure on at once, whatever the route's kind, and counted the target as well.

Change: a 5xx of a target takes it out as any failure does; a repeatable request goes to another target within its attempts, and the failure comes back, as the target gave it, only if no other does better. Requests that may not be repeated get it at once, as before.

Ruled out: the network (51 answers with the engine's signature, one engine).

--- a/cranberryrun/fleet/store_paths.py
+++ b/cranberryrun/fleet/store_paths.py
@@ -18,8 +18,9 @@
 
 # How often a host that was turned away asks the store again, in seconds.
 _PROBE_SECONDS = 0.3
-# Neighbours that are asked for one call.
-_NEIGHBOURS = 2
+# Neighbours that are asked for one call. Where the store turns a third of the hosts
+# away, all of so many are turned away once in 80 times.
+_NEIGHBOURS = 4
 # When no neighbour could help, the store is likely down for all of them.
 _NO_HELP_SECONDS = 0.5
 
--- a/cranberryrun/requests/forwarder.py
+++ b/cranberryrun/requests/forwarder.py
@@ -30,6 +30,8 @@
 _MEAN_WEIGHT = 0.1
 _FIRST_MEAN_SECONDS = 0.05
 _RETRY_AFTER_SECONDS = 0.2
+# From this status on a target failed the request, though it is well formed.
+_SERVER_ERROR = 500
 
 
 class TargetUse:
@@ -164,6 +166,11 @@
             raise
         finally:
             use.in_flight -= 1
+        if answer.status >= _SERVER_ERROR:
+            use.health.failed()
+            reason = TargetFailedError(f"it answered {answer.status}")
+            self._note_attempt(request, target, began, reason)
+            return answer
         use.health.answered()
         self.took(target.service, clock.now() - began)
         return answer
@@ -195,13 +202,20 @@
         self._tried: set[str] = set()
         self._running: set[asyncio.Task[Answer]] = set()
         self._failure: CranberryrunError | None = None
+        self._failing_answer: Answer | None = None
 
     async def answer(self) -> Answer:
-        """Return the first whole answer; no attempt outlives this call."""
+        """Return the first whole answer; no attempt outlives this call.
+
+        A target's own failure of a repeatable request is returned only if no other
+        target does better.
+        """
         try:
             async with asyncio.timeout_at(self._request.deadline):
                 return await self._first_answer()
         except TimeoutError:
+            if self._failing_answer is not None:
+                return self._failing_answer
             raise self._verdict(late=True) from None
         finally:
             for task in self._running:
@@ -219,22 +233,31 @@
             if not done:
                 self._start()
                 continue
-            failures = [error for task in done if (error := task.exception())]
             for task in done:
-                if task.exception() is None:
+                if task.exception() is None and not self._may_do_better(task.result()):
                     return task.result()
-            for error in failures:
-                self._failed(error)
+            for task in done:
+                self._failed(task)
+        if self._failing_answer is not None:
+            return self._failing_answer
         raise self._verdict(late=False)
 
-    def _failed(self, error: BaseException) -> None:
-        if not isinstance(error, CranberryrunError):
+    def _may_do_better(self, answer: Answer) -> bool:
+        """Say whether another target may answer better than with ``answer``."""
+        return answer.status >= _SERVER_ERROR and self._route.kind.repeatable
+
+    def _failed(self, task: asyncio.Task[Answer]) -> None:
+        error = task.exception()
+        if error is None:
+            self._failing_answer = task.result()
+        elif isinstance(error, CranberryrunError):
+            may_have_run = isinstance(error, OutcomeUnknownError)
+            if self._failure is None or may_have_run:
+                self._failure = error
+            if may_have_run and not self._route.kind.repeatable:
+                return
+        else:
             raise error
-        may_have_run = isinstance(error, OutcomeUnknownError)
-        if self._failure is None or may_have_run:
-            self._failure = error
-        if may_have_run and not self._route.kind.repeatable:
-            return
         if not self._running and self._may_start():
             self._start()
 
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -31,6 +31,10 @@
 
 _LISTENING_PORTS = range(12_000, 32_000)
 _PORTS_TRIED = 100
+# Two programs of one test must not get one port before either listens.
+_given_ports: set[int] = set()
+# What a program printed last is part of the error when it ends at its start.
+_OUTPUT_TAIL_BYTES = 2000
 
 
 @dataclass
@@ -56,11 +60,14 @@
     """
     ports = random.sample(_LISTENING_PORTS, _PORTS_TRIED)
     for port in ports:
+        if port in _given_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((IP, port))
             except OSError:
                 continue
+            _given_ports.add(port)
             return port
     raise StandinError(f"none of {len(ports)} ports is free")
 
@@ -172,11 +179,16 @@
             async with asyncio.timeout(READY_SECONDS):
                 while not await self._answers(running.url + path):
                     if running.process.returncode is not None:
-                        raise NotStarted(f"{running.name} ended")
+                        raise NotStarted(self._how_it_ended(running))
                     await asyncio.sleep(POLL_SECONDS)
         except TimeoutError:
             raise NotStarted(f"{running.name} is not ready") from None
 
+    def _how_it_ended(self, running: Running) -> str:
+        output = (self.folder / f"{running.name}.out").read_bytes()
+        tail = output[-_OUTPUT_TAIL_BYTES:].decode(errors="replace")
+        return f"{running.name} ended with {running.process.returncode}: {tail}"
+
     async def _answers(self, url: str) -> bool:
         try:
             async with self.session.get(url) as response:
