Add a fault soak: real hosts as processes, faults from outside, promises checked

`python -m soak` starts two to four hosts with a store, two portals and two or three engines behind loopback proxies, and draws from a seed which faults come when: kills, planned stops, pauses, reloads, power loss of all, links to the store and to targets that are delayed, reset, cut one way or silenced, a store that refuses, limits, is silent or loses answers, entries that lapse, targets with bad answers, changed manifests, wall clocks that are off. Callers use kept connections until the process is gone; a trainer names a version a step. Checked: answers whole and of the request, unsafe requests run once at most and not after a promise, accepted batches found at every host with fixed positions, texts whole and of allowed versions, fencing tokens of one holder, service within 12 s of the last fault.

--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,8 @@
 
 check: setup
 	$(BIN)/black --check --quiet .
-	$(BIN)/isort --check-only --quiet cranberryrun standins fakes bench tests
-	$(BIN)/flake8 cranberryrun standins fakes bench tests
+	$(BIN)/isort --check-only --quiet cranberryrun soak standins fakes bench tests
+	$(BIN)/flake8 cranberryrun soak standins fakes bench tests
 
 unit: setup
 	timeout 280 $(BIN)/python -m tests
@@ -24,7 +24,7 @@
 test: check unit
 
 format: setup
-	$(BIN)/isort --quiet cranberryrun standins fakes bench tests
+	$(BIN)/isort --quiet cranberryrun soak standins fakes bench tests
 	$(BIN)/black --quiet .
 
 pages: setup
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real hosts as processes, faults from outside, promises checked."""
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,240 @@
+"""The processes and stand-ins of one soak, and the links between them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from standins.deployment import free_port
+from standins.platform_store import PlatformStore
+from standins.platform_target import PlatformTarget
+
+from .launch import STEP_VARIABLE
+from .proxy import Proxy
+
+HOST_NAME = "soak.example"
+MODEL = "m"
+OPERATOR, TARGETS = "keyed.op", "keyed.servers"
+SAFE, UNSAFE, ROLLOUT = "status", "hold", "rollout"
+ITEM_EVENTS = 25
+_EVENT_SECONDS = 0.02
+_STATUS_SECONDS = 0.02
+_HEARTBEAT_SECONDS = 1.0
+_READY_SECONDS = 20.0
+# What the platform gives a process between SIGTERM and SIGKILL.
+GRACE_SECONDS = 8.0
+_KILL_MARGIN_SECONDS = 1.0
+
+
+def _route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": HOST_NAME,
+        "path-prefix": f"/{name}/",
+        "kind": kind,
+        "service": service,
+        "timeout-ms": 1500,
+        "target-latency-ms": 200,
+        "priority": 1,
+        "max-attempts": 3,
+        **fields,
+    }
+
+
+def manifest(version: int, added_routes: int) -> dict[str, Any]:
+    """Return a manifest; later versions may have more routes."""
+    added = [_route(f"added{n}", "safe", "portal") for n in range(added_routes)]
+    rollout = {"run-deadline-ms": 7500, "queue-ttl-s": 40}
+    return {
+        "version": version,
+        "routes": [
+            _route(SAFE, "safe", "portal"),
+            _route(UNSAFE, "unsafe", "portal"),
+            _route(ROLLOUT, "rollout", "lm", **rollout),
+            *added,
+        ],
+        "services": [
+            {"name": "portal"},
+            {"name": "lm", "engine": {"stride": 1, "models": [{"name": MODEL}]}},
+        ],
+        "limits": {},
+    }
+
+
+@dataclass(slots=True)
+class Host:
+    """One host's process. ``terminated_at`` is when SIGTERM was sent, if it was."""
+
+    name: str
+    settings_path: Path
+    front: str
+    store_link: Proxy
+    process: asyncio.subprocess.Process | None = None
+    terminated_at: float | None = None
+    clock_step: float = 0.0
+
+    @property
+    def running(self) -> bool:
+        """Whether its process is there."""
+        return self.process is not None and self.process.returncode is None
+
+
+class World:
+    """Starts everything, keeps it by name, and ends only what it started."""
+
+    def __init__(self, folder: Path, hosts: int, portals: int, engines: int) -> None:
+        self.folder = folder
+        self.store = PlatformStore()
+        self.hosts = [self._host(f"host-{n}") for n in range(hosts)]
+        self.targets = [PlatformTarget(f"portal-{n}", "portal") for n in range(portals)]
+        self.targets += [
+            PlatformTarget(f"engine-{n}", "lm", MODEL) for n in range(engines)
+        ]
+        for target in self.targets:
+            target.events = ITEM_EVENTS
+            target.event_seconds = _EVENT_SECONDS
+            target.answer_seconds = _STATUS_SECONDS
+        self.link_by_target: dict[str, Proxy] = {}
+        self.lapsed: set[str] = set()
+        self.version = 1
+        self.routes = 0
+        self.exit_codes: list[tuple[str, int]] = []
+        self._beats: asyncio.Task[None] | None = None
+
+    def _host(self, name: str) -> Host:
+        front = f"127.0.0.1:{free_port()}"
+        return Host(name, self.folder / f"{name}.json", front, Proxy(""))
+
+    async def start(self) -> None:
+        """Start stand-ins, links and hosts, and wait until the hosts are ready."""
+        await self.store.start()
+        self.apply_manifest(1)
+        for target in self.targets:
+            await target.start()
+            link = Proxy(target.address)
+            await link.start()
+            self.link_by_target[target.id] = link
+        self._beats = asyncio.get_running_loop().create_task(self._beat())
+        for host in self.hosts:
+            host.store_link.target = self.store.address
+            await host.store_link.start()
+            self._write_settings(host)
+            await self.launch(host)
+        for host in self.hosts:
+            await self.until_served(host, _READY_SECONDS)
+
+    def _write_settings(self, host: Host) -> None:
+        settings = {
+            "host_id": host.name,
+            "zone": "a",
+            "ip": "127.0.0.1",
+            "front_address": host.front,
+            "ready_address": f"127.0.0.1:{free_port()}",
+            "peer_address": f"127.0.0.1:{free_port()}",
+            "store": {"address": host.store_link.address},
+        }
+        host.settings_path.write_text(json.dumps(settings))
+
+    async def launch(self, host: Host) -> None:
+        """Start a host's process."""
+        environment = os.environ | {
+            "CRANBERRYRUN_SETTINGS": str(host.settings_path),
+            STEP_VARIABLE: str(host.clock_step),
+        }
+        with (self.folder / f"{host.name}.log").open("ab") as output:
+            host.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "soak.launch",
+                stdout=output,
+                stderr=output,
+                env=environment,
+            )
+        host.terminated_at = None
+
+    def signal(self, host: Host, number: signal.Signals) -> None:
+        """Send a signal to a host's process, if it is there."""
+        if host.running:
+            assert host.process is not None
+            host.process.send_signal(number)
+
+    async def terminate(self, host: Host) -> None:
+        """Stop a host as planned; kill it when the grace period is over."""
+        if not host.running:
+            return
+        assert host.process is not None
+        host.terminated_at = asyncio.get_running_loop().time()
+        self.signal(host, signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_SECONDS + _KILL_MARGIN_SECONDS):
+                code = await host.process.wait()
+        except TimeoutError:
+            self.signal(host, signal.SIGKILL)
+            code = await host.process.wait()
+        self.exit_codes.append((host.name, code))
+
+    async def kill(self, host: Host) -> None:
+        """Kill a host's process."""
+        self.signal(host, signal.SIGKILL)
+        if host.process is not None:
+            await host.process.wait()
+
+    async def until_served(self, host: Host, seconds: float) -> None:
+        """Wait until a host answers a request; :raises TimeoutError: it does not."""
+        headers = {"Host": HOST_NAME, "X-Cranberryrun-Attempt-Id": "probe"}
+        async with asyncio.timeout(seconds), aiohttp.ClientSession() as session:
+            while True:
+                try:
+                    url = f"http://{host.front}/{SAFE}/probe"
+                    async with session.post(url, headers=headers) as response:
+                        if response.status == 200:
+                            return
+                except aiohttp.ClientError:
+                    pass
+                await asyncio.sleep(0.05)
+
+    def apply_manifest(self, version: int) -> None:
+        """Write a manifest as the operator does."""
+        self.version = version
+        self.store.put(OPERATOR, "config", manifest(version, self.routes))
+
+    def name_weights(self, version: int) -> None:
+        """Name a weight version as the trainer does."""
+        self.store.put(
+            OPERATOR, f"version/{MODEL}", {"model": MODEL, "version": version}
+        )
+
+    async def _beat(self) -> None:
+        """Write the targets' entries; lapsed ones are removed until they are not."""
+        while True:
+            for target in self.targets:
+                if target.id in self.lapsed:
+                    self.store.put(TARGETS, target.id, None)
+                    continue
+                entry = target.entry() | {
+                    "address": self.link_by_target[target.id].address
+                }
+                self.store.put(TARGETS, target.id, entry)
+            await asyncio.sleep(_HEARTBEAT_SECONDS)
+
+    async def stop(self) -> None:
+        """End what was started."""
+        if self._beats is not None:
+            self._beats.cancel()
+        for host in self.hosts:
+            self.signal(host, signal.SIGCONT)
+            await self.kill(host)
+            await host.store_link.stop()
+        for target in self.targets:
+            if target.id in self.link_by_target:
+                await self.link_by_target[target.id].stop()
+            await target.stop()
+        await self.store.stop()
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -13,7 +13,6 @@
 _NOT_EXECUTED = "X-Cranberryrun-Not-Executed"
 _EXPECT_INSTANCE = "X-Cranberryrun-Expect-Instance"
 _EXPECT_VERSION = "X-Cranberryrun-Expect-Version"
-_EVENT_SECONDS = 0.002
 _BREAK_SECONDS = 0.05
 
 
@@ -24,6 +23,8 @@
     ``error`` (500), ``foreign`` (another request's answer), ``unsigned``, ``short``
     (fewer bytes than announced), ``reset``, ``silent``, ``cut`` (a stream that ends
     in the middle of an event), ``impossible`` (422); none is a good answer.
+    ``event_seconds`` is the time between events, ``answer_seconds`` that before a
+    plain answer. ``made`` lists the events of items with their versions.
     """
 
     def __init__(self, target_id: str, service: str, model: str | None = None) -> None:
@@ -35,7 +36,11 @@
         self.script: deque[str] = deque()
         self.requests: list[dict[str, str]] = []
         self.orders: list[dict[str, object]] = []
+        self.made: list[tuple[str, int, int]] = []
+        self.fence = -1
         self.events = 6
+        self.event_seconds = 0.002
+        self.answer_seconds = 0.0
         self.open_requests = 0
         self.address = ""
         self._runner: web.AppRunner | None = None
@@ -87,6 +92,9 @@
     async def _order(self, request: web.Request) -> web.Response:
         order = await request.json()
         self.orders.append(order)
+        if order["fencing-token"] < self.fence:
+            return web.json_response({}, status=412)
+        self.fence = order["fencing-token"]
         if order["precondition"] != self.sequence:
             return web.json_response({}, status=409)
         self.sequence += 1
@@ -135,6 +143,7 @@
         if step == "reset":
             assert request.transport is not None
             request.transport.abort()
+            return web.Response()
         if step == "short":
             headers["Content-Length"] = "1000"
             response = web.StreamResponse(headers=headers)
@@ -145,6 +154,7 @@
             return response
         if self.model is not None:
             return await self._stream(request, headers, cut=step == "cut")
+        await asyncio.sleep(self.answer_seconds)
         return web.Response(headers=headers, body=b"answer to " + body)
 
     async def _stream(
@@ -154,9 +164,15 @@
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
         done = int(request.headers.get("Last-Event-Id", 0))
+        version = self.version
         for number in range(done + 1, self.events + 1):
-            await asyncio.sleep(_EVENT_SECONDS)
-            event = f"id: {number}\ndata: {request.headers[_ATTEMPT_ID]}/{number}\n\n"
+            await asyncio.sleep(self.event_seconds)
+            item = request.headers[_ATTEMPT_ID]
+            event = f"id: {number}\ndata: {item}/{number}\n\n"
+            if self.version != version:
+                version = self.version
+                event = f"x-cranberryrun-weight-versions: {version}\n{event}"
+            self.made.append((item, number, version))
             if cut and number == done + 3:
                 await response.write(event[:7].encode())
                 # What came before the break has been read by now.
