--- a/cranberryrun/batches/service.py
+++ b/cranberryrun/batches/service.py
@@ -83,7 +83,8 @@
         :raises NotReadyError: this host can't be sure.
         """
         log = self.kernel.get(BatchLog)
-        deadline = clock.now() + wait
+        began = clock.now()
+        deadline = began + wait
         state = log.table.state_by_id.get(batch_id)
         if state is None or len(state.results) <= after:
             state = await self._current(batch_id)
@@ -95,7 +96,17 @@
                 while len(state.results) <= after:
                     if not await reader.changed(deadline):
                         break
-        return _page(state, after)
+        page = _page(state, after)
+        self.kernel.get(Events).emit(
+            "results_read",
+            step=batch_id,
+            after=after,
+            next=page.next,
+            known=len(state.results),
+            total=page.total,
+            seconds=round(clock.now() - began, 3),
+        )
+        return page
 
     async def body(self, batch_id: str, item_id: str) -> bytes:
         """Return the body of an item.
--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -87,6 +87,7 @@
         "Records of batches expired before they were read.",
     ),
     (326, "batches_recalled", INFO, "A new holder read what there is to do."),
+    (327, "results_read", INFO, "A caller read results of a batch."),
     (330, "item_run", INFO, "A run of an item ended, in whatever way."),
     (331, "item_moved", INFO, "A run is to go on at a faster engine."),
     (332, "item_finished", INFO, "An item's text is whole, or it was given up."),
