--- a/tests/test_batch_runner.py
+++ b/tests/test_batch_runner.py
@@ -9,6 +9,7 @@
 from cranberryrun.batches.runner import Runner
 from cranberryrun.batches.service import Batches
 from cranberryrun.fleet.lease import Lease
+from cranberryrun.fleet.manifest import Backend
 from fakes.deployment import Deployment, batch, batch_route, manifest
 
 from .virtual import VirtualTimeTestCase
@@ -246,3 +247,38 @@
         await self.deployment.submit(self.host, aged)
         (result,) = await self.deployment.results(self.host, "b2", 1.0)
         self.assertFalse(result.succeeded)
+
+
+class TwoOpenBatchesTest(RunnerTestCase):
+    async def test_an_item_of_both_is_made_for_both(self):
+        """It used to change hands between them, and neither batch got it."""
+        await self.start({}, {})
+        first = batch("b1", groups=1, size=2)
+        second = batch("b2", items=first.items)
+        await self.deployment.submit(self.host, first)
+        await self.deployment.submit(self.host, second)
+        for batch_id in ("b1", "b2"):
+            results = await self.deployment.results(self.host, batch_id, 5.0)
+            self.assertEqual(len(results), 2)
+
+
+class MovedRouteTest(RunnerTestCase):
+    async def test_waiting_items_go_where_the_route_goes_now(self):
+        """CONFIG counts from the batch's acceptance on."""
+        await self.start({"slots": 1})
+        self.deployment.register("e0", slots=1)
+        other = self.deployment.add_engine("e9")
+        self.deployment.register("e9", service="others")
+        events = self.deployment.targets.events_by_item
+        events.update({f"b1-g0-{index}": 50 for index in range(3)})
+        value = batch("b1", groups=1, size=3, events=50)
+        await self.deployment.submit(self.host, value)
+        await asyncio.sleep(0.5)
+        moved = batch_route(backends=(Backend("others", 1.0),))
+        self.deployment.put_manifest(manifest(2, moved))
+        await asyncio.sleep(1.0)
+        begun = len(self.engines[0].runs)
+        results = await self.deployment.results(self.host, "b1", 12.0)
+        self.assertEqual(len(results), 3)
+        self.assertEqual(len(self.engines[0].runs), begun)
+        self.assertEqual(len(other.runs), 2)
