Tell a trainer that is refused in an outage to return after two seconds

With the store's paths a refusal means that neighbours had no path either.

Change: Retry-After of 2 s for refused batches. OutageTest fails without it.

--- a/cranberryrun/batches/service.py
+++ b/cranberryrun/batches/service.py
@@ -22,8 +22,11 @@
 _PAGE_BYTES = 1_000_000
 # An append that fails at once is tried again for this long before it is refused.
 _APPEND_SECONDS = 0.5
-# Another host may have the store, so the caller need not wait to ask it.
+# A reading caller asks again soon anyway; another host may know the batch.
 _RETRY_AFTER_SECONDS = 0.1
+# Neighbours were asked too, so the store is down for all, which takes seconds; a
+# caller that returned sooner would use up its attempts.
+_OUTAGE_RETRY_SECONDS = 2.0
 # The store answers a read in some milliseconds.
 _REFRESH_SECONDS = 0.1
 
@@ -56,7 +59,7 @@
         except LogUnavailableError as error:
             self._emit("batch_refused", batch, error.detail)
             raise LogUnavailableError(
-                error.detail, retry_after=_RETRY_AFTER_SECONDS
+                error.detail, retry_after=_OUTAGE_RETRY_SECONDS
             ) from None
         except CranberryrunError as error:
             self._emit("batch_unknown", batch, error.detail)
--- a/tests/test_batch_runner.py
+++ b/tests/test_batch_runner.py
@@ -8,6 +8,7 @@
 from cranberryrun.batches.records import Accepted, Ended, Listed, Opened, encode
 from cranberryrun.batches.runner import Runner
 from cranberryrun.batches.service import Batches
+from cranberryrun.exceptions import LogUnavailableError
 from cranberryrun.fleet.lease import Lease
 from cranberryrun.fleet.manifest import Backend
 from fakes.deployment import Deployment, batch, batch_route, manifest
@@ -262,6 +263,20 @@
             self.assertEqual(len(results), 2)
 
 
+class OutageTest(RunnerTestCase):
+    """Load pattern: the store is down for all hosts for seconds."""
+
+    async def test_a_refused_trainer_is_told_to_return_after_seconds(self):
+        """mushi-arusha, trouble-2: its one retry came 0.1 s later, in the outage."""
+        await self.start({})
+        self.deployment.store.down = True
+        began = self.now()
+        with self.assertRaises(LogUnavailableError) as caught:
+            await self.deployment.submit(self.host, batch())
+        self.assertLess(self.now() - began, 1.0)
+        self.assertGreaterEqual(caught.exception.retry_after, 1.0)
+
+
 class MovedRouteTest(RunnerTestCase):
     async def test_waiting_items_go_where_the_route_goes_now(self):
         """CONFIG counts from the batch's acceptance on."""
