Explain batches and requests from log files

An on-call engineer has the logs of processes that are gone; cranberryctl explain and timeline asked live hosts only, and knew nothing of the users' platform's batches.

--logs FILE (or -) on both reads events wherever a collector put them in a line; explain step tells of a batch when it was accepted, what its runs came to, which sample was last, whether results waited for the store, when it was ended, and the warnings of that time. LogFilesTest.

--- a/cranberryrun/ctl_explain.py
+++ b/cranberryrun/ctl_explain.py
@@ -10,7 +10,15 @@
 from .timeline import Row
 
 _REPEATED_EVENTS = frozenset(
-    {"sample_dispatched", "sample_whole", "group_handed", "sample_resumed"}
+    {
+        "sample_dispatched",
+        "sample_whole",
+        "group_handed",
+        "sample_resumed",
+        "item_run",
+        "item_finished",
+        "results_read",
+    }
 )
 _LONG_GAP_SECONDS = 1.0
 
@@ -77,6 +85,8 @@
 
 
 def _step_summary(own: list[Row], rows: list[Row]) -> list[str]:
+    if any(row["event"].startswith("batch_") for row in own):
+        return _batch_summary(own) + _others_meanwhile(own, rows)
     seen = steps_of(own)[0]
     lines = [
         f"It is {seen['state']}: {seen['groups']} groups with {seen['samples']} "
@@ -94,6 +104,45 @@
     return lines
 
 
+def _batch_summary(own: list[Row]) -> list[str]:
+    """Return how far a batch of the users' platform came, and what came last."""
+    by_event: dict[str, list[Row]] = {}
+    for row in own:
+        by_event.setdefault(row["event"], []).append(row)
+    start = own[0]["wall"]
+    accepted = by_event.get("batch_accepted", [])
+    if accepted:
+        seconds = accepted[0]["wall"] - start
+        verdict = (
+            f"It was accepted at {accepted[0]['host']} after {seconds:.3f} s: "
+            f"{accepted[0].get('samples')} samples in {accepted[0].get('groups')} "
+            f"groups, of which {accepted[0].get('wanted_groups')} are waited for; "
+            f"versions from {accepted[0].get('min_version')} on."
+        )
+    else:
+        verdict = "No host accepted it."
+    lines = [verdict]
+    refused = by_event.get("batch_refused", []) + by_event.get("batch_unknown", [])
+    if refused:
+        lines.append(f"{len(refused)} times the store did not take it.")
+    finished = by_event.get("item_finished", [])
+    if finished:
+        last = finished[-1]
+        lines.append(
+            f"{len(finished)} samples were finished, the last one "
+            f"({last.get('sample')}) after {last['wall'] - start:.3f} s."
+        )
+    outcomes = Counter(row.get("outcome") for row in by_event.get("item_run", []))
+    if outcomes:
+        texts = ", ".join(f"{name} {count}" for name, count in outcomes.most_common())
+        lines.append(f"Runs by outcome: {texts}.")
+    for row in by_event.get("results_held", [])[:1]:
+        lines.append(f"Results waited for the store: {row.get('reason')}.")
+    for row in by_event.get("batch_ended", [])[:1]:
+        lines.append(f"It was ended after {row['wall'] - start:.3f} s.")
+    return lines
+
+
 def _others_meanwhile(own: list[Row], rows: list[Row]) -> list[str]:
     """Return the warnings that belong to nothing in particular, in the same time."""
     first, last = own[0]["wall"], own[-1]["wall"]
--- a/cranberryrun/ctl_fleet.py
+++ b/cranberryrun/ctl_fleet.py
@@ -5,7 +5,7 @@
 import json
 from dataclasses import asdict
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 import click
 
@@ -13,6 +13,7 @@
 from .ctl_client import ControlClient, Request
 from .ctl_control import Control, pass_control
 from .ctl_explain import story
+from .ctl_logs import logs_option, merged_events
 from .ctl_output import ExitCode, table
 from .exceptions import ProblemAnswerError
 from .timeline import Row, Selection, merge
@@ -124,9 +125,11 @@
 @click.option(
     "--html", "page", type=click.Path(path_type=Path), help="Write a page there."
 )
+@logs_option
 @pass_control
 def timeline(
     control: Control,
+    logs: tuple[IO[str], ...],
     step: str | None,
     request: str | None,
     change: str | None,
@@ -134,12 +137,12 @@
     since: str | None,
     page: Path | None,
 ) -> None:
-    """Show the merged events of all hosts."""
+    """Show the merged events of all hosts, or of log files."""
 
     async def work(client: ControlClient) -> None:
         start = ctl_timeline.parse_since(since) if since else None
         selection = Selection(step, request, change, host, start)
-        rows = await _merged(client, selection)
+        rows = await _chosen(client, logs, selection)
         if page is None:
             control.show(rows, ctl_timeline.text(rows))
             return
@@ -149,6 +152,14 @@
     control.run(work)
 
 
+async def _chosen(
+    client: ControlClient, logs: tuple[IO[str], ...], selection: Selection
+) -> list[Row]:
+    if logs:
+        return merged_events(logs, selection)
+    return await _merged(client, selection)
+
+
 async def _around(client: ControlClient, kind: str, own: list[Row]) -> list[Row]:
     """Return ``own`` and, where its story names others' events, those too."""
     if kind == "step" and own:
@@ -163,20 +174,29 @@
 @click.command()
 @click.argument("kind", type=click.Choice(["step", "request", "change"]))
 @click.argument("name")
+@logs_option
 @pass_control
-def explain(control: Control, kind: str, name: str) -> None:
-    """Tell what happened to a step, a request or a change."""
+def explain(control: Control, kind: str, name: str, logs: tuple[IO[str], ...]) -> None:
+    """Tell what happened to a step or batch, a request or a change."""
+    selection = Selection(**{kind: name})
 
     async def work(client: ControlClient) -> str:
-        own = await _merged(client, Selection(**{kind: name}))
-        text = story(kind, name, await _around(client, kind, own))
+        if logs:
+            rows = merged_events(logs, Selection())
+            own = [row for row in rows if selection.takes(row)]
+        else:
+            own = await _merged(client, selection)
+            rows = await _around(client, kind, own)
+        text = story(kind, name, rows)
         if text:
             control.show(own, text)
         return text
 
-    if control.run(work):
+    text = control.run(work)
+    if text:
         return
-    click.echo(f"no event of {kind} {name} is kept at any host", err=True)
+    where = "stands in the logs" if logs else "is kept at any host"
+    click.echo(f"no event of {kind} {name} {where}", err=True)
     raise SystemExit(int(ExitCode.NOT_FOUND))
 
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -8,6 +8,7 @@
 from click.testing import CliRunner
 
 from cranberryrun.api import Api
+from cranberryrun.catalogue import EVENT_BY_NAME
 from cranberryrun.ctl import main
 from cranberryrun.ctl_apply import path_of
 from cranberryrun.ctl_client import ControlClient, Request
@@ -243,3 +244,72 @@
         self.assertIn("host-2 is draining", self.call("drain", "host-2").output)
         self.assertEqual(asked, ["host-2"])
         self.call("drain", "host-9", code=3)
+
+
+class LogFilesTest(unittest.TestCase):
+    """What on-call engineers have is the log of processes that are gone."""
+
+    def setUp(self):
+        self.runner = CliRunner()
+
+    def call(self, *arguments, lines, code=0):
+        result = self.runner.invoke(main, [*arguments, "--logs", "-"], input=lines)
+        self.assertEqual(result.exit_code, code, result.output)
+        return result.output
+
+    def line(self, n, event, **fields):
+        row = {
+            "n": n,
+            "wall": 1000.0 + n,
+            "loop": float(n),
+            "host": "h1",
+            "incarnation": 1,
+            "number": EVENT_BY_NAME[event].number,
+            "event": event,
+        }
+        return json.dumps(row | fields)
+
+    def batch_lines(self):
+        return "\n".join(
+            [
+                "libc warns of something",
+                "{not an event",
+                self.line(
+                    0,
+                    "batch_accepted",
+                    step="b1",
+                    samples=2,
+                    groups=1,
+                    wanted_groups=1,
+                    min_version=3,
+                ),
+                " 0.13 h1 "
+                + self.line(2, "item_run", step="b1", outcome="the engine was silent"),
+                self.line(3, "item_run", step="b1", outcome="whole"),
+                self.line(4, "item_finished", step="b1", sample="i7"),
+                self.line(5, "log_lost", topic="keyed.op", reason="status 503"),
+                self.line(6, "results_held", step="b1", reason="status 503"),
+                self.line(9, "batch_ended", step="b1"),
+            ]
+        )
+
+    def test_a_short_batch_is_explained_without_a_host(self):
+        told = self.call("explain", "step", "b1", lines=self.batch_lines())
+        for part in (
+            "accepted at h1",
+            "versions from 3 on",
+            "(i7) after 4.000 s",
+            "the engine was silent 1",
+            "Results waited for the store: status 503",
+            "ended after 9.000 s",
+            "log_lost at h1",
+        ):
+            self.assertIn(part, told)
+
+    def test_the_time_line_comes_from_files_too(self):
+        shown = self.call("timeline", "--step", "b1", lines=self.batch_lines())
+        self.assertEqual(len(shown.splitlines()), 6)
+
+    def test_what_the_logs_lack_is_said(self):
+        told = self.call("explain", "request", "r9", lines="", code=3)
+        self.assertIn("stands in the logs", told)
