Pass streams on event by event, and resume those whose route allows it

Streaming routes were answered whole: the caller got the first event with the last one, and a broken stream was a failure though the route allowed it to go on. The two users' sites have no such route today; installations that we have not seen may.

Change: whole events go out as they come; the head waits for the first event, so that another target may answer in place of one that refuses. A resumable stream goes on at another target after its last whole event, under the head of the first; any other one is reset, so that it does not look whole, and runs once. A caller that leaves ends the run.

--- a/cranberryrun/fleet/client.py
+++ b/cranberryrun/fleet/client.py
@@ -60,6 +60,14 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class StreamedEvent:
+    """One whole event of a stream, with its bytes as the target sent them."""
+
+    number: int | None
+    raw: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class EngineReport:
     """What an engine says of itself; some hundred milliseconds old.
@@ -103,6 +111,17 @@
     async def send(self, target: Target, request: Request) -> Answer:
         """Send a request and return the answer once it is whole and its own."""
 
+    @abstractmethod
+    def stream(
+        self, target: Target, request: Request, last_event: int | None
+    ) -> AsyncIterator[Answer | StreamedEvent]:
+        """Send a request and yield the head of the answer, then its whole events.
+
+        An answer that is no stream is yielded whole, and alone.
+
+        :param last_event: go on after the event with this number.
+        """
+
     @abstractmethod
     def run(
         self,
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -28,6 +28,7 @@
 from ..kernel import Kernel, Service
 from ..metrics import Metrics
 from ..requests.forwarder import Forwarder
+from ..requests.streams import Streams
 from .front import Front
 from .settings import HostSettings, load_host_settings, settings_path
 from .store_client import StoreClient
@@ -98,6 +99,7 @@
             Runner(),
             Batches(),
             Forwarder(settings.zone, rng),
+            Streams(),
             Neighbours(HOST_TOPIC, self._neighbour(), rng),
             StoreRelay(settings),
             Front(settings),
--- a/cranberryrun/platform/front.py
+++ b/cranberryrun/platform/front.py
@@ -15,14 +15,16 @@
     NotFoundError,
     NotReadyError,
     RequestError,
+    TargetFailedError,
     TooLargeError,
 )
-from ..fleet.client import Answer, Request
+from ..fleet.client import Answer, Request, StreamedEvent
 from ..fleet.directory import Directory
 from ..fleet.manifest import Manifest, Route, RouteKind
 from ..kernel import Service
 from ..metrics import CONTENT_TYPE, Metrics
 from ..requests.forwarder import Forwarder
+from ..requests.streams import Streams
 from . import wire
 from .http_server import Handler, listen
 from .settings import HostSettings
@@ -40,7 +42,7 @@
     """Serves callers on one address and readiness on another."""
 
     name = "front"
-    requires = ("events", "metrics", "directory", "forwarder", "batches")
+    requires = ("events", "metrics", "directory", "forwarder", "streams", "batches")
 
     def __init__(self, settings: HostSettings) -> None:
         super().__init__()
@@ -156,9 +158,40 @@
             body=body,
             deadline=min(_deadline(request), clock.now() + route.timeout),
         )
+        if route.kind is RouteKind.STREAMING:
+            return await self._stream(request, route, forwarded)
         answer = await self.kernel.get(Forwarder).forward(route, forwarded)
         return _response(answer)
 
+    async def _stream(
+        self, request: web.BaseRequest, route: Route, forwarded: Request
+    ) -> web.StreamResponse:
+        resumed_at = request.headers.get(wire.LAST_EVENT_ID)
+        last_event = _number(resumed_at, 0) if resumed_at is not None else None
+        response: web.StreamResponse | None = None
+        parts = self.kernel.get(Streams).forward(route, forwarded, last_event)
+        try:
+            async for part in parts:
+                if isinstance(part, StreamedEvent):
+                    assert response is not None
+                    await response.write(part.raw)
+                elif part.body or part.status != 200:
+                    return _response(part)
+                else:
+                    response = _stream_response(part)
+                    await response.prepare(request)
+        except CranberryrunError:
+            if response is None:
+                raise
+            # The rest is missing; an ordinary end would make it look whole.
+            if request.transport is not None:
+                request.transport.abort()
+            return response
+        if response is None:
+            raise TargetFailedError("the answer is empty")
+        await response.write_eof()
+        return response
+
     async def _submit(
         self, request: web.BaseRequest, route: Route, body: bytes
     ) -> web.Response:
@@ -194,6 +227,10 @@
     )
 
 
+def _stream_response(head: Answer) -> web.StreamResponse:
+    return web.StreamResponse(status=head.status, headers=CIMultiDict(head.headers))
+
+
 def _deadline(request: web.BaseRequest) -> float:
     stated = _number(request.headers.get(wire.DEADLINE_MS), 0)
     seconds = stated / 1000 if stated > 0 else _DEFAULT_DEADLINE_SECONDS
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -5,7 +5,7 @@
 import asyncio
 import re
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import Any
 
 import aiohttp
@@ -30,6 +30,7 @@
     OrderRefusedError,
     Request,
     RunFailedError,
+    StreamedEvent,
     TargetClient,
     WrongVersionError,
 )
@@ -47,6 +48,7 @@
 # A report or order that takes longer is lost; they take some milliseconds.
 _CONTROL_SECONDS = 0.6
 _IDLE_TIME = re.compile(r"timeout=(\d+)")
+_EVENT_STREAM = "text/event-stream"
 _ORDER_PATH = "/v1/order"
 _REPORT_PATH = "/v1/report"
 
@@ -58,6 +60,14 @@
 
     async def send(self, target: Target, request: Request) -> Answer:
         """See :meth:`TargetClient.send`."""
+        async with self._forwarded(target, request) as response:
+            body = await _whole_body(response)
+            _check_answer(response, request.id)
+            return Answer(response.status, forwardable(response.headers), body)
+
+    def _forwarded(
+        self, target: Target, request: Request, last_event: int | None = None
+    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
         left = request.deadline - clock.now()
         headers = CIMultiDict(
             (name, value)
@@ -66,16 +76,34 @@
         )
         headers[wire.DEADLINE_MS] = str(max(1, int(left * 1000)))
         headers[wire.EXPECT_INSTANCE] = target.id
-        async with self._exchange(
+        if last_event is not None:
+            headers[wire.LAST_EVENT_ID] = str(last_event)
+        return self._exchange(
             request.method,
             _url(target, request.target),
             headers=headers,
             data=request.body or None,
             timeout=aiohttp.ClientTimeout(total=max(0.001, left)),
-        ) as response:
-            body = await _whole_body(response)
+        )
+
+    async def stream(
+        self, target: Target, request: Request, last_event: int | None
+    ) -> AsyncIterator[Answer | StreamedEvent]:
+        """See :meth:`TargetClient.stream`."""
+        async with self._forwarded(target, request, last_event) as response:
             _check_answer(response, request.id)
-            return Answer(response.status, forwardable(response.headers), body)
+            head = forwardable(response.headers)
+            if response.status != 200 or response.content_type != _EVENT_STREAM:
+                body = await _whole_body(response)
+                yield Answer(response.status, head, body)
+                return
+            yield Answer(response.status, head, b"")
+            parser = EventParser()
+            async for chunk in response.content.iter_any():
+                for event in parser.feed(chunk):
+                    yield StreamedEvent(event.number, event.raw)
+            if parser.broken or not _framed(response):
+                raise TruncatedAnswerError("the stream ended early")
 
     @asynccontextmanager
     async def _exchange(
--- a/cranberryrun/requests/forwarder.py
+++ b/cranberryrun/requests/forwarder.py
@@ -67,20 +67,20 @@
         :raises OutcomeUnknownError: a target may have run it.
         """
         began = clock.now()
-        service = self._service(route)
+        service = self.service_of(route)
         try:
             answer = await _Attempts(self, route, service, request).answer()
         except CranberryrunError as error:
             outcome = "refused" if isinstance(error, RefusedError) else "unknown"
-            self._note(route, service, request, began, outcome, error.detail)
+            self.note(route, service, request, began, outcome, error.detail)
             raise
         except asyncio.CancelledError:
-            self._note(route, service, request, began, "caller_gone", "cancelled")
+            self.note(route, service, request, began, "caller_gone", "cancelled")
             raise
-        self._note(route, service, request, began, "answered", str(answer.status))
+        self.note(route, service, request, began, "answered", str(answer.status))
         return answer
 
-    def _note(
+    def note(
         self,
         route: Route,
         service: str,
@@ -89,6 +89,7 @@
         outcome: str,
         reason: str,
     ) -> None:
+        """Count and log how a request ended."""
         seconds = clock.now() - began
         self.kernel.get(Metrics).request(service, outcome, seconds)
         name = {
@@ -109,7 +110,8 @@
             reason=reason,
         )
 
-    def _service(self, route: Route) -> str:
+    def service_of(self, route: Route) -> str:
+        """Return the service that takes a request of ``route``, by the weights."""
         weights = [backend.weight for backend in route.backends]
         return self._rng.choices(route.backends, weights)[0].service
 
@@ -158,26 +160,27 @@
             answer = await self.kernel.get(TargetClient).send(target, request)
         except RefusedError as error:
             use.health.refused()
-            self._note_attempt(request, target, began, error)
+            self.note_attempt(request, target, began, error)
             raise
         except TargetFailedError as error:
             use.health.failed()
-            self._note_attempt(request, target, began, error)
+            self.note_attempt(request, target, began, error)
             raise
         finally:
             use.in_flight -= 1
         if answer.status >= _SERVER_ERROR:
             use.health.failed()
             reason = TargetFailedError(f"it answered {answer.status}")
-            self._note_attempt(request, target, began, reason)
+            self.note_attempt(request, target, began, reason)
             return answer
         use.health.answered()
         self.took(target.service, clock.now() - began)
         return answer
 
-    def _note_attempt(
+    def note_attempt(
         self, request: Request, target: Target, began: float, error: CranberryrunError
     ) -> None:
+        """Count and log an attempt that failed."""
         self.kernel.get(Metrics).retry(target.service)
         self.kernel.get(Events).emit(
             "target_failed",
--- a/fakes/engines.py
+++ b/fakes/engines.py
@@ -22,6 +22,7 @@
     OrderRefusedError,
     Request,
     RunFailedError,
+    StreamedEvent,
     TargetClient,
     WrongVersionError,
 )
@@ -79,6 +80,12 @@
         assert isinstance(step, Answer)
         return step
 
+    async def stream(
+        self, target: Target, request: Request, last_event: int | None
+    ) -> AsyncIterator[Answer | StreamedEvent]:
+        """Give the next scripted answer, as :meth:`send` does."""
+        yield await self.send(target, request)
+
     async def run(
         self,
         target: Target,
