Bound the results that a host keeps in memory

Cause: a host kept the text of all batches that it was ever asked for until they were two minutes old.

Change: a fifth of the host's memory for the text of results; the topics that were used longest ago are forgotten first, read again when asked for, and give the same positions. Topics that are being read, or that hold an open batch of the holder, stay. SmallMemoryTest names the load.

--- a/cranberryrun/batches/log.py
+++ b/cranberryrun/batches/log.py
@@ -22,7 +22,7 @@
 )
 from ..kernel import Service
 from ..store import Store
-from .models import Batch
+from .models import Batch, BatchState
 from .reader import TopicReader
 from .records import (
     Accepted,
@@ -58,13 +58,22 @@
     :param record_bytes: the longest record that the store takes.
     :param call_bytes: the most bytes that one append takes.
     :param keep: seconds for which batches are kept.
+    :param cache_bytes: how much text of results is kept in memory; what is forgotten
+        is read again when it is asked for.
     """
 
     name = "batch_log"
     requires = ("events", "store")
 
-    def __init__(self, record_bytes: int, call_bytes: int, keep: float) -> None:
+    def __init__(
+        self,
+        record_bytes: int,
+        call_bytes: int,
+        keep: float,
+        cache_bytes: float = float("inf"),
+    ) -> None:
         super().__init__()
+        self._cache_bytes = cache_bytes
         self._record_bytes = record_bytes
         self._call_bytes = call_bytes
         self.table = BatchTable(keep)
@@ -153,6 +162,28 @@
     async def _catch_up(self, reader: TopicReader) -> None:
         async with self._reads:
             await reader.catch_up()
+        # The last one used is the last one to be forgotten.
+        if self._reader_by_topic.pop(reader.topic, None) is reader:
+            self._reader_by_topic[reader.topic] = reader
+        self._forget_topics(besides=reader.topic)
+
+    def _forget_topics(self, besides: str) -> None:
+        """Forget the topics that were used longest ago if memory is short."""
+        if self.table.text_bytes <= self._cache_bytes:
+            return
+        states_by_topic: dict[str, list[BatchState]] = {}
+        for state in self.table.state_by_id.values():
+            states_by_topic.setdefault(topic_of(state.batch.id), []).append(state)
+        in_use = {topic_of(state.batch.id) for state in self.table.open_states()}
+        in_use |= {besides, INDEX_TOPIC, PROGRESS_TOPIC}
+        for topic, reader in list(self._reader_by_topic.items()):
+            if self.table.text_bytes <= self._cache_bytes:
+                return
+            if topic in in_use or reader.busy:
+                continue
+            del self._reader_by_topic[topic]
+            for state in states_by_topic.get(topic, ()):
+                self.table.forget(state)
 
     async def _append(
         self, topic: str, messages: list[Message] | list[Progressed], deadline: float
--- a/cranberryrun/batches/reader.py
+++ b/cranberryrun/batches/reader.py
@@ -44,6 +44,14 @@
         self._round: asyncio.Task[LogReadError | None] | None = None
         self._queued_round: asyncio.Task[LogReadError | None] | None = None
 
+    @property
+    def busy(self) -> bool:
+        """Whether the topic is being read or followed now."""
+        reading = (self._round, self._queued_round)
+        return self._followers > 0 or any(
+            task is not None and not task.done() for task in reading
+        )
+
     async def catch_up(self) -> None:
         """Read to the end of the topic as it is now.
 
--- a/cranberryrun/batches/table.py
+++ b/cranberryrun/batches/table.py
@@ -18,6 +18,7 @@
     def __init__(self, keep: float) -> None:
         self._keep = keep
         self.state_by_id: dict[str, BatchState] = {}
+        self.text_bytes = 0
         self.pieces_by_item: dict[str, list[Piece]] = {}
         self._opened_at_by_batch: dict[str, float] = {}
         self._ended_at_by_batch: dict[str, float] = {}
@@ -126,6 +127,7 @@
             if state.item(result.item) is None:
                 continue
             state.results.append(result)
+            self.text_bytes += len(result.text)
             state.result_by_item[result.item] = result
             if self._latest_batch_by_item.get(result.item) == state.batch.id:
                 self.pieces_by_item.pop(result.item, None)
@@ -145,13 +147,19 @@
         ]
 
     def _forget_before(self, limit: float) -> None:
-        for batch_id, state in list(self.state_by_id.items()):
+        for state in list(self.state_by_id.values()):
             if state.batch.submitted_at >= limit:
                 return
-            del self.state_by_id[batch_id]
-            for item in state.batch.items:
-                if self._latest_batch_by_item.get(item.id) == batch_id:
-                    del self._latest_batch_by_item[item.id]
-                    self.pieces_by_item.pop(item.id, None)
-                if self._earlier_batch_by_item.get(item.id) == batch_id:
-                    del self._earlier_batch_by_item[item.id]
+            self.forget(state)
+
+    def forget(self, state: BatchState) -> None:
+        """Drop a batch with its results."""
+        batch_id = state.batch.id
+        del self.state_by_id[batch_id]
+        self.text_bytes -= sum(len(result.text) for result in state.results)
+        for item in state.batch.items:
+            if self._latest_batch_by_item.get(item.id) == batch_id:
+                del self._latest_batch_by_item[item.id]
+                self.pieces_by_item.pop(item.id, None)
+            if self._earlier_batch_by_item.get(item.id) == batch_id:
+                del self._earlier_batch_by_item[item.id]
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -43,6 +43,9 @@
 # Targets close idle connections after some seconds and say so; this is below it.
 _IDLE_SECONDS = 4.0
 _EVENT_RING = 512
+# Of a host's memory, for the text of results. A process has 50 MB at rest and hosts
+# have 128 MB at least.
+_CACHE_SHARE = 0.2
 # The entry asks for readiness once a second and needs two answers to notice.
 _ENTRY_LAG_SECONDS = 2.5
 _DRAIN_TICK_SECONDS = 0.05
@@ -94,6 +97,7 @@
                 settings.store.record_bytes,
                 settings.store.call_bytes,
                 bounds.batch_keep_ms / 1000,
+                _CACHE_SHARE * settings.memory_mb * 1_000_000,
             ),
             ResultWriter(),
             Runner(),
--- a/cranberryrun/platform/settings.py
+++ b/cranberryrun/platform/settings.py
@@ -48,6 +48,7 @@
         None, description="Where other hosts have calls to the store made."
     )
     link_mbps: float = Field(600.0, gt=0, description="Rate of the host's link.")
+    memory_mb: float = Field(512.0, gt=0, description="What the process may use.")
     metrics_port: int | None = Field(None, description="Port of /metrics.")
     store: StoreSettings = Field(description="The platform's store.")
     bounds: BoundSettings = Field(BoundSettings(), description="The platform's bounds.")
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -176,7 +176,10 @@
         self.store.put_keyed(self.decoder.operator_topic, key, str(version).encode())
 
     async def start_host(
-        self, name: str = "host-1", orders_after: float = 0.0
+        self,
+        name: str = "host-1",
+        orders_after: float = 0.0,
+        cache_bytes: float = float("inf"),
     ) -> Kernel:
         """Start one host's services; stop them by the kernel that is returned."""
         kernel = Kernel()
@@ -189,7 +192,7 @@
             Lease(name, 1, orders_after, random.Random(name)),
             EnginePool(),
             Loads(name),
-            BatchLog(262_144, 2_097_152, 120.0),
+            BatchLog(262_144, 2_097_152, 120.0, cache_bytes),
             ResultWriter(),
             Runner(),
             Batches(),
--- a/tests/test_batch_runner.py
+++ b/tests/test_batch_runner.py
@@ -263,6 +263,32 @@
             self.assertEqual(len(results), 2)
 
 
+class SmallMemoryTest(RunnerTestCase):
+    """Load pattern: a small host is asked for many batches in turn."""
+
+    async def test_what_was_forgotten_is_read_again_and_is_the_same(self):
+        await self.start({}, {}, cache_bytes=300)
+        first = {}
+        for number in range(20):
+            batch_id = f"b{number}"
+            await self.deployment.submit(self.host, batch(batch_id))
+            first[batch_id] = await self.deployment.results(self.host, batch_id, 5.0)
+            self.assertEqual(len(first[batch_id]), 4)
+            await self.host.get(Batches).end(batch_id, self.now() + 1.0)
+        table = self.host.get(BatchLog).table
+        # An item's text has 100 bytes at least, so one batch is over the limit.
+        self.assertLess(len(table.state_by_id), 6)
+        for batch_id, results in first.items():
+            again = await self.deployment.results(self.host, batch_id, 1.0)
+            self.assertEqual(again, results)
+        kept = sum(
+            len(result.text)
+            for state in table.state_by_id.values()
+            for result in state.results
+        )
+        self.assertEqual(table.text_bytes, kept)
+
+
 class OutageTest(RunnerTestCase):
     """Load pattern: the store is down for all hosts for seconds."""
 
