--- a/cranberryrun/batches/log.py
+++ b/cranberryrun/batches/log.py
@@ -41,6 +41,7 @@
 PROGRESS_TOPIC = "batch-progress"
 # The store takes 100 topics; with these few batches share a topic.
 _TOPICS = 32
+# Between tries of one append: some answers of the store at its usual 4 ms.
 _APPEND_RETRY_SECONDS = 0.1
 # Topics that are read at the same time: more would fill a slow link so that every
 # read takes longer than the store is waited for.
