--- a/cranberryrun/batches/dispatch.py
+++ b/cranberryrun/batches/dispatch.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from ..fleet.engine_pool import Engine
+from ..rewards.models import PendingCall
 from .models import BatchState, Item, Piece, Result
 
 # Assumed mean time between two events while no engine's speed is known.
@@ -47,7 +48,9 @@
     progress records from offset ``first_record_offset`` on. ``run_version`` is the
     weight version that the engine had when the current run started, and the run is
     not moved to another engine before ``movable_at``, in loop seconds. ``carried``
-    items were already in an earlier batch.
+    items were already in an earlier batch. ``unscored`` is the result of a complete
+    output whose ``reward_call`` has no answer yet; ``completion_recorded`` tells
+    whether the store knows that the output is complete.
     """
 
     item: Item
@@ -66,6 +69,9 @@
     run_version: int = 0
     movable_at: float = 0.0
     result: Result | None = None
+    unscored: Result | None = None
+    completion_recorded: bool = False
+    reward_call: PendingCall | None = None
 
     @property
     def finished(self) -> bool:
@@ -74,8 +80,13 @@
 
     @property
     def waiting(self) -> bool:
-        """Whether the item is neither running nor finished."""
-        return self.engine is None and not self.finished
+        """Whether the item needs a run and has none."""
+        return self.engine is None and self.unscored is None and not self.finished
+
+    @property
+    def scoring(self) -> bool:
+        """Whether the output is complete and only its score is missing."""
+        return self.unscored is not None and not self.finished
 
     def discard_output(self) -> None:
         """Drop all received pieces; the next run starts a new output."""
@@ -83,9 +94,13 @@
         self.output_id = _new_output_id()
         self.recorded_count = 0
         self.first_record_offset = None
+        self.unscored = None
+        self.completion_recorded = False
 
     def remaining_events(self) -> float:
-        """Return how many more events are expected; at least one.
+        """Return how many more events are expected of an incomplete output.
+
+        The result is at least one.
 
         An output that is longer than estimated tends to grow further.
         """
@@ -139,7 +154,8 @@
         batch = scheduled.state.batch
         state_by_batch[batch.id] = scheduled.state
         remaining_by_group = remaining_by_batch.setdefault(batch.id, {})
-        remaining = 0.0 if scheduled.finished else scheduled.remaining_events()
+        complete = scheduled.finished or scheduled.scoring
+        remaining = 0.0 if complete else scheduled.remaining_events()
         remaining_by_group[scheduled.item.group] = max(
             remaining_by_group.get(scheduled.item.group, 0.0), remaining
         )
--- a/cranberryrun/batches/item_run.py
+++ b/cranberryrun/batches/item_run.py
@@ -51,8 +51,7 @@
         return Outcome("the engine rejected the item as impossible", failed_result)
     except RunFailedError as error:
         scheduled.failures += 1
-        route = _route(kernel, scheduled)
-        if route is not None and scheduled.failures < route.max_attempts:
+        if scheduled.failures < max_attempts(kernel, scheduled):
             return Outcome(f"failed: {error.detail}")
         return Outcome("all attempts of the item failed", failed_result)
     except TimeoutError:
@@ -80,7 +79,7 @@
 ) -> None:
     batch = scheduled.state.batch
     client = kernel.get(TargetClient)
-    deadline = clock.now() + _seconds_left(kernel, scheduled)
+    deadline = clock.now() + seconds_left(kernel, scheduled)
     received = len(scheduled.pieces)
     window_start = 0.0
     window_events = 0
@@ -112,7 +111,14 @@
     )
 
 
-def _seconds_left(kernel: Kernel, scheduled: ScheduledItem) -> float:
+def max_attempts(kernel: Kernel, scheduled: ScheduledItem) -> int:
+    """Return how many runs of the item may fail; 1 if the manifest has no route."""
+    route = _route(kernel, scheduled)
+    return route.max_attempts if route is not None else 1
+
+
+def seconds_left(kernel: Kernel, scheduled: ScheduledItem) -> float:
+    """Return the seconds until the item is given up; at least one."""
     route = _route(kernel, scheduled)
     ttl_seconds = route.queue_ttl if route is not None else 0.0
     return max(1.0, scheduled.state.batch.submitted_at + ttl_seconds - clock.wall())
--- a/cranberryrun/batches/models.py
+++ b/cranberryrun/batches/models.py
@@ -9,12 +9,14 @@
            before its output is complete            (running), or the batch exceeds
                                                     its queue TTL (finished)
 running    the item is sent to an engine            the stream is complete
-                                                    (finished), the stream breaks
-                                                    off (waiting), or the engine
-                                                    answers 422 or too many times
-                                                    500 (finished)
-finished   the output is complete, or the item      the store has the result
-           failed permanently                       (listed)
+                                                    (scoring or finished), the
+                                                    stream breaks off (waiting), or
+                                                    the engine answers 422 or too
+                                                    many times 500 (finished)
+scoring    the output of an item with a reward      the call is answered, or failed
+           call is complete                         too many times (finished)
+finished   the output is complete and scored, or    the store has the result
+           the item failed permanently              (listed)
 listed     the first result record of the item is   never
            read
 =========  =======================================  ===============================
@@ -30,10 +32,15 @@
 
 from pydantic import Base64Bytes
 
+from ..rewards.models import RewardCall
+
 
 @dataclass(frozen=True, slots=True)
 class Item:
-    """A request of a batch. ``expected_tokens`` is the caller's estimate."""
+    """A request of a batch. ``expected_tokens`` is the caller's estimate.
+
+    An item with a ``reward`` is complete when the call has scored its text.
+    """
 
     id: str
     group: str
@@ -41,6 +48,7 @@
     headers: dict[str, str]
     body: Base64Bytes
     expected_tokens: float
+    reward: RewardCall | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,12 +80,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """The result of an item. ``text`` and ``versions`` are empty if it failed."""
+    """The result of an item. ``text`` and ``versions`` are empty if it failed.
+
+    ``score`` is the answer to the item's reward call, if it has one.
+    """
 
     item: str
     succeeded: bool
     text: str = ""
     versions: tuple[int, ...] = ()
+    score: str | None = None
 
 
 @dataclass(slots=True)
--- a/cranberryrun/batches/records.py
+++ b/cranberryrun/batches/records.py
@@ -49,7 +49,8 @@
 
     ``text`` is the id of the output that the pieces belong to. Pieces are only ever
     appended to an output. When an item is restarted or another holder resumes it, a
-    new output begins, which is recorded from position 0 on.
+    new output begins, which is recorded from position 0 on. ``complete`` marks the
+    last pieces of an output, which then lacks only its score.
     """
 
     batch: str
@@ -58,6 +59,7 @@
     start: int
     texts: list[str]
     versions: list[int]
+    complete: bool = False
     kind: Literal["progressed"] = "progressed"
 
 
--- a/cranberryrun/batches/results.py
+++ b/cranberryrun/batches/results.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from .. import clock
@@ -27,6 +28,20 @@
 _MIN_NEW_PIECES = 8
 
 
+@dataclass(frozen=True, slots=True)
+class _Appended:
+    """What a progress record says of an item: its pieces, and whether they are all."""
+
+    scheduled: ScheduledItem
+    output_id: str
+    count: int
+    complete: bool
+
+
+def _lacks_completion_record(scheduled: ScheduledItem) -> bool:
+    return scheduled.scoring and not scheduled.completion_recorded
+
+
 class ResultWriter(Service):
     """Keeps finished results in memory until the store has them.
 
@@ -67,15 +82,22 @@
         :param min_new_pieces: items with fewer new pieces are left out.
         """
         messages: list[Progressed] = []
-        appended: list[tuple[ScheduledItem, str, int]] = []
+        appended: list[_Appended] = []
         for scheduled in scheduled_items:
             if (
                 scheduled.finished
                 or len(scheduled.pieces) - scheduled.recorded_count < min_new_pieces
-            ):
+            ) and not _lacks_completion_record(scheduled):
                 continue
             new_pieces = scheduled.pieces[scheduled.recorded_count :]
-            appended.append((scheduled, scheduled.output_id, len(scheduled.pieces)))
+            appended.append(
+                _Appended(
+                    scheduled,
+                    scheduled.output_id,
+                    len(scheduled.pieces),
+                    scheduled.scoring,
+                )
+            )
             messages.append(
                 Progressed(
                     batch=scheduled.state.batch.id,
@@ -84,6 +106,7 @@
                     start=scheduled.recorded_count,
                     texts=[piece.text for piece in new_pieces],
                     versions=[piece.version for piece in new_pieces],
+                    complete=scheduled.scoring,
                 )
             )
         if not messages:
@@ -98,13 +121,15 @@
                 "progress_unrecorded", samples=len(messages), reason=error.detail
             )
             return False
-        for scheduled, output_id, count in appended:
-            if scheduled.output_id != output_id:
+        for record in appended:
+            scheduled = record.scheduled
+            if scheduled.output_id != record.output_id:
                 # The item started a new output during the append.
                 continue
             if scheduled.first_record_offset is None:
                 scheduled.first_record_offset = offset
-            scheduled.recorded_count = max(scheduled.recorded_count, count)
+            scheduled.recorded_count = max(scheduled.recorded_count, record.count)
+            scheduled.completion_recorded |= record.complete
         await self._trim_finished(scheduled_items, offset)
         return True
 
--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
+from dataclasses import replace
 
 from .. import clock
 from ..events import Events
@@ -10,13 +12,15 @@
 from ..fleet.engine_pool import Engine, EnginePool
 from ..fleet.lease import Lease
 from ..kernel import Service
+from ..rewards.caller import RewardCaller
+from ..rewards.models import PendingCall, RewardFailedError
 from .dispatch import (
     ScheduledItem,
     fastest_event_interval,
     find_faster_engine,
     plan_starts,
 )
-from .item_run import Outcome, run_item
+from .item_run import Outcome, max_attempts, run_item, seconds_left
 from .log import BatchLog
 from .models import Result
 from .results import ResultWriter
@@ -57,6 +61,7 @@
         "batch_log",
         "loads",
         "result_writer",
+        "reward_caller",
         "target_client",
     )
 
@@ -129,6 +134,7 @@
                 self._load_opened(log)
                 self._scheduled_items.update()
                 self._dispatch()
+                self._start_reward_calls()
                 self._move_slow_runs()
                 self._record_progress()
                 await asyncio.sleep(_MIN_CYCLE_PAUSE_SECONDS)
@@ -220,6 +226,53 @@
         engine.in_flight += 1
         scheduled.task = self.spawn(self._run(scheduled, engine))
 
+    def _start_reward_calls(self) -> None:
+        """Have complete outputs scored."""
+        scheduled_items = self._scheduled_items.in_open_batches()
+        if not any(scheduled.scoring for scheduled in scheduled_items):
+            return
+        unfinished_by_group = Counter(
+            (scheduled.state.batch.id, scheduled.item.group)
+            for scheduled in scheduled_items
+            if not scheduled.finished
+        )
+        for scheduled in scheduled_items:
+            if not scheduled.scoring:
+                continue
+            if scheduled.task is None:
+                scheduled.reward_call = self._pending_call(scheduled)
+                scheduled.task = self.spawn(self._score(scheduled))
+            assert scheduled.reward_call is not None
+            group = (scheduled.state.batch.id, scheduled.item.group)
+            scheduled.reward_call.unfinished_in_group = unfinished_by_group[group]
+
+    def _pending_call(self, scheduled: ScheduledItem) -> PendingCall:
+        assert scheduled.item.reward is not None
+        return PendingCall(
+            call=scheduled.item.reward,
+            sample=scheduled.item.id,
+            step=scheduled.state.batch.id,
+            due=scheduled.due,
+            # All attempts end at the same time, when the item itself is given up.
+            deadline=clock.now() + seconds_left(self.kernel, scheduled),
+            failure_limit=max_attempts(self.kernel, scheduled),
+        )
+
+    async def _score(self, scheduled: ScheduledItem) -> None:
+        own_task = asyncio.current_task()
+        assert scheduled.reward_call is not None and scheduled.unscored is not None
+        unscored = scheduled.unscored
+        try:
+            score = await self.kernel.get(RewardCaller).score(scheduled.reward_call)
+        except RewardFailedError as error:
+            self._finish(scheduled, Result(scheduled.item.id, False), error.detail)
+        else:
+            self._finish(scheduled, replace(unscored, score=score), "scored")
+        finally:
+            if scheduled.task is own_task:
+                scheduled.task = None
+            self._wake.set()
+
     def _move_slow_runs(self) -> None:
         """Move runs to an engine that would finish them much sooner."""
         if clock.now() < self._next_move_check_at:
@@ -294,7 +347,7 @@
         try:
             outcome = await run_item(self.kernel, scheduled, engine)
             if outcome.result is not None:
-                self._finish(scheduled, outcome.result, outcome.reason)
+                self._end_output(scheduled, outcome.result, outcome.reason)
         finally:
             engine.in_flight -= 1
             if scheduled.task is own_task:
@@ -312,6 +365,14 @@
             )
             self._wake.set()
 
+    def _end_output(
+        self, scheduled: ScheduledItem, result: Result, reason: str
+    ) -> None:
+        if result.succeeded and scheduled.item.reward is not None:
+            scheduled.unscored = result
+        else:
+            self._finish(scheduled, result, reason)
+
     def _finish(self, scheduled: ScheduledItem, result: Result, reason: str) -> None:
         if scheduled.finished:
             return
--- a/cranberryrun/batches/scheduled_items.py
+++ b/cranberryrun/batches/scheduled_items.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 
 from .. import clock
 from ..fleet.directory import Directory
@@ -10,8 +11,8 @@
 from ..fleet.manifest import Manifest, Route
 from ..kernel import Kernel
 from .dispatch import ScheduledItem, pieces_meet_version
-from .models import Batch, BatchState, Item, Result
-from .table import BatchTable
+from .models import Batch, BatchState, Item, Result, result_of
+from .table import BatchTable, RecordedOutput
 
 # Runs of an ended batch continue for this long, because the trainer's next batch may
 # contain their groups again.
@@ -95,7 +96,8 @@
         scheduled, earlier = self._carried_over(batch, item)
         if scheduled is None:
             scheduled = ScheduledItem(item, state, frozenset(), 0.0, 0.0)
-            scheduled.pieces = list(self._table.pieces_by_item.get(item.id, ()))
+            self._restore_output(scheduled)
+        scheduled.item = item
         scheduled.state = state
         scheduled.carried = self._table.carried(batch, item)
         scheduled.result = None
@@ -108,11 +110,28 @@
             scheduled.discard_output()
         if earlier is not None and min(earlier.versions) >= batch.min_version:
             self._stop(scheduled)
-            self._finish(
-                scheduled, earlier, "the result from an earlier batch was reused"
-            )
+            self._reuse(scheduled, earlier)
         return scheduled
 
+    def _restore_output(self, scheduled: ScheduledItem) -> None:
+        """Continue the output that an earlier holder recorded, if there is one."""
+        output = self._table.output_by_item.get(scheduled.item.id)
+        if output is None:
+            return
+        scheduled.pieces = list(output.pieces)
+        if output.complete and output.pieces:
+            scheduled.unscored = result_of(scheduled.item.id, scheduled.pieces)
+
+    def _reuse(self, scheduled: ScheduledItem, earlier: Result) -> None:
+        """Use the result of an earlier batch, with its score if the call is the same.
+
+        ``earlier`` has no score if its reward call differs from that of the item.
+        """
+        if scheduled.item.reward is not None and earlier.score is None:
+            scheduled.unscored = earlier
+            return
+        self._finish(scheduled, earlier, "the result from an earlier batch was reused")
+
     def _carried_over(
         self, batch: Batch, item: Item
     ) -> tuple[ScheduledItem | None, Result | None]:
@@ -136,8 +155,19 @@
             scheduled = None
         if result is not None and not result.succeeded:
             result = None
+        earlier_item = earlier.item(item.id)
+        if earlier_item is None or earlier_item.reward != item.reward:
+            scheduled, result = self._without_score(scheduled, result)
         return scheduled, result
 
+    def _without_score(
+        self, scheduled: ScheduledItem | None, result: Result | None
+    ) -> tuple[ScheduledItem | None, Result | None]:
+        """Drop the score and the reward call of an item whose call has changed."""
+        if scheduled is not None and scheduled.scoring:
+            self._stop(scheduled)
+        return scheduled, None if result is None else replace(result, score=None)
+
     def _apply_route(self, scheduled: ScheduledItem, manifest: Manifest) -> None:
         """Update the services, due time and expected length from the manifest."""
         batch = scheduled.state.batch
@@ -170,6 +200,7 @@
     ) -> None:
         ended_at = self._ended_at_by_batch.setdefault(batch_id, clock.now())
         if clock.now() >= ended_at + _ENDED_KEEP_SECONDS:
+            self._keep_outputs(scheduled_items)
             del self._scheduled_by_batch[batch_id]
             del self._ended_at_by_batch[batch_id]
         elif clock.now() < ended_at + _ENDED_RUN_SECONDS:
@@ -177,6 +208,14 @@
         for scheduled in scheduled_items.values():
             self._stop(scheduled)
 
+    def _keep_outputs(self, scheduled_items: dict[str, ScheduledItem]) -> None:
+        """Keep incomplete results for later batches that contain their items."""
+        for item_id, scheduled in scheduled_items.items():
+            if scheduled.pieces and not scheduled.finished:
+                self._table.output_by_item[item_id] = RecordedOutput(
+                    scheduled.output_id, scheduled.pieces, scheduled.scoring
+                )
+
 
 def _expected_events(item: Item, route: Route, manifest: Manifest) -> float:
     tokens = max(
--- a/cranberryrun/batches/table.py
+++ b/cranberryrun/batches/table.py
@@ -2,11 +2,22 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from .. import clock
 from .models import Batch, BatchState, Item, Piece, Result
 from .records import Accepted, Ended, Message, Opened, Progressed
 
 
+@dataclass(slots=True)
+class RecordedOutput:
+    """The recorded output of an item; ``complete`` if only its score is missing."""
+
+    id: str
+    pieces: list[Piece]
+    complete: bool = False
+
+
 class BatchTable:
     """Applies the messages of each topic in their order.
 
@@ -19,8 +30,7 @@
         self._keep_seconds = keep_seconds
         self.state_by_id: dict[str, BatchState] = {}
         self.text_bytes = 0
-        self.pieces_by_item: dict[str, list[Piece]] = {}
-        self._output_id_by_item: dict[str, str] = {}
+        self.output_by_item: dict[str, RecordedOutput] = {}
         self._submitted_at_by_opened_batch: dict[str, float] = {}
         self._submitted_at_by_ended_batch: dict[str, float] = {}
         self._latest_batch_by_item: dict[str, str] = {}
@@ -148,7 +158,7 @@
             self.text_bytes += len(result.text)
             state.result_by_item[result.item] = result
             if self._latest_batch_by_item.get(result.item) == state.batch.id:
-                self._remove_pieces(result.item)
+                self.output_by_item.pop(result.item, None)
 
     def _apply_progress(self, message: Progressed) -> None:
         state = self.state_by_id.get(message.batch)
@@ -158,27 +168,18 @@
             Piece(text, version)
             for text, version in zip(message.texts, message.versions)
         ]
-        known_pieces = self.pieces_by_item.get(message.item)
-        if (
-            message.start == 0
-            and self._output_id_by_item.get(message.item) != message.text
-        ):
-            self._output_id_by_item[message.item] = message.text
-            self.pieces_by_item[message.item] = pieces
-        elif (
-            known_pieces is None
-            or self._output_id_by_item.get(message.item) != message.text
-        ):
+        known = self.output_by_item.get(message.item)
+        if known is None or known.id != message.text:
             # A replaced holder may still record progress. Pieces of two different
             # outputs are never joined.
-            return
-        elif message.start <= len(known_pieces):
+            if message.start == 0:
+                self.output_by_item[message.item] = RecordedOutput(
+                    message.text, pieces, message.complete
+                )
+        elif message.start <= len(known.pieces):
             # An append that the store carried out late repeats known pieces.
-            known_pieces[message.start : message.start + len(pieces)] = pieces
-
-    def _remove_pieces(self, item_id: str) -> None:
-        self.pieces_by_item.pop(item_id, None)
-        self._output_id_by_item.pop(item_id, None)
+            known.pieces[message.start : message.start + len(pieces)] = pieces
+            known.complete = known.complete or message.complete
 
     def _remove_before(self, limit: float) -> None:
         for state in list(self.state_by_id.values()):
@@ -194,6 +195,6 @@
         for item in state.batch.items:
             if self._latest_batch_by_item.get(item.id) == batch_id:
                 del self._latest_batch_by_item[item.id]
-                self._remove_pieces(item.id)
+                self.output_by_item.pop(item.id, None)
             if self._earlier_batch_by_item.get(item.id) == batch_id:
                 del self._earlier_batch_by_item[item.id]
--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -149,6 +149,8 @@
     (333, "results_held", WARNING, "Results wait until the store can be written."),
     (334, "progress_unrecorded", WARNING, "The progress of runs was not recorded."),
     (335, "progress_kept", INFO, "Old progress records could not be deleted yet."),
+    (336, "reward_call_failed", INFO, "An attempt at a reward call failed."),
+    (337, "reward_call_ended", INFO, "A reward call has a score, or was given up."),
     (400, "request_routed", INFO, "A request was sent to a target."),
     (401, "request_answered", INFO, "A request was answered in full."),
     (402, "request_refused", INFO, "A request was refused; it was not run."),
--- a/cranberryrun/engine_client.py
+++ b/cranberryrun/engine_client.py
@@ -280,7 +280,7 @@
             ) as response:
                 if response.status != 200:
                     raise EngineError(f"GET {path} returned status {response.status}")
-                return await response.json()
+                return json.loads(await self._clients.read(response))
         except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
             raise EngineError(f"GET {path} failed: {error!r}") from None
 
--- a/cranberryrun/fleet/client.py
+++ b/cranberryrun/fleet/client.py
@@ -9,6 +9,7 @@
 from ..batches.models import Item, Piece
 from ..exceptions import CranberryrunError, TargetFailedError, TargetRefusedError
 from ..kernel import Service
+from ..rewards.models import RewardCall
 from .directory import Target
 
 
@@ -150,6 +151,14 @@
         :raises RunFailedError: the engine ran the item and reported a failure.
         """
 
+    @abstractmethod
+    async def score(self, target: Target, call: RewardCall, deadline: float) -> str:
+        """Send a reward call and return the score in the answer.
+
+        :param deadline: until when the target may work on the call, in loop seconds.
+        :raises RunFailedError: the target ran the call and reported a failure.
+        """
+
     @abstractmethod
     async def report(self, target: Target) -> EngineReport:
         """Request the state of an engine."""
--- a/cranberryrun/fleet/directory.py
+++ b/cranberryrun/fleet/directory.py
@@ -5,7 +5,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from .. import clock
 from ..events import Events
@@ -29,14 +29,16 @@
 # Targets write heartbeats about once a second, so a topic that could not be read for
 # this long counts as in an outage.
 _OUTAGE_SECONDS = 1.0
+_MS_PER_SECOND = 1000.0
 
 
 @dataclass(frozen=True, slots=True)
 class Target:
     """One process of a target, as it registered itself.
 
-    ``born`` is the start time of the process, ``sequence`` the number of its entry
-    since then. ``version_by_model`` has the weight version of each model it serves.
+    ``born`` is the start time of the process, in milliseconds since 1970, and
+    ``sequence`` the number of its entry since then. ``version_by_model`` has the weight
+    version of each model it serves.
     """
 
     id: str
@@ -120,6 +122,7 @@
         self.version_by_model: dict[str, int] = {}
         self.observers: list[Callable[[], None]] = []
         self.targets_loaded = False
+        self._leaving_since_by_id: dict[str, float] = {}
         self._expiry_timer_by_id: dict[str, asyncio.TimerHandle] = {}
         self._outage_detector_by_topic: dict[str, _OutageDetector] = {}
 
@@ -160,6 +163,31 @@
             if target.service == service and not target.draining
         ]
 
+    def mark_leaving(self, target_id: str) -> None:
+        """Give a target no new work for the life of this host's process.
+
+        Called when an answer of the target says that it is leaving. The target's entry
+        may say so only later, and a snapshot of the topic may be older, so no entry of
+        the same process of the target takes the mark back.
+        """
+        if target_id in self._leaving_since_by_id:
+            return
+        self._leaving_since_by_id[target_id] = clock.wall()
+        target = self.target_by_id.get(target_id)
+        if target is None or target.draining:
+            return
+        self.target_by_id[target_id] = replace(target, draining=True)
+        self.kernel.get(Events).emit("target_leaving", target=target_id)
+        self._notify_observers()
+
+    def _said_leaving(self, target: Target) -> bool:
+        """Return whether an answer of this process of the target said so.
+
+        A process that started after the answer is a later one with the same id.
+        """
+        since = self._leaving_since_by_id.get(target.id)
+        return since is not None and target.born / _MS_PER_SECOND <= since
+
     async def _follow(
         self,
         topic: str,
@@ -275,6 +303,8 @@
         registered = self.target_by_id.get(target.id)
         if registered is not None and _entry_order(target) < _entry_order(registered):
             return
+        if self._said_leaving(target):
+            target = replace(target, draining=True)
         timer = self._expiry_timer_by_id.pop(target.id, None)
         if timer is not None:
             timer.cancel()
--- a/cranberryrun/http.py
+++ b/cranberryrun/http.py
@@ -7,11 +7,13 @@
 
 import aiohttp
 
+from .answer_memory import AnswerMemory
 from .kernel import Service
 
 _KEEPALIVE_SECONDS = 15.0
 # A request sent just as the target closes the idle connection would be lost.
 _KEEPALIVE_MARGIN_SECONDS = 1.0
+_ANSWER_BYTES = 64_000_000
 
 
 # Headers that apply to a single connection, or that aiohttp sets itself.
@@ -61,6 +63,8 @@
     :param tls: the context that verifies the certificates of targets.
     :param idle: seconds after which an idle connection is closed.
     :param decode: whether compressed answers are decompressed.
+    :param answer_bytes: limit of the memory of answers that :meth:`read` reads at the
+        same time.
     """
 
     name = "http"
@@ -72,8 +76,10 @@
         *,
         idle: float = _KEEPALIVE_SECONDS,
         decode: bool = True,
+        answer_bytes: int = _ANSWER_BYTES,
     ) -> None:
         super().__init__()
+        self._answers = AnswerMemory(answer_bytes)
         self._idle = idle
         self._advertised_keepalive: float | None = None
         self._decode = decode
@@ -106,6 +112,13 @@
             ),
         )
 
+    async def read(self, response: aiohttp.ClientResponse) -> bytes:
+        """Return the complete body of an answer to a request of either session.
+
+        :raises AnswerTooLongError: the body is too long; the connection is closed.
+        """
+        return await self._answers.read(response)
+
     def apply_keepalive_timeout(self, seconds: float) -> None:
         """Apply the keep-alive timeout that a target advertises.
 
--- a/cranberryrun/log.py
+++ b/cranberryrun/log.py
@@ -107,7 +107,8 @@
             async with session.post(
                 self._records_url(stream), json={"records": values}, timeout=timeout
             ) as answer:
-                return _parse_append_answer(answer.status, await answer.read())
+                body = await self.kernel.get(HttpClients).read(answer)
+                return _parse_append_answer(answer.status, body)
         except aiohttp.ClientConnectorError as error:
             raise LogUnavailableError(str(error), retry_after=2) from None
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
@@ -128,7 +129,8 @@
                     raise LogReadError(
                         f"reading {stream} failed with HTTP status {answer.status}"
                     )
-                body = _ReadAnswer.model_validate_json(await answer.read())
+                content = await self.kernel.get(HttpClients).read(answer)
+                body = _ReadAnswer.model_validate_json(content)
         except (aiohttp.ClientError, asyncio.TimeoutError, ValidationError) as error:
             raise LogReadError(f"reading {stream} failed: {error!r}") from None
         records = [Record(row.offset, row.time, row.value) for row in body.records]
--- a/cranberryrun/membership.py
+++ b/cranberryrun/membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from abc import ABC, abstractmethod
 from bisect import bisect_left
 from collections.abc import Callable, Iterable
@@ -66,7 +67,7 @@
                     raise HostListError(
                         f"the host list request failed with HTTP status {answer.status}"
                     )
-                body = await answer.json()
+                body = json.loads(await self._clients.read(answer))
                 return [HostEntry.model_validate(row) for row in body["hosts"]]
         except (
             aiohttp.ClientError,
--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.metrics import CallbackOptions, Histogram, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
@@ -102,6 +102,24 @@
         ("outcome",),
         "Samples by outcome: dispatched, resumed, whole, stale, lost or unstamped.",
     ),
+    "reward_calls": MetricKind(
+        "cranberryrun_reward_calls",
+        "counter",
+        ("outcome",),
+        "Reward calls by outcome: scored, failed or cancelled.",
+    ),
+    "reward_call_seconds": MetricKind(
+        "cranberryrun_reward_call_seconds",
+        "histogram",
+        (),
+        "Seconds from the end of a sample's text to the end of its reward call.",
+    ),
+    "reward_calls_pending": MetricKind(
+        "cranberryrun_reward_calls_pending",
+        "gauge",
+        (),
+        "Reward calls that have no score yet.",
+    ),
     "queue": MetricKind(
         "cranberryrun_queue",
         "gauge",
@@ -158,10 +176,14 @@
             for key, kind in METRIC_BY_KEY.items()
             if kind.form == "counter"
         }
-        seconds = METRIC_BY_KEY["request_seconds"]
-        self._latency = self._meter.create_histogram(
-            seconds.name,
-            description=seconds.meaning,
+        self._latency = self._create_latency_histogram("request_seconds")
+        self._reward_latency = self._create_latency_histogram("reward_call_seconds")
+
+    def _create_latency_histogram(self, key: str) -> Histogram:
+        kind = METRIC_BY_KEY[key]
+        return self._meter.create_histogram(
+            kind.name,
+            description=kind.meaning,
             explicit_bucket_boundaries_advisory=_LATENCY_BOUNDS_SECONDS,
         )
 
@@ -191,6 +213,11 @@
         self._add("requests", service=service, outcome=outcome)
         self._latency.record(seconds, {"service": service})
 
+    def reward_call(self, outcome: str, seconds: float) -> None:
+        """Count a reward call by its outcome and record its duration, in seconds."""
+        self._add("reward_calls", outcome=outcome)
+        self._reward_latency.record(seconds)
+
     def retry(self, service: str) -> None:
         """Count a retry of a request."""
         self._add("retries", service=service)
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -29,6 +29,7 @@
 from ..metrics import Metrics
 from ..requests.forwarder import Forwarder
 from ..requests.streams import Streams
+from ..rewards.caller import RewardCaller
 from .frontend import Frontend
 from .settings import HostSettings, load_host_settings, settings_path
 from .store_client import StoreClient
@@ -47,6 +48,8 @@
 # The share of the host's memory that cached text of results may take. An idle process
 # uses 50 MB, and a host has at least 128 MB.
 _RESULT_CACHE_MEMORY_SHARE = 0.2
+# The share of the host's memory that answers may take while they are being read.
+_ANSWER_MEMORY_SHARE = 0.1
 # The platform's load balancer checks readiness once a second and stops sending requests
 # after two failed checks.
 _READINESS_LAG_SECONDS = 2.5
@@ -81,7 +84,10 @@
             Events(settings.host_id, incarnation, _EVENT_RING_SIZE),
             Metrics(settings.host_id),
             HttpClients(
-                _CONNECT_TIMEOUT_SECONDS, idle=_TARGET_KEEPALIVE_SECONDS, decode=False
+                _CONNECT_TIMEOUT_SECONDS,
+                idle=_TARGET_KEEPALIVE_SECONDS,
+                decode=False,
+                answer_bytes=int(_ANSWER_MEMORY_SHARE * settings.memory_mb * 1_000_000),
             ),
             StorePaths(settings.store.address),
             StoreClient(),
@@ -108,6 +114,7 @@
             Batches(),
             Forwarder(settings.zone, rng),
             Streams(),
+            RewardCaller(),
             Neighbours(HOST_TOPIC, self._own_entry(), rng),
             StoreRelay(settings),
             Frontend(settings),
--- a/cranberryrun/platform/event_parser.py
+++ b/cranberryrun/platform/event_parser.py
@@ -7,6 +7,8 @@
 from ..exceptions import TruncatedAnswerError
 
 _EVENT_SEPARATOR = b"\n\n"
+# Bounds the memory of an event whose end never comes.
+_MAX_EVENT_BYTES = 1_000_000
 # An engine adds this field to the first event after a change of its weight version.
 _VERSION_FIELD = b"x-cranberryrun-weight-versions"
 
@@ -25,15 +27,21 @@
     """Splits a byte stream into complete events."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
 
     def feed(self, chunk: bytes) -> list[ParsedEvent]:
         """Return the events that ``chunk`` completes.
 
-        :raises TruncatedAnswerError: an event is malformed.
+        :raises TruncatedAnswerError: an event is malformed or too long.
         """
-        self._buffer += chunk
-        *blocks, self._buffer = self._buffer.split(_EVENT_SEPARATOR)
+        if _EVENT_SEPARATOR not in self._buffer[-1:] + chunk:
+            self._buffer += chunk
+            blocks: list[bytes] = []
+        else:
+            *rest, last = (bytes(self._buffer) + chunk).split(_EVENT_SEPARATOR)
+            blocks, self._buffer = rest, bytearray(last)
+        if len(self._buffer) > _MAX_EVENT_BYTES:
+            raise TruncatedAnswerError(f"an event exceeds {_MAX_EVENT_BYTES} bytes")
         return [_parse_event(block) for block in blocks if block.strip()]
 
     @property
--- a/cranberryrun/platform/store_client.py
+++ b/cranberryrun/platform/store_client.py
@@ -217,8 +217,9 @@
         :raises LogUnavailableError: a write was not applied.
         :raises AppendUnknownError: a write may or may not have been applied.
         """
+        clients = self.kernel.get(HttpClients)
         try:
-            async with self.kernel.get(HttpClients).shared.request(
+            async with clients.shared.request(
                 method,
                 URL(f"http://{address}{target}", encoded=True),
                 timeout=aiohttp.ClientTimeout(
@@ -227,7 +228,8 @@
                 ),
                 data=body or None,
             ) as response:
-                status, answer = response.status, await response.read()
+                status = response.status
+                answer = await clients.read(response)
         except aiohttp.ClientConnectorError as error:
             raise _not_applied_error(method, f"can't connect to {address}: {error}")
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -34,8 +34,9 @@
     TargetClient,
     WrongVersionError,
 )
-from ..fleet.directory import Target
+from ..fleet.directory import Directory, Target
 from ..http import HOP_HEADERS, HttpClients, forwardable
+from ..rewards.models import RewardCall
 from . import wire
 from .event_parser import EventParser
 
@@ -50,6 +51,8 @@
 _CONTROL_TIMEOUT_SECONDS = 0.6
 _KEEPALIVE_TIMEOUT_PATTERN = re.compile(r"timeout=(\d+)")
 _EVENT_STREAM = "text/event-stream"
+# A page of results holds at most 1 MB of text, so no result can be longer.
+_MAX_OUTPUT_BYTES = 1_000_000
 _ORDER_PATH = "/v1/order"
 _REPORT_PATH = "/v1/report"
 
@@ -57,12 +60,12 @@
 class HttpTargetClient(TargetClient):
     """Calls plain services and engines. Each method makes one attempt."""
 
-    requires = ("http",)
+    requires = ("http", "directory")
 
     async def send(self, target: Target, request: Request) -> Answer:
         """See :meth:`TargetClient.send`."""
         async with self._send_forwarded(target, request) as response:
-            body = await _read_body(response)
+            body = await self._read_body(response)
             _check_answer(response, request.id)
             return Answer(response.status, forwardable(response.headers), body)
 
@@ -81,7 +84,8 @@
             headers[wire.LAST_EVENT_ID] = str(last_event)
         return self._open_response(
             request.method,
-            _url(target, request.target),
+            target,
+            request.target,
             headers=headers,
             data=request.body or None,
             timeout=aiohttp.ClientTimeout(total=max(0.001, remaining)),
@@ -95,7 +99,7 @@
             _check_answer(response, request.id)
             headers = forwardable(response.headers)
             if response.status != 200 or response.content_type != _EVENT_STREAM:
-                body = await _read_body(response)
+                body = await self._read_body(response)
                 yield Answer(response.status, headers, body)
                 return
             yield Answer(response.status, headers, b"")
@@ -110,9 +114,10 @@
 
     @asynccontextmanager
     async def _open_response(
-        self, method: str, url: URL, **options: Any
+        self, method: str, target: Target, path: str, **options: Any
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         """Send one request; translate errors of aiohttp into errors of this package."""
+        url = _url(target, path)
         session = self.kernel.get(HttpClients).shared
         try:
             async with session.request(
@@ -123,6 +128,8 @@
                 **options,
             ) as response:
                 self._apply_keepalive_timeout(response)
+                if any(name in response.headers for name in wire.LEAVING):
+                    self.kernel.get(Directory).mark_leaving(target.id)
                 _raise_if_refused(response)
                 yield response
         except aiohttp.ClientConnectorError as error:
@@ -138,6 +145,25 @@
                 f"request to {url.authority} failed: {error!r}"
             ) from None
 
+    async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
+        """Return the complete body.
+
+        A body without Content-Length or Transfer-Encoding ends with the connection, so
+        it is complete only if the target closed the connection without an error.
+
+        :raises TruncatedAnswerError: the connection was reset.
+        """
+        connection = response.connection
+        protocol = connection.protocol if connection is not None else None
+        body = await self.kernel.get(HttpClients).read(response)
+        if _is_framed(response):
+            return body
+        if protocol is None or not isinstance(
+            protocol.exception(), (aiohttp.ServerDisconnectedError, type(None))
+        ):
+            raise TruncatedAnswerError("the connection was reset before the body ended")
+        return body
+
     def _apply_keepalive_timeout(self, response: aiohttp.ClientResponse) -> None:
         timeout = _KEEPALIVE_TIMEOUT_PATTERN.search(
             response.headers.get("Keep-Alive", "")
@@ -166,7 +192,8 @@
             headers[wire.LAST_EVENT_ID] = str(done)
         async with self._open_response(
             "POST",
-            _url(target, item.path),
+            target,
+            item.path,
             headers=headers,
             data=item.body,
             timeout=aiohttp.ClientTimeout(total=max(0.001, remaining)),
@@ -176,14 +203,42 @@
             async for piece in _read_pieces(response, done):
                 yield piece
 
+    async def score(self, target: Target, call: RewardCall, deadline: float) -> str:
+        """See :meth:`TargetClient.score`."""
+        remaining = max(0.001, deadline - clock.now())
+        headers = {
+            "Host": call.host,
+            wire.ATTEMPT_ID: call.id,
+            wire.DEADLINE_MS: str(max(1, int(remaining * 1000))),
+            wire.EXPECT_INSTANCE: target.id,
+        }
+        async with self._open_response(
+            "POST",
+            target,
+            call.path,
+            headers=headers,
+            data=call.body or None,
+            timeout=aiohttp.ClientTimeout(total=remaining),
+        ) as response:
+            await self._read_body(response)
+            _check_answer(response, call.id)
+            if response.status == 500:
+                raise RunFailedError(f"{target.id} answered 500 to a reward call")
+            if response.status >= 300:
+                raise TargetFailedError(
+                    f"{target.id} answered {response.status} to a reward call"
+                )
+            return response.headers[wire.SIGNATURE]
+
     async def report(self, target: Target) -> EngineReport:
         """See :meth:`TargetClient.report`."""
         async with self._open_response(
             "GET",
-            _url(target, _REPORT_PATH),
+            target,
+            _REPORT_PATH,
             timeout=aiohttp.ClientTimeout(total=_CONTROL_TIMEOUT_SECONDS),
         ) as response:
-            body = await response.read()
+            body = await self.kernel.get(HttpClients).read(response)
             if response.status != 200:
                 raise TargetFailedError(
                     f"{target.id} answered {response.status} to a report request"
@@ -208,7 +263,8 @@
         }
         async with self._open_response(
             "POST",
-            _url(target, _ORDER_PATH),
+            target,
+            _ORDER_PATH,
             json=body,
             headers={wire.EXPECT_INSTANCE: target.id},
             timeout=aiohttp.ClientTimeout(total=_CONTROL_TIMEOUT_SECONDS),
@@ -271,26 +327,6 @@
         raise TargetFailedError(f"the answer to {attempt_id!r} has no signature header")
 
 
-async def _read_body(response: aiohttp.ClientResponse) -> bytes:
-    """Return the complete body.
-
-    A body without Content-Length or Transfer-Encoding ends with the connection, so it
-    is complete only if the target closed the connection without an error.
-
-    :raises TruncatedAnswerError: the connection was reset.
-    """
-    connection = response.connection
-    protocol = connection.protocol if connection is not None else None
-    body = await response.read()
-    if _is_framed(response):
-        return body
-    if protocol is None or not isinstance(
-        protocol.exception(), (aiohttp.ServerDisconnectedError, type(None))
-    ):
-        raise TruncatedAnswerError("the connection was reset before the body ended")
-    return body
-
-
 def _is_framed(response: aiohttp.ClientResponse) -> bool:
     """Return whether the headers tell where the body ends."""
     headers = response.headers
@@ -310,6 +346,7 @@
         raise TargetFailedError("the answer has no valid weight version header")
     version = int(version_header)
     parser = EventParser()
+    size = 0
     async for chunk in response.content.iter_any():
         for event in parser.feed(chunk):
             if event.number is not None and event.number != last_event + 1:
@@ -317,6 +354,11 @@
                     f"received event {event.number}; expected event {last_event + 1}"
                 )
             last_event += 1
+            size += len(event.raw)
+            if size > _MAX_OUTPUT_BYTES:
+                raise TargetFailedError(
+                    f"the output of the run exceeds {_MAX_OUTPUT_BYTES} bytes"
+                )
             version = event.version if event.version is not None else version
             yield Piece(event.data, version)
     if parser.has_partial_event or not _is_framed(response):
--- a/cranberryrun/platform/wire.py
+++ b/cranberryrun/platform/wire.py
@@ -19,6 +19,7 @@
 from ..fleet.client import EngineReport
 from ..fleet.directory import Decoder, Target
 from ..fleet.manifest import Backend, Limits, Manifest, Route, RouteKind
+from ..rewards.models import RewardCall
 
 # The keyed topic in which hosts register.
 HOST_TOPIC = "keyed.hosts"
@@ -43,6 +44,9 @@
 LENGTH_HINT = "X-Cranberryrun-Length-Hint"
 # The weight version with which a stream starts; one number, despite the plural.
 WEIGHT_VERSION = "X-Cranberryrun-Weight-Versions"
+# Present in all answers of a target that is about to end. The platform's announcement
+# spells it without the prefix of the other headers; both spellings count.
+LEAVING = ("Server-Leaving", "X-Cranberryrun-Server-Leaving")
 LAST_EVENT_ID = "Last-Event-Id"
 
 # The platform's protocol names the manifest "config".
@@ -279,6 +283,16 @@
         raise RecordInvalidError(f"{field}: {first_error['msg']}") from None
 
 
+class _Scorer(_WireModel):
+    """The request that scores an item's text, despite the name of a service."""
+
+    id: str
+    host: str
+    path: str
+    # Base64.
+    body: str = ""
+
+
 class _Item(_WireModel):
     id: str
     path: str
@@ -288,6 +302,7 @@
     # The prompt tokens plus the maximum number of output tokens.
     tokens: float = 0
     group_id: str = ""
+    scorer: _Scorer | None = None
 
 
 class _Submission(_WireModel):
@@ -340,6 +355,16 @@
         headers=item.headers,
         body=base64.b64decode(item.body, validate=True),
         expected_tokens=expected_tokens,
+        reward=_decode_scorer(item.scorer) if item.scorer is not None else None,
+    )
+
+
+def _decode_scorer(scorer: _Scorer) -> RewardCall:
+    return RewardCall(
+        id=scorer.id,
+        host=scorer.host,
+        path=scorer.path,
+        body=base64.b64decode(scorer.body, validate=True),
     )
 
 
@@ -353,9 +378,12 @@
 
 
 def _encode_result(result: Result) -> dict[str, Any]:
-    return {
+    encoded = {
         "id": result.item,
         "state": "succeeded" if result.succeeded else "lost",
         "text": result.text,
         "versions": list(result.versions),
     }
+    if result.score is not None:
+        encoded["score"] = result.score
+    return encoded
--- /dev/null
+++ b/cranberryrun/rewards/__init__.py
@@ -0,0 +1,1 @@
+"""Reward calls: requests that have a service score a complete sample."""
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+from dataclasses import replace
 from typing import Any
 
 from cranberryrun import clock
@@ -21,6 +22,10 @@
 from cranberryrun.fleet.loads import Loads
 from cranberryrun.fleet.manifest import Backend, Limits, Manifest, Route, RouteKind
 from cranberryrun.kernel import Kernel
+from cranberryrun.metrics import Metrics
+from cranberryrun.requests.forwarder import Forwarder
+from cranberryrun.rewards.caller import RewardCaller
+from cranberryrun.rewards.models import RewardCall
 
 from .engines import FakeEngine, FakeTargets
 from .store import MemoryStore
@@ -29,6 +34,8 @@
 MODEL = "m"
 HOST = "rollouts.example"
 PATH = "/batch/"
+SCORING_SERVICE = "scoring"
+SCORING_PATH = "/score/"
 
 
 def batch_route(**changes: Any) -> Route:
@@ -101,6 +108,35 @@
     return Batch(**(fields | changes))
 
 
+def reward_call(item_id: str, **changes: Any) -> RewardCall:
+    """Return the reward call of an item, with the fields in ``changes`` replaced."""
+    fields: dict[str, Any] = dict(
+        id=f"score-of-{item_id}", host=HOST, path=SCORING_PATH + "1", body=b"y"
+    )
+    return RewardCall(**(fields | changes))
+
+
+def scored_batch(batch_id: str = "b1", **options: Any) -> Batch:
+    """Return a batch as :func:`batch` does, each item with a reward call."""
+    unscored = batch(batch_id, **options)
+    items = tuple(replace(item, reward=reward_call(item.id)) for item in unscored.items)
+    return replace(unscored, items=items)
+
+
+def scoring_route(**changes: Any) -> Route:
+    """Return the route of reward calls, with the fields in ``changes`` replaced."""
+    fields: dict[str, Any] = dict(
+        name="scores",
+        path_prefix=SCORING_PATH,
+        kind=RouteKind.SAFE,
+        backends=(Backend(SCORING_SERVICE, 1.0),),
+        timeout=1.0,
+        run_deadline=0.0,
+        queue_ttl=0.0,
+    )
+    return batch_route(**(fields | changes))
+
+
 class JsonDecoder(Decoder):
     """Decodes the records that :class:`Deployment` writes into the store."""
 
@@ -153,6 +189,15 @@
         self.register(engine_id)
         return engine
 
+    def add_scorer(self, target_id: str, *steps: object) -> None:
+        """Add a target that scores samples.
+
+        :param steps: its answers to the next reward calls; see
+            :attr:`FakeTargets.score_steps_by_target`.
+        """
+        self.targets.score_steps_by_target[target_id] = list(steps)
+        self.register(target_id, service=SCORING_SERVICE, slots=6, version_by_model={})
+
     def register(self, target_id: str, **changes: Any) -> None:
         """Write a new entry of an engine into the store."""
         engine = self.targets.engine_by_id.get(target_id, FakeEngine())
@@ -201,6 +246,9 @@
             Loads(name),
             BatchLog(262_144, 2_097_152, 120.0, cache_bytes),
             ResultWriter(),
+            Metrics(name),
+            Forwarder("a", random.Random(1)),
+            RewardCaller(),
             Runner(),
             Batches(),
         ):
--- a/fakes/engines.py
+++ b/fakes/engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
@@ -27,6 +28,7 @@
     WrongVersionError,
 )
 from cranberryrun.fleet.directory import Target
+from cranberryrun.rewards.models import RewardCall
 
 
 @dataclass(slots=True)
@@ -61,12 +63,22 @@
     lose_orders: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ScoreCall:
+    """A reward call that reached a target at ``time``, in loop seconds."""
+
+    target: str
+    call: str
+    time: float
+
+
 class FakeTargets(TargetClient):
     """Answers in place of all targets.
 
     Requests get the scripted answers of ``answers_by_target``. Runs of items are
     answered by ``engine_by_id``; an item has as many events as ``events_by_item``
-    says, by default 10.
+    says, by default 10. Reward calls get the steps of ``score_steps_by_target``, of
+    which the last one applies to all further calls.
     """
 
     def __init__(self) -> None:
@@ -75,6 +87,9 @@
         self.events_by_item: dict[str, int] = {}
         self.answers_by_target: dict[str, list[object]] = {}
         self.sent: list[tuple[str, str]] = []
+        self.score_steps_by_target: dict[str, list[object]] = {}
+        self.score_calls: list[ScoreCall] = []
+        self.scores_running_by_target: Counter[str] = Counter()
 
     async def send(self, target: Target, request: Request) -> Answer:
         """Return or raise the target's next scripted step.
@@ -154,6 +169,26 @@
             done += 1
             yield Piece(f"{item.id}/{done}", engine.version)
 
+    async def score(self, target: Target, call: RewardCall, deadline: float) -> str:
+        """See :meth:`TargetClient.score`; the target's next step decides the answer.
+
+        A step is an error or a delay in seconds; without one, the delay is 0.1 s.
+        """
+        loop = asyncio.get_running_loop()
+        self.score_calls.append(ScoreCall(target.id, call.id, loop.time()))
+        steps = self.score_steps_by_target.get(target.id, [])
+        step = steps.pop(0) if len(steps) > 1 else (steps or [0.1])[0]
+        self.scores_running_by_target[target.id] += 1
+        try:
+            if isinstance(step, Exception):
+                await asyncio.sleep(0.03)
+                raise step
+            assert isinstance(step, (int, float))
+            await asyncio.sleep(step)
+            return f"{call.id} scored by {target.id}"
+        finally:
+            self.scores_running_by_target[target.id] -= 1
+
     async def report(self, target: Target) -> EngineReport:
         """See :meth:`TargetClient.report`."""
         engine = self.engine_by_id[target.id]
--- /dev/null
+++ b/standins/endless_target.py
@@ -0,0 +1,87 @@
+"""Stand-in for a target in trouble that sends bytes without end."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+
+_CHUNK = b"x" * 16_384
+_HEAD = (
+    b"HTTP/1.1 200 OK\r\n"
+    b"X-Cranberryrun-Server-Signature: 1.2.3\r\n"
+    b"X-Cranberryrun-Weight-Versions: 1\r\n"
+)
+_STREAM = _HEAD + b"Content-Type: text/event-stream\r\n"
+_CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+
+# What is sent first and then repeated, by the name of the fault.
+ENDLESS_ANSWERS: dict[str, tuple[bytes, bytes]] = {
+    "status line": (b"HTTP/1.1 200 ", _CHUNK),
+    "header line": (_HEAD + b"X-Long: ", _CHUNK),
+    "header lines": (_HEAD, b"X-Again: 1\r\n" * 1000),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 500),
+    "garbage": (b"", b"\x00\xff\x13" * 5000),
+    "body without length": (_HEAD + b"\r\n", _CHUNK),
+    "chunked body": (_HEAD + _CHUNKED, b"4000\r\n" + _CHUNK + b"\r\n"),
+    "chunk size": (_HEAD + _CHUNKED, b"0" * 16_384),
+    "long body": (_HEAD + b"Content-Length: 99999999999\r\n\r\n", _CHUNK),
+    "event": (_STREAM + b"\r\ndata: ", _CHUNK),
+    "chunked event": (_STREAM + _CHUNKED, b"4000\r\n" + _CHUNK + b"\r\n"),
+    "event lines": (_STREAM + b"\r\n", b"data: x\n" * 2000),
+}
+
+
+class EndlessTarget:
+    """Answers every request with bytes that end only when the caller closes.
+
+    ``fault`` is a key of :data:`ENDLESS_ANSWERS`. With ``trickle_seconds``, a single
+    byte is sent per that time after the first part. ``sent_bytes`` counts what callers
+    took, ``open_connections`` the connections that they have not closed.
+    """
+
+    def __init__(self, fault: str, trickle_seconds: float = 0.0) -> None:
+        self._first, self._repeated = ENDLESS_ANSWERS[fault]
+        self._trickle_seconds = trickle_seconds
+        self._server: asyncio.Server | None = None
+        self.address = ""
+        self.sent_bytes = 0
+        self.requests = 0
+        self.open_connections = 0
+
+    async def start(self) -> None:
+        """Listen on a free loopback port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.open_connections += 1
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            self.requests += 1
+            for part in self._parts():
+                writer.write(part)
+                await writer.drain()
+                self.sent_bytes += len(part)
+                await asyncio.sleep(self._trickle_seconds)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            # The caller closed the connection.
+            return
+        finally:
+            self.open_connections -= 1
+            writer.close()
+
+    def _parts(self) -> Iterator[bytes]:
+        yield self._first
+        while not self._trickle_seconds:
+            yield self._repeated
+        while True:
+            for byte in self._repeated:
+                yield bytes([byte])
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -13,6 +13,7 @@
 _NOT_EXECUTED = "X-Cranberryrun-Not-Executed"
 _EXPECT_INSTANCE = "X-Cranberryrun-Expect-Instance"
 _EXPECT_VERSION = "X-Cranberryrun-Expect-Version"
+_LEAVING = "Server-Leaving"
 _CUT_DELAY_SECONDS = 0.05
 
 
@@ -27,7 +28,8 @@
     empty script). ``event_seconds`` is the time between events, ``answer_seconds``
     the time until a plain response. ``executed_requests`` lists the attempt ids of
     requests whose execution began, ``generated_events`` the events of items as
-    ``(attempt id, event number, weight version)``.
+    ``(attempt id, event number, weight version)``. While ``leaving`` is set, every
+    answer says that the target is leaving.
     """
 
     def __init__(self, target_id: str, service: str, model: str | None = None) -> None:
@@ -46,6 +48,8 @@
         self.event_seconds = 0.002
         self.answer_seconds = 0.0
         self.open_requests = 0
+        self.leaving = False
+        self.born = 1
         self.address = ""
         self._runner: web.AppRunner | None = None
 
@@ -62,7 +66,7 @@
             "slots": 4,
             "state": state,
             "cold-remaining-ms": 0,
-            "born": 1,
+            "born": self.born,
             "sequence": self.sequence,
             "models": models,
         }
@@ -73,6 +77,7 @@
         app.router.add_get("/v1/report", self._report)
         app.router.add_post("/v1/order", self._order)
         app.router.add_route("*", "/{path:.*}", self._handle_request)
+        app.on_response_prepare.append(self._add_leaving_header)
         self._runner = web.AppRunner(
             app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
         )
@@ -87,6 +92,12 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def _add_leaving_header(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.leaving:
+            response.headers[_LEAVING] = "1"
+
     async def _report(self, request: web.Request) -> web.Response:
         entry = self.entry()
         return web.json_response(
--- a/tests/test_batch_table.py
+++ b/tests/test_batch_table.py
@@ -88,7 +88,8 @@
         table.apply(Accepted(self.first))
         for message in messages:
             table.apply(message)
-        pieces = table.pieces_by_item.get(self.item.id, [])
+        output = table.output_by_item.get(self.item.id)
+        pieces = output.pieces if output is not None else []
         return "".join(piece.text for piece in pieces)
 
     def test_progress_is_applied_only_when_it_continues_known_pieces(self):
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -1,15 +1,12 @@
 """Tests of requests whose targets fail: retries and the answers to callers."""
 
 import asyncio
-import random
 
 from cranberryrun import clock
 from cranberryrun.exceptions import TargetFailedError
 from cranberryrun.fleet.client import Answer, Request
 from cranberryrun.fleet.directory import Directory
 from cranberryrun.fleet.manifest import Backend, RouteKind
-from cranberryrun.kernel import Kernel
-from cranberryrun.metrics import Metrics
 from cranberryrun.requests.forwarder import Forwarder
 from fakes.deployment import Deployment, batch_route, manifest
 
@@ -38,19 +35,13 @@
         for name in ("t0", "t1", "t2"):
             self.deployment.add_engine(name)
         self.kernel = await self.deployment.start_host()
-        self.forwarder = await self.start_forwarder(self.kernel)
+        self.forwarder = self.kernel.get(Forwarder)
         await self.until(lambda: len(self.directory.target_by_id) == 3)
 
     @property
     def directory(self):
         return self.kernel.get(Directory)
 
-    async def start_forwarder(self, kernel: Kernel):
-        forwarder = Forwarder("a", random.Random(1))
-        kernel.register(Metrics("host-1"))
-        kernel.register(forwarder)
-        return forwarder
-
     async def until(self, condition):
         while not condition():
             await asyncio.sleep(0.05)
