Run items ahead that a trainer will submit again

Cause: a trainer ends a step once it has enough complete groups; the groups left over come again in a later step, whose minimum version their output doesn't meet. A new holder moreover took groups for spare that it only later learned were carried over.

Change: when the groups that the trainer waits for are complete, or the batch has ended, the other items run under the versions that the next step will accept, after all others and no later than 1.5 s after the end. Whether an item is carried over is looked up again when earlier batches have been read.

--- a/cranberryrun/batches/dispatch.py
+++ b/cranberryrun/batches/dispatch.py
@@ -48,7 +48,9 @@
     progress records from offset ``first_record_offset`` on. ``run_version`` is the
     weight version that the engine had when the current run started, and the run is
     not moved to another engine before ``movable_at``, in loop seconds. ``carried``
-    items were already in an earlier batch. ``unscored`` is the result of a complete
+    items were already in an earlier batch. No run of the item uses weights older than
+    ``min_version``. ``ahead`` marks an item that its batch no longer needs and that
+    runs for the next batch. ``unscored`` is the result of a complete
     output whose ``reward_call`` has no answer yet; ``completion_recorded`` tells
     whether the store knows that the output is complete.
     """
@@ -59,6 +61,8 @@
     due: float
     expected_events: float
     carried: bool = False
+    min_version: int = 0
+    ahead: bool = False
     pieces: list[Piece] = field(default_factory=list)
     output_id: str = field(default_factory=_new_output_id)
     recorded_count: int = 0
@@ -73,6 +77,9 @@
     completion_recorded: bool = False
     reward_call: PendingCall | None = None
 
+    def __post_init__(self) -> None:
+        self.min_version = max(self.min_version, self.state.batch.min_version)
+
     @property
     def finished(self) -> bool:
         """Whether the item has a result and needs no more runs."""
@@ -188,8 +195,8 @@
 ) -> list[Start]:
     """Return the runs to start now.
 
-    Spare groups come last; within both classes, the items with the least slack until
-    they are due come first.
+    Spare groups come late, and items that run ahead for the next batch last; within
+    these classes, the items with the least slack until they are due come first.
 
     :param now_wall: the current time, in seconds since 1970.
     """
@@ -205,12 +212,12 @@
     in_flight_by_id = {engine.id: engine.in_flight for engine in available}
     ranks = rank_by_group(scheduled_items)
 
-    def urgency(scheduled: ScheduledItem) -> tuple[bool, float]:
+    def urgency(scheduled: ScheduledItem) -> tuple[bool, bool, float]:
         rank = ranks[scheduled.state.batch.id, scheduled.item.group]
         slack = (
             scheduled.due - now_wall - scheduled.remaining_events() * fastest_interval
         )
-        return rank == SPARE, slack
+        return scheduled.ahead, rank == SPARE, slack
 
     engine_by_group: dict[str, str] = {}
     for scheduled in scheduled_items:
@@ -258,7 +265,7 @@
 
 
 def may_run(scheduled: ScheduledItem, engine: Engine) -> bool:
-    """Return whether the engine has weights that the item's batch accepts.
+    """Return whether the engine has weights that the item accepts.
 
     An engine that is loading the model accepts no runs of it.
     """
@@ -266,7 +273,7 @@
     version = engine.version(model)
     if engine.loading_model == model:
         return False
-    return version is not None and version >= scheduled.state.batch.min_version
+    return version is not None and version >= scheduled.min_version
 
 
 def _choose_engine(
--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -209,7 +209,7 @@
         self._wake.clear()
 
     def _dispatch(self) -> None:
-        scheduled_items = self._scheduled_items.in_open_batches()
+        scheduled_items = self._scheduled_items.startable()
         if not any(scheduled.waiting for scheduled in scheduled_items):
             return
         services = frozenset().union(
--- a/cranberryrun/batches/scheduled_items.py
+++ b/cranberryrun/batches/scheduled_items.py
@@ -10,6 +10,7 @@
 from ..fleet.loads import Loads
 from ..fleet.manifest import Manifest, Route
 from ..kernel import Kernel
+from .carry_over import NextBatches, unneeded_items
 from .dispatch import ScheduledItem, pieces_meet_version
 from .models import Batch, BatchState, Item, Result, result_of
 from .table import BatchTable, RecordedOutput
@@ -17,6 +18,10 @@
 # Runs of an ended batch continue for this long, because the trainer's next batch may
 # contain their groups again.
 _ENDED_RUN_SECONDS = 2.5
+# Items that run ahead are started until this long after their batch has ended. The
+# next batch follows when the trainer has trained, and some seconds after the end no
+# engine may get an item of an ended batch any more.
+_ENDED_START_SECONDS = 1.5
 # The output received for an ended batch is kept for this long, for the same reason.
 _ENDED_KEEP_SECONDS = 5.0
 
@@ -43,6 +48,8 @@
         self._manifest: Manifest | None = None
         self._scheduled_by_batch: dict[str, dict[str, ScheduledItem]] = {}
         self._ended_at_by_batch: dict[str, float] = {}
+        self._next_batches = NextBatches()
+        self._known_batches = 0
 
     def __iter__(self) -> Iterator[ScheduledItem]:
         """Iterate over all items, including those of recently ended batches."""
@@ -53,6 +60,19 @@
         """Return the items of open batches."""
         return [scheduled for scheduled in self if scheduled.state.open]
 
+    def startable(self) -> list[ScheduledItem]:
+        """Return the items that may be run, including those that run ahead."""
+        return [
+            scheduled
+            for scheduled in self
+            if scheduled.state.open
+            or (scheduled.ahead and self._just_ended(scheduled.state.batch.id))
+        ]
+
+    def _just_ended(self, batch_id: str) -> bool:
+        ended_at = self._ended_at_by_batch.get(batch_id)
+        return ended_at is not None and clock.now() < ended_at + _ENDED_START_SECONDS
+
     def clear(self) -> None:
         """Remove all items without stopping their runs."""
         self._scheduled_by_batch.clear()
@@ -72,10 +92,26 @@
                 self._add_batch(state, manifest)
             self._fail_expired(state.batch)
         self._kernel.get(Loads).needed_version_by_model = self._needed_versions()
+        self._update_carried()
         for batch_id, scheduled_items in list(self._scheduled_by_batch.items()):
+            self._run_ahead(scheduled_items)
             if self._table.ended(batch_id):
                 self._release_ended(batch_id, scheduled_items)
 
+    def _update_carried(self) -> None:
+        """Update which items are carried over, when earlier batches were read.
+
+        A new holder reads the ended batches after the open ones.
+        """
+        known_batches = len(self._table.state_by_id)
+        if known_batches == self._known_batches:
+            return
+        self._known_batches = known_batches
+        for scheduled in self.in_open_batches():
+            scheduled.carried = self._table.carried(
+                scheduled.state.batch, scheduled.item
+            )
+
     def _needed_versions(self) -> dict[str, int]:
         needed: dict[str, int] = {}
         for state in self._table.open_states():
@@ -84,6 +120,7 @@
         return needed
 
     def _add_batch(self, state: BatchState, manifest: Manifest) -> None:
+        self._next_batches.record(state.batch)
         scheduled_items = self._scheduled_by_batch.setdefault(state.batch.id, {})
         for item in state.batch.items:
             if item.id not in state.result_by_item:
@@ -99,20 +136,47 @@
             self._restore_output(scheduled)
         scheduled.item = item
         scheduled.state = state
+        scheduled.min_version = batch.min_version
+        scheduled.ahead = False
         scheduled.carried = self._table.carried(batch, item)
         scheduled.result = None
         self._apply_route(scheduled, manifest)
-        run_is_stale = (
-            scheduled.engine is not None and scheduled.run_version < batch.min_version
-        )
-        if run_is_stale or not pieces_meet_version(scheduled.pieces, batch.min_version):
-            self._stop(scheduled)
-            scheduled.discard_output()
+        self._discard_stale_output(scheduled)
         if earlier is not None and min(earlier.versions) >= batch.min_version:
             self._stop(scheduled)
             self._reuse(scheduled, earlier)
         return scheduled
 
+    def _discard_stale_output(self, scheduled: ScheduledItem) -> None:
+        """Stop and forget output of weights that the item does not accept."""
+        run_is_stale = (
+            scheduled.engine is not None
+            and scheduled.run_version < scheduled.min_version
+        )
+        if run_is_stale or not pieces_meet_version(
+            scheduled.pieces, scheduled.min_version
+        ):
+            self._stop(scheduled)
+            scheduled.discard_output()
+
+    def _run_ahead(self, scheduled_items: dict[str, ScheduledItem]) -> None:
+        """Have items that their batch does not need run for the next one."""
+        announced_by_model = self._kernel.get(Directory).version_by_model
+        for scheduled in unneeded_items(scheduled_items.values()):
+            if scheduled.scoring and scheduled.state.open:
+                # The result will be listed before the batch ends.
+                continue
+            model = scheduled.state.batch.model
+            min_version = self._next_batches.min_version(model) or 0
+            if min_version <= scheduled.min_version:
+                continue
+            if min_version > announced_by_model.get(model, 0):
+                # No engine can have this version yet.
+                continue
+            scheduled.ahead = True
+            scheduled.min_version = min_version
+            self._discard_stale_output(scheduled)
+
     def _restore_output(self, scheduled: ScheduledItem) -> None:
         """Continue the output that an earlier holder recorded, if there is one."""
         output = self._table.output_by_item.get(scheduled.item.id)
