Read heartbeats and the lease less often; survive unexpected errors in loops

Cause: each host long-polled the lease, whose renewals end each poll after 0.25 s, and read every few heartbeats: 9 calls a second for as long as it lives, times 195 hosts. A late copy of another request's refusal was taken for the refusal of the request in hand, which then ran: the check of the echoed id came after the check for refusals. The loops that follow targets, manifest, lease and neighbours ended for good at an unexpected error.

Change: hosts without the lease read it every 0.5 s, every 1.5 s on slow links, and the targets every 0.6 s while only heartbeats arrive; slow hosts wait longer for the lease, so that a fast one has read it. The echoed id is checked before all else, also of reports and orders.

Ruled out: reading the targets every 0.6 s whatever arrives (a route was served and a draining target left too late: test_platform_host failed twice, rightly).

--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -9,6 +9,7 @@
 from .. import clock
 from ..events import Events
 from ..exceptions import CranberryrunError, LogReadError
+from ..fleet.directory import Directory
 from ..fleet.engine_pool import Engine, EnginePool
 from ..fleet.lease import Lease
 from ..kernel import Service
@@ -81,10 +82,14 @@
         self._scheduled_items = ScheduledItems(
             self.kernel, table, self._stop_run, self._finish
         )
-        self.kernel.get(Lease).observers.append(self._wake.set)
+        self.kernel.get(Lease).observers.append(self._on_lease_change)
         self.kernel.get(EnginePool).observers.append(self._wake.set)
         self.supervise(self._follow_lease)
 
+    def _on_lease_change(self) -> None:
+        self.kernel.get(Directory).follow_closely = self.kernel.get(Lease).assigned
+        self._wake.set()
+
     async def hand_over(self, deadline: float) -> None:
         """Record the progress of all runs, release the lease and stop the runs.
 
--- a/cranberryrun/fleet/directory.py
+++ b/cranberryrun/fleet/directory.py
@@ -6,6 +6,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from functools import partial
 
 from .. import clock
 from ..events import Events
@@ -18,8 +19,10 @@
 # missed is found.
 _POLL_SECONDS = 0.5
 # Pause between reads. Many targets write about once a second each, so one read then
-# returns the entries of several.
+# returns the entries of several. While they are only heartbeats, the pause is longer,
+# except on the host that runs batches: it needs new weights and engines at once.
 _READ_INTERVAL_SECONDS = 0.15
+_HEARTBEAT_READ_INTERVAL_SECONDS = 0.6
 # Short, because the platform requires the configuration to be in force on all hosts
 # within 2 s of the end of an outage of the store.
 _RETRY_DELAY_SECONDS = 0.2
@@ -107,8 +110,9 @@
     """Follows the operator's topic and the targets' topic; keeps their current content.
 
     ``observers`` are called after each read of a topic and after the delayed removal
-    of a target. Within one process the manifest and the weight versions are never
-    replaced by older ones.
+    of a target. ``follow_closely`` shortens the time until changes are noticed, at the
+    cost of more calls to the store. Within one process the manifest and the weight
+    versions are never replaced by older ones.
     """
 
     name = "directory"
@@ -122,6 +126,8 @@
         self.version_by_model: dict[str, int] = {}
         self.observers: list[Callable[[], None]] = []
         self.targets_loaded = False
+        self.follow_closely = False
+        self._change_count = 0
         self._leaving_since_by_id: dict[str, float] = {}
         self._expiry_timer_by_id: dict[str, asyncio.TimerHandle] = {}
         self._outage_detector_by_topic: dict[str, _OutageDetector] = {}
@@ -147,7 +153,7 @@
             ),
         ):
             self._outage_detector_by_topic[topic] = _OutageDetector()
-            self.spawn(self._follow(topic, apply_record, apply_snapshot))
+            self.supervise(partial(self._follow, topic, apply_record, apply_snapshot))
 
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the route of a request; None without a manifest or a match."""
@@ -186,7 +192,7 @@
         A process that started after the answer is a later one with the same id.
         """
         since = self._leaving_since_by_id.get(target.id)
-        return since is not None and target.born / _MS_PER_SECOND <= since
+        return since is not None and target.born <= since * _MS_PER_SECOND
 
     async def _follow(
         self,
@@ -198,6 +204,8 @@
         offset: int | None = None
         wait = 0.0
         while True:
+            changes_before = self._change_count
+            only_heartbeats = False
             try:
                 if offset is None:
                     newest = await store.newest(topic)
@@ -208,6 +216,9 @@
                     page = await store.read(topic, offset, wait)
                     self._record_success(topic)
                     self._apply_records(page.records, apply_record)
+                    only_heartbeats = (
+                        bool(page.records) and self._change_count == changes_before
+                    )
                     offset = page.next
             except LogGapError:
                 offset = None
@@ -221,7 +232,11 @@
                 continue
             wait = _POLL_SECONDS
             self._notify_observers()
-            await asyncio.sleep(_READ_INTERVAL_SECONDS)
+            await asyncio.sleep(
+                _HEARTBEAT_READ_INTERVAL_SECONDS
+                if only_heartbeats and not self.follow_closely
+                else _READ_INTERVAL_SECONDS
+            )
 
     def _apply_records(
         self, records: list[bytes], apply_record: Callable[[KeyedRecord], None]
@@ -271,6 +286,7 @@
         if self.manifest is not None and manifest.version <= self.manifest.version:
             return
         self.manifest = manifest
+        self._change_count += 1
         self.kernel.get(Events).emit(
             "manifest_applied", version=manifest.version, routes=len(manifest.routes)
         )
@@ -279,6 +295,7 @@
         if version <= self.version_by_model.get(model, 0):
             return
         self.version_by_model[model] = version
+        self._change_count += 1
         self.kernel.get(Events).emit("version_known", workload=model, version=version)
 
     def _apply_target_snapshot(self, records: list[KeyedRecord]) -> None:
@@ -309,6 +326,8 @@
         if timer is not None:
             timer.cancel()
         self.target_by_id[target.id] = target
+        if registered is None or _usage_of(target) != _usage_of(registered):
+            self._change_count += 1
         if registered is None:
             self.kernel.get(Events).emit(
                 "target_registered", target=target.id, service=target.service
@@ -344,8 +363,14 @@
 
     def _remove_target_now(self, target_id: str, reason: str) -> None:
         if self.target_by_id.pop(target_id, None) is not None:
+            self._change_count += 1
             self.kernel.get(Events).emit("target_gone", target=target_id, reason=reason)
 
 
+def _usage_of(target: Target) -> Target:
+    """Return ``target`` without the count that changes with each heartbeat."""
+    return replace(target, sequence=0)
+
+
 def _entry_order(target: Target) -> tuple[int, int]:
     return target.born, target.sequence
--- a/cranberryrun/fleet/lease.py
+++ b/cranberryrun/fleet/lease.py
@@ -27,7 +27,14 @@
 TOPIC = "lease"
 _TTL_SECONDS = 1.0
 _RENEW_SECONDS = 0.25
-_POLL_SECONDS = 0.3
+# How often the holder reads the topic, and hosts on fast and on slow links that don't
+# hold the lease. Reads at intervals cost far fewer calls than long polls, which each
+# renewal would end. With many hosts, one of them reads soon after any record.
+_HOLDER_READ_SECONDS = 0.3
+_FAST_LINK_READ_SECONDS = 0.5
+_SLOW_LINK_READ_SECONDS = 1.5
+# Keeps the reads of hosts that were started together from staying together.
+_READ_JITTER_SHARE = 0.2
 _RETRY_DELAY_SECONDS = 0.1
 # Spreads the attempts of hosts that see the lease end at the same time.
 _JITTER_SECONDS = 0.04
@@ -36,8 +43,9 @@
 # before a host whose own restart would release it again.
 _MAX_AGE_DELAY_SECONDS = 0.15
 _MAX_DELAY_AGE_SECONDS = 60.0
-# Hosts on slow links try later, because a new holder first reads some megabytes.
-_MAX_SLOW_LINK_DELAY_SECONDS = 0.12
+# Hosts on slow links try later, because a new holder first reads some megabytes and
+# then runs all batches. The delay lets a host on a fast link read the topic before.
+_MAX_SLOW_LINK_DELAY_SECONDS = 0.6
 _FAST_LINK_MBPS = 600.0
 
 
@@ -131,8 +139,8 @@
     async def start(self) -> None:
         """Start following and renewing the lease."""
         self._started_at = self._now()
-        self.spawn(self._follow())
-        self.spawn(self._renew())
+        self.supervise(self._follow)
+        self.supervise(self._renew)
 
     async def release(self) -> None:
         """Release the lease and stop trying to acquire it.
@@ -158,11 +166,10 @@
 
     async def _follow(self) -> None:
         store = self.kernel.get(Store)
-        wait = 0.0
         while True:
             requested_at = self._now()
             try:
-                page = await store.read(TOPIC, self._next_offset, wait)
+                page = await store.read(TOPIC, self._next_offset, 0.0)
             except LogGapError as error:
                 self._next_offset = max(self._next_offset, error.first)
                 continue
@@ -171,16 +178,26 @@
                 # the holder's renewals may be missing only because of the outage.
                 self._last_record_at = float("inf")
                 await asyncio.sleep(_RETRY_DELAY_SECONDS)
-                wait = 0.0
                 continue
             if self._last_record_at == float("inf"):
                 self._last_record_at = requested_at
-            wait = _POLL_SECONDS
             for offset, raw in enumerate(page.records, page.start):
                 self._apply_record(offset, raw)
             self._next_offset = page.next
             if page.next >= page.end:
                 await self._acquire_if_free()
+                await asyncio.sleep(self._read_interval())
+
+    def _read_interval(self) -> float:
+        """Return the seconds until the next read of the topic."""
+        if self.assigned:
+            return _HOLDER_READ_SECONDS
+        seconds = _SLOW_LINK_READ_SECONDS + self._link_share * (
+            _FAST_LINK_READ_SECONDS - _SLOW_LINK_READ_SECONDS
+        )
+        return seconds * self._rng.uniform(
+            1.0 - _READ_JITTER_SHARE, 1.0 + _READ_JITTER_SHARE
+        )
 
     def _apply_record(self, offset: int, raw: bytes) -> None:
         try:
--- a/cranberryrun/fleet/neighbours.py
+++ b/cranberryrun/fleet/neighbours.py
@@ -49,8 +49,8 @@
 
     async def start(self) -> None:
         """Register this host and start reading the other entries regularly."""
-        self.spawn(self._register())
-        self.spawn(self._refresh())
+        self.supervise(self._register)
+        self.supervise(self._refresh)
 
     def choose(self, count: int) -> list[Neighbour]:
         """Return at most ``count`` neighbours in random order, the own zone first."""
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -66,7 +66,7 @@
         """See :meth:`TargetClient.send`."""
         async with self._send_forwarded(target, request) as response:
             body = await self._read_body(response)
-            _check_answer(response, request.id)
+            _check_signature(response, request.id)
             return Answer(response.status, forwardable(response.headers), body)
 
     def _send_forwarded(
@@ -86,6 +86,7 @@
             request.method,
             target,
             request.target,
+            request.id,
             headers=headers,
             data=request.body or None,
             timeout=aiohttp.ClientTimeout(total=max(0.001, remaining)),
@@ -96,7 +97,7 @@
     ) -> AsyncIterator[Answer | StreamedEvent]:
         """See :meth:`TargetClient.stream`."""
         async with self._send_forwarded(target, request, last_event) as response:
-            _check_answer(response, request.id)
+            _check_signature(response, request.id)
             headers = forwardable(response.headers)
             if response.status != 200 or response.content_type != _EVENT_STREAM:
                 body = await self._read_body(response)
@@ -114,9 +115,18 @@
 
     @asynccontextmanager
     async def _open_response(
-        self, method: str, target: Target, path: str, **options: Any
+        self,
+        method: str,
+        target: Target,
+        path: str,
+        attempt_id: str | None,
+        **options: Any,
     ) -> AsyncIterator[aiohttp.ClientResponse]:
-        """Send one request; translate errors of aiohttp into errors of this package."""
+        """Send one request; translate errors of aiohttp into errors of this package.
+
+        :param attempt_id: the id that the answer must echo; None for reports and
+            orders, whose answers have none.
+        """
         url = _url(target, path)
         session = self.kernel.get(HttpClients).shared
         try:
@@ -130,6 +140,9 @@
                 self._apply_keepalive_timeout(response)
                 if any(name in response.headers for name in wire.LEAVING):
                     self.kernel.get(Directory).mark_leaving(target.id)
+                # Before all else: a late copy of another request's refusal does not
+                # say that this request was not run.
+                _check_echo(response, attempt_id)
                 _raise_if_refused(response)
                 yield response
         except aiohttp.ClientConnectorError as error:
@@ -194,12 +207,13 @@
             "POST",
             target,
             item.path,
+            item.id,
             headers=headers,
             data=item.body,
             timeout=aiohttp.ClientTimeout(total=max(0.001, remaining)),
         ) as response:
             _raise_if_run_failed(response)
-            _check_answer(response, item.id)
+            _check_signature(response, item.id)
             async for piece in _read_pieces(response, done):
                 yield piece
 
@@ -216,12 +230,13 @@
             "POST",
             target,
             call.path,
+            call.id,
             headers=headers,
             data=call.body or None,
             timeout=aiohttp.ClientTimeout(total=remaining),
         ) as response:
             await self._read_body(response)
-            _check_answer(response, call.id)
+            _check_signature(response, call.id)
             if response.status == 500:
                 raise RunFailedError(f"{target.id} answered 500 to a reward call")
             if response.status >= 300:
@@ -236,6 +251,7 @@
             "GET",
             target,
             _REPORT_PATH,
+            None,
             timeout=aiohttp.ClientTimeout(total=_CONTROL_TIMEOUT_SECONDS),
         ) as response:
             body = await self.kernel.get(HttpClients).read(response)
@@ -265,6 +281,7 @@
             "POST",
             target,
             _ORDER_PATH,
+            None,
             json=body,
             headers={wire.EXPECT_INSTANCE: target.id},
             timeout=aiohttp.ClientTimeout(total=_CONTROL_TIMEOUT_SECONDS),
@@ -311,20 +328,31 @@
     raise TargetFailedError(f"the engine answered {status} to an item")
 
 
-def _check_answer(response: aiohttp.ClientResponse, attempt_id: str) -> None:
-    """Check that the answer belongs to this request and has a signature header.
+def _check_echo(response: aiohttp.ClientResponse, attempt_id: str | None) -> None:
+    """Check that the answer does not belong to another request.
+
+    A target may send a second copy of an answer on a connection that is in use again.
 
-    :raises TargetFailedError: it does not.
+    :raises TargetFailedError: it does; the connection is closed.
     """
     echoed_id = response.headers.get(wire.ATTEMPT_ID)
-    if echoed_id is not None and echoed_id != attempt_id:
-        response.close()
-        raise TargetFailedError(
-            f"the answer is for request {echoed_id!r}; expected {attempt_id!r}"
-        )
-    if response.status < 300 and wire.SIGNATURE not in response.headers:
-        response.close()
-        raise TargetFailedError(f"the answer to {attempt_id!r} has no signature header")
+    if echoed_id is None or echoed_id == attempt_id:
+        return
+    response.close()
+    raise TargetFailedError(
+        f"the answer is for request {echoed_id!r}; expected {attempt_id!r}"
+    )
+
+
+def _check_signature(response: aiohttp.ClientResponse, attempt_id: str) -> None:
+    """Check that a successful answer has a signature header.
+
+    :raises TargetFailedError: it has none; the connection is closed.
+    """
+    if response.status >= 300 or wire.SIGNATURE in response.headers:
+        return
+    response.close()
+    raise TargetFailedError(f"the answer to {attempt_id!r} has no signature header")
 
 
 def _is_framed(response: aiohttp.ClientResponse) -> bool:
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -23,7 +23,8 @@
     ``script`` lists the behaviour for the next requests: ``full`` (503, not executed),
     ``error`` (500), ``foreign`` (attempt id of another request), ``unsigned`` (no
     server signature), ``short`` (fewer bytes than ``Content-Length``), ``reset``
-    (connection reset), ``silent`` (no response), ``cut`` (the stream ends in the
+    (connection reset), ``foreign refusal`` (the refusal of another request),
+    ``silent`` (no response), ``cut`` (the stream ends in the
     middle of an event), ``impossible`` (422) or an empty string (success, as with an
     empty script). ``event_seconds`` is the time between events, ``answer_seconds``
     the time until a plain response. ``executed_requests`` lists the attempt ids of
@@ -146,6 +147,11 @@
             _SERVER_SIGNATURE: "1.2.3",
             "X-Own": "kept",
         }
+        if behaviour == "foreign refusal":
+            # A late copy comes before the answer to the request, which is run.
+            self.executed_requests.append(headers[_ATTEMPT_ID])
+            headers[_ATTEMPT_ID] = "somebody-else"
+            return web.Response(status=503, headers={**headers, _NOT_EXECUTED: "1"})
         if behaviour == "full":
             return web.Response(status=503, headers={_NOT_EXECUTED: "1"})
         self.executed_requests.append(headers[_ATTEMPT_ID])
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -121,3 +121,52 @@
         self.store.put_keyed(topic, "e9", b'{"service": 3}')
         await asyncio.sleep(0.1)
         self.assertEqual(self.target_ids(), {"e1"})
+
+
+class HeartbeatTest(DirectoryTestCase):
+    """36 targets write a heartbeat about once a second each, as on the large site."""
+
+    async def write_heartbeats(self, seconds, targets=36):
+        end = self.now() + seconds
+        while self.now() < end:
+            for number in range(targets):
+                self.deployment.register(f"h{number}")
+                await asyncio.sleep(1.2 / targets)
+
+    def count_reads(self):
+        reads = []
+        read = self.store.read
+
+        async def counted(topic, start, wait):
+            if topic == self.deployment.decoder.target_topic:
+                reads.append(start)
+            return await read(topic, start, wait)
+
+        self.store.read = counted
+        return reads
+
+    async def test_host_without_the_lease_reads_heartbeats_twice_a_second_at_most(self):
+        self.directory.follow_closely = False
+        await self.write_heartbeats(2.4)
+        reads = self.count_reads()
+        await self.write_heartbeats(12.0)
+        self.assertLess(len(reads), 2.0 * 12.0)
+
+    async def test_leaving_target_is_noticed_within_a_second_among_heartbeats(self):
+        self.directory.follow_closely = False
+        beats = asyncio.create_task(self.write_heartbeats(6.0))
+        await asyncio.sleep(3.0)
+        self.deployment.register("e0", draining=True)
+        await asyncio.sleep(1.0)
+        self.assertNotIn("e0", self.target_ids())
+        await beats
+
+    async def test_holder_of_the_lease_notices_a_new_version_at_once(self):
+        self.assertTrue(self.directory.follow_closely)
+        beats = asyncio.create_task(self.write_heartbeats(6.0))
+        await asyncio.sleep(3.0)
+        self.deployment.register("e0", version_by_model={"m": 7})
+        await asyncio.sleep(0.3)
+        target = self.directory.target_by_id["e0"]
+        self.assertEqual(target.version_by_model, {"m": 7})
+        await beats
