--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -21,16 +21,17 @@
     """Responds to requests, streams the events of items and accepts load orders.
 
     ``script`` lists the behaviour for the next requests: ``full`` (503, not executed),
-    ``error`` (500), ``foreign`` (attempt id of another request), ``unsigned`` (no
+    ``error`` (500), ``foreign`` (attempt id of another request), ``foreign refusal``
+    (the refusal of another request; the request itself is executed), ``unsigned`` (no
     server signature), ``short`` (fewer bytes than ``Content-Length``), ``reset``
-    (connection reset), ``foreign refusal`` (the refusal of another request),
-    ``silent`` (no response), ``cut`` (the stream ends in the
+    (connection reset), ``silent`` (no response), ``cut`` (the stream ends in the
     middle of an event), ``impossible`` (422) or an empty string (success, as with an
     empty script). ``event_seconds`` is the time between events, ``answer_seconds``
     the time until a plain response. ``executed_requests`` lists the attempt ids of
     requests whose execution began, ``generated_events`` the events of items as
     ``(attempt id, event number, weight version)``. While ``leaving`` is set, every
-    answer says that the target is leaving.
+    answer says that the target is leaving. ``answers_carry_id`` is an attempt id that
+    every answer carries.
     """
 
     def __init__(self, target_id: str, service: str, model: str | None = None) -> None:
@@ -50,6 +51,7 @@
         self.answer_seconds = 0.0
         self.open_requests = 0
         self.leaving = False
+        self.answers_carry_id = ""
         self.born = 1
         self.address = ""
         self._runner: web.AppRunner | None = None
@@ -78,7 +80,7 @@
         app.router.add_get("/v1/report", self._report)
         app.router.add_post("/v1/order", self._order)
         app.router.add_route("*", "/{path:.*}", self._handle_request)
-        app.on_response_prepare.append(self._add_leaving_header)
+        app.on_response_prepare.append(self._add_headers)
         self._runner = web.AppRunner(
             app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
         )
@@ -93,11 +95,13 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    async def _add_leaving_header(
+    async def _add_headers(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
         if self.leaving:
             response.headers[_LEAVING] = "1"
+        if self.answers_carry_id:
+            response.headers[_ATTEMPT_ID] = self.answers_carry_id
 
     async def _report(self, request: web.Request) -> web.Response:
         entry = self.entry()
--- /dev/null
+++ b/tests/test_late_answers.py
@@ -0,0 +1,69 @@
+"""A target sends a second, late copy of an answer on a connection in use again.
+
+The copy arrives where the answer to the next request is due. It must not be taken for
+that answer, whether it is a success or a refusal.
+"""
+
+from cranberryrun import clock
+from cranberryrun.exceptions import TargetFailedError
+from cranberryrun.fleet.client import LoadOrder, TargetClient
+from cranberryrun.fleet.directory import Directory
+from fakes.deployment import reward_call
+
+from .test_platform_host import PlatformTestCase
+
+COPIES = ("foreign", "foreign refusal")
+
+
+class LateAnswerTest(PlatformTestCase):
+    def entry(self, target):
+        return self.host.kernel.get(Directory).target_by_id[target.id]
+
+    @property
+    def client(self):
+        return self.host.kernel.get(TargetClient)
+
+    async def test_request_that_may_not_be_repeated_is_not_called_refused(self):
+        """It runs once, and its caller is not told that it has not run."""
+        for copy in COPIES:
+            with self.subTest(copy=copy):
+                for portal in self.portals:
+                    portal.executed_requests.clear()
+                    portal.script.append(copy)
+                status, _, body = await self.request("POST", "/hold/x", copy)
+                self.assertEqual(status, 502)
+                self.assertNotIn(b'"not_run": true', body)
+                runs = [run for p in self.portals for run in p.executed_requests]
+                self.assertEqual(len(runs), 1)
+                for portal in self.portals:
+                    portal.script.clear()
+
+    async def test_repeatable_request_gets_its_own_answer(self):
+        for copy in COPIES:
+            with self.subTest(copy=copy):
+                self.portals[0].script.append(copy)
+                for number in range(4):
+                    status, _, body = await self.request(
+                        "POST", "/status/x", f"{copy}-{number}", data=b"mine"
+                    )
+                    self.assertEqual((status, body), (200, b"answer to mine"))
+                self.portals[0].script.clear()
+
+    async def test_reward_call_is_not_scored_or_refused_by_the_copy(self):
+        for copy in COPIES:
+            with self.subTest(copy=copy):
+                self.portals[0].script.append(copy)
+                with self.assertRaises(TargetFailedError):
+                    await self.client.score(
+                        self.entry(self.portals[0]),
+                        reward_call("i1"),
+                        clock.now() + 1.0,
+                    )
+
+    async def test_order_and_report_are_not_answered_by_the_copy(self):
+        self.engine.answers_carry_id = "somebody-else"
+        order = LoadOrder("m", 2, "host-1", 99, 0, True)
+        with self.assertRaises(TargetFailedError):
+            await self.client.order(self.entry(self.engine), order)
+        with self.assertRaises(TargetFailedError):
+            await self.client.report(self.entry(self.engine))
