--- a/cranberryrun/ctl_explain.py
+++ b/cranberryrun/ctl_explain.py
@@ -18,6 +18,7 @@
         "sample_resumed",
         "item_run",
         "item_finished",
+        "reward_call_ended",
         "results_read",
     }
 )
@@ -141,6 +142,7 @@
     if outcomes:
         texts = ", ".join(f"{name} {count}" for name, count in outcomes.most_common())
         lines.append(f"Runs by outcome: {texts}.")
+    lines += _reward_summary(by_event)
     for row in by_event.get("results_held", [])[:1]:
         lines.append(
             f"Writing results to the store failed and is retried: {row.get('reason')}."
@@ -150,6 +152,29 @@
     return lines
 
 
+def _reward_summary(by_event: dict[str, list[EventRow]]) -> list[str]:
+    """Summarize the reward calls of a batch; empty if it has none."""
+    ended = by_event.get("reward_call_ended", [])
+    if not ended:
+        return []
+    outcomes = Counter(row.get("outcome") for row in ended)
+    texts = ", ".join(f"{name} {count}" for name, count in outcomes.most_common())
+    slowest = max(ended, key=lambda row: row.get("seconds", 0.0))
+    lines = [
+        f"Reward calls by outcome: {texts}; the slowest (sample "
+        f"{slowest.get('sample')}) took {slowest.get('seconds')} s with "
+        f"{slowest.get('errors')} errors and {slowest.get('failed_runs')} failed runs."
+    ]
+    failures = Counter(
+        f"{row.get('code')} at {row.get('target')}"
+        for row in by_event.get("reward_call_failed", [])
+    )
+    if failures:
+        texts = ", ".join(f"{name} ({n})" for name, n in failures.most_common(5))
+        lines.append(f"Failed attempts at reward calls: {texts}.")
+    return lines
+
+
 def _concurrent_warnings(own_rows: list[EventRow], rows: list[EventRow]) -> list[str]:
     """Count the warnings of the same time that belong to no step or request."""
     first, last = own_rows[0]["wall"], own_rows[-1]["wall"]
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -304,6 +304,29 @@
             ]
         )
 
+    def test_explain_summarizes_reward_calls(self):
+        failed = self.event_line(
+            4, "reward_call_failed", step="b1", target="s1", code="run_failed"
+        )
+        ended = self.event_line(
+            5,
+            "reward_call_ended",
+            step="b1",
+            sample="i7",
+            outcome="scored",
+            seconds=0.4,
+            errors=0,
+            failed_runs=1,
+        )
+        explanation = self.run_command(
+            "explain",
+            "step",
+            "b1",
+            lines="\n".join([self.batch_lines(), failed, ended]),
+        )
+        for expected in ("scored 1", "(sample i7) took 0.4 s", "run_failed at s1 (1)"):
+            self.assertIn(expected, explanation)
+
     def test_explain_reads_a_batch_from_log_files(self):
         explanation = self.run_command(
             "explain", "step", "b1", lines=self.batch_lines()
