--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
-from dataclasses import replace
 
 from .. import clock
 from ..events import Events
@@ -13,19 +11,18 @@
 from ..fleet.engine_pool import Engine, EnginePool
 from ..fleet.lease import Lease
 from ..kernel import Service
-from ..rewards.caller import RewardCaller
-from ..rewards.models import PendingCall, RewardFailedError
 from .dispatch import (
     ScheduledItem,
     fastest_event_interval,
     find_faster_engine,
     plan_starts,
 )
-from .item_run import Outcome, max_attempts, run_item, seconds_left
+from .item_run import Outcome, run_item
 from .log import BatchLog
 from .models import Result
 from .results import ResultWriter
 from .scheduled_items import ScheduledItems
+from .scoring import Scoring
 
 _TICK_SECONDS = 0.1
 _RETRY_DELAY_SECONDS = 0.1
@@ -69,6 +66,7 @@
     def __init__(self) -> None:
         super().__init__()
         self._scheduled_items: ScheduledItems
+        self._scoring: Scoring
         self._next_record_at = 0.0
         self._next_move_check_at = 0.0
         self._record_task: asyncio.Task[None] | None = None
@@ -82,6 +80,7 @@
         self._scheduled_items = ScheduledItems(
             self.kernel, table, self._stop_run, self._finish
         )
+        self._scoring = Scoring(self.kernel, self.spawn, self._finish, self._wake.set)
         self.kernel.get(Lease).observers.append(self._on_lease_change)
         self.kernel.get(EnginePool).observers.append(self._wake.set)
         self.supervise(self._follow_lease)
@@ -139,7 +138,7 @@
                 self._load_opened(log)
                 self._scheduled_items.update()
                 self._dispatch()
-                self._start_reward_calls()
+                self._scoring.start_calls(self._scheduled_items.in_open_batches())
                 self._move_slow_runs()
                 self._record_progress()
                 await asyncio.sleep(_MIN_CYCLE_PAUSE_SECONDS)
@@ -231,53 +230,6 @@
         engine.in_flight += 1
         scheduled.task = self.spawn(self._run(scheduled, engine))
 
-    def _start_reward_calls(self) -> None:
-        """Have complete outputs scored."""
-        scheduled_items = self._scheduled_items.in_open_batches()
-        if not any(scheduled.scoring for scheduled in scheduled_items):
-            return
-        unfinished_by_group = Counter(
-            (scheduled.state.batch.id, scheduled.item.group)
-            for scheduled in scheduled_items
-            if not scheduled.finished
-        )
-        for scheduled in scheduled_items:
-            if not scheduled.scoring:
-                continue
-            if scheduled.task is None:
-                scheduled.reward_call = self._pending_call(scheduled)
-                scheduled.task = self.spawn(self._score(scheduled))
-            assert scheduled.reward_call is not None
-            group = (scheduled.state.batch.id, scheduled.item.group)
-            scheduled.reward_call.unfinished_in_group = unfinished_by_group[group]
-
-    def _pending_call(self, scheduled: ScheduledItem) -> PendingCall:
-        assert scheduled.item.reward is not None
-        return PendingCall(
-            call=scheduled.item.reward,
-            sample=scheduled.item.id,
-            step=scheduled.state.batch.id,
-            due=scheduled.due,
-            # All attempts end at the same time, when the item itself is given up.
-            deadline=clock.now() + seconds_left(self.kernel, scheduled),
-            failure_limit=max_attempts(self.kernel, scheduled),
-        )
-
-    async def _score(self, scheduled: ScheduledItem) -> None:
-        own_task = asyncio.current_task()
-        assert scheduled.reward_call is not None and scheduled.unscored is not None
-        unscored = scheduled.unscored
-        try:
-            score = await self.kernel.get(RewardCaller).score(scheduled.reward_call)
-        except RewardFailedError as error:
-            self._finish(scheduled, Result(scheduled.item.id, False), error.detail)
-        else:
-            self._finish(scheduled, replace(unscored, score=score), "scored")
-        finally:
-            if scheduled.task is own_task:
-                scheduled.task = None
-            self._wake.set()
-
     def _move_slow_runs(self) -> None:
         """Move runs to an engine that would finish them much sooner."""
         if clock.now() < self._next_move_check_at:
--- a/cranberryrun/ctl_apply.py
+++ b/cranberryrun/ctl_apply.py
@@ -13,8 +13,8 @@
 
 from . import clock
 from .ctl_client import ControlClient, Request
+from .ctl_errors import NotInForceError, ProblemAnswerError, UsageError
 from .ctl_output import find_condition
-from .exceptions import NotInForceError, ProblemAnswerError, UsageError
 from .models import SPEC_BY_KIND, Model
 
 _POLL_INTERVAL_SECONDS = 0.3
--- a/cranberryrun/ctl_client.py
+++ b/cranberryrun/ctl_client.py
@@ -12,7 +12,7 @@
 import aiohttp
 
 from . import clock
-from .exceptions import (
+from .ctl_errors import (
     ChangeUnknownError,
     ControlError,
     HostsUnreachableError,
--- a/cranberryrun/ctl_control.py
+++ b/cranberryrun/ctl_control.py
@@ -11,8 +11,8 @@
 import uvloop
 
 from .ctl_client import ControlClient
+from .ctl_errors import ControlError
 from .ctl_output import ExitCode, exit_with_error, print_data
-from .exceptions import ControlError
 
 ClientCommand = Callable[[ControlClient], Coroutine[Any, Any, Any]]
 
--- a/cranberryrun/ctl_fleet.py
+++ b/cranberryrun/ctl_fleet.py
@@ -12,10 +12,10 @@
 from . import ctl_timeline
 from .ctl_client import ControlClient, Request
 from .ctl_control import Control, pass_control
+from .ctl_errors import ProblemAnswerError
 from .ctl_explain import explanation
 from .ctl_logs import logs_option, merged_events
 from .ctl_output import ExitCode, format_table
-from .exceptions import ProblemAnswerError
 from .timeline import EventRow, Selection, merge
 
 
--- a/cranberryrun/ctl_output.py
+++ b/cranberryrun/ctl_output.py
@@ -8,14 +8,14 @@
 
 import click
 
-from .exceptions import (
+from .ctl_errors import (
     ChangeUnknownError,
     ControlError,
-    CranberryrunError,
     HostsUnreachableError,
     ProblemAnswerError,
     UsageError,
 )
+from .exceptions import CranberryrunError
 
 _COLUMN_SEPARATOR = "  "
 
--- a/cranberryrun/ctl_timeline.py
+++ b/cranberryrun/ctl_timeline.py
@@ -10,7 +10,7 @@
 
 from . import clock
 from .catalogue import EVENT_BY_NAME
-from .exceptions import UsageError
+from .ctl_errors import UsageError
 from .timeline import EventRow, process_name
 
 _SECONDS_BY_UNIT = {"": 1.0, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86_400.0}
--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from . import clock
-from .budgets import BudgetPolicy, DeclaredRate
 from .engine_selection import EngineSelector
 from .engines import Engine, Engines, StreamOrder
 from .events import Events
@@ -18,7 +16,7 @@
     StreamLostError,
     UnstampedStreamError,
 )
-from .freshness import AtHandOver, FreshnessPolicy, SampleAge
+from .freshness import SampleAge
 from .models import Placement, Sample
 from .pause_detector import PauseDetector
 from .pending_slots import PendingSlots
@@ -26,7 +24,7 @@
 from .samples import Attempt, collect_sample
 from .slots import CompleteSample, Slot, SlotKey, StepSlots
 from .state import Resource
-from .stragglers import SecondAttempts, SlotProgress, StepProgress, StragglerPolicy
+from .stragglers import SlotProgress, StepProgress
 from .stream_names import StreamNames
 from .versions import Versions
 
@@ -41,15 +39,6 @@
 _STRAGGLER_CHECK_SECONDS = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class StepPolicies:
-    """The replaceable policies that steps follow."""
-
-    stragglers: StragglerPolicy = field(default_factory=SecondAttempts)
-    freshness: FreshnessPolicy = field(default_factory=AtHandOver)
-    budget: BudgetPolicy = field(default_factory=DeclaredRate)
-
-
 class Dispatcher:
     """Generates the samples of one call of a step.
 
--- a/cranberryrun/host.py
+++ b/cranberryrun/host.py
@@ -9,7 +9,6 @@
 from .api import Api
 from .budgets import LentRate
 from .configuration import Configuration
-from .dispatch import StepPolicies
 from .engines import Engines
 from .event_pages import EventPages
 from .events import Events
@@ -27,6 +26,7 @@
 from .security import target_context
 from .settings import Settings
 from .snapshots import Snapshots
+from .step_policies import StepPolicies
 from .steps import Steps
 from .usage import Usage
 from .versions import Versions
--- a/cranberryrun/steps.py
+++ b/cranberryrun/steps.py
@@ -11,7 +11,6 @@
 
 from .budgets import Claim
 from .configuration import Configuration
-from .dispatch import StepPolicies
 from .exceptions import NotFoundError, NotReadyError
 from .kernel import Service
 from .membership import Membership
@@ -21,6 +20,7 @@
 from .samples import Attempt
 from .settings import Settings
 from .state import Resource
+from .step_policies import StepPolicies
 from .step_run import SendEvent, StepRun
 from .versions import Versions
 from .views import FactKind
--- a/tests/test_steps.py
+++ b/tests/test_steps.py
@@ -4,8 +4,8 @@
 from collections import Counter
 
 from cranberryrun.budgets import DeclaredRate, LentRate
-from cranberryrun.dispatch import StepPolicies
 from cranberryrun.exceptions import NotReadyError
+from cranberryrun.step_policies import StepPolicies
 from cranberryrun.stragglers import NoSecondAttempts
 from cranberryrun.views import Fact, FactKind
 
