Have the soak submit items with reward calls, and check their scores

Cause: the soak knew nothing of scores. Every second group's items have a reward call at the portal; a score must be a signature that a portal gave to that very call, the call must not have been sent before the last event was made, and a scored item may be lost only after three failed runs of its call. Four tests plant a violation of each.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from .history import History, ObservedBatch
+from .history import History, ObservedBatch, score_id
 from .testbed import HOST_NAME, MODEL, ROLLOUT, SAFE, UNSAFE, Testbed
 
 _REQUEST_DEADLINE_SECONDS = 2.5
@@ -20,6 +20,20 @@
 _POLL_INTERVAL_SECONDS = 0.3
 
 
+def _reward_call(item: str, group: int) -> dict[str, Any]:
+    """Return the field of an item with its reward call; every second group has one."""
+    if group % 2:
+        return {}
+    return {
+        "scorer": {
+            "id": score_id(item),
+            "host": HOST_NAME,
+            "path": f"/{SAFE}/score",
+            "body": base64.b64encode(item.encode()).decode(),
+        }
+    }
+
+
 class Callers:
     """Sends requests and batches until stopped; each request loop has its own task."""
 
@@ -116,12 +130,14 @@
                 "headers": {"X-Cranberryrun-Model": MODEL},
                 "body": base64.b64encode(b"prompt").decode(),
                 "tokens": 30,
+                **_reward_call(f"{batch_id}-g{group}-{index}", group),
             }
             for group in range(_GROUP_COUNT)
             for index in range(_GROUP_SIZE)
         ]
         ids = frozenset(item["id"] for item in items)
-        batch = ObservedBatch(batch_id, min_version, ids)
+        scored = frozenset(item["id"] for item in items if "scorer" in item)
+        batch = ObservedBatch(batch_id, min_version, ids, scored)
         self._history.batch_by_id[batch_id] = batch
         body = {
             "step": min_version,
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -24,6 +24,8 @@
 MODEL = "m"
 OPERATOR_TOPIC, TARGETS_TOPIC = "keyed.op", "keyed.servers"
 SAFE, UNSAFE, ROLLOUT = "status", "hold", "rollout"
+# Of a request, a run of an item or a reward call.
+MAX_ATTEMPTS = 3
 ITEM_EVENTS = 25
 _EVENT_INTERVAL_SECONDS = 0.02
 _RESPONSE_SECONDS = 0.02
@@ -44,7 +46,7 @@
         "timeout-ms": 1500,
         "target-latency-ms": 200,
         "priority": 1,
-        "max-attempts": 3,
+        "max-attempts": MAX_ATTEMPTS,
         **fields,
     }
 
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 
 from aiohttp import web
 
@@ -29,7 +29,11 @@
     empty script). ``event_seconds`` is the time between events, ``answer_seconds``
     the time until a plain response. ``executed_requests`` lists the attempt ids of
     requests whose execution began, ``generated_events`` the events of items as
-    ``(attempt id, event number, weight version)``. While ``leaving`` is set, every
+    ``(attempt id, event number, weight version)``. ``signatures_by_attempt`` has the
+    signatures of successful plain answers, ``failed_runs_by_attempt`` the number of
+    answers with status 500; ``started_at_by_attempt`` and
+    ``generated_at_by_event`` the time of the first run and of the first generation, in
+    loop seconds. While ``leaving`` is set, every
     answer says that the target is leaving. ``answers_carry_id`` is an attempt id that
     every answer carries.
     """
@@ -45,6 +49,10 @@
         self.executed_requests: list[str] = []
         self.orders: list[dict[str, object]] = []
         self.generated_events: list[tuple[str, int, int]] = []
+        self.signatures_by_attempt: dict[str, set[str]] = {}
+        self.failed_runs_by_attempt: Counter[str] = Counter()
+        self.started_at_by_attempt: dict[str, float] = {}
+        self.generated_at_by_event: dict[tuple[str, int], float] = {}
         self.fence = -1
         self.events = 6
         self.event_seconds = 0.002
@@ -148,7 +156,7 @@
         behaviour = self.script.popleft() if self.script else ""
         headers = {
             _ATTEMPT_ID: request.headers.get(_ATTEMPT_ID, ""),
-            _SERVER_SIGNATURE: "1.2.3",
+            _SERVER_SIGNATURE: f"{self.id}.{len(self.executed_requests)}",
             "X-Own": "kept",
         }
         if behaviour == "foreign refusal":
@@ -159,7 +167,10 @@
         if behaviour == "full":
             return web.Response(status=503, headers={_NOT_EXECUTED: "1"})
         self.executed_requests.append(headers[_ATTEMPT_ID])
+        loop = asyncio.get_running_loop()
+        self.started_at_by_attempt.setdefault(headers[_ATTEMPT_ID], loop.time())
         if behaviour == "error":
+            self.failed_runs_by_attempt[headers[_ATTEMPT_ID]] += 1
             return web.Response(status=500, headers=headers, body=b"broken")
         if behaviour == "impossible":
             return web.Response(status=422, headers=headers)
@@ -184,6 +195,8 @@
         if self.model is not None:
             return await self._stream(request, headers, cut=behaviour == "cut")
         await asyncio.sleep(self.answer_seconds)
+        signatures = self.signatures_by_attempt.setdefault(headers[_ATTEMPT_ID], set())
+        signatures.add(headers[_SERVER_SIGNATURE])
         return web.Response(headers=headers, body=b"answer to " + body)
 
     async def _stream(
@@ -205,6 +218,9 @@
                 version = self.version
                 event = f"x-cranberryrun-weight-versions: {version}\n{event}"
             self.generated_events.append((item, number, version))
+            self.generated_at_by_event.setdefault(
+                (item, number), asyncio.get_running_loop().time()
+            )
             if cut and number == last_event_number + 3:
                 await response.write(event[:7].encode())
                 # Lets the host read the complete events before the connection closes.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -101,6 +101,55 @@
         self.assertEqual(len(self.violations()), 1)
 
 
+class ScoreHistoryTest(unittest.TestCase):
+    """The checker of scores finds each planted violation."""
+
+    def violations(
+        self, score, scored=True, called_at=2.0, state="succeeded", failed_runs=0
+    ):
+        history = History()
+        portal = PlatformTarget("p0", "portal")
+        engine = PlatformTarget("e0", "lm", "m")
+        portal.signatures_by_attempt["score-of-i1"] = {"p0.7"}
+        portal.failed_runs_by_attempt["score-of-i1"] = failed_runs
+        portal.started_at_by_attempt["score-of-i1"] = called_at
+        engine.generated_at_by_event["i1", ITEM_EVENTS] = 1.0
+        engine.generated_events = [("i1", n, 1) for n in range(1, ITEM_EVENTS + 1)]
+        ids = frozenset({"i1"})
+        batch = ObservedBatch("b1", 1, ids, ids if scored else frozenset(), True)
+        history.batch_by_id["b1"] = batch
+        result = {
+            "id": "i1",
+            "state": state,
+            "text": "\n".join(f"i1/{n}" for n in range(1, ITEM_EVENTS + 1)),
+            "versions": [1],
+        }
+        if score is not None:
+            result["score"] = score
+        history.check_page(batch, 0, {"total": 1, "results": [result]})
+        testbed = SimpleNamespace(targets=[portal, engine])
+        history.check_targets(testbed)
+        return history.violations
+
+    def test_no_violation_when_the_score_answers_the_call(self):
+        self.assertEqual(self.violations("p0.7"), [])
+        self.assertEqual(self.violations(None, scored=False), [])
+
+    def test_violation_when_the_score_is_missing_foreign_or_unasked(self):
+        for score, scored in ((None, True), ("p0.8", True), ("p0.7", False)):
+            with self.subTest(score=score, scored=scored):
+                self.assertEqual(len(self.violations(score, scored)), 1)
+
+    def test_violation_when_a_scored_item_is_lost_before_its_call_failed_thrice(self):
+        for failed_runs, violations in ((2, 1), (3, 0)):
+            with self.subTest(failed_runs=failed_runs):
+                found = self.violations(None, state="lost", failed_runs=failed_runs)
+                self.assertEqual(len(found), violations)
+
+    def test_violation_when_the_call_was_sent_before_the_last_event(self):
+        self.assertEqual(len(self.violations("p0.7", called_at=0.5)), 1)
+
+
 class ProxyTest(unittest.IsolatedAsyncioTestCase):
     """The proxy injects each kind of link fault."""
 
