Spread long items over engines by the events that their runs hold

Cause: an item went to the engine with the prompt of its group, or with the most free slots, whatever its runs held.

Change: the cost of an engine grows by 1.5e-4 of the item's time for each event that its runs are expected to hold.

Tests: LongGroupTest fails without the change.

--- a/cranberryrun/batches/dispatch.py
+++ b/cranberryrun/batches/dispatch.py
@@ -29,6 +29,11 @@
 _LONG_ITEM_SECONDS = 1.5
 _RESERVED_SLOT_SHARE = 1 / 3
 
+# An engine's events take longer by this share for each event that its other runs hold
+# in memory. Several long runs on one engine may also exceed its memory, and one of them
+# is then preempted.
+_SLOWDOWN_PER_EVENT = 1.5e-4
+
 # How much the trainer needs a group.
 CARRIED, WANTED, SPARE = range(3)
 
@@ -104,6 +109,10 @@
         self.unscored = None
         self.completion_recorded = False
 
+    def total_events(self) -> float:
+        """Return the expected length of the complete output, in events."""
+        return len(self.pieces) + self.remaining_events()
+
     def remaining_events(self) -> float:
         """Return how many more events are expected of an incomplete output.
 
@@ -220,9 +229,13 @@
         return scheduled.ahead, rank == SPARE, slack
 
     engine_by_group: dict[str, str] = {}
+    held_events_by_id = dict.fromkeys(free_slots_by_id, 0.0)
     for scheduled in scheduled_items:
-        if scheduled.engine is not None:
-            engine_by_group[scheduled.item.group] = scheduled.engine.id
+        if scheduled.engine is None:
+            continue
+        engine_by_group[scheduled.item.group] = scheduled.engine.id
+        if scheduled.engine.id in held_events_by_id:
+            held_events_by_id[scheduled.engine.id] += scheduled.total_events()
     starts = []
     for scheduled in sorted(
         (scheduled for scheduled in scheduled_items if scheduled.waiting), key=urgency
@@ -238,10 +251,16 @@
             and may_run(scheduled, engine)
         ]
         chosen = _choose_engine(
-            scheduled, eligible, fastest_interval, free_slots_by_id, engine_by_group
+            scheduled,
+            eligible,
+            fastest_interval,
+            free_slots_by_id,
+            held_events_by_id,
+            engine_by_group,
         )
         if chosen is None:
             continue
+        held_events_by_id[chosen.id] += scheduled.total_events()
         free_slots_by_id[chosen.id] -= 1
         in_flight_by_id[chosen.id] += 1
         if not free_slots_by_id[chosen.id]:
@@ -281,6 +300,7 @@
     engines: Sequence[Engine],
     fastest_interval: float,
     free_slots_by_id: dict[str, int],
+    held_events_by_id: dict[str, float],
     engine_by_group: dict[str, str],
 ) -> Engine | None:
     remaining = scheduled.remaining_events()
@@ -297,6 +317,9 @@
         cost = extra_seconds + interval * _utilization(
             engine, free_slots_by_id[engine.id]
         )
+        cost += (
+            remaining * interval * _SLOWDOWN_PER_EVENT * held_events_by_id[engine.id]
+        )
         if engine_by_group.get(scheduled.item.group) == engine.id:
             # The engine has the prompt of this group in its prefix cache.
             cost -= interval
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -67,6 +67,26 @@
         )
 
 
+class LongGroupTest(DispatchTestCase):
+    """The load of kelani-votes: groups of four items that may have 181 events each.
+
+    Four such items fill the memory of one engine, which then preempts the newest.
+    """
+
+    def engines_of_starts(self, groups, size, events):
+        engines = [self.engine(f"e{number}") for number in range(4)]
+        items = self.scheduled_items(groups=groups, size=size, events=events)
+        return [start.engine.id for start in plan_starts(items, engines, 0.0)]
+
+    async def test_long_items_of_a_group_are_spread_over_the_engines(self):
+        engines = self.engines_of_starts(groups=1, size=4, events=181)
+        self.assertEqual(len(set(engines)), 4)
+
+    async def test_short_items_of_a_group_share_the_cached_prompt_of_one_engine(self):
+        engines = self.engines_of_starts(groups=1, size=4, events=10)
+        self.assertEqual(len(set(engines)), 1)
+
+
 class HeavyStepTest(DispatchTestCase):
     """Load of the scenario lelc-enrol scale-1: two steps of 120 items on 72 slots."""
 
