Continue a stalled stream of a resumable route at another target

Change: on routes that may be resumed, a target that completes no event for a second, or twice the latency goal, is left for another, and its connection closed. The time in which the caller reads does not count, slow streams are not cut, and a stream that may not be resumed is left to its caller.

Measured: test_a_stalled_stream_continues_on_another_target fails without the change; tests.test_platform_streams, 10 passed.

--- a/cranberryrun/requests/streams.py
+++ b/cranberryrun/requests/streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 
 from .. import clock
@@ -11,6 +12,7 @@
     OutcomeUnknownError,
     RefusedError,
     TargetFailedError,
+    TargetTimeoutError,
 )
 from ..fleet.client import Answer, Request, StreamedEvent, TargetClient
 from ..fleet.directory import Target
@@ -19,6 +21,35 @@
 from .forwarder import Forwarder
 
 _RETRY_AFTER_SECONDS = 0.2
+# Callers abandon a stream after a silence of two seconds or four times the latency
+# goal, whichever is longer. Half of that leaves another target time for its first event.
+_MIN_SILENCE_SECONDS = 1.0
+_SILENCE_FACTOR = 2.0
+
+
+async def _end_when_silent(
+    parts: AsyncIterator[Answer | StreamedEvent],
+    target: Target,
+    max_silence: float | None,
+) -> AsyncIterator[Answer | StreamedEvent]:
+    """Yield the parts; end when no whole one arrives for ``max_silence`` seconds.
+
+    Single bytes now and then, which complete no event, are silence. The time in which
+    the caller reads a part does not count.
+
+    :raises TargetTimeoutError: the target was silent; its connection is closed.
+    """
+    while True:
+        try:
+            async with asyncio.timeout(max_silence):
+                part = await anext(parts)
+        except StopAsyncIteration:
+            return
+        except TimeoutError:
+            raise TargetTimeoutError(
+                f"{target.id} sent no event for {max_silence:g} s"
+            ) from None
+        yield part
 
 
 class Streams(Service):
@@ -75,7 +106,8 @@
                 )
             tried.add(target.id)
             try:
-                async for part in self._attempt(target, request, last_event):
+                silence = self._max_silence(route, service, tried)
+                async for part in self._attempt(target, request, last_event, silence):
                     if isinstance(part, StreamedEvent):
                         if part.number is not None:
                             if last_event is not None and part.number <= last_event:
@@ -99,8 +131,23 @@
                         raise OutcomeUnknownError(error.detail) from None
                     raise
 
+    def _max_silence(self, route: Route, service: str, tried: set[str]) -> float | None:
+        """Return after how many seconds without an event another target is tried.
+
+        :return: None if none may be tried: a slow stream is then better than none.
+        """
+        if not route.resumable or len(tried) >= route.max_attempts:
+            return None
+        if self.kernel.get(Forwarder).choose_target(service, tried) is None:
+            return None
+        return max(_MIN_SILENCE_SECONDS, _SILENCE_FACTOR * route.latency_goal)
+
     async def _attempt(
-        self, target: Target, request: Request, last_event: int | None
+        self,
+        target: Target,
+        request: Request,
+        last_event: int | None,
+        max_silence: float | None,
     ) -> AsyncIterator[Answer | StreamedEvent]:
         forwarder = self.kernel.get(Forwarder)
         state = forwarder.state_of(target.id)
@@ -109,7 +156,8 @@
         head: Answer | None = None
         try:
             client = self.kernel.get(TargetClient)
-            async for part in client.stream(target, request, last_event):
+            parts = client.stream(target, request, last_event)
+            async for part in _end_when_silent(parts, target, max_silence):
                 if isinstance(part, Answer) and last_event and part.status != 200:
                     raise TargetFailedError(
                         f"{target.id} answered the resumption with status {part.status}"
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -15,6 +15,7 @@
 _EXPECT_VERSION = "X-Cranberryrun-Expect-Version"
 _LEAVING = "Server-Leaving"
 _CUT_DELAY_SECONDS = 0.05
+_STALL_BYTE_SECONDS = 0.1
 
 
 class PlatformTarget:
@@ -25,7 +26,8 @@
     (the refusal of another request; the request itself is executed), ``unsigned`` (no
     server signature), ``short`` (fewer bytes than ``Content-Length``), ``reset``
     (connection reset), ``silent`` (no response), ``cut`` (the stream ends in the
-    middle of an event), ``impossible`` (422) or an empty string (success, as with an
+    middle of an event), ``stall`` (the stream goes on with single bytes of no event,
+    without end), ``impossible`` (422) or an empty string (success, as with an
     empty script). ``event_seconds`` is the time between events, ``answer_seconds``
     the time until a plain response. ``executed_requests`` lists the attempt ids of
     requests whose execution began, ``generated_events`` the events of items as
@@ -193,14 +195,14 @@
             request.transport.close()
             return response
         if self.model is not None:
-            return await self._stream(request, headers, cut=behaviour == "cut")
+            return await self._stream(request, headers, behaviour)
         await asyncio.sleep(self.answer_seconds)
         signatures = self.signatures_by_attempt.setdefault(headers[_ATTEMPT_ID], set())
         signatures.add(headers[_SERVER_SIGNATURE])
         return web.Response(headers=headers, body=b"answer to " + body)
 
     async def _stream(
-        self, request: web.Request, headers: dict[str, str], cut: bool
+        self, request: web.Request, headers: dict[str, str], behaviour: str
     ) -> web.StreamResponse:
         headers |= {
             _WEIGHT_VERSIONS: str(self.version),
@@ -221,7 +223,11 @@
             self.generated_at_by_event.setdefault(
                 (item, number), asyncio.get_running_loop().time()
             )
-            if cut and number == last_event_number + 3:
+            if behaviour == "stall" and number == last_event_number + 3:
+                while True:
+                    await response.write(b":")
+                    await asyncio.sleep(_STALL_BYTE_SECONDS)
+            if behaviour == "cut" and number == last_event_number + 3:
                 await response.write(event[:7].encode())
                 # Lets the host read the complete events before the connection closes.
                 await asyncio.sleep(_CUT_DELAY_SECONDS)
--- a/tests/test_platform_streams.py
+++ b/tests/test_platform_streams.py
@@ -69,6 +69,36 @@
             self.assertEqual((status, body), (200, self.complete_stream(attempt_id)))
             self.engine.script.clear()
 
+    async def test_a_stalled_stream_continues_on_another_target(self):
+        """The target sends a byte now and then, but no event any more."""
+        self.engine.script.extend(["stall"] * 8)
+        loop = asyncio.get_running_loop()
+        for number in range(4):
+            attempt_id = f"s6-{number}"
+            started_at = loop.time()
+            status, _, body = await self.request("POST", "/resumed/x", attempt_id)
+            self.assertEqual((status, body), (200, self.complete_stream(attempt_id)))
+            # Callers abandon a stream after two seconds without an event.
+            self.assertLess(loop.time() - started_at, 2.0)
+        await self.wait_until(lambda: self.engine.open_requests == 0, 1.0)
+
+    async def test_a_slow_stream_is_not_cut(self):
+        """Its events come more slowly than the goal of 0.2 s, but they come."""
+        for engine in self.engines:
+            engine.event_seconds = 0.25
+        for path in ("/live/x", "/resumed/x"):
+            status, _, body = await self.request("POST", path, "s7")
+            self.assertEqual((status, body), (200, self.complete_stream("s7")))
+        self.assertEqual(self.request_count(), 2)
+
+    async def test_a_stalled_stream_that_may_not_be_resumed_is_left_to_its_caller(self):
+        for engine in self.engines:
+            engine.script.append("stall")
+        with self.assertRaises((aiohttp.ClientPayloadError, TimeoutError)):
+            async with asyncio.timeout(4.0):
+                await self.request("POST", "/live/x", "s8")
+        self.assertEqual(self.request_count(), 1)
+
     async def test_a_caller_can_resume_a_stream(self):
         _, _, body = await self.request(
             "POST", "/resumed/x", "s3", headers={"Last-Event-Id": "4"}
