Drop a stale text that was taken over without pieces; never wait out all cooldowns

Cause, all found in reading the diff: an output taken over from an earlier batch for another reward call has no pieces, so that its versions were not compared with those that a third batch accepts; reward calls waited up to 10 s while all targets were in a cooldown (requests don't); an unexpected error in an attempt repeated it at once.

--- a/cranberryrun/batches/dispatch.py
+++ b/cranberryrun/batches/dispatch.py
@@ -55,9 +55,9 @@
     not moved to another engine before ``movable_at``, in loop seconds. ``carried``
     items were already in an earlier batch. No run of the item uses weights older than
     ``min_version``. ``ahead`` marks an item that its batch no longer needs and that
-    runs for the next batch. ``unscored`` is the result of a complete
-    output whose ``reward_call`` has no answer yet; ``completion_recorded`` tells
-    whether the store knows that the output is complete.
+    runs for the next batch. ``unscored`` is the result of a complete output whose
+    ``reward_call`` has no answer yet; ``completion_recorded`` tells whether the store
+    knows that the output is complete.
     """
 
     item: Item
--- a/cranberryrun/batches/scheduled_items.py
+++ b/cranberryrun/batches/scheduled_items.py
@@ -153,8 +153,14 @@
             scheduled.engine is not None
             and scheduled.run_version < scheduled.min_version
         )
-        if run_is_stale or not pieces_meet_version(
-            scheduled.pieces, scheduled.min_version
+        # A result that was taken over from an earlier batch has no pieces.
+        result_is_stale = scheduled.unscored is not None and (
+            min(scheduled.unscored.versions) < scheduled.min_version
+        )
+        if (
+            run_is_stale
+            or result_is_stale
+            or not pieces_meet_version(scheduled.pieces, scheduled.min_version)
         ):
             self._stop(scheduled)
             scheduled.discard_output()
--- a/cranberryrun/requests/streams.py
+++ b/cranberryrun/requests/streams.py
@@ -22,7 +22,8 @@
 
 _RETRY_AFTER_SECONDS = 0.2
 # Callers abandon a stream after a silence of two seconds or four times the latency
-# goal, whichever is longer. Half of that leaves another target time for its first event.
+# goal, whichever is longer. Half of that leaves another target time for its first
+# event.
 _MIN_SILENCE_SECONDS = 1.0
 _SILENCE_FACTOR = 2.0
 
--- a/cranberryrun/rewards/caller.py
+++ b/cranberryrun/rewards/caller.py
@@ -157,18 +157,23 @@
         if route is None:
             # The call waits: a later manifest may have its route again.
             return []
-        return [
+        targets = [
             target
             for backend in route.backends
             for target in directory.targets_of(backend.service)
-            if self._may_call(target)
         ]
+        usable = [target for target in targets if self._health(target).usable()]
+        if not usable:
+            # One of the targets in cooldown may answer; none of the others will.
+            return targets
+        return [target for target in usable if not self._is_being_probed(target)]
 
-    def _may_call(self, target: Target) -> bool:
+    def _health(self, target: Target) -> Health:
+        return self.kernel.get(Forwarder).state_of(target.id).health
+
+    def _is_being_probed(self, target: Target) -> bool:
         state = self.kernel.get(Forwarder).state_of(target.id)
-        if not state.health.usable():
-            return False
-        return not (state.health.probing() and state.in_flight)
+        return state.health.probing() and state.in_flight > 0
 
     def _load(self, target: Target) -> TargetLoad:
         in_flight = self.kernel.get(Forwarder).state_of(target.id).in_flight
@@ -202,6 +207,11 @@
         self.kernel.get(Forwarder).state_of(target.id).in_flight -= 1
         pending.started_at_by_target.pop(target.id, None)
         self._attempt_tasks_by_call.get(pending, set()).discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            # An unexpected error, which the service logs; the call must not be sent
+            # again at once and without end.
+            pending.errors += 1
+            pending.retry_at = clock.now() + retry_delay(pending.errors)
         self._wake.set()
 
     async def _attempt(self, pending: PendingCall, target: Target) -> None:
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -119,7 +119,10 @@
 def scored_batch(batch_id: str = "b1", **options: Any) -> Batch:
     """Return a batch as :func:`batch` does, each item with a reward call."""
     unscored = batch(batch_id, **options)
-    items = tuple(replace(item, reward=reward_call(item.id)) for item in unscored.items)
+    items = tuple(
+        item if item.reward else replace(item, reward=reward_call(item.id))
+        for item in unscored.items
+    )
     return replace(unscored, items=items)
 
 
--- a/tests/test_batch_rewards.py
+++ b/tests/test_batch_rewards.py
@@ -158,6 +158,26 @@
         # The texts end together, so one call goes to each of its four usable slots.
         self.assertLessEqual(self.targets_called().count("s0"), 4)
 
+    async def test_call_is_answered_soon_after_all_targets_failed(self):
+        """All targets are in a cooldown that has grown to several seconds."""
+        failures = [TargetFailedError() for _ in range(6)]
+        await self.start((*failures, 0.1), (*failures, 0.1))
+        for target in ("s0", "s1"):
+            for _ in range(5):
+                self.health(target).record_failure()
+                self.health(target).cooldown_until = 0.0
+            self.health(target).record_failure()
+            self.assertFalse(self.health(target).usable())
+        (result,) = await self.run_batch(seconds=8.0)
+        self.assertTrue(result.succeeded)
+
+    async def test_unexpected_error_does_not_repeat_the_call_without_end(self):
+        await self.start((ZeroDivisionError(), 0.1))
+        with self.assertLogs("absl", "ERROR"):
+            (result,) = await self.run_batch()
+        self.assertTrue(result.succeeded)
+        self.assertEqual(len(self.targets.score_calls), 2)
+
     async def test_leaving_target_gets_no_calls(self):
         await self.start((0.1,), (0.1,))
         self.deployment.register(
@@ -266,6 +286,27 @@
     async def test_text_is_kept_when_the_call_was_stopped_seconds_ago(self):
         await self.carry(wait=8.0)
 
+    async def test_text_taken_over_for_another_call_is_dropped_when_it_is_stale(self):
+        """The text is scored anew in the second batch, which ends before the answer."""
+        await self.start((0.1, NEVER))
+        first = scored_batch("b1", groups=1, size=1)
+        await self.deployment.submit(self.host, first)
+        await self.deployment.results(self.host, "b1", 3.0)
+        self.assertEqual(len(self.engine.runs), 1)
+        items = (replace(first.items[0], reward=reward_call("other")),)
+        await self.deployment.submit(
+            self.host, scored_batch("b2", groups=1, size=1, items=items)
+        )
+        await asyncio.sleep(0.5)
+        await self.host.get(Batches).end("b2", self.now() + 1.0)
+        self.engine.version = 2
+        self.deployment.register("e0")
+        self.targets.score_steps_by_target["s0"] = [0.1]
+        third = scored_batch("b3", groups=1, size=1, min_version=2)
+        await self.deployment.submit(self.host, replace(third, items=items))
+        (result,) = await self.deployment.results(self.host, "b3", 5.0)
+        self.assertEqual(result.versions, (2,))
+
     async def test_score_is_kept_when_the_call_is_the_same(self):
         await self.carry(steps=(0.1,))
         self.assertEqual(len(self.targets.score_calls), 1)
