Correct the comment on the signature; use the type that reader.py already has

Found in the last reading of the diff: the comment said that only the presence of the signature is checked, but its value is the score of a reward call; scoring.py declared Spawn, which batches/reader.py has. Ruled out: nothing else changes, no statement does.

--- a/cranberryrun/batches/scoring.py
+++ b/cranberryrun/batches/scoring.py
@@ -4,9 +4,8 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
-from typing import Any
 
 from .. import clock
 from ..kernel import Kernel
@@ -15,8 +14,7 @@
 from .dispatch import ScheduledItem
 from .item_run import max_attempts, seconds_left
 from .models import Result
-
-Spawn = Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]]
+from .reader import Spawn
 
 
 class Scoring:
--- a/cranberryrun/platform/wire.py
+++ b/cranberryrun/platform/wire.py
@@ -29,7 +29,8 @@
 # same when this host sends a request again.
 ATTEMPT_ID = "X-Cranberryrun-Attempt-Id"
 DEADLINE_MS = "X-Cranberryrun-Deadline-Ms"
-# Only its presence is checked; a successful answer without it is rejected.
+# A successful answer without it is rejected. In the answer to a reward call, its value
+# is the score.
 SIGNATURE = "X-Cranberryrun-Server-Signature"
 # The id of the target. Another instance at the same address answers 421.
 EXPECT_INSTANCE = "X-Cranberryrun-Expect-Instance"
