Move header names and answer checks of the platform into modules of their own

No logic changes: header_names.py has the constants, answer_checks.py the five checks of an answer. Tests of the platform host, leaving targets, streams and late answers pass before and after.

--- a/cranberryrun/platform/frontend.py
+++ b/cranberryrun/platform/frontend.py
@@ -25,7 +25,7 @@
 from ..metrics import CONTENT_TYPE, Metrics
 from ..requests.forwarder import Forwarder
 from ..requests.streams import Streams
-from . import wire
+from . import header_names, wire
 from .http_server import Handler, listen
 from .settings import HostSettings
 
@@ -110,7 +110,7 @@
             headers["Retry-After"] = f"{error.retry_after:g}"
         self.kernel.get(Events).emit(
             "answer_failed",
-            request=request.headers.get(wire.ATTEMPT_ID),
+            request=request.headers.get(header_names.ATTEMPT_ID),
             method=request.method,
             path=request.path,
             status=error.status,
@@ -158,7 +158,7 @@
         self, request: web.BaseRequest, route: Route, body: bytes
     ) -> web.StreamResponse:
         forwarded = Request(
-            id=request.headers.get(wire.ATTEMPT_ID, ""),
+            id=request.headers.get(header_names.ATTEMPT_ID, ""),
             method=request.method,
             target=request.raw_path,
             headers=tuple(request.headers.items()),
@@ -173,7 +173,7 @@
     async def _forward_stream(
         self, request: web.BaseRequest, route: Route, forwarded: Request
     ) -> web.StreamResponse:
-        last_event_id = request.headers.get(wire.LAST_EVENT_ID)
+        last_event_id = request.headers.get(header_names.LAST_EVENT_ID)
         last_event = (
             _parse_number(last_event_id, 0) if last_event_id is not None else None
         )
@@ -204,7 +204,7 @@
     async def _submit_batch(
         self, request: web.BaseRequest, route: Route, body: bytes
     ) -> web.Response:
-        batch_id = request.headers.get(wire.ATTEMPT_ID, "")
+        batch_id = request.headers.get(header_names.ATTEMPT_ID, "")
         if request.method != "POST" or not batch_id:
             raise RequestError("a batch must be a POST request with its id in a header")
         batch = wire.decode_batch(batch_id, route, body)
@@ -220,7 +220,9 @@
             await batches.end(batch_id, _deadline(request))
             return web.json_response({})
         after = _parse_number(_query_parameter(request, "after"), 0)
-        wait_seconds = _parse_number(request.headers.get(wire.WAIT_MS), 0) / 1000
+        wait_seconds = (
+            _parse_number(request.headers.get(header_names.WAIT_MS), 0) / 1000
+        )
         page = await batches.results(batch_id, after, wait_seconds)
         return web.json_response(wire.encode_results(page))
 
@@ -243,7 +245,7 @@
 
 
 def _deadline(request: web.BaseRequest) -> float:
-    deadline_ms = _parse_number(request.headers.get(wire.DEADLINE_MS), 0)
+    deadline_ms = _parse_number(request.headers.get(header_names.DEADLINE_MS), 0)
     seconds = deadline_ms / 1000 if deadline_ms > 0 else _DEFAULT_DEADLINE_SECONDS
     return clock.now() + seconds
 
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -18,32 +18,40 @@
     RecordInvalidError,
     StaleFenceError,
     TargetFailedError,
-    TargetRefusedError,
     TargetUnreachableError,
     TruncatedAnswerError,
 )
 from ..fleet.client import (
     Answer,
     EngineReport,
-    ItemImpossibleError,
     LoadOrder,
     OrderRefusedError,
     Request,
     RunFailedError,
     StreamedEvent,
     TargetClient,
-    WrongVersionError,
 )
 from ..fleet.directory import Directory, Target
 from ..http import HOP_HEADERS, HttpClients, forwardable
 from ..rewards.models import RewardCall
-from . import wire
+from . import header_names, wire
+from .answer_checks import (
+    check_echo,
+    check_signature,
+    is_framed,
+    raise_if_refused,
+    raise_if_run_failed,
+)
 from .event_parser import EventParser
 
 # The client sets these headers itself, so those of the caller are dropped.
 _REPLACED_HEADERS = HOP_HEADERS | {
     name.lower()
-    for name in (wire.DEADLINE_MS, wire.EXPECT_INSTANCE, wire.EXPECT_VERSION)
+    for name in (
+        header_names.DEADLINE_MS,
+        header_names.EXPECT_INSTANCE,
+        header_names.EXPECT_VERSION,
+    )
 }
 # aiohttp would add these to a request that does not have them.
 _AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
@@ -66,7 +74,7 @@
         """See :meth:`TargetClient.send`."""
         async with self._send_forwarded(target, request) as response:
             body = await self._read_body(response)
-            _check_signature(response, request.id)
+            check_signature(response, request.id)
             return Answer(response.status, forwardable(response.headers), body)
 
     def _send_forwarded(
@@ -78,10 +86,10 @@
             for name, value in request.headers
             if name.lower() not in _REPLACED_HEADERS
         )
-        headers[wire.DEADLINE_MS] = str(max(1, int(remaining * 1000)))
-        headers[wire.EXPECT_INSTANCE] = target.id
+        headers[header_names.DEADLINE_MS] = str(max(1, int(remaining * 1000)))
+        headers[header_names.EXPECT_INSTANCE] = target.id
         if last_event is not None:
-            headers[wire.LAST_EVENT_ID] = str(last_event)
+            headers[header_names.LAST_EVENT_ID] = str(last_event)
         return self._open_response(
             request.method,
             target,
@@ -97,7 +105,7 @@
     ) -> AsyncIterator[Answer | StreamedEvent]:
         """See :meth:`TargetClient.stream`."""
         async with self._send_forwarded(target, request, last_event) as response:
-            _check_signature(response, request.id)
+            check_signature(response, request.id)
             headers = forwardable(response.headers)
             if response.status != 200 or response.content_type != _EVENT_STREAM:
                 body = await self._read_body(response)
@@ -108,7 +116,7 @@
             async for chunk in response.content.iter_any():
                 for event in parser.feed(chunk):
                     yield StreamedEvent(event.number, event.raw)
-            if parser.has_partial_event or not _is_framed(response):
+            if parser.has_partial_event or not is_framed(response):
                 raise TruncatedAnswerError(
                     "the event stream ended before it was complete"
                 )
@@ -138,12 +146,12 @@
                 **options,
             ) as response:
                 self._apply_keepalive_timeout(response)
-                if any(name in response.headers for name in wire.LEAVING):
+                if any(name in response.headers for name in header_names.LEAVING):
                     self.kernel.get(Directory).mark_leaving(target.id)
                 # Before all else: a late copy of another request's refusal does not
                 # say that this request was not run.
-                _check_echo(response, attempt_id)
-                _raise_if_refused(response)
+                check_echo(response, attempt_id)
+                raise_if_refused(response)
                 yield response
         except aiohttp.ClientConnectorError as error:
             raise TargetUnreachableError(
@@ -169,7 +177,7 @@
         connection = response.connection
         protocol = connection.protocol if connection is not None else None
         body = await self.kernel.get(HttpClients).read(response)
-        if _is_framed(response):
+        if is_framed(response):
             return body
         if protocol is None or not isinstance(
             protocol.exception(), (aiohttp.ServerDisconnectedError, type(None))
@@ -197,12 +205,12 @@
         remaining = deadline - clock.now()
         headers = CIMultiDict(item.headers)
         headers["Host"] = host
-        headers[wire.ATTEMPT_ID] = item.id
-        headers[wire.DEADLINE_MS] = str(max(1, int(remaining * 1000)))
-        headers[wire.EXPECT_INSTANCE] = target.id
-        headers[wire.EXPECT_VERSION] = str(version)
+        headers[header_names.ATTEMPT_ID] = item.id
+        headers[header_names.DEADLINE_MS] = str(max(1, int(remaining * 1000)))
+        headers[header_names.EXPECT_INSTANCE] = target.id
+        headers[header_names.EXPECT_VERSION] = str(version)
         if done:
-            headers[wire.LAST_EVENT_ID] = str(done)
+            headers[header_names.LAST_EVENT_ID] = str(done)
         async with self._open_response(
             "POST",
             target,
@@ -212,8 +220,8 @@
             data=item.body,
             timeout=aiohttp.ClientTimeout(total=max(0.001, remaining)),
         ) as response:
-            _raise_if_run_failed(response)
-            _check_signature(response, item.id)
+            raise_if_run_failed(response)
+            check_signature(response, item.id)
             async for piece in _read_pieces(response, done):
                 yield piece
 
@@ -222,9 +230,9 @@
         remaining = max(0.001, deadline - clock.now())
         headers = {
             "Host": call.host,
-            wire.ATTEMPT_ID: call.id,
-            wire.DEADLINE_MS: str(max(1, int(remaining * 1000))),
-            wire.EXPECT_INSTANCE: target.id,
+            header_names.ATTEMPT_ID: call.id,
+            header_names.DEADLINE_MS: str(max(1, int(remaining * 1000))),
+            header_names.EXPECT_INSTANCE: target.id,
         }
         async with self._open_response(
             "POST",
@@ -236,14 +244,14 @@
             timeout=aiohttp.ClientTimeout(total=remaining),
         ) as response:
             await self._read_body(response)
-            _check_signature(response, call.id)
+            check_signature(response, call.id)
             if response.status == 500:
                 raise RunFailedError(f"{target.id} answered 500 to a reward call")
             if response.status >= 300:
                 raise TargetFailedError(
                     f"{target.id} answered {response.status} to a reward call"
                 )
-            return response.headers[wire.SIGNATURE]
+            return response.headers[header_names.SIGNATURE]
 
     async def report(self, target: Target) -> EngineReport:
         """See :meth:`TargetClient.report`."""
@@ -283,7 +291,7 @@
             _ORDER_PATH,
             None,
             json=body,
-            headers={wire.EXPECT_INSTANCE: target.id},
+            headers={header_names.EXPECT_INSTANCE: target.id},
             timeout=aiohttp.ClientTimeout(total=_CONTROL_TIMEOUT_SECONDS),
         ) as response:
             status = response.status
@@ -300,67 +308,6 @@
     return URL(f"http://{target.address}{path}", encoded=True)
 
 
-def _raise_if_refused(response: aiohttp.ClientResponse) -> None:
-    if response.status == 421:
-        raise WrongVersionError(
-            f"{response.url.authority} is another instance or serves another weight "
-            "version"
-        )
-    if wire.NOT_EXECUTED in response.headers:
-        raise TargetRefusedError(
-            f"{response.url.authority} answered {response.status} without running the "
-            "request"
-        )
-
-
-def _raise_if_run_failed(response: aiohttp.ClientResponse) -> None:
-    status = response.status
-    if status == 200:
-        return
-    if status == 422:
-        raise ItemImpossibleError(
-            f"the engine answered {status}: it can never run the item"
-        )
-    if status == 500:
-        raise RunFailedError(
-            f"the engine answered {status}: its run of the item failed"
-        )
-    raise TargetFailedError(f"the engine answered {status} to an item")
-
-
-def _check_echo(response: aiohttp.ClientResponse, attempt_id: str | None) -> None:
-    """Check that the answer does not belong to another request.
-
-    A target may send a second copy of an answer on a connection that is in use again.
-
-    :raises TargetFailedError: it does; the connection is closed.
-    """
-    echoed_id = response.headers.get(wire.ATTEMPT_ID)
-    if echoed_id is None or echoed_id == attempt_id:
-        return
-    response.close()
-    raise TargetFailedError(
-        f"the answer is for request {echoed_id!r}; expected {attempt_id!r}"
-    )
-
-
-def _check_signature(response: aiohttp.ClientResponse, attempt_id: str) -> None:
-    """Check that a successful answer has a signature header.
-
-    :raises TargetFailedError: it has none; the connection is closed.
-    """
-    if response.status >= 300 or wire.SIGNATURE in response.headers:
-        return
-    response.close()
-    raise TargetFailedError(f"the answer to {attempt_id!r} has no signature header")
-
-
-def _is_framed(response: aiohttp.ClientResponse) -> bool:
-    """Return whether the headers tell where the body ends."""
-    headers = response.headers
-    return "Content-Length" in headers or "Transfer-Encoding" in headers
-
-
 async def _read_pieces(
     response: aiohttp.ClientResponse, last_event: int
 ) -> AsyncIterator[Piece]:
@@ -369,7 +316,7 @@
     :raises TargetFailedError: an event is missing or repeated.
     :raises TruncatedAnswerError: the stream ended before it was complete.
     """
-    version_header = response.headers.get(wire.WEIGHT_VERSION)
+    version_header = response.headers.get(header_names.WEIGHT_VERSION)
     if version_header is None or not version_header.isdigit():
         raise TargetFailedError("the answer has no valid weight version header")
     version = int(version_header)
@@ -389,5 +336,5 @@
                 )
             version = event.version if event.version is not None else version
             yield Piece(event.data, version)
-    if parser.has_partial_event or not _is_framed(response):
+    if parser.has_partial_event or not is_framed(response):
         raise TruncatedAnswerError("the event stream ended before it was complete")
--- a/cranberryrun/platform/wire.py
+++ b/cranberryrun/platform/wire.py
@@ -20,36 +20,11 @@
 from ..fleet.directory import Decoder, Target
 from ..fleet.manifest import Backend, Limits, Manifest, Route, RouteKind
 from ..rewards.models import RewardCall
+from . import header_names
 
 # The keyed topic in which hosts register.
 HOST_TOPIC = "keyed.hosts"
 
-# Headers of requests and answers.
-# The id of a caller's request, of a batch or of an item. Despite its name, it stays the
-# same when this host sends a request again.
-ATTEMPT_ID = "X-Cranberryrun-Attempt-Id"
-DEADLINE_MS = "X-Cranberryrun-Deadline-Ms"
-# A successful answer without it is rejected. In the answer to a reward call, its value
-# is the score.
-SIGNATURE = "X-Cranberryrun-Server-Signature"
-# The id of the target. Another instance at the same address answers 421.
-EXPECT_INSTANCE = "X-Cranberryrun-Expect-Instance"
-# The weight version that the engine must serve; it answers 421 if it serves another.
-EXPECT_VERSION = "X-Cranberryrun-Expect-Version"
-# Present if the target did not run the request, so that it may be sent again.
-NOT_EXECUTED = "X-Cranberryrun-Not-Executed"
-# How long a read of results may wait for the first result.
-WAIT_MS = "X-Cranberryrun-Wait-Ms"
-MODEL = "X-Cranberryrun-Model"
-# The caller's estimate of an item's tokens.
-LENGTH_HINT = "X-Cranberryrun-Length-Hint"
-# The weight version with which a stream starts; one number, despite the plural.
-WEIGHT_VERSION = "X-Cranberryrun-Weight-Versions"
-# Present in all answers of a target that is about to end. The platform's announcement
-# spells it without the prefix of the other headers; both spellings count.
-LEAVING = ("Server-Leaving", "X-Cranberryrun-Server-Leaving")
-LAST_EVENT_ID = "Last-Event-Id"
-
 # The platform's protocol names the manifest "config".
 _MANIFEST_KEY = "config"
 _VERSION_PREFIX = "version/"
@@ -328,7 +303,7 @@
         raise RequestError(f"the batch is malformed: {error}") from None
     if len({item.id for item in items}) != len(items):
         raise RequestError("two items of the batch have the same id")
-    model = submission.model or submission.items[0].headers.get(MODEL, "")
+    model = submission.model or submission.items[0].headers.get(header_names.MODEL, "")
     group_count = len({item.group for item in items})
     return Batch(
         id=batch_id,
@@ -344,7 +319,7 @@
 
 
 def _decode_item(item: _Item) -> Item:
-    length_hint = item.headers.get(LENGTH_HINT, "")
+    length_hint = item.headers.get(header_names.LENGTH_HINT, "")
     try:
         expected_tokens = float(length_hint)
     except ValueError:
