Count headers and fields that the adapter does not know, and log each once

Cause of the blindness: the adapter drops what it does not know without a trace, so no log could show that engines name a limit, with which spelling, or in which answers. Change: UnknownNames counts headers of answers and requests and fields of records, reports and batches (cranberryrun_unknown_names) and logs each once (event 122, unknown_name). At most 128 names are kept; more are counted together.

--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -56,6 +56,12 @@
         WARNING,
         "The new settings file is invalid; the old settings apply.",
     ),
+    (
+        122,
+        "unknown_name",
+        INFO,
+        "A header or field has a name that this host does not know; logged once.",
+    ),
     (200, "log_lost", WARNING, "The log can't be read; peers relay its records."),
     (201, "log_back", INFO, "The log can be read again."),
     (202, "change_asked", INFO, "An operator requested a change."),
--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -120,6 +120,12 @@
         (),
         "Reward calls that have no score yet.",
     ),
+    "unknown_names": MetricKind(
+        "cranberryrun_unknown_names",
+        "counter",
+        ("source", "name"),
+        "Headers and fields that the host does not know, by where they were.",
+    ),
     "queue": MetricKind(
         "cranberryrun_queue",
         "gauge",
@@ -222,6 +228,10 @@
         """Count a retry of a request."""
         self._add("retries", service=service)
 
+    def unknown_name(self, source: str, name: str) -> None:
+        """Count one occurrence of an unknown header or field."""
+        self._add("unknown_names", source=source, name=name)
+
     def register_gauge(
         self, key: str, read: Callable[[], float | Mapping[str, float]]
     ) -> None:
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -35,6 +35,7 @@
 from .store_client import StoreClient
 from .store_relay import StoreRelay
 from .target_client import HttpTargetClient
+from .unknown_names import UnknownNames
 from .wire import HOST_TOPIC, WireDecoder
 
 _EXIT_CODE_SETTINGS = 2
@@ -80,6 +81,7 @@
     def _create_services(self, incarnation: int, rng: random.Random) -> list[Service]:
         settings = self._settings
         bounds = settings.bounds
+        unknown_names = UnknownNames()
         return [
             Events(settings.host_id, incarnation, _EVENT_RING_SIZE),
             Metrics(settings.host_id),
@@ -91,8 +93,9 @@
             ),
             StorePaths(settings.store.address),
             StoreClient(),
+            unknown_names,
             HttpTargetClient(),
-            Directory(WireDecoder()),
+            Directory(WireDecoder(unknown_names.record_fields)),
             Lease(
                 settings.host_id,
                 incarnation,
--- a/cranberryrun/platform/frontend.py
+++ b/cranberryrun/platform/frontend.py
@@ -25,9 +25,10 @@
 from ..metrics import CONTENT_TYPE, Metrics
 from ..requests.forwarder import Forwarder
 from ..requests.streams import Streams
-from . import header_names, wire
+from . import batch_wire, header_names
 from .http_server import Handler, listen
 from .settings import HostSettings
+from .unknown_names import UnknownNames
 
 # The platform's protocol names a batch "lot".
 _BATCH_PREFIX = "/v1/lots/"
@@ -44,7 +45,15 @@
     """Serves callers, readiness checks and metrics on separate addresses."""
 
     name = "front"
-    requires = ("events", "metrics", "directory", "forwarder", "streams", "batches")
+    requires = (
+        "events",
+        "metrics",
+        "directory",
+        "forwarder",
+        "streams",
+        "batches",
+        "unknown_names",
+    )
 
     def __init__(self, settings: HostSettings) -> None:
         super().__init__()
@@ -92,6 +101,9 @@
 
     async def _serve_caller(self, request: web.BaseRequest) -> web.StreamResponse:
         self.in_flight += 1
+        self.kernel.get(UnknownNames).record_headers(
+            "request", request.headers, header_names.KNOWN_IN_REQUESTS
+        )
         try:
             response = await self._route_request(request)
         except CranberryrunError as error:
@@ -207,7 +219,9 @@
         batch_id = request.headers.get(header_names.ATTEMPT_ID, "")
         if request.method != "POST" or not batch_id:
             raise RequestError("a batch must be a POST request with its id in a header")
-        batch = wire.decode_batch(batch_id, route, body)
+        batch = batch_wire.decode_batch(
+            batch_id, route, body, self.kernel.get(UnknownNames).record_fields
+        )
 
         await self.kernel.get(Batches).submit(batch, _deadline(request))
         return web.json_response({}, status=202)
@@ -224,7 +238,7 @@
             _parse_number(request.headers.get(header_names.WAIT_MS), 0) / 1000
         )
         page = await batches.results(batch_id, after, wait_seconds)
-        return web.json_response(wire.encode_results(page))
+        return web.json_response(batch_wire.encode_results(page))
 
     async def _serve_item_body(
         self, request: web.BaseRequest, batch_id: str
--- a/cranberryrun/platform/header_names.py
+++ b/cranberryrun/platform/header_names.py
@@ -24,3 +24,49 @@
 # spells it without the prefix of the other headers; both spellings count.
 LEAVING = ("Server-Leaving", "X-Cranberryrun-Server-Leaving")
 LAST_EVENT_ID = "Last-Event-Id"
+
+_STANDARD = {
+    "accept",
+    "accept-encoding",
+    "accept-language",
+    "cache-control",
+    "connection",
+    "content-encoding",
+    "content-length",
+    "content-type",
+    "date",
+    "expect",
+    "host",
+    "keep-alive",
+    "retry-after",
+    "server",
+    "transfer-encoding",
+    "user-agent",
+}
+# Documented headers that this package passes on without reading them.
+_PASSED_ON = {
+    "x-cranberryrun-instance-id",
+    "x-cranberryrun-pin-ms",
+    "x-cranberryrun-prefix-hash",
+    "x-cranberryrun-request-priority",
+    "x-cranberryrun-token-usage",
+}
+
+# In lower case.
+KNOWN_IN_ANSWERS = frozenset(
+    _STANDARD
+    | {"x-cranberryrun-instance-id"}
+    | {
+        name.lower()
+        for name in (ATTEMPT_ID, SIGNATURE, NOT_EXECUTED, WEIGHT_VERSION, *LEAVING)
+    }
+)
+KNOWN_IN_REQUESTS = frozenset(
+    _STANDARD
+    | _PASSED_ON
+    | {
+        name.lower()
+        for name in (ATTEMPT_ID, DEADLINE_MS, WAIT_MS, MODEL, LENGTH_HINT)
+        + (LAST_EVENT_ID,)
+    }
+)
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -43,6 +43,7 @@
     raise_if_run_failed,
 )
 from .event_parser import EventParser
+from .unknown_names import UnknownNames
 
 # The client sets these headers itself, so those of the caller are dropped.
 _REPLACED_HEADERS = HOP_HEADERS | {
@@ -68,7 +69,7 @@
 class HttpTargetClient(TargetClient):
     """Calls plain services and engines. Each method makes one attempt."""
 
-    requires = ("http", "directory")
+    requires = ("http", "directory", "unknown_names")
 
     async def send(self, target: Target, request: Request) -> Answer:
         """See :meth:`TargetClient.send`."""
@@ -146,6 +147,9 @@
                 **options,
             ) as response:
                 self._apply_keepalive_timeout(response)
+                self.kernel.get(UnknownNames).record_headers(
+                    "answer", response.headers, header_names.KNOWN_IN_ANSWERS
+                )
                 if any(name in response.headers for name in header_names.LEAVING):
                     self.kernel.get(Directory).mark_leaving(target.id)
                 # Before all else: a late copy of another request's refusal does not
@@ -268,7 +272,7 @@
                     f"{target.id} answered {response.status} to a report request"
                 )
         try:
-            return wire.decode_report(body)
+            return wire.decode_report(body, self.kernel.get(UnknownNames).record_fields)
         except RecordInvalidError as error:
             raise TargetFailedError(
                 f"the report of {target.id} is malformed: {error}"
--- a/cranberryrun/platform/wire.py
+++ b/cranberryrun/platform/wire.py
@@ -6,21 +6,15 @@
 
 from __future__ import annotations
 
-import base64
-import binascii
 from typing import Any
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import Field, ValidationError
 
-from .. import clock
-from ..batches.models import Batch, Item, Result
-from ..batches.service import ResultPage
-from ..exceptions import RecordInvalidError, RequestError
+from ..exceptions import RecordInvalidError
 from ..fleet.client import EngineReport
 from ..fleet.directory import Decoder, Target
 from ..fleet.manifest import Backend, Limits, Manifest, Route, RouteKind
-from ..rewards.models import RewardCall
-from . import header_names
+from .wire_model import BodyObserver, WireModel, ignore_body
 
 # The keyed topic in which hosts register.
 HOST_TOPIC = "keyed.hosts"
@@ -36,25 +30,15 @@
 _DEFAULT_LIMITS = Limits()
 
 
-def _to_kebab_case(name: str) -> str:
-    return name.replace("_", "-")
-
-
-class _WireModel(BaseModel):
-    """Base of all bodies. Unknown fields are ignored."""
-
-    model_config = ConfigDict(
-        extra="ignore", alias_generator=_to_kebab_case, populate_by_name=True
-    )
-
-
-class _Backend(_WireModel):
+class _Backend(WireModel):
     service: str
     # Relative to the weights of the other backends; 0 takes the backend out.
     weight: float = Field(ge=0)
 
 
-class _Route(_WireModel):
+class _Route(WireModel):
+    unused = frozenset({"session-affinity"})
+
     name: str
     # Compared with the Host header of a caller's request.
     host: str
@@ -112,29 +96,46 @@
         )
 
 
-class _ModelName(_WireModel):
+class _ModelName(WireModel):
     name: str
 
 
-class _ServiceEngine(_WireModel):
+class _ServiceEngine(WireModel):
+    unused = frozenset(
+        {
+            "slots",
+            "kv-capacity",
+            "kv-bytes",
+            "link-mbps",
+            "moves",
+            "backups",
+            "most",
+            "pin-ms",
+            "hold-ms",
+            "handle_s",
+        }
+    )
+
     # The number of tokens that one event of a stream carries.
     stride: float = 1.0
     models: list[_ModelName] = []
 
 
-class _Service(_WireModel):
+class _Service(WireModel):
+    unused = frozenset({"health-path", "max-conns", "protocol", "tls"})
+
     name: str
     engine: _ServiceEngine | None = None
 
 
-class _Limits(_WireModel):
+class _Limits(WireModel):
     max_header_bytes: int = _DEFAULT_LIMITS.header_bytes
     max_body_bytes: int = _DEFAULT_LIMITS.body_bytes
     header_timeout_ms: float = _DEFAULT_LIMITS.header_timeout * _MS_PER_SECOND
     idle_timeout_ms: float = _DEFAULT_LIMITS.idle_timeout * _MS_PER_SECOND
 
 
-class _Manifest(_WireModel):
+class _Manifest(WireModel):
     version: int
     routes: list[_Route]
     services: list[_Service] = []
@@ -168,17 +169,21 @@
         )
 
 
-class _AnnouncedVersion(_WireModel):
+class _AnnouncedVersion(WireModel):
     model: str
     version: int
 
 
-class _LoadedModel(_WireModel):
+class _LoadedModel(WireModel):
+    unused = frozenset({"adapters"})
+
     name: str
     version: int
 
 
-class _Target(_WireModel):
+class _Target(WireModel):
+    unused = frozenset({"version", "cold-remaining-ms", "stage"})
+
     service: str
     address: str
     zone: str
@@ -192,7 +197,24 @@
     models: list[_LoadedModel] = []
 
 
-class _Report(_WireModel):
+class _Report(WireModel):
+    unused = frozenset(
+        {
+            "stage",
+            "queue-depth",
+            "running-count",
+            "kv-used",
+            "kv-total",
+            "handles",
+            "pinned",
+            "held",
+            "state",
+            "leaves_ms",
+            "next",
+            "runs",
+        }
+    )
+
     # Whether an order is in progress.
     busy: bool = False
     # The number of orders that the engine has accepted since it started.
@@ -201,27 +223,33 @@
 
 
 class WireDecoder(Decoder):
-    """Decodes records that the operator, trainers and targets write to the store."""
+    """Decodes records that the operator, trainers and targets write to the store.
+
+    :param observe: called with the source and each decoded record.
+    """
 
     operator_topic = "keyed.op"
     target_topic = "keyed.servers"
 
+    def __init__(self, observe: BodyObserver = ignore_body) -> None:
+        self._observe = observe
+
     def manifest(self, key: str, value: bytes) -> Manifest | None:
         """See :meth:`Decoder.manifest`."""
         if key != _MANIFEST_KEY:
             return None
-        return _parse(_Manifest, value).to_manifest()
+        return _parse(_Manifest, value, "manifest", self._observe).to_manifest()
 
     def version(self, key: str, value: bytes) -> tuple[str, int] | None:
         """See :meth:`Decoder.version`."""
         if not key.startswith(_VERSION_PREFIX):
             return None
-        announced = _parse(_AnnouncedVersion, value)
+        announced = _parse(_AnnouncedVersion, value, "version", self._observe)
         return announced.model, announced.version
 
     def target(self, key: str, value: bytes) -> Target:
         """See :meth:`Decoder.target`."""
-        entry = _parse(_Target, value)
+        entry = _parse(_Target, value, "target", self._observe)
         if entry.state not in (_READY, _DRAINING):
             raise RecordInvalidError(f"target {key} has unknown state {entry.state!r}")
         return Target(
@@ -237,12 +265,12 @@
         )
 
 
-def decode_report(body: bytes) -> EngineReport:
+def decode_report(body: bytes, observe: BodyObserver = ignore_body) -> EngineReport:
     """Decode an engine's report.
 
     :raises RecordInvalidError: the report is malformed.
     """
-    report = _parse(_Report, body)
+    report = _parse(_Report, body, "report", observe)
     return EngineReport(
         busy=report.busy,
         sequence=report.sequence,
@@ -250,116 +278,12 @@
     )
 
 
-def _parse(model: type[Any], value: bytes) -> Any:
+def _parse(model: type[Any], value: bytes, source: str, observe: BodyObserver) -> Any:
     try:
-        return model.model_validate_json(value)
+        body = model.model_validate_json(value)
     except ValidationError as error:
         first_error = error.errors()[0]
         field = ".".join(str(part) for part in first_error["loc"])
         raise RecordInvalidError(f"{field}: {first_error['msg']}") from None
-
-
-class _Scorer(_WireModel):
-    """The request that scores an item's text, despite the name of a service."""
-
-    id: str
-    host: str
-    path: str
-    # Base64.
-    body: str = ""
-
-
-class _Item(_WireModel):
-    id: str
-    path: str
-    headers: dict[str, str] = {}
-    # Base64.
-    body: str = ""
-    # The prompt tokens plus the maximum number of output tokens.
-    tokens: float = 0
-    group_id: str = ""
-    scorer: _Scorer | None = None
-
-
-class _Submission(_WireModel):
-    model: str = ""
-    step: int = 0
-    # The oldest weight version that may generate the tokens of the batch.
-    min_version: int = 0
-    # How many complete groups the trainer waits for; 0 stands for all groups.
-    group_count: int = 0
-    items: list[_Item] = Field(min_length=1)
-
-
-def decode_batch(batch_id: str, route: Route, body: bytes) -> Batch:
-    """Decode a submitted batch.
-
-    :raises RequestError: the batch is malformed or two of its items share an id.
-    """
-    try:
-        submission = _Submission.model_validate_json(body)
-        items = tuple(_decode_item(item) for item in submission.items)
-    except (ValidationError, binascii.Error) as error:
-        raise RequestError(f"the batch is malformed: {error}") from None
-    if len({item.id for item in items}) != len(items):
-        raise RequestError("two items of the batch have the same id")
-    model = submission.model or submission.items[0].headers.get(header_names.MODEL, "")
-    group_count = len({item.group for item in items})
-    return Batch(
-        id=batch_id,
-        route=route.name,
-        host=route.host,
-        model=model,
-        step=submission.step,
-        min_version=submission.min_version,
-        wanted_groups=submission.group_count or group_count,
-        submitted_at=clock.wall(),
-        items=items,
-    )
-
-
-def _decode_item(item: _Item) -> Item:
-    length_hint = item.headers.get(header_names.LENGTH_HINT, "")
-    try:
-        expected_tokens = float(length_hint)
-    except ValueError:
-        expected_tokens = item.tokens
-    return Item(
-        id=item.id,
-        group=item.group_id or item.id,
-        path=item.path,
-        headers=item.headers,
-        body=base64.b64decode(item.body, validate=True),
-        expected_tokens=expected_tokens,
-        reward=_decode_scorer(item.scorer) if item.scorer is not None else None,
-    )
-
-
-def _decode_scorer(scorer: _Scorer) -> RewardCall:
-    return RewardCall(
-        id=scorer.id,
-        host=scorer.host,
-        path=scorer.path,
-        body=base64.b64decode(scorer.body, validate=True),
-    )
-
-
-def encode_results(page: ResultPage) -> dict[str, Any]:
-    """Return the body of an answer that lists results."""
-    return {
-        "total": page.total,
-        "next": page.next,
-        "results": [_encode_result(result) for result in page.results],
-    }
-
-
-def _encode_result(result: Result) -> dict[str, Any]:
-    encoded = {
-        "id": result.item,
-        "state": "succeeded" if result.succeeded else "lost",
-        "text": result.text,
-        "versions": list(result.versions),
-    }
-    if result.score is not None:
-        encoded["score"] = result.score
-    return encoded
+    observe(source, body)
+    return body
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -13,7 +13,7 @@
 
 from cranberryrun.batches.records import Accepted, Decoder, encode
 from cranberryrun.exceptions import CranberryrunError, LogReadError
-from cranberryrun.platform import wire
+from cranberryrun.platform import batch_wire, wire
 from cranberryrun.platform.event_parser import EventParser
 from cranberryrun.platform.store_client import StoreClient, _decode_page
 from fakes.deployment import batch_route, scored_batch
@@ -117,7 +117,7 @@
     @settings(max_examples=300, derandomize=True, deadline=None)
     @given(malformed(scored_submission()))
     def test_submission(self, value):
-        self.check(wire.decode_batch, "b1", batch_route(), value)
+        self.check(batch_wire.decode_batch, "b1", batch_route(), value)
 
     @settings(max_examples=200, derandomize=True, deadline=None)
     @given(st.data())
