--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -14,6 +14,7 @@
 _EXPECT_INSTANCE = "X-Cranberryrun-Expect-Instance"
 _EXPECT_VERSION = "X-Cranberryrun-Expect-Version"
 _LEAVING = "Server-Leaving"
+_LIMIT = "Server-Limit"
 _CUT_DELAY_SECONDS = 0.05
 _STALL_BYTE_SECONDS = 0.1
 
@@ -37,7 +38,9 @@
     ``generated_at_by_event`` the time of the first run and of the first generation, in
     loop seconds. While ``leaving`` is set, every
     answer says that the target is leaving. ``answers_carry_id`` is an attempt id that
-    every answer carries.
+    every answer carries. While ``limit`` is set, every answer names it as the requests
+    a second that the target takes; ``arrivals`` has the time of each request, in loop
+    seconds.
     """
 
     def __init__(self, target_id: str, service: str, model: str | None = None) -> None:
@@ -61,6 +64,8 @@
         self.answer_seconds = 0.0
         self.open_requests = 0
         self.leaving = False
+        self.limit: float | None = None
+        self.arrivals: list[float] = []
         self.answers_carry_id = ""
         self.born = 1
         self.address = ""
@@ -110,6 +115,8 @@
     ) -> None:
         if self.leaving:
             response.headers[_LEAVING] = "1"
+        if self.limit is not None:
+            response.headers[_LIMIT] = str(self.limit)
         if self.answers_carry_id:
             response.headers[_ATTEMPT_ID] = self.answers_carry_id
 
@@ -132,6 +139,7 @@
         return web.json_response({}, status=202)
 
     async def _handle_request(self, request: web.Request) -> web.StreamResponse:
+        self.arrivals.append(asyncio.get_running_loop().time())
         body = await request.read()
         self.requests.append(
             {
