Send targets that name a limit no more than that, from all hosts together

Callers and operators saw nothing yet; an engine in need would have got several times what it takes. Cause: no code read Server-Limit, and nothing counted calls over all hosts. Change: rate_limits.py decides (token buckets, no I/O, 1,024 targets at most); send_permits.py counts at the lease holder, which sends items and reward calls and grants permits to the other hosts for requests, streams, retries and hedged requests. Limits are written to keyed.limits for hosts that start or take over. Without the holder all hosts together send half of the limit; a holder that can't renew takes half too. What is over the limit is refused at once with Retry-After. Ruled out: equal shares for each host (the lease holder sends nearly all calls to engines, so 8 of 9 shares would lie idle); claims written to the store (a sparse request would be refused for a second until its claim is read). Conclusion: hosts that start, take over or lose the store keep the limit in tests/test_send_permits.py.

--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -10,6 +10,7 @@
 from ..fleet.directory import Directory
 from ..fleet.engine_pool import Engine, EnginePool
 from ..fleet.lease import Lease
+from ..fleet.send_permits import SendPermits
 from ..kernel import Service
 from .dispatch import (
     ScheduledItem,
@@ -60,6 +61,7 @@
         "loads",
         "result_writer",
         "reward_caller",
+        "send_permits",
         "target_client",
     )
 
@@ -224,6 +226,8 @@
             self._start_run(start.scheduled, start.engine)
 
     def _start_run(self, scheduled: ScheduledItem, engine: Engine) -> None:
+        if not self.kernel.get(SendPermits).take(engine.id):
+            return
         scheduled.engine = engine
         scheduled.run_version = engine.version(scheduled.state.batch.model) or 0
         scheduled.movable_at = clock.now() + _MIN_RUN_BEFORE_MOVE_SECONDS
--- a/cranberryrun/fleet/engine_pool.py
+++ b/cranberryrun/fleet/engine_pool.py
@@ -4,11 +4,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from .. import clock
 from ..health import Health
 from ..kernel import Service
 from .directory import Directory, Target
+from .send_permits import SendPermits
 
 # Engines send events in bursts, so an interval is averaged over this many events.
 INTERVAL_WINDOW_EVENTS = 6
@@ -22,6 +24,10 @@
 _INTERVAL_HALF_LIFE_SECONDS = 4.0
 
 
+def _unlimited() -> None:
+    """Return that there is no limit."""
+
+
 @dataclass(slots=True)
 class Engine:
     """One process of an engine. ``in_flight`` counts this host's runs at it.
@@ -29,7 +35,8 @@
     ``event_interval`` is the mean time between a stream's events in seconds; 0 if it is
     not known. The engine gets no new runs until ``cooldown_until``, in loop seconds.
     ``loaded_version_by_model`` has the versions of completed loads, which the target
-    registers only later.
+    registers only later. ``permits`` returns how many runs the engine's limit allows
+    now; None if it has none.
     """
 
     target: Target
@@ -40,6 +47,7 @@
     cooldown_until: float = 0.0
     loading_model: str | None = None
     loaded_version_by_model: dict[str, int] = field(default_factory=dict)
+    permits: Callable[[], int | None] = _unlimited
 
     @property
     def id(self) -> str:
@@ -60,8 +68,11 @@
         if clock.now() < self.cooldown_until:
             return 0
         if self.health.probing():
-            return 1 if not self.in_flight else 0
-        return max(0, self.target.slots - self.in_flight)
+            slots = 1 if not self.in_flight else 0
+        else:
+            slots = max(0, self.target.slots - self.in_flight)
+        permits = self.permits()
+        return slots if permits is None else min(slots, permits)
 
     def start_cooldown(self, seconds: float) -> None:
         """Start no new runs at this engine for ``seconds``."""
@@ -96,7 +107,7 @@
     """Keeps one :class:`Engine` for each target that serves models."""
 
     name = "engine_pool"
-    requires = ("directory",)
+    requires = ("directory", "send_permits")
 
     def __init__(self) -> None:
         super().__init__()
@@ -114,6 +125,7 @@
 
     def _refresh(self) -> None:
         target_by_id = self.kernel.get(Directory).target_by_id
+        permits = self.kernel.get(SendPermits)
         for target_id in list(self.engine_by_id):
             if target_id not in target_by_id:
                 del self.engine_by_id[target_id]
@@ -122,7 +134,9 @@
                 continue
             engine = self.engine_by_id.get(target.id)
             if engine is None or engine.target.born != target.born:
-                self.engine_by_id[target.id] = Engine(target)
+                self.engine_by_id[target.id] = Engine(
+                    target, permits=partial(permits.available, target.id)
+                )
                 continue
             engine.target = target
         self.notify_observers()
--- a/cranberryrun/fleet/lease.py
+++ b/cranberryrun/fleet/lease.py
@@ -117,6 +117,11 @@
         """Whether the topic, as far as it was read, names this process as holder."""
         return self._holder == self._own_holder_id
 
+    @property
+    def holder_host(self) -> str | None:
+        """The host that holds the lease, as far as the topic was read; None if free."""
+        return self._holder_host if self._holder is not None else None
+
     @property
     def held(self) -> bool:
         """Whether this process is the holder and its last renewal has not expired."""
--- a/cranberryrun/fleet/neighbours.py
+++ b/cranberryrun/fleet/neighbours.py
@@ -65,6 +65,16 @@
         available.sort(key=lambda neighbour: neighbour.zone != self._own.zone)
         return available[:count]
 
+    def address_of(self, host: str) -> str | None:
+        """Return the address at which ``host`` accepts calls; None if not known."""
+        neighbour = self._neighbour_by_host.get(host)
+        return neighbour.address if neighbour is not None else None
+
+    @property
+    def host_count(self) -> int:
+        """How many hosts have registered, this one included; some may be gone."""
+        return 1 + len(self._neighbour_by_host)
+
     def record_failure(self, neighbour: Neighbour) -> None:
         """Start the cooldown of a neighbour that failed to relay a call."""
         self._cooldown_until_by_host[neighbour.host] = clock.now() + _COOLDOWN_SECONDS
--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -126,6 +126,12 @@
         ("source", "name"),
         "Headers and fields that the host does not know, by where they were.",
     ),
+    "limited": MetricKind(
+        "cranberryrun_limited",
+        "counter",
+        ("service",),
+        "Attempts at requests that a target's limit did not allow.",
+    ),
     "queue": MetricKind(
         "cranberryrun_queue",
         "gauge",
@@ -232,6 +238,10 @@
         """Count one occurrence of an unknown header or field."""
         self._add("unknown_names", source=source, name=name)
 
+    def limited(self, service: str) -> None:
+        """Count an attempt that a target's limit did not allow."""
+        self._add("limited", service=service)
+
     def register_gauge(
         self, key: str, read: Callable[[], float | Mapping[str, float]]
     ) -> None:
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -23,6 +23,7 @@
 from ..fleet.lease import Lease
 from ..fleet.loads import Loads
 from ..fleet.neighbours import Neighbour, Neighbours
+from ..fleet.send_permits import SendPermits
 from ..fleet.store_paths import StorePaths
 from ..http import HttpClients
 from ..kernel import Kernel, Service
@@ -31,6 +32,7 @@
 from ..requests.streams import Streams
 from ..rewards.caller import RewardCaller
 from .frontend import Frontend
+from .permit_calls import HttpPermitClient
 from .settings import HostSettings, load_host_settings, settings_path
 from .store_client import StoreClient
 from .store_relay import StoreRelay
@@ -104,6 +106,8 @@
                 _boot_time,
                 settings.link_mbps,
             ),
+            HttpPermitClient(),
+            SendPermits(settings.host_id, rng),
             EnginePool(),
             Loads(settings.host_id),
             BatchLog(
--- a/cranberryrun/platform/answer_checks.py
+++ b/cranberryrun/platform/answer_checks.py
@@ -9,6 +9,28 @@
 from . import header_names
 
 
+def named_limit(response: aiohttp.ClientResponse) -> float | None:
+    """Return the limit that the answer names, in requests a second; None without one.
+
+    :raises ValueError: the header is not a number of requests a second.
+    """
+    text = response.headers.get(header_names.LIMIT)
+    if text is None:
+        return None
+    rate = float(text)
+    if not 0 <= rate < float("inf"):
+        raise ValueError(f"{text!r} is not a number of requests a second")
+    return rate
+
+
+def says_it_has_no_limit(response: aiohttp.ClientResponse) -> bool:
+    """Return whether an answer without a limit shows that the target has none.
+
+    A refusal or a failure may come from a part of the target that names nothing.
+    """
+    return response.status < 500 and header_names.NOT_EXECUTED not in response.headers
+
+
 def raise_if_refused(response: aiohttp.ClientResponse) -> None:
     if response.status == 421:
         raise WrongVersionError(
--- a/cranberryrun/platform/header_names.py
+++ b/cranberryrun/platform/header_names.py
@@ -24,6 +24,8 @@
 # spells it without the prefix of the other headers; both spellings count.
 LEAVING = ("Server-Leaving", "X-Cranberryrun-Server-Leaving")
 LAST_EVENT_ID = "Last-Event-Id"
+# The requests a second that the target takes from all hosts together, while it says so.
+LIMIT = "Server-Limit"
 
 _STANDARD = {
     "accept",
@@ -58,7 +60,14 @@
     | {"x-cranberryrun-instance-id"}
     | {
         name.lower()
-        for name in (ATTEMPT_ID, SIGNATURE, NOT_EXECUTED, WEIGHT_VERSION, *LEAVING)
+        for name in (
+            ATTEMPT_ID,
+            SIGNATURE,
+            NOT_EXECUTED,
+            WEIGHT_VERSION,
+            LIMIT,
+            *LEAVING,
+        )
     }
 )
 KNOWN_IN_REQUESTS = frozenset(
--- a/cranberryrun/platform/store_relay.py
+++ b/cranberryrun/platform/store_relay.py
@@ -1,13 +1,15 @@
-"""Relays calls to the store for neighbours that the store does not serve."""
+"""Serves other hosts: relays calls to the store, and grants permits."""
 
 from __future__ import annotations
 
 from aiohttp import web
 
 from ..exceptions import AppendUnknownError, LogReadError, LogUnavailableError
+from ..fleet.send_permits import SendPermits
 from ..fleet.store_paths import StorePaths
 from ..kernel import Service
 from .http_server import listen
+from .permit_calls import PERMITS_PATH, serve_permits
 from .settings import HostSettings
 from .store_client import StoreClient
 
@@ -15,10 +17,13 @@
 
 
 class StoreRelay(Service):
-    """Relays calls to the store and its answers unchanged."""
+    """Relays calls to the store and its answers unchanged.
+
+    The same address serves requests for permits.
+    """
 
     name = "store_relay"
-    requires = ("events", "store", "store_paths")
+    requires = ("events", "store", "store_paths", "send_permits")
 
     def __init__(self, settings: HostSettings) -> None:
         super().__init__()
@@ -29,7 +34,7 @@
         """Listen for calls of other hosts, if the settings give a peer address."""
         if self._address is not None:
             self._runner, _ = await listen(
-                self._address, self._relay, _KEEPALIVE_SECONDS
+                self._address, self._serve, _KEEPALIVE_SECONDS
             )
 
     async def stop(self) -> None:
@@ -38,6 +43,11 @@
             await self._runner.cleanup()
         await super().stop()
 
+    async def _serve(self, request: web.BaseRequest) -> web.Response:
+        if request.path == PERMITS_PATH:
+            return await serve_permits(self.kernel.get(SendPermits), request)
+        return await self._relay(request)
+
     async def _relay(self, request: web.BaseRequest) -> web.Response:
         paths = self.kernel.get(StorePaths)
         if paths.direct_path_failed:
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -14,6 +14,7 @@
 
 from .. import clock
 from ..batches.models import Item, Piece
+from ..events import Events
 from ..exceptions import (
     RecordInvalidError,
     StaleFenceError,
@@ -32,6 +33,7 @@
     TargetClient,
 )
 from ..fleet.directory import Directory, Target
+from ..fleet.send_permits import SendPermits
 from ..http import HOP_HEADERS, HttpClients, forwardable
 from ..rewards.models import RewardCall
 from . import header_names, wire
@@ -39,8 +41,10 @@
     check_echo,
     check_signature,
     is_framed,
+    named_limit,
     raise_if_refused,
     raise_if_run_failed,
+    says_it_has_no_limit,
 )
 from .event_parser import EventParser
 from .unknown_names import UnknownNames
@@ -69,7 +73,7 @@
 class HttpTargetClient(TargetClient):
     """Calls plain services and engines. Each method makes one attempt."""
 
-    requires = ("http", "directory", "unknown_names")
+    requires = ("http", "events", "directory", "send_permits", "unknown_names")
 
     async def send(self, target: Target, request: Request) -> Answer:
         """See :meth:`TargetClient.send`."""
@@ -137,6 +141,7 @@
             orders, whose answers have none.
         """
         url = _url(target, path)
+        sent_at = clock.now()
         session = self.kernel.get(HttpClients).shared
         try:
             async with session.request(
@@ -155,6 +160,7 @@
                 # Before all else: a late copy of another request's refusal does not
                 # say that this request was not run.
                 check_echo(response, attempt_id)
+                self._record_limit(target, response, sent_at)
                 raise_if_refused(response)
                 yield response
         except aiohttp.ClientConnectorError as error:
@@ -170,6 +176,23 @@
                 f"request to {url.authority} failed: {error!r}"
             ) from None
 
+    def _record_limit(
+        self, target: Target, response: aiohttp.ClientResponse, sent_at: float
+    ) -> None:
+        if response.status == 421:
+            # Another instance answered, whose limits are its own.
+            return
+        try:
+            rate = named_limit(response)
+        except ValueError as error:
+            self.kernel.get(Events).emit(
+                "limit_invalid", target=target.id, reason=str(error)
+            )
+            return
+        self.kernel.get(SendPermits).record_answer(
+            target.id, rate, sent_at, says_it_has_no_limit(response)
+        )
+
     async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
         """Return the complete body.
 
--- a/cranberryrun/requests/forwarder.py
+++ b/cranberryrun/requests/forwarder.py
@@ -19,6 +19,8 @@
 from ..fleet.client import Answer, Request, TargetClient
 from ..fleet.directory import Directory, Target
 from ..fleet.manifest import Route
+from ..fleet.rate_limits import TargetLimitedError
+from ..fleet.send_permits import SendPermits
 from ..health import Health
 from ..kernel import Service
 from ..metrics import Metrics
@@ -29,7 +31,7 @@
 _MIN_HEDGE_DELAY_SECONDS = 0.06
 _NEWEST_ANSWER_WEIGHT = 0.1
 _INITIAL_MEAN_SECONDS = 0.05
-_RETRY_AFTER_SECONDS = 0.2
+RETRY_AFTER_SECONDS = 0.2
 # Statuses from here on say that the target failed, not that the request is malformed.
 _SERVER_ERROR_STATUS = 500
 
@@ -50,7 +52,7 @@
     """
 
     name = "forwarder"
-    requires = ("events", "metrics", "directory", "target_client")
+    requires = ("events", "metrics", "directory", "send_permits", "target_client")
 
     def __init__(self, zone: str, rng: random.Random) -> None:
         super().__init__()
@@ -124,12 +126,14 @@
     def choose_target(self, service: str, tried: set[str]) -> Target | None:
         """Return the target for the next attempt; None if no target is left.
 
-        Targets in cooldown are chosen only if there are no others.
+        Targets in cooldown are chosen only if there are no others, and targets whose
+        limit is used up are not chosen.
         """
+        permits = self.kernel.get(SendPermits)
         targets = {
             target.id: target
             for target in self.kernel.get(Directory).targets_of(service)
-            if target.id not in tried
+            if target.id not in tried and not permits.exhausted(target.id)
         }
         usable = [
             target_id
@@ -148,6 +152,24 @@
         chosen = self._policy.choose(candidates, RoutingHints(self._zone))
         return targets[chosen.id] if chosen is not None else None
 
+    def no_target_error(self, service: str) -> NoTargetError:
+        """Return the error of a request for which no target is left."""
+        permits = self.kernel.get(SendPermits)
+        waits = [
+            permits.seconds_until_permit(target.id)
+            for target in self.kernel.get(Directory).targets_of(service)
+        ]
+        if not waits or min(waits) <= 0:
+            return NoTargetError(
+                f"service {service} has no target that accepts requests",
+                retry_after=RETRY_AFTER_SECONDS,
+            )
+        return TargetLimitedError(
+            f"the targets of service {service} take no more requests for now, as they "
+            "named limits",
+            retry_after=max(RETRY_AFTER_SECONDS, min(waits)),
+        )
+
     def state_of(self, target_id: str) -> TargetState:
         """Return the state of a target; a new one at its first use."""
         return self._state_by_target.setdefault(target_id, TargetState())
@@ -165,7 +187,11 @@
         )
 
     async def send(self, target: Target, request: Request) -> Answer:
-        """Send ``request`` to ``target`` once and record the result."""
+        """Send ``request`` to ``target`` once and record the result.
+
+        :raises TargetLimitedError: the target's limit allows no request; none was sent.
+        """
+        await self.kernel.get(SendPermits).acquire(target)
         state = self.state_of(target.id)
         state.in_flight += 1
         started_at = clock.now()
@@ -222,6 +248,7 @@
         self._service = service
         self._request = request
         self._tried: set[str] = set()
+        self._limited_count = 0
         self._running: set[asyncio.Task[Answer]] = set()
         self._error_to_raise: CranberryrunError | None = None
         self._error_answer: Answer | None = None
@@ -278,6 +305,9 @@
             may_have_run = isinstance(error, OutcomeUnknownError)
             if self._error_to_raise is None or may_have_run:
                 self._error_to_raise = error
+            if isinstance(error, TargetLimitedError):
+                # Nothing was sent, so another target may still be tried instead.
+                self._limited_count += 1
             # Another attempt could run the request a second time.
             if may_have_run and not self._route.kind.repeatable:
                 return
@@ -287,7 +317,8 @@
             self._start_attempt()
 
     def _may_start_attempt(self) -> bool:
-        if len(self._tried) >= max(1, self._route.max_attempts):
+        sent_count = len(self._tried) - self._limited_count
+        if sent_count >= max(1, self._route.max_attempts):
             return False
         return self._forwarder.choose_target(self._service, self._tried) is not None
 
@@ -307,13 +338,12 @@
                 "the deadline passed before the request was sent to a target",
                 retry_after=0,
             )
-        if self._error_to_raise is None:
-            return NoTargetError(
-                f"service {self._service} has no target that accepts requests",
-                retry_after=_RETRY_AFTER_SECONDS,
-            )
+        if self._error_to_raise is None or isinstance(
+            self._error_to_raise, TargetLimitedError
+        ):
+            return self._forwarder.no_target_error(self._service)
         if isinstance(self._error_to_raise, RefusedError):
-            self._error_to_raise.retry_after = _RETRY_AFTER_SECONDS
+            self._error_to_raise.retry_after = RETRY_AFTER_SECONDS
         return self._error_to_raise
 
 
--- a/cranberryrun/requests/streams.py
+++ b/cranberryrun/requests/streams.py
@@ -8,7 +8,6 @@
 from .. import clock
 from ..exceptions import (
     CranberryrunError,
-    NoTargetError,
     OutcomeUnknownError,
     RefusedError,
     TargetFailedError,
@@ -17,10 +16,11 @@
 from ..fleet.client import Answer, Request, StreamedEvent, TargetClient
 from ..fleet.directory import Target
 from ..fleet.manifest import Route
+from ..fleet.rate_limits import TargetLimitedError
+from ..fleet.send_permits import SendPermits
 from ..kernel import Service
 from .forwarder import Forwarder
 
-_RETRY_AFTER_SECONDS = 0.2
 # Callers abandon a stream after a silence of two seconds or four times the latency
 # goal, whichever is longer. Half of that leaves another target time for its first
 # event.
@@ -61,7 +61,7 @@
     """
 
     name = "streams"
-    requires = ("forwarder", "target_client")
+    requires = ("forwarder", "send_permits", "target_client")
 
     async def forward(
         self, route: Route, request: Request, last_event: int | None
@@ -96,15 +96,22 @@
         self, route: Route, service: str, request: Request, last_event: int | None
     ) -> AsyncIterator[Answer | StreamedEvent]:
         forwarder = self.kernel.get(Forwarder)
+        permits = self.kernel.get(SendPermits)
         tried: set[str] = set()
+        limited: set[str] = set()
         head_sent = False
         while True:
-            target = forwarder.choose_target(service, tried)
+            target = forwarder.choose_target(service, tried | limited)
             if target is None or len(tried) >= route.max_attempts:
-                raise NoTargetError(
-                    f"service {service} has no target that accepts requests",
-                    retry_after=_RETRY_AFTER_SECONDS,
-                )
+                error = forwarder.no_target_error(service)
+                if head_sent:
+                    raise OutcomeUnknownError(error.detail)
+                raise error
+            try:
+                await permits.acquire(target)
+            except TargetLimitedError:
+                limited.add(target.id)
+                continue
             tried.add(target.id)
             try:
                 silence = self._max_silence(route, service, tried)
--- a/cranberryrun/rewards/caller.py
+++ b/cranberryrun/rewards/caller.py
@@ -14,6 +14,7 @@
 )
 from ..fleet.client import RunFailedError, TargetClient
 from ..fleet.directory import Directory, Target
+from ..fleet.send_permits import SendPermits
 from ..health import Health
 from ..kernel import Service
 from ..metrics import Metrics
@@ -69,7 +70,14 @@
     """
 
     name = "reward_caller"
-    requires = ("events", "metrics", "directory", "forwarder", "target_client")
+    requires = (
+        "events",
+        "metrics",
+        "directory",
+        "forwarder",
+        "send_permits",
+        "target_client",
+    )
 
     def __init__(self) -> None:
         super().__init__()
@@ -177,7 +185,10 @@
 
     def _load(self, target: Target) -> TargetLoad:
         in_flight = self.kernel.get(Forwarder).state_of(target.id).in_flight
-        return TargetLoad(target.id, target.slots, in_flight, _INITIAL_MEAN_SECONDS)
+        permits = self.kernel.get(SendPermits).available(target.id)
+        return TargetLoad(
+            target.id, target.slots, in_flight, _INITIAL_MEAN_SECONDS, permits
+        )
 
     def _apply_expected_times(self, loads: list[TargetLoad]) -> None:
         times = [self._answer_time(load.id) for load in loads]
@@ -194,6 +205,8 @@
     def _start_attempt(self, attempt: Attempt) -> None:
         pending = attempt.pending
         target = self.kernel.get(Directory).target_by_id[attempt.target_id]
+        if not self.kernel.get(SendPermits).take(target.id):
+            return
         pending.started_at_by_target[target.id] = clock.now()
         # Counted here, so that the next plan sees the attempt before its task runs.
         self.kernel.get(Forwarder).state_of(target.id).in_flight += 1
--- a/cranberryrun/rewards/planning.py
+++ b/cranberryrun/rewards/planning.py
@@ -25,19 +25,26 @@
     """A target as this host sees it.
 
     ``in_flight`` counts all requests of this host at the target. ``mean_seconds`` is
-    the mean time of its answers.
+    the mean time of its answers, and ``permits`` how many requests its limit allows
+    now; None if it has none.
     """
 
     id: str
     slots: int
     in_flight: int
     mean_seconds: float
+    permits: int | None = None
 
     @property
     def usable_slots(self) -> int:
         """How many slots reward calls may occupy; at least one."""
         return max(1, self.slots - int(self.slots * _RESERVED_SLOT_SHARE))
 
+    @property
+    def accepts_call(self) -> bool:
+        """Whether a call may be sent there now."""
+        return self.in_flight < self.usable_slots and self.permits != 0
+
     def expected_seconds(self) -> float:
         """Return the time in which one more request would be answered."""
         return self.mean_seconds * (1.0 + self.in_flight / self.slots)
@@ -90,6 +97,8 @@
         if target is None:
             continue
         target.in_flight += 1
+        if target.permits is not None:
+            target.permits -= 1
         attempts.append(Attempt(pending, target.id, hedge))
     return attempts
 
@@ -124,7 +133,5 @@
     untried = [
         target for target in others if target.id not in pending.failed_target_ids
     ]
-    free = [
-        target for target in untried or others if target.in_flight < target.usable_slots
-    ]
+    free = [target for target in untried or others if target.accepts_call]
     return min(free, key=TargetLoad.expected_seconds, default=None)
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -15,12 +15,14 @@
 from cranberryrun.batches.runner import Runner
 from cranberryrun.batches.service import Batches
 from cranberryrun.events import Event, Events
-from cranberryrun.exceptions import RecordInvalidError
+from cranberryrun.exceptions import PeerError, RecordInvalidError
 from cranberryrun.fleet.directory import Decoder, Directory, Target
 from cranberryrun.fleet.engine_pool import EnginePool
 from cranberryrun.fleet.lease import Lease
 from cranberryrun.fleet.loads import Loads
 from cranberryrun.fleet.manifest import Backend, Limits, Manifest, Route, RouteKind
+from cranberryrun.fleet.permit_client import PermitClient, PermitGrant, PermitRequest
+from cranberryrun.fleet.send_permits import SendPermits
 from cranberryrun.kernel import Kernel
 from cranberryrun.metrics import Metrics
 from cranberryrun.requests.forwarder import Forwarder
@@ -174,6 +176,26 @@
             raise RecordInvalidError("the entry of the target is malformed") from None
 
 
+class FakePermitClient(PermitClient):
+    """Asks the other hosts of a deployment, in this process."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        super().__init__()
+        self._deployment = deployment
+
+    async def ask(self, host: str, request: PermitRequest) -> PermitGrant:
+        """See :meth:`PermitClient.ask`; a host that was cut off does not answer."""
+        await asyncio.sleep(0.002)
+        kernel = self._deployment.kernel_by_host.get(host)
+        if kernel is None or host in self._deployment.unreachable_hosts:
+            raise PeerError(f"host {host} does not answer")
+        return kernel.get(SendPermits).grant(request)
+
+    def host_count(self) -> int:
+        """See :meth:`PermitClient.host_count`."""
+        return len(self._deployment.kernel_by_host)
+
+
 class Deployment:
     """A store and engines, and the hosts that share them."""
 
@@ -182,6 +204,8 @@
         self.targets = FakeTargets()
         self.decoder = JsonDecoder()
         self.kernels: list[Kernel] = []
+        self.kernel_by_host: dict[str, Kernel] = {}
+        self.unreachable_hosts: set[str] = set()
         self.events: list[Event] = []
         self._sequence = 0
 
@@ -245,6 +269,8 @@
             shared(self.targets),
             Directory(self.decoder),
             Lease(name, 1, orders_after, random.Random(name)),
+            FakePermitClient(self),
+            SendPermits(name, random.Random(name)),
             EnginePool(),
             Loads(name),
             BatchLog(262_144, 2_097_152, 120.0, cache_bytes),
@@ -259,6 +285,7 @@
         events.observers.append(self.events.append)
         await kernel.start()
         self.kernels.append(kernel)
+        self.kernel_by_host[name] = kernel
         return kernel
 
     async def stop(self) -> None:
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -2,7 +2,15 @@
 
 import asyncio
 
-from .test_platform_host import PlatformTestCase, submission
+from cranberryrun.fleet.directory import Directory
+
+from .test_platform_host import (
+    OPERATOR_TOPIC,
+    PlatformTestCase,
+    manifest,
+    route,
+    submission,
+)
 
 LIMIT = 2.0
 WINDOW_SECONDS = 4.0
@@ -66,3 +74,17 @@
             self.assertEqual(status, 503)
             self.assertLess(seconds, 0.5)
             self.assertGreater(float(retry_after), 0)
+
+    async def test_streams_keep_the_limit(self):
+        routes = [route("live", "streaming", "portal", resumable=True)]
+        self.store.put(OPERATOR_TOPIC, "config", manifest(2, routes=routes))
+        directory = self.host.kernel.get(Directory)
+        await self.wait_until(lambda: directory.manifest.version == 2)
+        for portal in self.portals:
+            portal.limit = LIMIT
+        for number in range(50):
+            await self.request("POST", "/live/x", attempt_id=f"s{number}")
+            await asyncio.sleep(0.08)
+        for portal in self.portals:
+            self.assertGreater(len(portal.arrivals), 2)
+            self.assertLessEqual(most_in_a_window(portal.arrivals), MOST_IN_WINDOW)
