Tell targets that end under a request from lost connections in the log

Nothing is decided by it yet. Ruled out: the target's entry in the store as evidence, since it stays for three heartbeats; time-outs as evidence, since a slow target runs on.

--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -171,6 +171,7 @@
     (406, "target_back", INFO, "A target answers again."),
     (407, "caller_gone", INFO, "The caller closed its connection."),
     (408, "answer_failed", WARNING, "A caller got an error raised by this host."),
+    (409, "target_crashed", WARNING, "A target ended while it ran a request."),
     (410, "call_intent", INFO, "A keyed call's intent was recorded."),
     (411, "call_first", INFO, "A keyed call is the first of its key."),
     (412, "call_repeat", INFO, "A keyed call is a repeat; it is not run again."),
--- a/cranberryrun/fleet/client.py
+++ b/cranberryrun/fleet/client.py
@@ -25,6 +25,10 @@
     code = "run_failed"
 
 
+class ConnectionLostError(TargetFailedError):
+    """The connection ended before the answer was complete; the target may be gone."""
+
+
 class ItemImpossibleError(CranberryrunError):
     """The target reported that the item can never succeed."""
 
@@ -159,6 +163,13 @@
         :raises RunFailedError: the target ran the call and reported a failure.
         """
 
+    @abstractmethod
+    async def refuses_connections(self, target: Target) -> bool:
+        """Return whether no process listens at the target's address any more.
+
+        A target that does not respond at all may still run, so it does not refuse.
+        """
+
     @abstractmethod
     async def report(self, target: Target) -> EngineReport:
         """Request the state of an engine."""
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -28,6 +28,7 @@
 from ..http import HttpClients
 from ..kernel import Kernel, Service
 from ..metrics import Metrics
+from ..requests.crashes import Crashes
 from ..requests.forwarder import Forwarder
 from ..requests.streams import Streams
 from ..rewards.caller import RewardCaller
@@ -119,6 +120,7 @@
             ResultWriter(),
             Runner(),
             Batches(),
+            Crashes(),
             Forwarder(settings.zone, rng),
             Streams(),
             RewardCaller(),
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -24,6 +24,7 @@
 )
 from ..fleet.client import (
     Answer,
+    ConnectionLostError,
     EngineReport,
     LoadOrder,
     OrderRefusedError,
@@ -47,6 +48,7 @@
     says_it_has_no_limit,
 )
 from .event_parser import EventParser
+from .settings import split_address
 from .unknown_names import UnknownNames
 
 # The client sets these headers itself, so those of the caller are dropped.
@@ -66,6 +68,11 @@
 _EVENT_STREAM = "text/event-stream"
 # A page of results holds at most 1 MB of text, so no result can be longer.
 _MAX_OUTPUT_BYTES = 1_000_000
+_CONNECTION_ENDED = (
+    aiohttp.ServerDisconnectedError,
+    aiohttp.ClientOSError,
+    aiohttp.ClientPayloadError,
+)
 _ORDER_PATH = "/v1/order"
 _REPORT_PATH = "/v1/report"
 
@@ -171,6 +178,10 @@
             raise TargetUnreachableError(
                 f"can't connect to {url.authority}: {error!r}"
             ) from None
+        except _CONNECTION_ENDED as error:
+            raise ConnectionLostError(
+                f"request to {url.authority} failed: {error!r}"
+            ) from None
         except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
             raise TargetFailedError(
                 f"request to {url.authority} failed: {error!r}"
@@ -280,6 +291,19 @@
                 )
             return response.headers[header_names.SIGNATURE]
 
+    async def refuses_connections(self, target: Target) -> bool:
+        """See :meth:`TargetClient.refuses_connections`."""
+        host, port = split_address(target.address)
+        try:
+            async with asyncio.timeout(_CONTROL_TIMEOUT_SECONDS):
+                _, writer = await asyncio.open_connection(host, port)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return False
+
     async def report(self, target: Target) -> EngineReport:
         """See :meth:`TargetClient.report`."""
         async with self._open_response(
--- a/cranberryrun/requests/forwarder.py
+++ b/cranberryrun/requests/forwarder.py
@@ -25,6 +25,7 @@
 from ..kernel import Service
 from ..metrics import Metrics
 from ..routing import Candidate, LeastLoaded, RoutingHints
+from .crashes import Crashes
 
 # A hedged request is sent when an answer takes this many times the mean.
 _HEDGE_FACTOR = 3.0
@@ -52,7 +53,14 @@
     """
 
     name = "forwarder"
-    requires = ("events", "metrics", "directory", "send_permits", "target_client")
+    requires = (
+        "events",
+        "metrics",
+        "directory",
+        "send_permits",
+        "crashes",
+        "target_client",
+    )
 
     def __init__(self, zone: str, rng: random.Random) -> None:
         super().__init__()
@@ -204,6 +212,7 @@
         except TargetFailedError as error:
             state.health.record_failure()
             self.record_failed_attempt(request, target, started_at, error)
+            await self.kernel.get(Crashes).examine(target, request, error)
             raise
         finally:
             state.in_flight -= 1
--- a/cranberryrun/requests/streams.py
+++ b/cranberryrun/requests/streams.py
@@ -19,6 +19,7 @@
 from ..fleet.rate_limits import TargetLimitedError
 from ..fleet.send_permits import SendPermits
 from ..kernel import Service
+from .crashes import Crashes
 from .forwarder import Forwarder
 
 # Callers abandon a stream after a silence of two seconds or four times the latency
@@ -61,7 +62,7 @@
     """
 
     name = "streams"
-    requires = ("forwarder", "send_permits", "target_client")
+    requires = ("forwarder", "send_permits", "crashes", "target_client")
 
     async def forward(
         self, route: Route, request: Request, last_event: int | None
@@ -187,6 +188,7 @@
             else:
                 state.health.record_failure()
             forwarder.record_failed_attempt(request, target, started_at, error)
+            await self.kernel.get(Crashes).examine(target, request, error)
             raise
         finally:
             state.in_flight -= 1
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -25,6 +25,7 @@
 from cranberryrun.fleet.send_permits import SendPermits
 from cranberryrun.kernel import Kernel
 from cranberryrun.metrics import Metrics
+from cranberryrun.requests.crashes import Crashes
 from cranberryrun.requests.forwarder import Forwarder
 from cranberryrun.rewards.caller import RewardCaller
 from cranberryrun.rewards.models import RewardCall
@@ -276,6 +277,7 @@
             BatchLog(262_144, 2_097_152, 120.0, cache_bytes),
             ResultWriter(),
             Metrics(name),
+            Crashes(),
             Forwarder("a", random.Random(1)),
             RewardCaller(),
             Runner(),
--- a/fakes/engines.py
+++ b/fakes/engines.py
@@ -87,6 +87,7 @@
         self.events_by_item: dict[str, int] = {}
         self.answers_by_target: dict[str, list[object]] = {}
         self.sent: list[tuple[str, str]] = []
+        self.crashed_targets: set[str] = set()
         self.score_steps_by_target: dict[str, list[object]] = {}
         self.score_calls: list[ScoreCall] = []
         self.scores_running_by_target: Counter[str] = Counter()
@@ -189,6 +190,11 @@
         finally:
             self.scores_running_by_target[target.id] -= 1
 
+    async def refuses_connections(self, target: Target) -> bool:
+        """See :meth:`TargetClient.refuses_connections`."""
+        await asyncio.sleep(0.001)
+        return target.id in self.crashed_targets
+
     async def report(self, target: Target) -> EngineReport:
         """See :meth:`TargetClient.report`."""
         engine = self.engine_by_id[target.id]
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -26,7 +26,8 @@
     ``error`` (500), ``foreign`` (attempt id of another request), ``foreign refusal``
     (the refusal of another request; the request itself is executed), ``unsigned`` (no
     server signature), ``short`` (fewer bytes than ``Content-Length``), ``reset``
-    (connection reset), ``silent`` (no response), ``cut`` (the stream ends in the
+    (connection reset), ``crash`` (connection reset, no new ones accepted; ``start``
+    begins a new process), ``silent`` (no response), ``cut`` (the stream ends in the
     middle of an event), ``stall`` (the stream goes on with single bytes of no event,
     without end), ``impossible`` (422) or an empty string (success, as with an
     empty script). ``event_seconds`` is the time between events, ``answer_seconds``
@@ -70,6 +71,7 @@
         self.born = 1
         self.address = ""
         self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
 
     def entry(self, state: str = "ready") -> dict[str, object]:
         """Return the entry with which the target registers in the store."""
@@ -100,11 +102,16 @@
             app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0)
-        await site.start()
+        self._site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await self._site.start()
         host, port = self._runner.addresses[0][:2]
         self.address = f"{host}:{port}"
 
+    def _crash(self) -> None:
+        """Stop accepting connections; the running request's connection is reset."""
+        assert self._site is not None and self._site._server is not None
+        self._site._server.close()
+
     async def stop(self) -> None:
         """Stop listening."""
         if self._runner is not None:
@@ -190,7 +197,9 @@
             del headers[_SERVER_SIGNATURE]
         if behaviour == "silent":
             await asyncio.sleep(3600)
-        if behaviour == "reset":
+        if behaviour == "crash":
+            self._crash()
+        if behaviour in ("reset", "crash"):
             assert request.transport is not None
             request.transport.abort()
             return web.Response()
