--- a/fakes/engines.py
+++ b/fakes/engines.py
@@ -17,6 +17,7 @@
 )
 from cranberryrun.fleet.client import (
     Answer,
+    ConnectionLostError,
     EngineReport,
     ItemImpossibleError,
     LoadOrder,
@@ -30,6 +31,9 @@
 from cranberryrun.fleet.directory import Target
 from cranberryrun.rewards.models import RewardCall
 
+# How long a target runs a request that ends it.
+_CRASH_DELAY_SECONDS = 0.04
+
 
 @dataclass(slots=True)
 class FakeEngine:
@@ -78,7 +82,9 @@
     Requests get the scripted answers of ``answers_by_target``. Runs of items are
     answered by ``engine_by_id``; an item has as many events as ``events_by_item``
     says, by default 10. Reward calls get the steps of ``score_steps_by_target``, of
-    which the last one applies to all further calls.
+    which the last one applies to all further calls. A request to a path of
+    ``crashing_paths`` ends its target, and all that it runs, after some milliseconds;
+    ``crashes`` has target, path and time.
     """
 
     def __init__(self) -> None:
@@ -88,6 +94,8 @@
         self.answers_by_target: dict[str, list[object]] = {}
         self.sent: list[tuple[str, str]] = []
         self.crashed_targets: set[str] = set()
+        self.crashing_paths: set[str] = set()
+        self.crashes: list[tuple[str, str, float]] = []
         self.score_steps_by_target: dict[str, list[object]] = {}
         self.score_calls: list[ScoreCall] = []
         self.scores_running_by_target: Counter[str] = Counter()
@@ -98,11 +106,22 @@
         A step is an answer, an error or a delay in seconds; without a script, the
         delay is 0.03 s. The answer after a delay has the target's id as its body.
         """
+        if target.id in self.crashed_targets:
+            await asyncio.sleep(0.003)
+            raise TargetUnreachableError("the target refused the connection")
         self.sent.append((target.id, request.id))
+        if request.target in self.crashing_paths:
+            await asyncio.sleep(_CRASH_DELAY_SECONDS)
+            now = asyncio.get_running_loop().time()
+            self.crashes.append((target.id, request.target, now))
+            self.crashed_targets.add(target.id)
         script = self.answers_by_target.get(target.id, [])
         step = script.pop(0) if script else 0.03
         if isinstance(step, (int, float)):
-            await asyncio.sleep(step)
+            if target.id not in self.crashed_targets:
+                await asyncio.sleep(step)
+            if target.id in self.crashed_targets:
+                raise ConnectionLostError("the target closed the connection")
             return Answer(200, (), target.id.encode())
         if isinstance(step, Exception):
             await asyncio.sleep(0.001)
