Refuse requests under which targets ended, at all hosts together

Cause: each send was decided without regard to what earlier runs of the same request had done, within a call, over repeats with new ids and over hosts; health starts anew with each engine id. Change: a connection that ends without an answer, with the target refusing new ones, is recorded under the request's fingerprint in keyed.crashes, which all hosts follow with a long poll. From the second crash on the request is refused at once (503 with Retry-After), but for three trials 5, 20 and 60 s apart; a trial is claimed by a conditional append, so one host makes it, and none without the store. A request with one crash is not hedged. An answer below 500 frees the request. requests/crash_records.py decides without I/O, 512 requests at most. Items and reward calls are owed and not concerned. KeyedFollower serves this topic and that of the limits. Ruled out: fewer retries alone (repeats come from other hosts); refusing for good after two crashes (a request that was only beside the cause would be lost to its caller).

--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -177,6 +177,7 @@
     (412, "call_repeat", INFO, "A keyed call is a repeat; it is not run again."),
     (413, "call_outcome", INFO, "A keyed call's outcome was recorded."),
     (414, "call_forwarded", INFO, "A keyed call was forwarded to the key's owner."),
+    (415, "request_on_trial", INFO, "A request that crashed targets is sent again."),
     (420, "limit_named", INFO, "A target named how many requests a second it takes."),
     (421, "limit_ended", INFO, "A target no longer names a limit."),
     (422, "limit_invalid", WARNING, "A target named a limit that is not a number."),
--- a/cranberryrun/fleet/send_permits.py
+++ b/cranberryrun/fleet/send_permits.py
@@ -14,14 +14,13 @@
 from ..events import Events
 from ..exceptions import (
     CranberryrunError,
-    LogGapError,
-    LogReadError,
     PeerError,
 )
 from ..kernel import Service
 from ..metrics import Metrics
 from ..store import KeyedRecord, Store
 from .directory import Directory, Target
+from .keyed_follower import KeyedFollower
 from .lease import Lease
 from .permit_client import NotHolderError, PermitClient, PermitGrant, PermitRequest
 from .rate_limits import NamedLimits, TargetLimitedError, TokenBucket
@@ -32,9 +31,6 @@
 _UNSURE_SHARE = 0.5
 # Time without asking after the holder could not be reached.
 _ASK_COOLDOWN_SECONDS = 0.5
-_POLL_SECONDS = 10.0
-# Several limits that are written together cause one read at each host.
-_READ_INTERVAL_SECONDS = 0.2
 _PUBLISH_INTERVAL_SECONDS = 0.2
 _RETRY_DELAY_SECONDS = 0.5
 
@@ -63,7 +59,8 @@
     async def start(self) -> None:
         """Follow the topic of limits; publish limits while this host has the lease."""
         self.kernel.get(Directory).observers.append(self._forget_gone_targets)
-        self.supervise(self._follow)
+        follower = KeyedFollower(self.kernel.get(Store), TOPIC, self._apply_record)
+        self.supervise(follower.run)
         self.supervise(self._publish)
 
     def record_answer(
@@ -241,38 +238,6 @@
             )
         return granted
 
-    async def _follow(self) -> None:
-        store = self.kernel.get(Store)
-        offset: int | None = None
-        while True:
-            try:
-                if offset is None:
-                    newest = await store.newest(TOPIC)
-                    offset = newest.next
-                    self._apply_snapshot(newest.records)
-                else:
-                    page = await store.read(TOPIC, offset, _POLL_SECONDS)
-                    offset = page.next
-                    for raw in page.records:
-                        record = store.parse_keyed_record(raw)
-                        if record is not None:
-                            self._apply_record(record)
-            except LogGapError:
-                offset = None
-                continue
-            except LogReadError:
-                # Not logged here: the directory logs outages of the store.
-                await asyncio.sleep(_RETRY_DELAY_SECONDS)
-                continue
-            await asyncio.sleep(_READ_INTERVAL_SECONDS)
-
-    def _apply_snapshot(self, records: list[KeyedRecord]) -> None:
-        present = {record.key for record in records if record.value is not None}
-        for target_id in set(self._published_rate_by_target) - present:
-            self._apply_record(KeyedRecord(target_id, None))
-        for record in records:
-            self._apply_record(record)
-
     def _apply_record(self, record: KeyedRecord) -> None:
         rate = _parse_rate(record.value) if record.value is not None else None
         if rate is None:
--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -132,6 +132,12 @@
         ("service",),
         "Attempts at requests that a target's limit did not allow.",
     ),
+    "crashing_requests": MetricKind(
+        "cranberryrun_crashing_requests",
+        "counter",
+        (),
+        "Requests that were refused because targets ended while they ran them.",
+    ),
     "queue": MetricKind(
         "cranberryrun_queue",
         "gauge",
@@ -242,6 +248,10 @@
         """Count an attempt that a target's limit did not allow."""
         self._add("limited", service=service)
 
+    def crashing_request(self) -> None:
+        """Count a request that was refused because targets ended under it."""
+        self._add("crashing_requests")
+
     def register_gauge(
         self, key: str, read: Callable[[], float | Mapping[str, float]]
     ) -> None:
--- a/cranberryrun/platform/store_client.py
+++ b/cranberryrun/platform/store_client.py
@@ -101,10 +101,13 @@
             f"the store answered {status} to an append to {topic}: {answer[:200]!r}"
         )
 
-    async def put(self, topic: str, key: str, value: bytes) -> None:
+    async def put(
+        self, topic: str, key: str, value: bytes, at: int | None = None
+    ) -> None:
         """See :meth:`Store.put`."""
         encoded_key = key.encode()
-        await self.append(topic, [bytes([len(encoded_key)]) + encoded_key + value])
+        record = bytes([len(encoded_key)]) + encoded_key + value
+        await self.append(topic, [record], at)
 
     async def read(self, topic: str, start: int, wait: float) -> Page:
         """See :meth:`Store.read`."""
--- a/cranberryrun/requests/crashes.py
+++ b/cranberryrun/requests/crashes.py
@@ -1,23 +1,101 @@
-"""Finds out whether a target ended while it ran a request."""
+"""Keeps requests that end their targets from being sent on, at all hosts together.
+
+Each crash is recorded under the request's fingerprint in a topic that all hosts follow.
+A request with several crashes is refused, but for a few trials that only one host at a
+time may make. Batch items and reward calls are not concerned: they are owed.
+"""
 
 from __future__ import annotations
 
+import asyncio
+from collections import OrderedDict
+
+from .. import clock
 from ..events import Events
-from ..exceptions import CranberryrunError, TruncatedAnswerError
+from ..exceptions import CranberryrunError, RefusedError, TruncatedAnswerError
 from ..fleet.client import ConnectionLostError, Request, TargetClient
 from ..fleet.directory import Target
+from ..fleet.keyed_follower import KeyedFollower
+from ..fleet.lease import Lease
 from ..kernel import Service
+from ..metrics import Metrics
+from ..store import KeyedRecord, Store
+from .crash_records import CrashRecords
 from .fingerprint import fingerprint_of
 
+TOPIC = "keyed.crashes"
+_TRIAL_PREFIX = "trial-"
+# The store allows 255 bytes, and the fingerprint takes 33.
+_MAX_TARGET_KEY_LENGTH = 160
 # Errors with which the run of a target that ends is seen.
 _POSSIBLE_CRASHES = (ConnectionLostError, TruncatedAnswerError)
+_RETRY_AFTER_SECONDS = 1.0
+# A repeat at another host may come within some milliseconds.
+_READ_INTERVAL_SECONDS = 0.01
+_WRITE_RETRY_SECONDS = 0.5
+_MAX_UNWRITTEN = 1024
+_PRUNE_INTERVAL_SECONDS = 30.0
+_RECORDED = b"1"
+
+
+class RequestCrashesTargetsError(RefusedError):
+    """Targets ended each time they ran this request, so it is not sent now."""
+
+    code = "request_crashes_targets"
 
 
 class Crashes(Service):
-    """Examines failed attempts."""
+    """Records the crashes of targets by request, and refuses such requests."""
 
     name = "crashes"
-    requires = ("events", "target_client")
+    requires = ("events", "metrics", "store", "lease", "target_client")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._records = CrashRecords()
+        self._value_by_unwritten_key: OrderedDict[str, bytes] = OrderedDict()
+        self._keys_by_fingerprint: dict[str, set[str]] = {}
+        self._unwritten = asyncio.Event()
+        self._follower: KeyedFollower
+
+    async def start(self) -> None:
+        """Follow and write the records that all hosts share."""
+        self._follower = KeyedFollower(
+            self.kernel.get(Store), TOPIC, self._apply, _READ_INTERVAL_SECONDS
+        )
+        self.supervise(self._follower.run)
+        self.supervise(self._write)
+        self.supervise(self._prune)
+
+    async def admit(self, request: Request) -> None:
+        """Return if the request may be sent to a target now.
+
+        :raises RequestCrashesTargetsError: it may not.
+        """
+        if not len(self._records):
+            return
+        fingerprint = fingerprint_of(request)
+        decision = self._records.decide(fingerprint, clock.now())
+        if decision.trial is None:
+            return
+        if decision.wait <= 0 and await self._claim_trial(fingerprint, decision.trial):
+            return
+        self.kernel.get(Metrics).crashing_request()
+        raise RequestCrashesTargetsError(
+            f"{self._records.crash_count(fingerprint)} targets ended while they ran "
+            "this request",
+            retry_after=max(_RETRY_AFTER_SECONDS, decision.wait),
+        )
+
+    def may_repeat(self, request: Request) -> bool:
+        """Return whether a request that may have run may go to another target."""
+        return not len(self._records) or self._records.may_repeat(
+            fingerprint_of(request)
+        )
+
+    def may_hedge(self, request: Request) -> bool:
+        """Return whether two targets may run the request at the same time."""
+        return not len(self._records) or fingerprint_of(request) not in self._records
 
     async def examine(
         self, target: Target, request: Request, error: CranberryrunError
@@ -31,9 +109,108 @@
             return
         if not await self.kernel.get(TargetClient).refuses_connections(target):
             return
+        fingerprint = fingerprint_of(request)
+        process = f"{target.id[:_MAX_TARGET_KEY_LENGTH]}:{target.born}"
+        self._records.record_crash(fingerprint, process, clock.now())
+        self._queue(f"{fingerprint}/{process}", _RECORDED)
         self.kernel.get(Events).emit(
             "target_crashed",
             target=target.id,
             request=request.id,
-            fingerprint=fingerprint_of(request),
+            fingerprint=fingerprint,
+            crashes=self._records.crash_count(fingerprint),
+        )
+
+    def record_answer(self, request: Request) -> None:
+        """Record that a target answered the request, which shows it to be harmless."""
+        if not len(self._records):
+            return
+        fingerprint = fingerprint_of(request)
+        if fingerprint in self._records:
+            self._forget(fingerprint)
+
+    def _forget(self, fingerprint: str) -> None:
+        self._records.clear(fingerprint)
+        for key in self._keys_by_fingerprint.pop(fingerprint, ()):
+            self._queue(key, b"")
+
+    async def _claim_trial(self, fingerprint: str, number: int) -> bool:
+        """Return whether this host makes the trial; of several hosts one does.
+
+        A host that can't reach the store makes none.
+        """
+        offset = self._follower.next_offset
+        if offset is None:
+            return False
+        key = f"{fingerprint}/{_TRIAL_PREFIX}{number}"
+        try:
+            await self.kernel.get(Store).put(TOPIC, key, _RECORDED, at=offset)
+        except CranberryrunError:
+            # Another host wrote first, or it is not known whether this one did.
+            return False
+        self._remember(fingerprint, key)
+        self._records.record_trial(fingerprint, number, clock.now())
+        self.kernel.get(Events).emit(
+            "request_on_trial", fingerprint=fingerprint, trial=number
         )
+        return True
+
+    def _remember(self, fingerprint: str, key: str) -> None:
+        self._keys_by_fingerprint.setdefault(fingerprint, set()).add(key)
+
+    def _queue(self, key: str, value: bytes) -> None:
+        if value:
+            self._remember(key.partition("/")[0], key)
+        self._value_by_unwritten_key[key] = value
+        self._value_by_unwritten_key.move_to_end(key)
+        while len(self._value_by_unwritten_key) > _MAX_UNWRITTEN:
+            self._value_by_unwritten_key.popitem(last=False)
+        self._unwritten.set()
+
+    async def _write(self) -> None:
+        while True:
+            await self._unwritten.wait()
+            self._unwritten.clear()
+            while self._value_by_unwritten_key:
+                key, value = next(iter(self._value_by_unwritten_key.items()))
+                try:
+                    await self.kernel.get(Store).put(TOPIC, key, value)
+                except CranberryrunError:
+                    # Not logged here: the directory logs outages of the store.
+                    await asyncio.sleep(_WRITE_RETRY_SECONDS)
+                    continue
+                if self._value_by_unwritten_key.get(key) == value:
+                    del self._value_by_unwritten_key[key]
+
+    def _apply(self, record: KeyedRecord) -> None:
+        fingerprint, _, suffix = record.key.partition("/")
+        if record.value is None:
+            keys = self._keys_by_fingerprint.get(fingerprint, set())
+            keys.discard(record.key)
+            # Whoever removes one record of a request removes all of them.
+            self._records.clear(fingerprint)
+            if not keys:
+                self._keys_by_fingerprint.pop(fingerprint, None)
+            return
+        self._remember(fingerprint, record.key)
+        number = suffix.removeprefix(_TRIAL_PREFIX)
+        if suffix.startswith(_TRIAL_PREFIX) and number.isdigit():
+            self._records.record_trial(fingerprint, int(number), clock.now())
+        else:
+            self._records.record_crash(fingerprint, suffix, clock.now())
+
+    async def _prune(self) -> None:
+        """Remove old records from the topic while this host holds the lease."""
+        while True:
+            await asyncio.sleep(_PRUNE_INTERVAL_SECONDS)
+            forgotten = [
+                fingerprint
+                for fingerprint in self._keys_by_fingerprint
+                if fingerprint not in self._records
+            ]
+            if not self.kernel.get(Lease).held:
+                for fingerprint in forgotten:
+                    del self._keys_by_fingerprint[fingerprint]
+                continue
+            for fingerprint in forgotten + self._records.expired(clock.now()):
+                self._forget(fingerprint)
--- a/cranberryrun/requests/forwarder.py
+++ b/cranberryrun/requests/forwarder.py
@@ -79,6 +79,7 @@
         started_at = clock.now()
         service = self.choose_service(route)
         try:
+            await self.kernel.get(Crashes).admit(request)
             answer = await _Attempts(self, route, service, request).answer()
         except CranberryrunError as error:
             outcome = "refused" if isinstance(error, RefusedError) else "unknown"
@@ -182,6 +183,14 @@
         """Return the state of a target; a new one at its first use."""
         return self._state_by_target.setdefault(target_id, TargetState())
 
+    def may_hedge(self, request: Request) -> bool:
+        """Return whether a second target may run the request beside the first."""
+        return self.kernel.get(Crashes).may_hedge(request)
+
+    def may_repeat(self, request: Request) -> bool:
+        """Return whether a request that may have run may go to another target."""
+        return self.kernel.get(Crashes).may_repeat(request)
+
     def hedge_delay(self, service: str) -> float:
         """Return the seconds to wait for an answer before a hedged request is sent."""
         mean = self._mean_seconds_by_service.get(service, _INITIAL_MEAN_SECONDS)
@@ -224,6 +233,7 @@
             self.record_failed_attempt(request, target, started_at, reason)
             return answer
         state.health.record_answer()
+        self.kernel.get(Crashes).record_answer(request)
         self.record_answer_time(target.service, clock.now() - started_at)
         return answer
 
@@ -283,7 +293,11 @@
     async def _first_answer(self) -> Answer:
         self._start_attempt()
         while self._running:
-            may_hedge = self._route.kind.repeatable and self._may_start_attempt()
+            may_hedge = (
+                self._route.kind.repeatable
+                and self._forwarder.may_hedge(self._request)
+                and self._may_start_attempt()
+            )
             hedge_delay = (
                 self._forwarder.hedge_delay(self._service) if may_hedge else None
             )
@@ -318,13 +332,16 @@
                 # Nothing was sent, so another target may still be tried instead.
                 self._limited_count += 1
             # Another attempt could run the request a second time.
-            if may_have_run and not self._route.kind.repeatable:
+            if may_have_run and not self._may_run_again():
                 return
         else:
             raise error
         if not self._running and self._may_start_attempt():
             self._start_attempt()
 
+    def _may_run_again(self) -> bool:
+        return self._route.kind.repeatable and self._forwarder.may_repeat(self._request)
+
     def _may_start_attempt(self) -> bool:
         sent_count = len(self._tried) - self._limited_count
         if sent_count >= max(1, self._route.max_attempts):
--- a/cranberryrun/requests/streams.py
+++ b/cranberryrun/requests/streams.py
@@ -80,6 +80,7 @@
         service = forwarder.choose_service(route)
         outcome, reason = "caller_gone", "cancelled"
         try:
+            await self.kernel.get(Crashes).admit(request)
             async for part in self._attempts(route, service, request, last_event):
                 yield part
             outcome, reason = "answered", "whole"
@@ -129,7 +130,9 @@
                     yield part
                 return
             except CranberryrunError as error:
-                may_retry = route.resumable or isinstance(error, RefusedError)
+                may_retry = isinstance(error, RefusedError) or (
+                    route.resumable and forwarder.may_repeat(request)
+                )
                 attempts_exhausted = len(tried) >= route.max_attempts
                 if (
                     not may_retry
@@ -193,3 +196,4 @@
         finally:
             state.in_flight -= 1
         state.health.record_answer()
+        self.kernel.get(Crashes).record_answer(request)
--- a/cranberryrun/store.py
+++ b/cranberryrun/store.py
@@ -67,9 +67,13 @@
         """
 
     @abstractmethod
-    async def put(self, topic: str, key: str, value: bytes) -> None:
-        """Set the newest value of ``key`` in a keyed topic.
+    async def put(
+        self, topic: str, key: str, value: bytes, at: int | None = None
+    ) -> None:
+        """Set the newest value of ``key`` in a keyed topic; an empty one removes it.
 
+        :param at: set it only if the topic ends at this offset; None sets it always.
+        :raises AppendConflictError: the topic does not end at ``at``.
         :raises LogUnavailableError: the value was not set.
         :raises AppendUnknownError: the value may have been set.
         """
--- a/fakes/store.py
+++ b/fakes/store.py
@@ -66,10 +66,13 @@
         encoded_key = key.encode()
         self.add(topic, bytes([len(encoded_key)]) + encoded_key + (value or b""))
 
-    async def put(self, topic: str, key: str, value: bytes) -> None:
+    async def put(
+        self, topic: str, key: str, value: bytes, at: int | None = None
+    ) -> None:
         """See :meth:`Store.put`."""
-        await self._simulate_response(LogUnavailableError, AppendUnknownError)
-        self.put_keyed(topic, key, value)
+        encoded_key = key.encode()
+        record = bytes([len(encoded_key)]) + encoded_key + value
+        await self.append(topic, [record], at)
 
     async def append(
         self, topic: str, records: list[bytes], at: int | None = None
--- a/tests/test_crash_budget.py
+++ b/tests/test_crash_budget.py
@@ -6,8 +6,10 @@
 from cranberryrun.exceptions import CranberryrunError
 from cranberryrun.fleet.client import Request
 from cranberryrun.fleet.manifest import RouteKind
+from cranberryrun.requests.crashes import RequestCrashesTargetsError
 from cranberryrun.requests.forwarder import Forwarder
-from fakes.deployment import SERVICE, Deployment, batch_route, manifest
+from cranberryrun.requests.streams import Streams
+from fakes.deployment import SERVICE, Deployment, batch, batch_route, manifest
 
 from .virtual import VirtualTimeTestCase
 
@@ -18,7 +20,7 @@
 
 
 class CrashBudgetTest(VirtualTimeTestCase):
-    """Guards against BUDGET: one request ended nine engines, whenever they came back."""
+    """Guards against BUDGET: one request ended each engine that came back."""
 
     async def asyncSetUp(self):
         self.deployment = Deployment()
@@ -58,19 +60,15 @@
                 name, incarnation = target_id.split("-")
                 self.register(f"{name}-{int(incarnation) + 1}")
 
-    async def call(self, host, path, body=b"", hosts_time=0.5):
-        """Send one request; return ``answered`` or the error."""
+    def request(self, path, body=b""):
         self.count += 1
-        request = Request(
-            f"r{self.count}",
-            "POST",
-            path,
-            (("Host", "site.example"),),
-            body,
-            clock.now() + hosts_time,
-        )
+        headers = (("Host", "site.example"),)
+        return Request(f"r{self.count}", "POST", path, headers, body, clock.now() + 0.5)
+
+    async def call(self, host, path, body=b""):
+        """Send one request; return ``answered`` or the error."""
         try:
-            await host.get(Forwarder).forward(self.route, request)
+            await host.get(Forwarder).forward(self.route, self.request(path, body))
         except CranberryrunError as error:
             return error
         return "answered"
@@ -102,3 +100,71 @@
             await asyncio.sleep(0.02)
         await crashing
         self.assertGreaterEqual(outcomes.count("answered"), 0.98 * len(outcomes))
+
+    async def test_host_that_starts_knows_the_crashes(self):
+        await self.repeat_crashing_request(2, 0.1)
+        late = await self.deployment.start_host("late")
+        await asyncio.sleep(0.5)
+        crashes = len(self.crashes())
+        (outcome,) = await self.repeat_crashing_request(1, 0.0, [late])
+        self.assertIsInstance(outcome, RequestCrashesTargetsError)
+        self.assertGreater(outcome.retry_after, 0)
+        self.assertEqual(len(self.crashes()), crashes)
+
+    async def test_hosts_that_lost_the_store_remember_and_make_no_trial(self):
+        await self.repeat_crashing_request(2, 0.1)
+        self.deployment.store.down = True
+        await asyncio.sleep(6.0)
+        crashes = len(self.crashes())
+        await self.repeat_crashing_request(60, 0.2)
+        self.assertEqual(len(self.crashes()), crashes)
+
+    async def test_of_several_hosts_one_makes_a_trial(self):
+        await self.repeat_crashing_request(2, 0.1)
+        await asyncio.sleep(6.0)
+        crashes = len(self.crashes())
+        await asyncio.gather(*(self.call(host, CRASHING_PATH) for host in self.hosts))
+        self.assertEqual(len(self.crashes()), crashes + 1)
+
+    async def test_request_beside_a_crash_is_free_again_after_one_trial(self):
+        """It was in flight at each target that ended, but is not the cause."""
+        await asyncio.gather(
+            *(self.call(self.hosts[0], path) for path in (CRASHING_PATH, "/x/1") * 2),
+            self.call(self.hosts[0], "/x/1"),
+        )
+        await asyncio.sleep(6.0)
+        self.assertEqual(await self.call(self.hosts[1], "/x/1"), "answered")
+        outcomes = [await self.call(host, "/x/1") for host in self.hosts]
+        self.assertEqual(outcomes, ["answered"] * 3)
+
+    async def test_same_path_with_another_body_is_another_request(self):
+        await self.repeat_crashing_request(2, 0.1)
+        self.targets.crashing_paths = set()
+        self.assertEqual(
+            await self.call(self.hosts[0], CRASHING_PATH, b"other"), "answered"
+        )
+
+    async def test_resumed_stream_that_crashes_targets_is_stopped_too(self):
+        route = batch_route(kind=RouteKind.STREAMING, max_attempts=3, resumable=True)
+        for number in range(30):
+            request = self.request(CRASHING_PATH)
+            streams = self.hosts[number % 3].get(Streams)
+            try:
+                async for _ in streams.forward(route, request, None):
+                    continue
+            except CranberryrunError:
+                pass
+            await asyncio.sleep(0.3)
+        self.assertLessEqual(len(self.crashes()), 3)
+
+    async def test_item_under_which_engines_ended_is_still_owed(self):
+        self.deployment.add_engine("e0", cut_after=2)
+        await asyncio.sleep(0.5)
+        await self.deployment.submit(self.hosts[0], batch(groups=1, size=2))
+        await asyncio.sleep(3.0)
+        engine = self.deployment.targets.engine_by_id["e0"]
+        engine.gone = True
+        await asyncio.sleep(3.0)
+        engine.gone, engine.cut_after = False, None
+        results = await self.deployment.results(self.hosts[0], "b1", 20.0)
+        self.assertEqual([result.succeeded for result in results], [True, True])
