Do not count refused connections as attempts at a request

Cause: a target that could not be reached used up one of the route's attempts, although nothing had been sent; max-attempts counts the targets to which a request may be sent. Change: an attempt that reached no target does not count, for requests and streams; the target is not tried again by the same call. Ruled out: more attempts on the route, which would let more engines run one request.

--- a/cranberryrun/requests/crash_records.py
+++ b/cranberryrun/requests/crash_records.py
@@ -5,11 +5,10 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-# Below this many crashes a request is sent as any other, since one crash often has
-# another cause, and requests beside the cause are retried. It leaves a service of
-# three targets one that runs.
+# With fewer crashes a request is sent as any other: a crash often has another
+# and requests beside that are retried. A service of three targets keeps one.
 _CRASH_LIMIT = 2
-# Seconds from the last crash or trial to each trial. The targets of the former crash are
+# Seconds from the last crash or trial to each trial. Targets that crashed before are
 # back by then. An innocent request is answered in its first trial and is free again.
 _TRIAL_DELAYS_SECONDS = (5.0, 20.0, 60.0)
 # The least recently changed records beyond this many are forgotten.
--- a/cranberryrun/requests/forwarder.py
+++ b/cranberryrun/requests/forwarder.py
@@ -15,6 +15,7 @@
     RefusedError,
     TargetFailedError,
     TargetTimeoutError,
+    TargetUnreachableError,
 )
 from ..fleet.client import Answer, Request, TargetClient
 from ..fleet.directory import Directory, Target
@@ -267,7 +268,7 @@
         self._service = service
         self._request = request
         self._tried: set[str] = set()
-        self._limited_count = 0
+        self._unsent_count = 0
         self._running: set[asyncio.Task[Answer]] = set()
         self._error_to_raise: CranberryrunError | None = None
         self._error_answer: Answer | None = None
@@ -328,9 +329,9 @@
             may_have_run = isinstance(error, OutcomeUnknownError)
             if self._error_to_raise is None or may_have_run:
                 self._error_to_raise = error
-            if isinstance(error, TargetLimitedError):
+            if isinstance(error, (TargetLimitedError, TargetUnreachableError)):
                 # Nothing was sent, so another target may still be tried instead.
-                self._limited_count += 1
+                self._unsent_count += 1
             # Another attempt could run the request a second time.
             if may_have_run and not self._may_run_again():
                 return
@@ -343,7 +344,7 @@
         return self._route.kind.repeatable and self._forwarder.may_repeat(self._request)
 
     def _may_start_attempt(self) -> bool:
-        sent_count = len(self._tried) - self._limited_count
+        sent_count = len(self._tried) - self._unsent_count
         if sent_count >= max(1, self._route.max_attempts):
             return False
         return self._forwarder.choose_target(self._service, self._tried) is not None
--- a/cranberryrun/requests/streams.py
+++ b/cranberryrun/requests/streams.py
@@ -12,6 +12,7 @@
     RefusedError,
     TargetFailedError,
     TargetTimeoutError,
+    TargetUnreachableError,
 )
 from ..fleet.client import Answer, Request, StreamedEvent, TargetClient
 from ..fleet.directory import Target
@@ -100,10 +101,10 @@
         forwarder = self.kernel.get(Forwarder)
         permits = self.kernel.get(SendPermits)
         tried: set[str] = set()
-        limited: set[str] = set()
+        unsent: set[str] = set()
         head_sent = False
         while True:
-            target = forwarder.choose_target(service, tried | limited)
+            target = forwarder.choose_target(service, tried | unsent)
             if target is None or len(tried) >= route.max_attempts:
                 error = forwarder.no_target_error(service)
                 if head_sent:
@@ -112,7 +113,7 @@
             try:
                 await permits.acquire(target)
             except TargetLimitedError:
-                limited.add(target.id)
+                unsent.add(target.id)
                 continue
             tried.add(target.id)
             try:
@@ -130,6 +131,10 @@
                     yield part
                 return
             except CranberryrunError as error:
+                if isinstance(error, TargetUnreachableError):
+                    # Nothing was sent, so another target may still be tried instead.
+                    tried.discard(target.id)
+                    unsent.add(target.id)
                 may_retry = isinstance(error, RefusedError) or (
                     route.resumable and forwarder.may_repeat(request)
                 )
@@ -137,7 +142,7 @@
                 if (
                     not may_retry
                     or attempts_exhausted
-                    or forwarder.choose_target(service, tried) is None
+                    or forwarder.choose_target(service, tried | unsent) is None
                 ):
                     if head_sent and isinstance(error, RefusedError):
                         raise OutcomeUnknownError(error.detail) from None
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -1,6 +1,7 @@
 """Tests of requests whose targets fail: retries and the answers to callers."""
 
 import asyncio
+from dataclasses import replace
 
 from cranberryrun import clock
 from cranberryrun.exceptions import TargetFailedError
@@ -88,3 +89,12 @@
         answer = await self.forward(RouteKind.UNSAFE, 0)
         self.assertEqual(answer, SERVER_ERROR)
         self.assertEqual(len(self.deployment.targets.sent), 1)
+
+    async def test_refused_connections_do_not_use_up_the_attempts(self):
+        """Two dead targets of three used to make a host refuse the request."""
+        self.deployment.targets.crashed_targets = {"t0", "t1"}
+        route = replace(self.routes[0], max_attempts=2)
+        for number in range(20):
+            request = Request(f"r{number}", "POST", "/x", (), b"", clock.now() + 1.0)
+            answer = await self.forwarder.forward(route, request)
+            self.assertEqual(answer.body, b"t2")
