--- a/cranberryrun/fleet/keyed_follower.py
+++ b/cranberryrun/fleet/keyed_follower.py
@@ -8,7 +8,8 @@
 from ..exceptions import LogGapError, LogReadError
 from ..store import KeyedRecord, Store
 
-_POLL_SECONDS = 10.0
+# A poll may miss a record, which the next poll then finds.
+_POLL_SECONDS = 2.0
 # Several records that are written together cause one read at each host.
 _READ_INTERVAL_SECONDS = 0.2
 _RETRY_DELAY_SECONDS = 0.5
