Have the soak name limits beside its other faults, and check that they are kept

The soak's targets can name a limit for 8 to 14 s (NameLimit) while hosts are killed, stopped, paused and reloaded and the store fails; History checks the users' rule in each window of 4 s from 3 s after the naming. Links to targets are not disturbed beside it: a link that holds requests back delivers them at once, which is no fault of the hosts.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,23 +19,33 @@
 )
 @click.option("--jobs", default=1, show_default=True, help="Seeds to run in parallel.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Folder for host logs.")
-def main(first: int, seeds: int, seconds: float, jobs: int, keep: Path | None) -> None:
+@click.option("--limits", is_flag=True, help="Targets name limits, too.")
+def main(
+    first: int,
+    seeds: int,
+    seconds: float,
+    jobs: int,
+    keep: Path | None,
+    limits: bool,
+) -> None:
     """Run seeds; exit with status 1 if any seed violated a guarantee."""
-    reports = asyncio.run(_run_all(range(first, first + seeds), seconds, jobs, keep))
+    reports = asyncio.run(
+        _run_all(range(first, first + seeds), seconds, jobs, keep, limits)
+    )
     broken = [report for report in reports if report.violations]
     click.echo(f"{len(reports)} seeds, {len(broken)} with violated guarantees")
     sys.exit(1 if broken else 0)
 
 
 async def _run_all(
-    seeds: range, seconds: float, jobs: int, keep: Path | None
+    seeds: range, seconds: float, jobs: int, keep: Path | None, limits: bool
 ) -> list[Report]:
     semaphore = asyncio.Semaphore(jobs)
 
     async def run(seed: int) -> Report:
         async with semaphore:
             try:
-                report = await run_soak(seed, seconds, keep)
+                report = await run_soak(seed, seconds, keep, limits)
             except Exception as error:
                 # An error of the soak test itself counts as a violation, so that the
                 # other seeds still run.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,7 @@
 from abc import ABC, abstractmethod
 from typing import ClassVar
 
-from standins.platform_target import PlatformTarget
+from standins.platform_target import LimitSpan, PlatformTarget
 
 from .proxy import LinkState, Proxy
 from .testbed import Host, Testbed
@@ -17,6 +17,8 @@
 _DURATION_SECONDS = (0.2, 4.0)
 _RESTART_DELAY_SECONDS = (0.0, 2.0)
 _LINK_DELAY_SECONDS = (0.05, 0.5)
+_LIMIT_PER_SECOND = (0.5, 5.0)
+_LIMIT_SECONDS = (8.0, 14.0)
 
 
 class Fault(ABC):
@@ -212,6 +214,26 @@
         return str(self.testbed.manifest_version)
 
 
+class NameLimit(Fault):
+    """Makes one target name a limit of requests a second."""
+
+    name = "limit"
+
+    async def inject(self) -> str:
+        """See :meth:`Fault.inject`."""
+        target = self.random_target()
+        if target.limit is not None:
+            return f"{target.id} has a limit already"
+        loop = asyncio.get_running_loop()
+        target.limit = round(self.rng.uniform(*_LIMIT_PER_SECOND), 1)
+        span = LimitSpan(target.limit, loop.time())
+        target.limit_spans.append(span)
+        await asyncio.sleep(self.rng.uniform(*_LIMIT_SECONDS))
+        span.ended_at = loop.time()
+        target.limit = None
+        return f"{target.id} {span.rate}"
+
+
 FAULT_KINDS: tuple[type[Fault], ...] = (
     KillHost,
     KillAllHosts,
@@ -226,3 +248,9 @@
     FaultyTarget,
     ChangeManifest,
 )
+
+# Kinds beside which limits are named: a link that held requests back would deliver them
+# all at once, which is no fault of the hosts.
+KINDS_BESIDE_LIMITS = tuple(
+    kind for kind in FAULT_KINDS if kind is not DegradeTargetLink
+)
--- a/soak/history.py
+++ b/soak/history.py
@@ -7,6 +7,9 @@
 
 from .testbed import ITEM_EVENTS, MAX_ATTEMPTS, Testbed
 
+# The users' rule on limits counts from this time after a target first named one.
+_LIMIT_GRACE_SECONDS = 3.0
+_LIMIT_WINDOW_SECONDS = 4.0
 # Statuses which guarantee that the request was not executed and never will be.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -97,6 +100,7 @@
                 )
         self._check_results(testbed)
         self._check_fencing_tokens(testbed)
+        self._check_limits(testbed)
 
     def _check_results(self, testbed: Testbed) -> None:
         versions: defaultdict[tuple[str, int], set[int]] = defaultdict(set)
@@ -176,6 +180,27 @@
         if called_at < complete_at:
             self.add_violation(f"{item}: {call} was sent before the last event")
 
+    def _check_limits(self, testbed: Testbed) -> None:
+        """Check the requests of each target while it named a limit."""
+        for target in testbed.targets:
+            for span in target.limit_spans:
+                arrivals = [
+                    at
+                    for at in target.arrivals
+                    if span.started_at + _LIMIT_GRACE_SECONDS <= at < span.ended_at
+                ]
+                for start in arrivals:
+                    count = sum(
+                        start <= at < start + _LIMIT_WINDOW_SECONDS for at in arrivals
+                    )
+                    most = 1.5 * span.rate * _LIMIT_WINDOW_SECONDS + 5
+                    if count > most:
+                        self.add_violation(
+                            f"{target.id}: {count} requests in 4 s from {start:.2f}, "
+                            f"though it takes {span.rate} a second"
+                        )
+                        break
+
     def _check_fencing_tokens(self, testbed: Testbed) -> None:
         for target in testbed.targets:
             holder_by_fence: dict[int, str] = {}
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from .callers import Callers
-from .faults import FAULT_KINDS
+from .faults import FAULT_KINDS, KINDS_BESIDE_LIMITS, NameLimit
 from .history import History
 from .testbed import Testbed
 
@@ -36,11 +36,15 @@
 
     :param seconds: how long faults are injected.
     :param folder: where settings and logs of the hosts go.
+    :param limits: whether targets name limits beside the other faults.
     """
 
-    def __init__(self, seed: int, seconds: float, folder: Path) -> None:
+    def __init__(
+        self, seed: int, seconds: float, folder: Path, limits: bool = False
+    ) -> None:
         self._rng = random.Random(seed)
         self._fault_seconds = seconds
+        self._limits = limits
         self._report = Report(seed)
         hosts = self._rng.choice([2, 3, 4])
         engines = self._rng.choice([2, 3])
@@ -71,8 +75,16 @@
     async def _inject_faults(self) -> None:
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self._fault_seconds
-        kinds = self._rng.sample(FAULT_KINDS, self._rng.randint(2, 5))
         tasks = set()
+        if self._limits:
+            kinds = self._rng.sample(KINDS_BESIDE_LIMITS, self._rng.randint(2, 5))
+            for _ in range(3):
+                limit = NameLimit(self._testbed, self._rng)
+                tasks.add(
+                    asyncio.create_task(self._inject(limit, -self._fault_seconds))
+                )
+        else:
+            kinds = self._rng.sample(FAULT_KINDS, self._rng.randint(2, 5))
         while loop.time() < deadline:
             await asyncio.sleep(self._rng.expovariate(1 / _MEAN_FAULT_INTERVAL_SECONDS))
             fault = self._rng.choice(kinds)(self._testbed, self._rng)
@@ -105,11 +117,13 @@
         await self._callers.read_all_batches(loop.time() + _RECOVERY_LIMIT_SECONDS)
 
 
-async def run_soak(seed: int, seconds: float, log_folder: Path | None = None) -> Report:
+async def run_soak(
+    seed: int, seconds: float, log_folder: Path | None = None, limits: bool = False
+) -> Report:
     """Run one seed; keep the logs of the hosts if ``log_folder`` is given."""
     if log_folder is not None:
         folder = log_folder / f"seed-{seed}"
         folder.mkdir(parents=True, exist_ok=True)
-        return await SoakRun(seed, seconds, folder).run()
+        return await SoakRun(seed, seconds, folder, limits).run()
     with tempfile.TemporaryDirectory() as folder:
-        return await SoakRun(seed, seconds, Path(folder)).run()
+        return await SoakRun(seed, seconds, Path(folder), limits).run()
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter, deque
+from dataclasses import dataclass
 
 from aiohttp import web
 
@@ -19,6 +20,15 @@
 _STALL_BYTE_SECONDS = 0.1
 
 
+@dataclass(slots=True)
+class LimitSpan:
+    """A time in which a target named the limit ``rate``, in loop seconds."""
+
+    rate: float
+    started_at: float
+    ended_at: float = float("inf")
+
+
 class PlatformTarget:
     """Responds to requests, streams the events of items and accepts load orders.
 
@@ -40,8 +50,8 @@
     loop seconds. While ``leaving`` is set, every
     answer says that the target is leaving. ``answers_carry_id`` is an attempt id that
     every answer carries. While ``limit`` is set, every answer names it as the requests
-    a second that the target takes; ``arrivals`` has the time of each request, in loop
-    seconds.
+    a second that the target takes, and ``limit_spans`` may list when; ``arrivals`` has
+    the time of each request, in loop seconds.
     """
 
     def __init__(self, target_id: str, service: str, model: str | None = None) -> None:
@@ -66,6 +76,7 @@
         self.open_requests = 0
         self.leaving = False
         self.limit: float | None = None
+        self.limit_spans: list[LimitSpan] = []
         self.arrivals: list[float] = []
         self.answers_carry_id = ""
         self.born = 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,8 @@
 
 # Short for CI; ``python -m soak`` runs for longer.
 SECONDS = 6.0
+# A limit is judged from 3 s after it was named, in windows of 4 s.
+LIMIT_SECONDS = 12.0
 
 
 class SoakTest(unittest.IsolatedAsyncioTestCase):
@@ -25,8 +27,11 @@
             with self.subTest(seed=seed):
                 await self.check_seed(seed)
 
-    async def check_seed(self, seed):
-        report = await run_soak(seed, SECONDS)
+    async def test_limits_are_kept_under_faults(self):
+        await self.check_seed(5, LIMIT_SECONDS, limits=True)
+
+    async def check_seed(self, seed, seconds=SECONDS, **options):
+        report = await run_soak(seed, seconds, **options)
         self.assertEqual(report.violations, [])
         self.assertTrue(report.faults)
         self.assertGreater(report.statuses["200"], 0)
