--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -225,8 +225,11 @@
         if self.model is not None:
             return await self._stream(request, headers, behaviour)
         await asyncio.sleep(self.answer_seconds)
-        signatures = self.signatures_by_attempt.setdefault(headers[_ATTEMPT_ID], set())
-        signatures.add(headers[_SERVER_SIGNATURE])
+        if _SERVER_SIGNATURE in headers:
+            signatures = self.signatures_by_attempt.setdefault(
+                headers[_ATTEMPT_ID], set()
+            )
+            signatures.add(headers[_SERVER_SIGNATURE])
         return web.Response(headers=headers, body=b"answer to " + body)
 
     async def _stream(
