Refuse calls of the own API under which targets ended

The cause of the BUDGET incident looked for elsewhere: the product's own request router decided each send alone as well. Change: CrashSuspects confirms a lost connection by a refused one to the same target within 5 s and decides by the same CrashRecords: two crashes end the call, three trials follow. The error moved to crash_records.py, which both use. Open: it holds at one host only, and not for engine pools (docs/incidents/budget.md).

--- a/cranberryrun/request_router.py
+++ b/cranberryrun/request_router.py
@@ -9,6 +9,7 @@
 from . import clock
 from .admission import Admission
 from .configuration import Configuration
+from .crash_suspects import CrashSuspects
 from .engine_requests import generate, stream_order_for
 from .engines import Engine, Engines
 from .events import Events
@@ -33,6 +34,7 @@
 from .metrics import Metrics
 from .models import GroupRequest, ServiceSpec, ServiceTarget, check_json
 from .pause_detector import PauseDetector
+from .requests.crash_records import RequestCrashesTargetsError
 from .retries import RetryBudget, RetryState
 from .routing import RoutingHints, RoutingPolicy
 from .services import Answer, Call, HttpServiceClient, ServiceClient, Sink
@@ -42,6 +44,8 @@
 
 _RETRY_AFTER_SECONDS = 1.0
 _AFFINITY_KEY_CHARACTERS = 256  # from the start of the prompt
+# Only an answer below shows that a call does its target no harm.
+_SERVER_ERROR_STATUS = 500
 _ATTEMPT_TIMEOUT_SHARE = 1 / 3  # of the service's timeout; leaves time for retries
 
 
@@ -58,6 +62,7 @@
         self._settings = settings
         self._policy = policy
         self._rng = rng
+        self._suspects = CrashSuspects()
         self._targets_by_service: dict[str, Targets] = {}
         self._admission_by_service: dict[str, Admission] = {}
         self._budget_by_service: dict[str, RetryBudget] = defaultdict(
@@ -119,6 +124,7 @@
         resource = self.service(call.service)
         started_at = clock.now()
         try:
+            self._refuse_if_crashing(call)
             async with self._admission(resource).hold_slot(call.deadline):
                 answer = await self._send_with_retries(resource.spec, call, sink)
         except CranberryrunError as error:
@@ -130,6 +136,14 @@
         self._record_outcome(call, "answered", clock.now() - started_at)
         return answer
 
+    def _refuse_if_crashing(self, call: Call) -> None:
+        """:raises RequestCrashesTargetsError: targets ended under the call."""
+        if self._suspects.empty:
+            return
+        decision = self._suspects.decide(_fingerprint(call), clock.now())
+        if decision.trial is not None and decision.wait > 0:
+            raise RequestCrashesTargetsError.after(decision)
+
     def _report_failure(
         self, call: Call, error: CranberryrunError, seconds: float
     ) -> None:
@@ -160,6 +174,7 @@
                     not retry_state.should_retry(error)
                     or answer_begun
                     or deadline_passed
+                    or not self._suspects.may_repeat(_fingerprint(call))
                 ):
                     raise retry_state.final_error(error) from None
                 self._report_retry(call, error)
@@ -233,14 +248,28 @@
             )
         except CranberryrunError as error:
             self._record_target_error(state, error, clock.now() - started_at)
+            self._record_suspect(state, call, error)
             raise
         finally:
             state.request_ended()
         answered_at = target_sink.began_at if answer.streamed else clock.now()
+        if not self._suspects.empty and answer.status < _SERVER_ERROR_STATUS:
+            self._suspects.record_answer(state.target.id, _fingerprint(call))
         if state.record_answer(answered_at - started_at):
             self.kernel.get(Events).emit("target_back", target=state.target.id)
         return answer
 
+    def _record_suspect(
+        self, state: TargetState, call: Call, error: CranberryrunError
+    ) -> None:
+        now = clock.now()
+        if isinstance(error, TargetUnreachableError):
+            self._suspects.record_unreachable(state.target.id, now)
+        elif isinstance(error, TargetFailedError) and not isinstance(
+            error, TargetTimeoutError
+        ):
+            self._suspects.record_lost(state.target.id, _fingerprint(call), now)
+
     def _record_target_error(
         self, state: TargetState, error: CranberryrunError, seconds: float
     ) -> None:
@@ -318,3 +347,8 @@
                 retry_after=_RETRY_AFTER_SECONDS,
             )
         return engines.by_name[chosen.id]
+
+
+def _fingerprint(call: Call) -> str:
+    """Return the same text for all repeats of a call, whatever their ids."""
+    return f"{call.service}/{call.caller}/{call.digest()}"
--- a/cranberryrun/requests/crash_records.py
+++ b/cranberryrun/requests/crash_records.py
@@ -5,6 +5,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from ..exceptions import RefusedError
+
 # With fewer crashes a request is sent as any other: a crash often has another
 # and requests beside that are retried. A service of three targets keeps one.
 _CRASH_LIMIT = 2
@@ -17,6 +19,7 @@
 _KEEP_SECONDS = 3600.0
 # What a caller is told to wait for when there is no further trial.
 _FINAL_WAIT_SECONDS = 60.0
+_MIN_WAIT_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +34,20 @@
     wait: float = 0.0
 
 
+class RequestCrashesTargetsError(RefusedError):
+    """Targets ended each time they ran this request, so it is not sent now."""
+
+    code = "request_crashes_targets"
+
+    @classmethod
+    def after(cls, decision: Decision) -> RequestCrashesTargetsError:
+        """Return the error for a request that ``decision`` does not let through."""
+        return cls(
+            "targets ended while they ran this request",
+            retry_after=max(_MIN_WAIT_SECONDS, decision.wait),
+        )
+
+
 @dataclass(slots=True)
 class _Record:
     changed_at: float
--- a/cranberryrun/requests/crashes.py
+++ b/cranberryrun/requests/crashes.py
@@ -12,7 +12,7 @@
 
 from .. import clock
 from ..events import Events
-from ..exceptions import CranberryrunError, RefusedError, TruncatedAnswerError
+from ..exceptions import CranberryrunError, TruncatedAnswerError
 from ..fleet.client import ConnectionLostError, Request, TargetClient
 from ..fleet.directory import Target
 from ..fleet.keyed_follower import KeyedFollower
@@ -20,7 +20,7 @@
 from ..kernel import Service
 from ..metrics import Metrics
 from ..store import KeyedRecord, Store
-from .crash_records import CrashRecords
+from .crash_records import CrashRecords, RequestCrashesTargetsError
 from .fingerprint import fingerprint_of
 
 TOPIC = "keyed.crashes"
@@ -29,7 +29,6 @@
 _MAX_TARGET_KEY_LENGTH = 160
 # Errors with which the run of a target that ends is seen.
 _POSSIBLE_CRASHES = (ConnectionLostError, TruncatedAnswerError)
-_RETRY_AFTER_SECONDS = 1.0
 # A repeat at another host may come within some milliseconds.
 _READ_INTERVAL_SECONDS = 0.01
 _WRITE_RETRY_SECONDS = 0.5
@@ -38,12 +37,6 @@
 _RECORDED = b"1"
 
 
-class RequestCrashesTargetsError(RefusedError):
-    """Targets ended each time they ran this request, so it is not sent now."""
-
-    code = "request_crashes_targets"
-
-
 class Crashes(Service):
     """Records the crashes of targets by request, and refuses such requests."""
 
@@ -81,11 +74,7 @@
         if decision.wait <= 0 and await self._claim_trial(fingerprint, decision.trial):
             return
         self.kernel.get(Metrics).crashing_request()
-        raise RequestCrashesTargetsError(
-            f"{self._records.crash_count(fingerprint)} targets ended while they ran "
-            "this request",
-            retry_after=max(_RETRY_AFTER_SECONDS, decision.wait),
-        )
+        raise RequestCrashesTargetsError.after(decision)
 
     def may_repeat(self, request: Request) -> bool:
         """Return whether a request that may have run may go to another target."""
--- a/tests/test_crash_budget.py
+++ b/tests/test_crash_budget.py
@@ -6,7 +6,7 @@
 from cranberryrun.exceptions import CranberryrunError
 from cranberryrun.fleet.client import Request
 from cranberryrun.fleet.manifest import RouteKind
-from cranberryrun.requests.crashes import RequestCrashesTargetsError
+from cranberryrun.requests.crash_records import RequestCrashesTargetsError
 from cranberryrun.requests.forwarder import Forwarder
 from cranberryrun.requests.streams import Streams
 from fakes.deployment import SERVICE, Deployment, batch, batch_route, manifest
--- a/tests/test_request_router.py
+++ b/tests/test_request_router.py
@@ -6,6 +6,7 @@
 
 from cranberryrun.exceptions import (
     CallerGoneError,
+    CranberryrunError,
     DeadlineError,
     HostListError,
     InvalidInputError,
@@ -70,6 +71,22 @@
         return Answer(200, {}, b"ok")
 
 
+class CrashingClient(ScriptedClient):
+    """A target that each call ends; it is back after 3.5 s."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.back_at = 0.0
+
+    async def send(self, call: Call, *options: object, **more: object) -> Answer:
+        now = asyncio.get_running_loop().time()
+        if now < self.back_at:
+            raise TargetUnreachableError("the target refused the connection")
+        self.calls.append(call)
+        self.back_at = now + 3.5
+        raise TargetFailedError("the target closed the connection")
+
+
 def target(name: str, zone: str = "z1") -> ServiceTarget:
     """Return a declared target."""
     return ServiceTarget(id=name, url="http://127.0.0.1:1", zone=zone)
@@ -108,6 +125,17 @@
         self.assertTrue(caught.exception.problem()["not_run"])
         self.assertTrue(caught.exception.retry_after)
 
+    async def test_call_that_ends_its_targets_is_not_sent_on(self) -> None:
+        """Guards against BUDGET: one request ended each engine that came back."""
+        clients = [CrashingClient() for _ in range(3)]
+        self._clients(t1=clients[0], t2=clients[1], t3=clients[2])
+        for _ in range(200):
+            with self.assertRaises(CranberryrunError):
+                await self.host.send("GET")
+            await asyncio.sleep(0.25)
+        # Three crashes, and three sends more.
+        self.assertLessEqual(sum(len(client.calls) for client in clients), 6)
+
     async def test_unresponsive_target_gets_no_requests_after_a_few_seconds(
         self,
     ) -> None:
