Reserve no slots for long items while an engine of the pool names a limit

Change: nothing is reserved while an engine of the pool names a limit. The rule that no run moves to such an engine stands with the decision now, and has a test.

--- a/cranberryrun/batches/dispatch.py
+++ b/cranberryrun/batches/dispatch.py
@@ -219,6 +219,7 @@
     if not available:
         return []
     in_flight_by_id = {engine.id: engine.in_flight for engine in available}
+    pool_is_limited = any(engine.permits() is not None for engine in engines)
     ranks = rank_by_group(scheduled_items)
 
     def urgency(scheduled: ScheduledItem) -> tuple[bool, bool, float]:
@@ -247,7 +248,7 @@
             for engine in available
             if engine.target.service in scheduled.services
             and in_flight_by_id[engine.id]
-            < _usable_slots(scheduled, engine, fastest_interval)
+            < _usable_slots(scheduled, engine, fastest_interval, pool_is_limited)
             and may_run(scheduled, engine)
         ]
         chosen = _choose_engine(
@@ -271,13 +272,19 @@
 
 
 def _usable_slots(
-    scheduled: ScheduledItem, engine: Engine, fastest_interval: float
+    scheduled: ScheduledItem,
+    engine: Engine,
+    fastest_interval: float,
+    pool_is_limited: bool,
 ) -> int:
     """Return how many of the engine's slots may be occupied once this item runs there.
 
-    The remaining slots are reserved for longer items.
+    The remaining slots are reserved for longer items. Nothing is reserved while some
+    engine names a limit: what that one does not take has to run on the others.
     """
     slots = engine.target.slots
+    if pool_is_limited:
+        return slots
     if scheduled.remaining_events() * fastest_interval >= _LONG_ITEM_SECONDS:
         return slots
     return slots - int(slots * _RESERVED_SLOT_SHARE)
@@ -347,6 +354,9 @@
             continue
         if engine.target.draining or engine.free_slots() <= 0:
             continue
+        if engine.permits() is not None:
+            # A move sends the item once more, for which that engine has no room.
+            continue
         if not may_run(scheduled, engine):
             continue
         if best is None or engine.expected_event_interval(
--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -241,12 +241,7 @@
         self._next_move_check_at = clock.now() + _MOVE_CHECK_INTERVAL_SECONDS
         engines = list(self.kernel.get(EnginePool).engine_by_id.values())
         fastest_interval = fastest_event_interval(engines)
-        # A move sends the item once more, for which an engine with a limit has no room.
-        available = [
-            engine
-            for engine in engines
-            if engine.free_slots() > 0 and engine.permits() is None
-        ]
+        available = [engine for engine in engines if engine.free_slots() > 0]
         scheduled_items = [
             scheduled
             for scheduled in self._scheduled_items.in_open_batches()
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -1,5 +1,7 @@
 """Scheduling decisions of the batch dispatcher, also under heavy load."""
 
+from collections import Counter
+
 from cranberryrun.batches.dispatch import (
     CARRIED,
     SPARE,
@@ -131,6 +133,32 @@
         self.assertEqual({start.scheduled for start in starts}, set(early))
 
 
+class LimitedEngineTest(DispatchTestCase):
+    """The load of capped engines: more waits than the limits of the engines allow."""
+
+    def starts_by_engine(self, *permits):
+        engines = [self.engine(f"e{number}") for number in range(len(permits))]
+        for engine, count in zip(engines, permits):
+            engine.permits = lambda count=count: count
+        starts = plan_starts(self.scheduled_items(groups=20, size=4), engines, 0.0)
+        return Counter(start.engine.id for start in starts)
+
+    async def test_no_slot_is_reserved_beside_an_engine_without_permits(self):
+        self.assertEqual(self.starts_by_engine(None, None), {"e0": 8, "e1": 8})
+        self.assertEqual(self.starts_by_engine(None, 0), {"e0": SLOTS})
+
+    async def test_engine_gets_as_many_items_as_its_limit_allows(self):
+        self.assertEqual(self.starts_by_engine(None, 2), {"e0": SLOTS, "e1": 2})
+
+    async def test_no_run_moves_to_an_engine_that_names_a_limit(self):
+        (item,) = self.scheduled_items(groups=1, size=1, events=200)
+        item.engine = self.engine("slow", 4 * FAST_INTERVAL)
+        fast = self.engine("fast")
+        self.assertIsNotNone(find_faster_engine(item, [fast], FAST_INTERVAL))
+        fast.permits = lambda: 5
+        self.assertIsNone(find_faster_engine(item, [fast], FAST_INTERVAL))
+
+
 class VersionTest(DispatchTestCase):
     async def test_no_item_starts_on_an_engine_with_old_weights(self):
         engines = [self.engine("old", version=1), self.engine("new", version=2)]
