Bound the time for which a caller waits while its host claims a trial

Cause: the claim is a conditional append, and a store that is silent lets it take 0.6 s and more; the caller of a request that crashes targets waited for that. Change: the claim is given up after 0.3 s and the request refused; if the append happens later, that trial counts as made, so never more are made. Measured: test_crash_budget.test_caller_does_not_wait_for_a_store_that_is_silent failed before (0.6 s, 0.4 s are allowed) and passes.

--- a/cranberryrun/requests/crashes.py
+++ b/cranberryrun/requests/crashes.py
@@ -42,6 +42,8 @@
 # A repeat at another host may come within some milliseconds.
 _READ_INTERVAL_SECONDS = 0.01
 _WRITE_RETRY_SECONDS = 0.5
+# A caller waits while its host claims a trial.
+_CLAIM_TIMEOUT_SECONDS = 0.3
 # A target that ended refuses connections until its next start, some seconds later.
 _CONFIRMATION_SECONDS = 2.0
 _MAX_UNWRITTEN = 1024
@@ -157,8 +159,9 @@
             return False
         key = f"{fingerprint}/{_TRIAL_PREFIX}{number}"
         try:
-            await self.kernel.get(Store).put(TOPIC, key, _RECORDED, at=offset)
-        except CranberryrunError:
+            async with asyncio.timeout(_CLAIM_TIMEOUT_SECONDS):
+                await self.kernel.get(Store).put(TOPIC, key, _RECORDED, at=offset)
+        except (CranberryrunError, TimeoutError):
             # Another host wrote first, or it is not known whether this one did.
             return False
         self._remember(fingerprint, key)
--- a/tests/test_crash_budget.py
+++ b/tests/test_crash_budget.py
@@ -183,3 +183,12 @@
             await self.call(host, f"/x/{number}")
             await asyncio.sleep(0.1)
         self.assertLessEqual(len(self.crashes()) - 3, MOST_SENDS_AFTER_THIRD_CRASH)
+
+    async def test_caller_does_not_wait_for_a_store_that_is_silent(self):
+        await self.repeat_crashing_request(2, 0.1)
+        await asyncio.sleep(6.0)
+        self.deployment.store.silent = True
+        started_at = clock.now()
+        outcome = await self.call(self.hosts[0], CRASHING_PATH)
+        self.assertIsInstance(outcome, RequestCrashesTargetsError)
+        self.assertLess(clock.now() - started_at, 0.4)
