Do not call a stream refused that an earlier target may have run

Found while reading the diff: a resumable stream whose first target lost the connection goes on to the next one; if that has no permit left, which a host without the lease learns only when it asks, the caller got 503, a promise that nothing ran. Change: once a target may have run the stream, it ends with an unknown outcome. Measured: test_send_permits.test_stream_that_may_have_run_is_not_called_refused failed before (TargetLimitedError after a send) and passes; permits, streams and crash budget pass (33). Requests were right: an unknown outcome is kept over later refusals there.

--- a/cranberryrun/requests/streams.py
+++ b/cranberryrun/requests/streams.py
@@ -103,11 +103,12 @@
         tried: set[str] = set()
         unsent: set[str] = set()
         head_sent = False
+        may_have_run = False
         while True:
             target = forwarder.choose_target(service, tried | unsent)
             if target is None or len(tried) >= route.max_attempts:
                 error = forwarder.no_target_error(service)
-                if head_sent:
+                if head_sent or may_have_run:
                     raise OutcomeUnknownError(error.detail)
                 raise error
             try:
@@ -135,6 +136,7 @@
                     # Nothing was sent, so another target may still be tried instead.
                     tried.discard(target.id)
                     unsent.add(target.id)
+                may_have_run |= not isinstance(error, RefusedError)
                 may_retry = isinstance(error, RefusedError) or (
                     route.resumable and forwarder.may_repeat(request)
                 )
@@ -144,7 +146,7 @@
                     or attempts_exhausted
                     or forwarder.choose_target(service, tried | unsent) is None
                 ):
-                    if head_sent and isinstance(error, RefusedError):
+                    if (head_sent or may_have_run) and isinstance(error, RefusedError):
                         raise OutcomeUnknownError(error.detail) from None
                     raise
 
--- a/tests/test_send_permits.py
+++ b/tests/test_send_permits.py
@@ -3,13 +3,15 @@
 import asyncio
 
 from cranberryrun import clock
-from cranberryrun.fleet.client import Request
+from cranberryrun.exceptions import CranberryrunError, RefusedError
+from cranberryrun.fleet.client import ConnectionLostError, Request
 from cranberryrun.fleet.directory import Directory
 from cranberryrun.fleet.lease import Lease
 from cranberryrun.fleet.manifest import RouteKind
 from cranberryrun.fleet.rate_limits import TargetLimitedError
 from cranberryrun.fleet.send_permits import SendPermits
 from cranberryrun.requests.forwarder import Forwarder
+from cranberryrun.requests.streams import Streams
 from fakes.deployment import (
     Deployment,
     batch,
@@ -183,3 +185,28 @@
             with self.subTest(rate=rate):
                 await host.get(Forwarder).forward(route, request)
                 self.assertEqual(len(targets.sent), sent)
+
+    async def test_stream_that_may_have_run_is_not_called_refused(self):
+        """Its next target takes no more requests, as only the holder knows."""
+        hosts = await self.start_hosts(2)
+        self.deployment.add_engine("e1")
+        await asyncio.sleep(1.0)
+        holder = self.holder(hosts)
+        (other,) = [host for host in hosts if host is not holder]
+        targets = self.deployment.targets
+        lost = ConnectionLostError("the target closed the connection")
+        targets.answers_by_target = {"e0": [lost] * 9}
+        route = batch_route(
+            kind=RouteKind.STREAMING, max_attempts=2, resumable=True, latency_goal=0.1
+        )
+        for number in range(8):
+            for host in hosts:
+                host.get(SendPermits).record_answer("e1", 0.5, clock.now(), True)
+            request = Request(f"s{number}", "POST", "/x", (), b"", clock.now() + 1.0)
+            targets.sent.clear()
+            try:
+                async for _ in other.get(Streams).forward(route, request, None):
+                    continue
+            except CranberryrunError as error:
+                self.assertEqual(isinstance(error, RefusedError), not targets.sent)
+            await asyncio.sleep(0.3)
