--- a/cranberryrun/fleet/send_permits.py
+++ b/cranberryrun/fleet/send_permits.py
@@ -73,7 +73,7 @@
         if rate is not None:
             self._record_named(target_id, rate, now)
         elif conclusive and self._limits.record_unnamed(target_id, sent_at, now):
-            self._log_end(target_id)
+            self._drop_limit(target_id)
 
     def available(self, target_id: str) -> int | None:
         """Return how many items or reward calls may be sent; None if without limit."""
@@ -147,7 +147,8 @@
         if self._limits.record_named(target_id, rate, at, clock.now()):
             self.kernel.get(Events).emit("limit_named", target=target_id, rate=rate)
 
-    def _log_end(self, target_id: str) -> None:
+    def _drop_limit(self, target_id: str) -> None:
+        """Forget what this host keeps beside a limit that has ended."""
         self._exhausted_until_by_target.pop(target_id, None)
         self._fallback_by_target.pop(target_id, None)
         self.kernel.get(Events).emit("limit_ended", target=target_id)
@@ -248,7 +249,7 @@
             self._record_named(record.key, rate, clock.now())
         elif self._limits.rate(record.key) is not None:
             self._limits.end(record.key, clock.now())
-            self._log_end(record.key)
+            self._drop_limit(record.key)
 
     async def _publish(self) -> None:
         """Write limits that changed, as long as this host holds the lease."""
--- a/cranberryrun/platform/wire.py
+++ b/cranberryrun/platform/wire.py
@@ -200,6 +200,7 @@
 class _Report(WireModel):
     unused = frozenset(
         {
+            "born",
             "stage",
             "queue-depth",
             "running-count",
--- a/cranberryrun/request_router.py
+++ b/cranberryrun/request_router.py
@@ -137,7 +137,10 @@
         return answer
 
     def _refuse_if_crashing(self, call: Call) -> None:
-        """:raises RequestCrashesTargetsError: targets ended under the call."""
+        """Return if the call may be sent now.
+
+        :raises RequestCrashesTargetsError: targets ended under the call.
+        """
         if self._suspects.empty:
             return
         decision = self._suspects.decide(_fingerprint(call), clock.now())
--- a/cranberryrun/requests/forwarder.py
+++ b/cranberryrun/requests/forwarder.py
@@ -33,7 +33,7 @@
 _MIN_HEDGE_DELAY_SECONDS = 0.06
 _NEWEST_ANSWER_WEIGHT = 0.1
 _INITIAL_MEAN_SECONDS = 0.05
-RETRY_AFTER_SECONDS = 0.2
+_RETRY_AFTER_SECONDS = 0.2
 # Statuses from here on say that the target failed, not that the request is malformed.
 _SERVER_ERROR_STATUS = 500
 
@@ -172,12 +172,12 @@
         if not waits or min(waits) <= 0:
             return NoTargetError(
                 f"service {service} has no target that accepts requests",
-                retry_after=RETRY_AFTER_SECONDS,
+                retry_after=_RETRY_AFTER_SECONDS,
             )
         return TargetLimitedError(
             f"the targets of service {service} take no more requests for now, as they "
             "named limits",
-            retry_after=max(RETRY_AFTER_SECONDS, min(waits)),
+            retry_after=max(_RETRY_AFTER_SECONDS, min(waits)),
         )
 
     def state_of(self, target_id: str) -> TargetState:
@@ -374,7 +374,7 @@
         ):
             return self._forwarder.no_target_error(self._service)
         if isinstance(self._error_to_raise, RefusedError):
-            self._error_to_raise.retry_after = RETRY_AFTER_SECONDS
+            self._error_to_raise.retry_after = _RETRY_AFTER_SECONDS
         return self._error_to_raise
 
 
--- a/tests/test_unknown_names.py
+++ b/tests/test_unknown_names.py
@@ -5,6 +5,7 @@
 from cranberryrun.events import Events
 from cranberryrun.metrics import Metrics
 from cranberryrun.platform.unknown_names import UnknownNames
+from cranberryrun.platform.wire import decode_report
 
 from .test_platform_host import (
     OPERATOR_TOPIC,
@@ -56,6 +57,8 @@
         self.assertLessEqual(expected, set(self.logged()))
 
     async def test_documented_fields_that_are_not_used_are_not_logged(self):
+        names = self.host.kernel.get(UnknownNames)
+        decode_report(b'{"busy": false, "born": 1, "handles": 0}', names.record_fields)
         await asyncio.sleep(0.5)
         self.assertEqual(self.logged(), [])
 
