--- a/cranberryrun/platform/unknown_names.py
+++ b/cranberryrun/platform/unknown_names.py
@@ -14,9 +14,10 @@
 from ..kernel import Service
 from ..metrics import Metrics
 
-# Names beyond this many are counted together, so that neither the memory of a host nor
-# the number of its time series depends on what others send.
-_MAX_NAMES = 128
+# Names of one source beyond this many are counted together, so that neither the memory
+# of a host nor the number of its time series depends on what others send, and callers
+# hide nothing that targets say.
+_MAX_NAMES_PER_SOURCE = 64
 _OTHER_NAMES = "other"
 _MAX_NAME_LENGTH = 64
 
@@ -29,7 +30,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._seen: set[tuple[str, str]] = set()
+        self._names_by_source: dict[str, set[str]] = {}
 
     def record_headers(
         self, source: str, names: Iterable[str], known: frozenset[str]
@@ -51,11 +52,12 @@
 
     def _record(self, source: str, name: str) -> None:
         name = name[:_MAX_NAME_LENGTH]
-        if (source, name) not in self._seen:
-            if len(self._seen) >= _MAX_NAMES:
+        seen = self._names_by_source.setdefault(source, set())
+        if name not in seen:
+            if len(seen) >= _MAX_NAMES_PER_SOURCE:
                 self.kernel.get(Metrics).unknown_name(source, _OTHER_NAMES)
                 return
-            self._seen.add((source, name))
+            seen.add(name)
             self.kernel.get(Events).emit("unknown_name", source=source, key=name)
         self.kernel.get(Metrics).unknown_name(source, name)
 
--- a/tests/test_unknown_names.py
+++ b/tests/test_unknown_names.py
@@ -65,6 +65,8 @@
     async def test_memory_and_log_do_not_grow_with_the_names(self):
         names = self.host.kernel.get(UnknownNames)
         for number in range(1000):
-            names.record_headers("answer", [f"X-{number}"], frozenset())
-        self.assertEqual(len(self.logged()), 128)
-        self.assertIn('{name="other",source="answer"} 872.0', self.scraped())
+            names.record_headers("request", [f"X-{number}"], frozenset())
+        self.assertEqual(len(self.logged()), 64)
+        self.assertIn('{name="other",source="request"} 936.0', self.scraped())
+        names.record_headers("answer", ["Server-Something"], frozenset())
+        self.assertEqual(self.logged()[-1], ("answer", "server-something"))
