Name the software version of targets in the log

The decoder dropped the field 'version' of a target's entry.

Target has the field 'software' now. The events target_registered and item_run name it, and stream_begun and stream_resumed name the target of a caller's stream, with what the caller names in 'Resumes'. No decision reads any of them yet.

--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -357,6 +357,7 @@
             sample=scheduled.item.id,
             step=batch.id,
             engine=engine.id,
+            software=engine.target.software,
             version=engine.version(batch.model),
             **fields,
         )
--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -187,6 +187,13 @@
         WARNING,
         "The lease holder grants no permits; hosts send a part of each limit.",
     ),
+    (424, "stream_begun", INFO, "A target sent the first event of a caller's stream."),
+    (
+        425,
+        "stream_resumed",
+        INFO,
+        "A caller's stream goes on at a target after events that it already had.",
+    ),
     (500, "version_announced", INFO, "A trainer announced a weight version."),
     (501, "version_known", INFO, "This host learned of a newer weight version."),
     (502, "order_sent", INFO, "An engine was ordered to load a version."),
--- a/cranberryrun/fleet/directory.py
+++ b/cranberryrun/fleet/directory.py
@@ -41,7 +41,8 @@
 
     ``born`` is the start time of the process, in milliseconds since 1970, and
     ``sequence`` the number of its entry since then. ``version_by_model`` has the weight
-    version of each model it serves.
+    version of each model it serves, and ``software`` names the version of the program
+    that it runs.
     """
 
     id: str
@@ -53,6 +54,7 @@
     born: int
     sequence: int
     version_by_model: dict[str, int] = field(default_factory=dict)
+    software: str = ""
 
 
 class Decoder(ABC):
@@ -330,7 +332,10 @@
             self._change_count += 1
         if registered is None:
             self.kernel.get(Events).emit(
-                "target_registered", target=target.id, service=target.service
+                "target_registered",
+                target=target.id,
+                service=target.service,
+                software=target.software,
             )
         elif target.draining and not registered.draining:
             self.kernel.get(Events).emit("target_leaving", target=target.id)
--- a/cranberryrun/platform/frontend.py
+++ b/cranberryrun/platform/frontend.py
@@ -190,7 +190,9 @@
             _parse_number(last_event_id, 0) if last_event_id is not None else None
         )
         response: web.StreamResponse | None = None
-        parts = self.kernel.get(Streams).forward(route, forwarded, last_event)
+        resumes = request.headers.get(header_names.RESUMES)
+        streams = self.kernel.get(Streams)
+        parts = streams.forward(route, forwarded, last_event, resumes)
         try:
             async for part in parts:
                 if isinstance(part, StreamedEvent):
--- a/cranberryrun/platform/header_names.py
+++ b/cranberryrun/platform/header_names.py
@@ -24,6 +24,9 @@
 # spells it without the prefix of the other headers; both spellings count.
 LEAVING = ("Server-Leaving", "X-Cranberryrun-Server-Leaving")
 LAST_EVENT_ID = "Last-Event-Id"
+# The id of the caller's request that brought the first event of the stream that this
+# one takes up again.
+RESUMES = "Resumes"
 # The requests a second that the target takes from all hosts together, while it says so.
 LIMIT = "Server-Limit"
 
@@ -76,6 +79,6 @@
     | {
         name.lower()
         for name in (ATTEMPT_ID, DEADLINE_MS, WAIT_MS, MODEL, LENGTH_HINT)
-        + (LAST_EVENT_ID,)
+        + (LAST_EVENT_ID, RESUMES)
     }
 )
--- a/cranberryrun/platform/wire.py
+++ b/cranberryrun/platform/wire.py
@@ -182,11 +182,13 @@
 
 
 class _Target(WireModel):
-    unused = frozenset({"version", "cold-remaining-ms", "stage"})
+    unused = frozenset({"cold-remaining-ms", "stage"})
 
     service: str
     address: str
     zone: str
+    # The version of the target's software; that of its weights is in ``models``.
+    version: str | int = ""
     # How many requests or items the target runs at once.
     slots: int = Field(1, ge=1)
     state: str
@@ -263,6 +265,7 @@
             born=entry.born,
             sequence=entry.sequence,
             version_by_model={model.name: model.version for model in entry.models},
+            software=str(entry.version),
         )
 
 
--- a/cranberryrun/requests/streams.py
+++ b/cranberryrun/requests/streams.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 
 from .. import clock
+from ..events import Events
 from ..exceptions import (
     CranberryrunError,
     OutcomeUnknownError,
@@ -63,15 +64,21 @@
     """
 
     name = "streams"
-    requires = ("forwarder", "send_permits", "crashes", "target_client")
+    requires = ("events", "forwarder", "send_permits", "crashes", "target_client")
 
     async def forward(
-        self, route: Route, request: Request, last_event: int | None
+        self,
+        route: Route,
+        request: Request,
+        last_event: int | None,
+        resumes: str | None = None,
     ) -> AsyncIterator[Answer | StreamedEvent]:
         """Yield the head of the answer, then each event once and in order.
 
         :param last_event: the number of the last event that the caller has received, if
             it resumes a stream.
+        :param resumes: the id of the caller's request that brought the first event of
+            that stream.
         :raises RefusedError: no target ran the request, and none will run it.
         :raises OutcomeUnknownError: a target may have run the request, or the stream
             was interrupted.
@@ -82,7 +89,8 @@
         outcome, reason = "caller_gone", "cancelled"
         try:
             await self.kernel.get(Crashes).admit(request)
-            async for part in self._attempts(route, service, request, last_event):
+            parts = self._attempts(route, service, request, last_event, resumes)
+            async for part in parts:
                 yield part
             outcome, reason = "answered", "whole"
         except CranberryrunError as error:
@@ -96,7 +104,12 @@
             )
 
     async def _attempts(
-        self, route: Route, service: str, request: Request, last_event: int | None
+        self,
+        route: Route,
+        service: str,
+        request: Request,
+        last_event: int | None,
+        resumes: str | None,
     ) -> AsyncIterator[Answer | StreamedEvent]:
         forwarder = self.kernel.get(Forwarder)
         permits = self.kernel.get(SendPermits)
@@ -117,10 +130,18 @@
                 unsent.add(target.id)
                 continue
             tried.add(target.id)
+            begun = bool(last_event)
+            if begun:
+                self._emit(
+                    "stream_resumed", request, target, resumes=resumes, after=last_event
+                )
             try:
                 silence = self._max_silence(route, service, tried)
                 async for part in self._attempt(target, request, last_event, silence):
                     if isinstance(part, StreamedEvent):
+                        if not begun:
+                            begun = True
+                            self._emit("stream_begun", request, target)
                         if part.number is not None:
                             if last_event is not None and part.number <= last_event:
                                 continue
@@ -150,6 +171,18 @@
                         raise OutcomeUnknownError(error.detail) from None
                     raise
 
+    def _emit(
+        self, name: str, request: Request, target: Target, **fields: object
+    ) -> None:
+        self.kernel.get(Events).emit(
+            name,
+            request=request.id,
+            target=target.id,
+            service=target.service,
+            software=target.software,
+            **fields,
+        )
+
     def _max_silence(self, route: Route, service: str, tried: set[str]) -> float | None:
         """Return after how many seconds without an event another target is tried.
 
