Test that streams keep to the software version that began them (known red)

No test had engines of two software versions, so nothing showed that a stream or an item's output may cross. The engines of the fakes and the stand-in of a target name a software version now; an event of a fake engine carries it.

--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -240,10 +240,15 @@
             born=1,
             sequence=self._sequence,
             version_by_model={MODEL: engine.version},
+            software=engine.software,
         )
         value = json.dumps(entry | changes).encode()
         self.store.put_keyed(self.decoder.target_topic, target_id, value)
 
+    def remove_target(self, target_id: str) -> None:
+        """Remove the entry of a target from the store."""
+        self.store.put_keyed(self.decoder.target_topic, target_id, None)
+
     def put_manifest(self, value: Manifest) -> None:
         """Publish a manifest."""
         self.decoder.manifest_by_version[value.version] = value
--- a/fakes/engines.py
+++ b/fakes/engines.py
@@ -39,6 +39,8 @@
 class FakeEngine:
     """The state and faults of one engine.
 
+    :ivar software: the version of the engine's software. If it is set, each event
+        names it, because what two versions write does not fit together.
     :ivar gap: time between two events of a run, in seconds.
     :ivar cut_after: number of events after which the engine breaks off each run.
     :ivar unresponsive: whether the engine accepts connections but answers nothing.
@@ -49,6 +51,7 @@
     """
 
     version: int = 1
+    software: str = ""
     gap: float = 0.04
     load_seconds: float = 0.9
     slots: int = 12
@@ -194,7 +197,10 @@
                 await asyncio.sleep(3600)
             sent_events += 1
             done += 1
-            yield Piece(f"{item.id}/{done}", engine.version)
+            text = f"{item.id}/{done}"
+            if engine.software:
+                text += f"@{engine.software}"
+            yield Piece(text, engine.version)
 
     async def score(self, target: Target, call: RewardCall, deadline: float) -> str:
         """See :meth:`TargetClient.score`; the target's next step decides the answer.
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -51,7 +51,8 @@
     answer says that the target is leaving. ``answers_carry_id`` is an attempt id that
     every answer carries. While ``limit`` is set, every answer names it as the requests
     a second that the target takes, and ``limit_spans`` may list when; ``arrivals`` has
-    the time of each request, in loop seconds.
+    the time of each request, in loop seconds. ``software`` is the version of the
+    target's software in its entry.
     """
 
     def __init__(self, target_id: str, service: str, model: str | None = None) -> None:
@@ -59,6 +60,7 @@
         self.service = service
         self.model = model
         self.version = 1
+        self.software = "v1"
         self.sequence = 0
         self.script: deque[str] = deque()
         self.requests: list[dict[str, str]] = []
@@ -93,7 +95,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "a",
-            "version": "v1",
+            "version": self.software,
             "slots": 4,
             "state": state,
             "cold-remaining-ms": 0,
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -97,7 +97,7 @@
         self.addAsyncCleanup(self.session.close)
         self.host, self.url, self.ready_url = await self.start_host()
 
-    async def start_host(self, name="host-1"):
+    async def start_host(self, name="host-1", target_count=3):
         front, ready = free_port(), free_port()
         settings = HostSettings(
             host_id=name,
@@ -113,7 +113,7 @@
         self.addAsyncCleanup(host.kernel.stop)
         directory = host.kernel.get(Directory)
         await self.wait_until(
-            lambda: directory.ready and len(directory.target_by_id) == 3
+            lambda: directory.ready and len(directory.target_by_id) == target_count
         )
         return host, f"http://127.0.0.1:{front}", f"http://127.0.0.1:{ready}"
 
