Continue items only at the software version that began their output

What callers saw: with engines of two software versions in a service, a result joined events of both. Cause: pieces of an output were kept without where they came from, so each way to go on (a run that broke off, a move, a takeover, a carried item) took any engine with the right weights.

An output has an Origin now: service and software version of the engine that sent its first event. may_run() reads it, so starts and moves keep to it, and progress records carry it to the next holder.

Ruled out: going on at the other version after a wait (that is the fault), and discarding at each interruption (it would throw away most of what a crash leaves).

--- a/cranberryrun/batches/dispatch.py
+++ b/cranberryrun/batches/dispatch.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from ..fleet.engine_pool import Engine
+from ..fleet.origin import Origin
 from ..rewards.models import PendingCall
 from .models import BatchState, Item, Piece, Result
 
@@ -54,10 +55,11 @@
     weight version that the engine had when the current run started, and the run is
     not moved to another engine before ``movable_at``, in loop seconds. ``carried``
     items were already in an earlier batch. No run of the item uses weights older than
-    ``min_version``. ``ahead`` marks an item that its batch no longer needs and that
-    runs for the next batch. ``unscored`` is the result of a complete output whose
-    ``reward_call`` has no answer yet; ``completion_recorded`` tells whether the store
-    knows that the output is complete.
+    ``min_version``. ``origin`` is where the output began, and None without pieces; a
+    waiting item waits since ``waiting_since``, in loop seconds. ``ahead`` marks an item
+    that its batch no longer needs and that runs for the next batch. ``unscored`` is the
+    result of a complete output whose ``reward_call`` has no answer yet;
+    ``completion_recorded`` tells whether the store knows that the output is complete.
     """
 
     item: Item
@@ -69,6 +71,7 @@
     min_version: int = 0
     ahead: bool = False
     pieces: list[Piece] = field(default_factory=list)
+    origin: Origin | None = None
     output_id: str = field(default_factory=_new_output_id)
     recorded_count: int = 0
     first_record_offset: int | None = None
@@ -77,6 +80,7 @@
     task: asyncio.Task[None] | None = None
     run_version: int = 0
     movable_at: float = 0.0
+    waiting_since: float = 0.0
     result: Result | None = None
     unscored: Result | None = None
     completion_recorded: bool = False
@@ -103,6 +107,7 @@
     def discard_output(self) -> None:
         """Drop all received pieces; the next run starts a new output."""
         self.pieces = []
+        self.origin = None
         self.output_id = _new_output_id()
         self.recorded_count = 0
         self.first_record_offset = None
@@ -291,6 +296,14 @@
 
 
 def may_run(scheduled: ScheduledItem, engine: Engine) -> bool:
+    """Return whether the engine may start the item or go on with its output."""
+    origin = scheduled.origin
+    if origin is not None and not origin.allows(engine.target):
+        return False
+    return has_weights_for(scheduled, engine)
+
+
+def has_weights_for(scheduled: ScheduledItem, engine: Engine) -> bool:
     """Return whether the engine has weights that the item accepts.
 
     An engine that is loading the model accepts no runs of it.
--- a/cranberryrun/batches/item_run.py
+++ b/cranberryrun/batches/item_run.py
@@ -16,6 +16,7 @@
 from ..fleet.directory import Directory
 from ..fleet.engine_pool import INTERVAL_WINDOW_EVENTS, Engine
 from ..fleet.manifest import Route
+from ..fleet.origin import Origin
 from ..kernel import Kernel
 from .dispatch import DEFAULT_EVENT_INTERVAL_SECONDS, ScheduledItem
 from .models import Result, result_of
@@ -93,6 +94,8 @@
             deadline,
         ):
             now = clock.now()
+            if scheduled.origin is None:
+                scheduled.origin = Origin.of(engine.target)
             scheduled.pieces.append(piece)
             window_events += 1
             if window_events == 1:
--- a/cranberryrun/batches/records.py
+++ b/cranberryrun/batches/records.py
@@ -16,6 +16,7 @@
 from pydantic import Field, TypeAdapter, ValidationError
 
 from ..exceptions import RecordInvalidError
+from ..fleet.origin import Origin
 from .models import Batch, Result
 
 _COMPLETE_MARK = b"w"
@@ -50,7 +51,8 @@
     ``text`` is the id of the output that the pieces belong to. Pieces are only ever
     appended to an output. When an item is restarted or another holder resumes it, a
     new output begins, which is recorded from position 0 on. ``complete`` marks the
-    last pieces of an output, which then lacks only its score.
+    last pieces of an output, which then lacks only its score. ``origin`` is None in
+    records of hosts that did not know it.
     """
 
     batch: str
@@ -60,6 +62,7 @@
     texts: list[str]
     versions: list[int]
     complete: bool = False
+    origin: Origin | None = None
     kind: Literal["progressed"] = "progressed"
 
 
--- a/cranberryrun/batches/results.py
+++ b/cranberryrun/batches/results.py
@@ -107,6 +107,7 @@
                     texts=[piece.text for piece in new_pieces],
                     versions=[piece.version for piece in new_pieces],
                     complete=scheduled.scoring,
+                    origin=scheduled.origin,
                 )
             )
         if not messages:
--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -12,6 +12,7 @@
 from ..fleet.lease import Lease
 from ..fleet.send_permits import SendPermits
 from ..kernel import Service
+from .continuation import outputs_to_restart
 from .dispatch import (
     ScheduledItem,
     fastest_event_interval,
@@ -222,9 +223,24 @@
             *(scheduled.services for scheduled in scheduled_items)
         )
         engines = self.kernel.get(EnginePool).engines_of(services)
+        self._restart_outputs(scheduled_items, engines)
         for start in plan_starts(scheduled_items, engines, clock.wall()):
             self._start_run(start.scheduled, start.engine)
 
+    def _restart_outputs(
+        self, scheduled_items: list[ScheduledItem], engines: list[Engine]
+    ) -> None:
+        for scheduled in outputs_to_restart(scheduled_items, engines, clock.now()):
+            assert scheduled.origin is not None
+            self.kernel.get(Events).emit(
+                "output_discarded",
+                sample=scheduled.item.id,
+                step=scheduled.state.batch.id,
+                software=scheduled.origin.software,
+                pieces=len(scheduled.pieces),
+            )
+            scheduled.discard_output()
+
     def _start_run(self, scheduled: ScheduledItem, engine: Engine) -> None:
         if not self.kernel.get(SendPermits).take(engine.id):
             return
@@ -315,6 +331,7 @@
                 scheduled.task = None
             if scheduled.task is None:
                 scheduled.engine = None
+                scheduled.waiting_since = clock.now()
             self._emit(
                 "item_run",
                 scheduled,
--- a/cranberryrun/batches/scheduled_items.py
+++ b/cranberryrun/batches/scheduled_items.py
@@ -138,6 +138,7 @@
         scheduled.state = state
         scheduled.min_version = batch.min_version
         scheduled.ahead = False
+        scheduled.waiting_since = clock.now()
         scheduled.carried = self._table.carried(batch, item)
         scheduled.result = None
         self._apply_route(scheduled, manifest)
@@ -188,6 +189,10 @@
         output = self._table.output_by_item.get(scheduled.item.id)
         if output is None:
             return
+        if output.origin is None and not output.complete:
+            # No engine is known that may go on with it.
+            return
+        scheduled.origin = output.origin
         scheduled.pieces = list(output.pieces)
         if output.complete and output.pieces:
             scheduled.unscored = result_of(scheduled.item.id, scheduled.pieces)
@@ -283,7 +288,10 @@
         for item_id, scheduled in scheduled_items.items():
             if scheduled.pieces and not scheduled.finished:
                 self._table.output_by_item[item_id] = RecordedOutput(
-                    scheduled.output_id, scheduled.pieces, scheduled.scoring
+                    scheduled.output_id,
+                    scheduled.pieces,
+                    scheduled.scoring,
+                    scheduled.origin,
                 )
 
 
--- a/cranberryrun/batches/table.py
+++ b/cranberryrun/batches/table.py
@@ -5,17 +5,22 @@
 from dataclasses import dataclass
 
 from .. import clock
+from ..fleet.origin import Origin
 from .models import Batch, BatchState, Item, Piece, Result
 from .records import Accepted, Ended, Message, Opened, Progressed
 
 
 @dataclass(slots=True)
 class RecordedOutput:
-    """The recorded output of an item; ``complete`` if only its score is missing."""
+    """The recorded output of an item; ``complete`` if only its score is missing.
+
+    ``origin`` is where it began; None if the host that recorded it did not say.
+    """
 
     id: str
     pieces: list[Piece]
     complete: bool = False
+    origin: Origin | None = None
 
 
 class BatchTable:
@@ -174,7 +179,7 @@
             # outputs are never joined.
             if message.start == 0:
                 self.output_by_item[message.item] = RecordedOutput(
-                    message.text, pieces, message.complete
+                    message.text, pieces, message.complete, message.origin
                 )
         elif message.start <= len(known.pieces):
             # An append that the store carried out late repeats known pieces.
--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -152,6 +152,12 @@
     (330, "item_run", INFO, "A run of an item ended, with any outcome."),
     (331, "item_moved", INFO, "A run is moved to a faster engine."),
     (332, "item_finished", INFO, "An item is complete, or was given up."),
+    (
+        338,
+        "output_discarded",
+        INFO,
+        "An output is generated anew; its software version takes no runs.",
+    ),
     (333, "results_held", WARNING, "Results wait until the store can be written."),
     (334, "progress_unrecorded", WARNING, "The progress of runs was not recorded."),
     (335, "progress_kept", INFO, "Old progress records could not be deleted yet."),
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -1,6 +1,7 @@
 """Scheduling decisions of the batch dispatcher, also under heavy load."""
 
 from collections import Counter
+from dataclasses import replace
 
 from cranberryrun.batches.dispatch import (
     CARRIED,
@@ -32,6 +33,9 @@
             engine.record_event_interval(interval)
         return engine
 
+    def set_software(self, engine, software):
+        engine.target = replace(engine.target, software=software)
+
     def scheduled_items(
         self, groups, size, events=10, due=1000.0, carried=(), **changes
     ):
