Continue callers' streams only at the software version that began them

What callers saw: a stream that was cut or fell silent went on within one answer at any target, and a caller that came back with Last-Event-Id, at the same host or another, was served by any. Nothing read 'Resumes' or the software version.

Cause: the same as for items, a fact that is needed to go on with a stream was no fact of this service. Beyond a single answer it has to outlive the host that began the stream.

Streams keeps the Origin of the first target for all attempts of an answer. A host that does not know a stream reads its topic to the end when a caller names it, so a host that just started or woke up knows as much as any. Without the store a host answers for the streams it knows and refuses others at once; a stream that nobody recorded is refused, not guessed. How long a silent target is waited for is asked anew at each event, as other targets count only until the stream has begun.

Ruled out: all hosts following one topic (each would read every stream for the few that come back), recording only while two versions serve (a release takes seconds, and an append that failed could not be told from one that was not needed), and calls between hosts (the host that knows may have ended).

--- a/cranberryrun/batches/reader.py
+++ b/cranberryrun/batches/reader.py
@@ -25,6 +25,7 @@
 
     :param spawn: starts a task that is cancelled when the owning service stops.
     :param apply: called with the offset and the bytes of a record.
+    :param skips_are_normal: whether records may expire unread without a log line.
     """
 
     def __init__(
@@ -33,11 +34,13 @@
         spawn: Spawn,
         topic: str,
         apply: Callable[[int, bytes], None],
+        skips_are_normal: bool = False,
     ) -> None:
         self._kernel = kernel
         self._spawn = spawn
         self.topic = topic
         self._apply_record = apply
+        self._skips_are_normal = skips_are_normal
         self._next_offset = 0
         self._new_records = asyncio.Event()
         self._followers = 0
@@ -85,7 +88,7 @@
         try:
             page = await store.read(self.topic, self._next_offset, wait)
         except LogGapError as error:
-            if self._next_offset:
+            if self._next_offset and not self._skips_are_normal:
                 self._kernel.get(Events).emit(
                     "batches_skipped",
                     topic=self.topic,
--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -200,6 +200,12 @@
         INFO,
         "A caller's stream goes on at a target after events that it already had.",
     ),
+    (
+        426,
+        "stream_unrecorded",
+        WARNING,
+        "A stream began before the store had its origin; it is written later.",
+    ),
     (500, "version_announced", INFO, "A trainer announced a weight version."),
     (501, "version_known", INFO, "This host learned of a newer weight version."),
     (502, "order_sent", INFO, "An engine was ordered to load a version."),
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -30,6 +30,7 @@
 from ..metrics import Metrics
 from ..requests.crashes import Crashes
 from ..requests.forwarder import Forwarder
+from ..requests.stream_origins import StreamOrigins
 from ..requests.streams import Streams
 from ..rewards.caller import RewardCaller
 from .frontend import Frontend
@@ -122,6 +123,7 @@
             Batches(),
             Crashes(),
             Forwarder(settings.zone, rng),
+            StreamOrigins(),
             Streams(),
             RewardCaller(),
             Neighbours(HOST_TOPIC, self._own_entry(), rng),
--- a/cranberryrun/platform/frontend.py
+++ b/cranberryrun/platform/frontend.py
@@ -190,7 +190,7 @@
             _parse_number(last_event_id, 0) if last_event_id is not None else None
         )
         response: web.StreamResponse | None = None
-        resumes = request.headers.get(header_names.RESUMES)
+        resumes = request.headers.get(header_names.RESUMES) or None
         streams = self.kernel.get(Streams)
         parts = streams.forward(route, forwarded, last_event, resumes)
         try:
--- a/cranberryrun/requests/forwarder.py
+++ b/cranberryrun/requests/forwarder.py
@@ -20,6 +20,7 @@
 from ..fleet.client import Answer, Request, TargetClient
 from ..fleet.directory import Directory, Target
 from ..fleet.manifest import Route
+from ..fleet.origin import Origin
 from ..fleet.rate_limits import TargetLimitedError
 from ..fleet.send_permits import SendPermits
 from ..health import Health
@@ -133,17 +134,23 @@
         weights = [backend.weight for backend in route.backends]
         return self._rng.choices(route.backends, weights)[0].service
 
-    def choose_target(self, service: str, tried: set[str]) -> Target | None:
+    def choose_target(
+        self, service: str, tried: set[str], origin: Origin | None = None
+    ) -> Target | None:
         """Return the target for the next attempt; None if no target is left.
 
         Targets in cooldown are chosen only if there are no others, and targets whose
         limit is used up are not chosen.
+
+        :param origin: where the stream began that the target is to go on with.
         """
         permits = self.kernel.get(SendPermits)
         targets = {
             target.id: target
             for target in self.kernel.get(Directory).targets_of(service)
-            if target.id not in tried and not permits.exhausted(target.id)
+            if target.id not in tried
+            and not permits.exhausted(target.id)
+            and (origin is None or origin.allows(target))
         }
         usable = [
             target_id
--- a/cranberryrun/requests/streams.py
+++ b/cranberryrun/requests/streams.py
@@ -1,14 +1,19 @@
-"""Forwards event streams as they arrive, and resumes interrupted streams."""
+"""Forwards event streams as they arrive, and resumes interrupted streams.
+
+A stream goes on only at targets of the service and software version that began it,
+within one answer as well as over the answers of several hosts.
+"""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from .. import clock
 from ..events import Events
 from ..exceptions import (
     CranberryrunError,
+    NoTargetError,
     OutcomeUnknownError,
     RefusedError,
     TargetFailedError,
@@ -16,27 +21,31 @@
     TargetUnreachableError,
 )
 from ..fleet.client import Answer, Request, StreamedEvent, TargetClient
-from ..fleet.directory import Target
+from ..fleet.directory import Directory, Target
 from ..fleet.manifest import Route
+from ..fleet.origin import Origin
 from ..fleet.rate_limits import TargetLimitedError
 from ..fleet.send_permits import SendPermits
 from ..kernel import Service
 from .crashes import Crashes
 from .forwarder import Forwarder
+from .stream_origins import StreamOrigins
 
 # Callers abandon a stream after a silence of two seconds or four times the latency
 # goal, whichever is longer. Half of that leaves another target time for its first
 # event.
 _MIN_SILENCE_SECONDS = 1.0
 _SILENCE_FACTOR = 2.0
+# A target that crashed is back after some seconds, under the software that it had.
+_ORIGIN_RETRY_AFTER_SECONDS = 1.0
 
 
 async def _end_when_silent(
     parts: AsyncIterator[Answer | StreamedEvent],
     target: Target,
-    max_silence: float | None,
+    max_silence: Callable[[], float | None],
 ) -> AsyncIterator[Answer | StreamedEvent]:
-    """Yield the parts; end when no whole one arrives for ``max_silence`` seconds.
+    """Yield the parts; end when no whole one arrives for ``max_silence()`` seconds.
 
     Single bytes now and then, which complete no event, are silence. The time in which
     the caller reads a part does not count.
@@ -44,14 +53,15 @@
     :raises TargetTimeoutError: the target was silent; its connection is closed.
     """
     while True:
+        seconds = max_silence()
         try:
-            async with asyncio.timeout(max_silence):
+            async with asyncio.timeout(seconds):
                 part = await anext(parts)
         except StopAsyncIteration:
             return
         except TimeoutError:
             raise TargetTimeoutError(
-                f"{target.id} sent no event for {max_silence:g} s"
+                f"{target.id} sent no event for {seconds:g} s"
             ) from None
         yield part
 
@@ -64,7 +74,15 @@
     """
 
     name = "streams"
-    requires = ("events", "forwarder", "send_permits", "crashes", "target_client")
+    requires = (
+        "events",
+        "directory",
+        "forwarder",
+        "send_permits",
+        "crashes",
+        "stream_origins",
+        "target_client",
+    )
 
     async def forward(
         self,
@@ -86,10 +104,14 @@
         forwarder = self.kernel.get(Forwarder)
         started_at = clock.now()
         service = forwarder.choose_service(route)
+        origin: Origin | None = None
         outcome, reason = "caller_gone", "cancelled"
         try:
+            if last_event or resumes:
+                origin = await self._origin(route, service, resumes, request)
+                service = origin.service
             await self.kernel.get(Crashes).admit(request)
-            parts = self._attempts(route, service, request, last_event, resumes)
+            parts = self._attempts(route, service, request, last_event, origin, resumes)
             async for part in parts:
                 yield part
             outcome, reason = "answered", "whole"
@@ -109,18 +131,20 @@
         service: str,
         request: Request,
         last_event: int | None,
+        origin: Origin | None,
         resumes: str | None,
     ) -> AsyncIterator[Answer | StreamedEvent]:
         forwarder = self.kernel.get(Forwarder)
         permits = self.kernel.get(SendPermits)
+        origins = self.kernel.get(StreamOrigins)
         tried: set[str] = set()
         unsent: set[str] = set()
         head_sent = False
         may_have_run = False
         while True:
-            target = forwarder.choose_target(service, tried | unsent)
+            target = forwarder.choose_target(service, tried | unsent, origin)
             if target is None or len(tried) >= route.max_attempts:
-                error = forwarder.no_target_error(service)
+                error = self._no_target_error(service, origin)
                 if head_sent or may_have_run:
                     raise OutcomeUnknownError(error.detail)
                 raise error
@@ -136,8 +160,13 @@
                     "stream_resumed", request, target, resumes=resumes, after=last_event
                 )
             try:
-                silence = self._max_silence(route, service, tried)
-                async for part in self._attempt(target, request, last_event, silence):
+                parts = self._attempt(
+                    target,
+                    request,
+                    last_event,
+                    lambda: self._max_silence(route, service, tried, origin),
+                )
+                async for part in parts:
                     if isinstance(part, StreamedEvent):
                         if not begun:
                             begun = True
@@ -149,6 +178,10 @@
                     elif head_sent:
                         # The caller already has the head that the first target sent.
                         continue
+                    if not head_sent and origin is None and _begins_stream(part):
+                        origin = Origin.of(target)
+                        if route.resumable:
+                            await origins.record(request.id, origin)
                     head_sent = True
                     yield part
                 return
@@ -165,7 +198,7 @@
                 if (
                     not may_retry
                     or attempts_exhausted
-                    or forwarder.choose_target(service, tried | unsent) is None
+                    or forwarder.choose_target(service, tried | unsent, origin) is None
                 ):
                     if (head_sent or may_have_run) and isinstance(error, RefusedError):
                         raise OutcomeUnknownError(error.detail) from None
@@ -183,14 +216,56 @@
             **fields,
         )
 
-    def _max_silence(self, route: Route, service: str, tried: set[str]) -> float | None:
+    async def _origin(
+        self, route: Route, service: str, resumes: str | None, request: Request
+    ) -> Origin:
+        """Return where the stream began that the caller takes up again.
+
+        :raises RefusedError: it is not known, or the route no longer leads there.
+        """
+        origin = await self.kernel.get(StreamOrigins).find(resumes or request.id)
+        if origin is None and resumes is None:
+            # The caller does not say which stream it means.
+            origin = self._only_origin(service)
+        if origin is None:
+            raise NoTargetError(
+                f"no host knows where stream {resumes or request.id} began",
+                retry_after=_ORIGIN_RETRY_AFTER_SECONDS,
+            )
+        if all(backend.service != origin.service for backend in route.backends):
+            raise NoTargetError(
+                f"route {route.name} no longer leads to service {origin.service}, at "
+                "which the stream began",
+                retry_after=_ORIGIN_RETRY_AFTER_SECONDS,
+            )
+        return origin
+
+    def _only_origin(self, service: str) -> Origin | None:
+        """Return the origin of all streams of a service that has one version."""
+        targets = self.kernel.get(Directory).target_by_id.values()
+        origins = {Origin.of(each) for each in targets if each.service == service}
+        return origins.pop() if len(origins) == 1 else None
+
+    def _no_target_error(self, service: str, origin: Origin | None) -> NoTargetError:
+        error = self.kernel.get(Forwarder).no_target_error(service)
+        if origin is None or isinstance(error, TargetLimitedError):
+            return error
+        return NoTargetError(
+            f"service {service} has no target of software {origin.software} that "
+            "accepts requests",
+            retry_after=_ORIGIN_RETRY_AFTER_SECONDS,
+        )
+
+    def _max_silence(
+        self, route: Route, service: str, tried: set[str], origin: Origin | None
+    ) -> float | None:
         """Return after how many seconds without an event another target is tried.
 
         :return: None if none may be tried: a slow stream is then better than none.
         """
         if not route.resumable or len(tried) >= route.max_attempts:
             return None
-        if self.kernel.get(Forwarder).choose_target(service, tried) is None:
+        if self.kernel.get(Forwarder).choose_target(service, tried, origin) is None:
             return None
         return max(_MIN_SILENCE_SECONDS, _SILENCE_FACTOR * route.latency_goal)
 
@@ -199,7 +274,7 @@
         target: Target,
         request: Request,
         last_event: int | None,
-        max_silence: float | None,
+        max_silence: Callable[[], float | None],
     ) -> AsyncIterator[Answer | StreamedEvent]:
         forwarder = self.kernel.get(Forwarder)
         state = forwarder.state_of(target.id)
@@ -240,3 +315,8 @@
             state.in_flight -= 1
         state.health.record_answer()
         self.kernel.get(Crashes).record_answer(request)
+
+
+def _begins_stream(part: Answer | StreamedEvent) -> bool:
+    """Return whether the part is the head of a stream, not a complete answer."""
+    return isinstance(part, Answer) and part.status == 200 and not part.body
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -27,6 +27,7 @@
 from cranberryrun.metrics import Metrics
 from cranberryrun.requests.crashes import Crashes
 from cranberryrun.requests.forwarder import Forwarder
+from cranberryrun.requests.stream_origins import StreamOrigins
 from cranberryrun.requests.streams import Streams
 from cranberryrun.rewards.caller import RewardCaller
 from cranberryrun.rewards.models import RewardCall
@@ -285,6 +286,7 @@
             Metrics(name),
             Crashes(),
             Forwarder("a", random.Random(1)),
+            StreamOrigins(),
             Streams(),
             RewardCaller(),
             Runner(),
