Log when a host hears from no target at all

fleet/reachability.py judges without I/O: a failed call counts only if no target was heard from since. TargetPaths asks it and emits targets_lost and targets_reached; nothing acts on it yet. For this the HTTP part of HttpTargetClient is a module of its own, platform/target_requests.py, which tells a watch what each call hears.

--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -49,6 +49,13 @@
     (114, "target_leaving", INFO, "A target is leaving; it gets no new work."),
     (115, "target_registered", INFO, "A target registered; it can get work."),
     (116, "target_gone", INFO, "A target's registration ended; it gets no new work."),
+    (
+        117,
+        "targets_lost",
+        WARNING,
+        "Calls of this host failed and it hears from no target at all.",
+    ),
+    (118, "targets_reached", INFO, "This host hears from targets again."),
     (120, "settings_read", INFO, "The settings file was read again."),
     (
         121,
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -25,6 +25,7 @@
 from ..fleet.neighbours import Neighbour, Neighbours
 from ..fleet.send_permits import SendPermits
 from ..fleet.store_paths import StorePaths
+from ..fleet.target_paths import TargetPaths
 from ..http import HttpClients
 from ..kernel import Kernel, Service
 from ..metrics import Metrics
@@ -110,6 +111,7 @@
             ),
             HttpPermitClient(),
             SendPermits(settings.host_id, rng),
+            TargetPaths(),
             EnginePool(),
             Loads(settings.host_id),
             BatchLog(
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -10,7 +10,6 @@
 
 import aiohttp
 from multidict import CIMultiDict
-from yarl import URL
 
 from .. import clock
 from ..batches.models import Item, Piece
@@ -19,12 +18,10 @@
     RecordInvalidError,
     StaleFenceError,
     TargetFailedError,
-    TargetUnreachableError,
     TruncatedAnswerError,
 )
 from ..fleet.client import (
     Answer,
-    ConnectionLostError,
     EngineReport,
     LoadOrder,
     OrderRefusedError,
@@ -49,6 +46,7 @@
 )
 from .event_parser import EventParser
 from .settings import split_address
+from .target_requests import OpenedCall, TargetRequests
 from .unknown_names import UnknownNames
 
 # The client sets these headers itself, so those of the caller are dropped.
@@ -60,19 +58,12 @@
         header_names.EXPECT_VERSION,
     )
 }
-# aiohttp would add these to a request that does not have them.
-_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 # Reports and orders take some milliseconds. An answer that takes longer counts as lost.
 _CONTROL_TIMEOUT_SECONDS = 0.6
 _KEEPALIVE_TIMEOUT_PATTERN = re.compile(r"timeout=(\d+)")
 _EVENT_STREAM = "text/event-stream"
 # A page of results holds at most 1 MB of text, so no result can be longer.
 _MAX_OUTPUT_BYTES = 1_000_000
-_CONNECTION_ENDED = (
-    aiohttp.ServerDisconnectedError,
-    aiohttp.ClientOSError,
-    aiohttp.ClientPayloadError,
-)
 _ORDER_PATH = "/v1/order"
 _REPORT_PATH = "/v1/report"
 
@@ -80,18 +71,26 @@
 class HttpTargetClient(TargetClient):
     """Calls plain services and engines. Each method makes one attempt."""
 
-    requires = ("http", "events", "directory", "send_permits", "unknown_names")
+    requires = (
+        "http",
+        "events",
+        "directory",
+        "send_permits",
+        "target_paths",
+        "unknown_names",
+    )
 
     async def send(self, target: Target, request: Request) -> Answer:
         """See :meth:`TargetClient.send`."""
-        async with self._send_forwarded(target, request) as response:
+        async with self._send_forwarded(target, request) as call:
+            response = call.response
             body = await self._read_body(response)
             check_signature(response, request.id)
             return Answer(response.status, forwardable(response.headers), body)
 
     def _send_forwarded(
         self, target: Target, request: Request, last_event: int | None = None
-    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+    ) -> AbstractAsyncContextManager[OpenedCall]:
         remaining = request.deadline - clock.now()
         headers = CIMultiDict(
             (name, value)
@@ -102,7 +101,7 @@
         headers[header_names.EXPECT_INSTANCE] = target.id
         if last_event is not None:
             headers[header_names.LAST_EVENT_ID] = str(last_event)
-        return self._open_response(
+        return self._open_call(
             request.method,
             target,
             request.target,
@@ -116,7 +115,8 @@
         self, target: Target, request: Request, last_event: int | None
     ) -> AsyncIterator[Answer | StreamedEvent]:
         """See :meth:`TargetClient.stream`."""
-        async with self._send_forwarded(target, request, last_event) as response:
+        async with self._send_forwarded(target, request, last_event) as call:
+            response = call.response
             check_signature(response, request.id)
             headers = forwardable(response.headers)
             if response.status != 200 or response.content_type != _EVENT_STREAM:
@@ -125,7 +125,7 @@
                 return
             yield Answer(response.status, headers, b"")
             parser = EventParser()
-            async for chunk in response.content.iter_any():
+            async for chunk in call.chunks():
                 for event in parser.feed(chunk):
                     yield StreamedEvent(event.number, event.raw)
             if parser.has_partial_event or not is_framed(response):
@@ -134,58 +134,35 @@
                 )
 
     @asynccontextmanager
-    async def _open_response(
+    async def _open_call(
         self,
         method: str,
         target: Target,
         path: str,
         attempt_id: str | None,
         **options: Any,
-    ) -> AsyncIterator[aiohttp.ClientResponse]:
-        """Send one request; translate errors of aiohttp into errors of this package.
+    ) -> AsyncIterator[OpenedCall]:
+        """Send one request; the block gets an answer that belongs to it.
 
         :param attempt_id: the id that the answer must echo; None for reports and
             orders, whose answers have none.
         """
-        url = _url(target, path)
         sent_at = clock.now()
-        session = self.kernel.get(HttpClients).shared
-        try:
-            async with session.request(
-                method,
-                url,
-                allow_redirects=False,
-                skip_auto_headers=_AUTO_HEADERS,
-                **options,
-            ) as response:
-                self._apply_keepalive_timeout(response)
-                self.kernel.get(UnknownNames).record_headers(
-                    "answer", response.headers, header_names.KNOWN_IN_ANSWERS
-                )
-                if any(name in response.headers for name in header_names.LEAVING):
-                    self.kernel.get(Directory).mark_leaving(target.id)
-                # Before all else: a late copy of another request's refusal does not
-                # say that this request was not run.
-                check_echo(response, attempt_id)
-                self._record_limit(target, response, sent_at)
-                raise_if_refused(response)
-                yield response
-        except aiohttp.ClientConnectorError as error:
-            raise TargetUnreachableError(
-                f"can't connect to {url.authority}: {error!r}"
-            ) from None
-        except aiohttp.ConnectionTimeoutError as error:
-            raise TargetUnreachableError(
-                f"can't connect to {url.authority}: {error!r}"
-            ) from None
-        except _CONNECTION_ENDED as error:
-            raise ConnectionLostError(
-                f"request to {url.authority} failed: {error!r}"
-            ) from None
-        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
-            raise TargetFailedError(
-                f"request to {url.authority} failed: {error!r}"
-            ) from None
+        requests = TargetRequests(self.kernel)
+        async with requests.open(method, target, path, **options) as call:
+            response = call.response
+            self._apply_keepalive_timeout(response)
+            self.kernel.get(UnknownNames).record_headers(
+                "answer", response.headers, header_names.KNOWN_IN_ANSWERS
+            )
+            if any(name in response.headers for name in header_names.LEAVING):
+                self.kernel.get(Directory).mark_leaving(target.id)
+            # Before all else: a late copy of another request's refusal does not say
+            # that this request was not run.
+            check_echo(response, attempt_id)
+            self._record_limit(target, response, sent_at)
+            raise_if_refused(response)
+            yield call
 
     def _record_limit(
         self, target: Target, response: aiohttp.ClientResponse, sent_at: float
@@ -249,7 +226,7 @@
         headers[header_names.EXPECT_VERSION] = str(version)
         if done:
             headers[header_names.LAST_EVENT_ID] = str(done)
-        async with self._open_response(
+        async with self._open_call(
             "POST",
             target,
             item.path,
@@ -257,10 +234,10 @@
             headers=headers,
             data=item.body,
             timeout=aiohttp.ClientTimeout(total=max(0.001, remaining)),
-        ) as response:
-            raise_if_run_failed(response)
-            check_signature(response, item.id)
-            async for piece in _read_pieces(response, done):
+        ) as call:
+            raise_if_run_failed(call.response)
+            check_signature(call.response, item.id)
+            async for piece in _read_pieces(call, done):
                 yield piece
 
     async def score(self, target: Target, call: RewardCall, deadline: float) -> str:
@@ -272,7 +249,7 @@
             header_names.DEADLINE_MS: str(max(1, int(remaining * 1000))),
             header_names.EXPECT_INSTANCE: target.id,
         }
-        async with self._open_response(
+        async with self._open_call(
             "POST",
             target,
             call.path,
@@ -280,7 +257,8 @@
             headers=headers,
             data=call.body or None,
             timeout=aiohttp.ClientTimeout(total=remaining),
-        ) as response:
+        ) as opened:
+            response = opened.response
             await self._read_body(response)
             check_signature(response, call.id)
             if response.status == 500:
@@ -306,13 +284,14 @@
 
     async def report(self, target: Target) -> EngineReport:
         """See :meth:`TargetClient.report`."""
-        async with self._open_response(
+        async with self._open_call(
             "GET",
             target,
             _REPORT_PATH,
             None,
             timeout=aiohttp.ClientTimeout(total=_CONTROL_TIMEOUT_SECONDS),
-        ) as response:
+        ) as call:
+            response = call.response
             body = await self.kernel.get(HttpClients).read(response)
             if response.status != 200:
                 raise TargetFailedError(
@@ -336,7 +315,7 @@
             "fencing-token": order.fence,
             "precondition": order.sequence,
         }
-        async with self._open_response(
+        async with self._open_call(
             "POST",
             target,
             _ORDER_PATH,
@@ -344,8 +323,8 @@
             json=body,
             headers={header_names.EXPECT_INSTANCE: target.id},
             timeout=aiohttp.ClientTimeout(total=_CONTROL_TIMEOUT_SECONDS),
-        ) as response:
-            status = response.status
+        ) as call:
+            status = call.response.status
         if status in (200, 202):
             return
         if status == 412:
@@ -355,25 +334,20 @@
         raise OrderRefusedError(f"{target.id} refused the order with status {status}")
 
 
-def _url(target: Target, path: str) -> URL:
-    return URL(f"http://{target.address}{path}", encoded=True)
-
-
-async def _read_pieces(
-    response: aiohttp.ClientResponse, last_event: int
-) -> AsyncIterator[Piece]:
+async def _read_pieces(call: OpenedCall, last_event: int) -> AsyncIterator[Piece]:
     """Yield the pieces of a run that resumes after event ``last_event``.
 
     :raises TargetFailedError: an event is missing or repeated.
     :raises TruncatedAnswerError: the stream ended before it was complete.
     """
+    response = call.response
     version_header = response.headers.get(header_names.WEIGHT_VERSION)
     if version_header is None or not version_header.isdigit():
         raise TargetFailedError("the answer has no valid weight version header")
     version = int(version_header)
     parser = EventParser()
     size = 0
-    async for chunk in response.content.iter_any():
+    async for chunk in call.chunks():
         for event in parser.feed(chunk):
             if event.number is not None and event.number != last_event + 1:
                 raise TargetFailedError(
