--- /dev/null
+++ b/tests/test_cut_host.py
@@ -0,0 +1,282 @@
+"""A host that is cut from all targets, while callers, store and hosts reach it."""
+
+import asyncio
+from dataclasses import replace
+
+from cranberryrun.events import Events
+from cranberryrun.fleet.directory import Directory
+from cranberryrun.fleet.lease import Lease
+from cranberryrun.fleet.neighbours import Neighbours
+from standins.target_link import Cut, TargetLink
+
+from .test_platform_host import (
+    DEADLINE_MS,
+    OPERATOR_TOPIC,
+    PlatformTestCase,
+    manifest,
+    route,
+    submission,
+)
+
+REQUEST_COUNT = 8
+# The users' rule counts from 3 s after the cut.
+SECONDS_UNTIL_COUNTED = 3.0
+DEADLINE = {DEADLINE_MS: "800"}
+
+
+class CutHostTestCase(PlatformTestCase):
+    """Two hosts; the paths from the first one to the targets can be cut."""
+
+    async def start_host(self, name="host-1", target_count=3):
+        self.links = getattr(self, "links", {})
+        links = {}
+        for target in (*self.portals, self.engine):
+            links[target.id] = TargetLink(target.address)
+            await links[target.id].start()
+            self.addAsyncCleanup(links[target.id].stop)
+        self.links[name] = links
+        return await super().start_host(name, target_count)
+
+    def prepare(self, host, name):
+        decoder = host.kernel.get(Directory)._decoder
+        decode = decoder.target
+
+        def target(key, value):
+            decoded = decode(key, value)
+            link = self.links[name].get(key)
+            return replace(decoded, address=link.address) if link else decoded
+
+        decoder.target = target
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        routes = [route("resumed", "streaming", "lm", resumable=True)]
+        self.store.put(OPERATOR_TOPIC, "config", manifest(2, routes=routes))
+        self.other, self.other_url, _ = await self.start_host("host-2")
+        for host in (self.host, self.other):
+            await self.wait_until(
+                lambda: host.kernel.get(Neighbours).host_count == 2, seconds=12.0
+            )
+            directory = host.kernel.get(Directory)
+            await self.wait_until(lambda: directory.manifest.version == 2)
+
+    def cut(self, how, *names):
+        for name in names or ("host-1",):
+            for link in self.links[name].values():
+                link.cut(how)
+
+    async def heal(self, *names):
+        for name in names or ("host-1",):
+            for link in self.links[name].values():
+                await link.heal()
+
+    async def send_all(self, path, prefix):
+        """Send requests to the first host one after the other; return the statuses."""
+        statuses = []
+        for number in range(REQUEST_COUNT):
+            attempt_id = f"{prefix}{number}"
+            status, _, _ = await self.request(
+                "POST", path, attempt_id, data=b"hi", headers=DEADLINE
+            )
+            statuses.append(status)
+        return statuses
+
+    def event_names(self, host):
+        return [event.kind.name for event in host.kernel.get(Events).after(-1)]
+
+
+class CutHostRequestTest(CutHostTestCase):
+    """Guards against RECOVER: requests failed at hosts that had lost the targets."""
+
+    async def test_safe_requests_are_served_from_the_first_one_on(self):
+        for how in Cut:
+            await self.heal("host-1", "host-2")
+            with self.subTest(how=how):
+                await self.send_all("/status/x", f"w{how.value}")
+                self.cut(how)
+                statuses = await self.send_all("/status/x", how.value)
+                self.assertEqual(statuses, [200] * REQUEST_COUNT)
+
+    async def test_requests_that_may_run_once_are_served_soon_after_the_cut(self):
+        for how in Cut:
+            await self.heal("host-1", "host-2")
+            with self.subTest(how=how):
+                await asyncio.sleep(1.0)
+                await self.send_all("/hold/x", f"w{how.value}")
+                self.cut(how)
+                await self.send_all("/status/x", f"s{how.value}")
+                await asyncio.sleep(SECONDS_UNTIL_COUNTED)
+                statuses = await self.send_all("/hold/x", how.value)
+                self.assertEqual(statuses, [200] * REQUEST_COUNT)
+                ids = [each["X-Cranberryrun-Attempt-Id"] for each in self.sent_to(how)]
+                self.assertEqual(len(ids), len(set(ids)))
+
+    def sent_to(self, how):
+        return [
+            each
+            for each in self.portal_requests()
+            if each["X-Cranberryrun-Attempt-Id"].startswith(how.value)
+        ]
+
+    async def test_streams_are_served(self):
+        for how in Cut:
+            await self.heal("host-1", "host-2")
+            with self.subTest(how=how):
+                self.cut(how)
+                for number in range(3):
+                    attempt_id = f"{how.value}{number}"
+                    status, headers, body = await self.request(
+                        "POST", "/resumed/x", attempt_id
+                    )
+                    self.assertEqual(status, 200)
+                    self.assertEqual(body.count(b"\n\n"), 6)
+                    self.assertIn("X-Cranberryrun-Server-Signature", headers)
+
+    async def test_answers_are_unchanged_by_the_way_they_take(self):
+        direct = await self.request("POST", "/status/a%20b?x=1", "r1", data=b"hi")
+        self.cut(Cut.REFUSE)
+        relayed = await self.request("POST", "/status/a%20b?x=1", "r2", data=b"hi")
+        self.assertEqual(direct[0], relayed[0])
+        self.assertEqual(direct[2], relayed[2])
+        for name in ("X-Own", "Content-Length", "Content-Type"):
+            self.assertEqual(direct[1].get(name), relayed[1].get(name))
+        first, second = self.portal_requests()[-2:]
+        for name in ("method", "path", "body", "Host", "X-Cranberryrun-Attempt-Id"):
+            if name != "X-Cranberryrun-Attempt-Id":
+                self.assertEqual(first[name], second[name])
+        self.assertEqual(second["X-Cranberryrun-Attempt-Id"], "r2")
+
+    async def test_answer_that_breaks_off_behind_the_other_host_is_no_answer(self):
+        self.cut(Cut.REFUSE)
+        await self.send_all("/status/x", "w")
+        for step in ("short", "reset", "foreign", "unsigned"):
+            with self.subTest(step=step):
+                for portal in self.portals:
+                    portal.script.clear()
+                self.script_portals(step)
+                status, _, _ = await self.request("POST", "/hold/x", step)
+                self.assertIn(status, (502, 504))
+
+    async def test_requests_are_refused_at_once_when_no_host_reaches_targets(self):
+        for how in (Cut.HANG, Cut.REFUSE):
+            await self.heal("host-1", "host-2")
+            with self.subTest(how=how):
+                self.cut(how, "host-1", "host-2")
+                await self.request("POST", "/status/x", "w", headers=DEADLINE)
+                await asyncio.sleep(1.0)
+                loop = asyncio.get_running_loop()
+                for number in range(3):
+                    started_at = loop.time()
+                    status, headers, _ = await self.request(
+                        "POST", "/hold/x", f"{number}", headers=DEADLINE
+                    )
+                    self.assertEqual(status, 503)
+                    self.assertIn("Retry-After", headers)
+                    self.assertLess(loop.time() - started_at, 0.3)
+                self.assertEqual(self.portal_requests(), [])
+
+    async def test_host_reaches_targets_by_itself_after_the_cut(self):
+        self.cut(Cut.HANG)
+        await self.send_all("/status/x", "c")
+        await self.heal()
+        await self.wait_until(
+            lambda: "targets_reached" in self.event_names(self.host), seconds=3.0
+        )
+        self.cut(Cut.REFUSE, "host-2")
+        statuses = await self.send_all("/hold/x", "h")
+        self.assertEqual(statuses, [200] * REQUEST_COUNT)
+
+    async def test_host_passes_calls_on_to_registered_targets_only(self):
+        neighbours = self.host.kernel.get(Neighbours)
+        address = neighbours.address_of("host-2")
+        for path in ("/relay/unknown/x", "/relay/10.0.0.1:80/x", "/relay/"):
+            async with self.session.post(f"http://{address}{path}") as response:
+                self.assertGreaterEqual(response.status, 400)
+                self.assertNotIn("X-Cranberryrun-Server-Signature", response.headers)
+
+
+class CutHolderTest(CutHostTestCase):
+    """Guards against RECOVER: a cut holder kept the lease, and steps starved."""
+
+    def holder(self):
+        for host in (self.host, self.other):
+            if host.kernel.get(Lease).held:
+                return host
+        return None
+
+    async def cut_holder(self, how):
+        await self.wait_until(lambda: self.holder() is not None)
+        holder = self.holder()
+        name, url = ("host-1", self.url)
+        if holder is self.other:
+            name, url = ("host-2", self.other_url)
+        self.cut(how, name)
+        return holder, name, url
+
+    async def test_another_host_takes_the_lease_and_runs_the_batch(self):
+        for how in Cut:
+            await self.heal("host-1", "host-2")
+            with self.subTest(how=how):
+                await asyncio.sleep(1.0)
+                holder, name, url = await self.cut_holder(how)
+                batch_id = f"b-{how.value.replace(' ', '-')}"
+                body = submission(items=4)
+                for item in body["items"]:
+                    item["id"] = f"{how.value}-{item['id']}"
+                status, _, _ = await self.request(
+                    "POST", "/rollout/b", batch_id, url=url, json=body
+                )
+                self.assertEqual(status, 202)
+                await self.wait_until(
+                    lambda: self.holder() not in (None, holder), seconds=4.0
+                )
+                await self.wait_until_listed(batch_id, 4)
+
+    async def wait_until_listed(self, batch_id, count):
+        async with asyncio.timeout(4.0):
+            while True:
+                _, _, body = await self.request("GET", f"/v1/lots/{batch_id}?after=0")
+                if body.count(b'"succeeded"') == count:
+                    return
+                await asyncio.sleep(0.1)
+
+    async def test_cut_host_does_not_take_the_lease(self):
+        """Nothing has shown this host yet that it is cut."""
+        await self.wait_until(lambda: self.holder() is not None)
+        holder = self.holder()
+        name = "host-2" if holder is self.host else "host-1"
+        self.cut(Cut.HANG, name)
+        await holder.kernel.get(Lease).release()
+        await asyncio.sleep(2.0)
+        self.assertIsNone(self.holder())
+        await self.heal(name)
+        await self.wait_until(lambda: self.holder() is not None, seconds=3.0)
+
+    async def test_holder_keeps_the_lease_when_all_hosts_are_cut(self):
+        await self.wait_until(lambda: self.holder() is not None)
+        holder = self.holder()
+        self.cut(Cut.REFUSE, "host-1", "host-2")
+        await self.send_all("/status/x", "a")
+        await asyncio.sleep(3.0)
+        self.assertIs(self.holder(), holder)
+
+
+class CutHostCrashTest(CutHostTestCase):
+    """Guards against RECOVER: a cut host took refused connections for crashes."""
+
+    async def test_cut_is_not_recorded_as_a_crash(self):
+        for portal in self.portals:
+            portal.answer_seconds = 0.2
+        waiting = [
+            asyncio.create_task(
+                self.request("POST", "/status/x", f"c{number}", headers=DEADLINE)
+            )
+            for number in range(4)
+        ]
+        await self.wait_until(
+            lambda: sum(portal.open_requests for portal in self.portals) >= 4
+        )
+        self.cut(Cut.REFUSE)
+        statuses = [(await each)[0] for each in waiting]
+        self.assertEqual(statuses, [200] * 4)
+        self.assertNotIn("target_crashed", self.event_names(self.host))
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -109,6 +109,7 @@
             store={"address": self.store.address},
         )
         host = PlatformHost(settings)
+        self.prepare(host, name)
         await host.start()
         self.addAsyncCleanup(host.kernel.stop)
         directory = host.kernel.get(Directory)
@@ -117,6 +118,9 @@
         )
         return host, f"http://127.0.0.1:{front}", f"http://127.0.0.1:{ready}"
 
+    def prepare(self, host, name):
+        """Change a host before it starts; subclasses override this method."""
+
     async def wait_until(self, condition, seconds=5.0):
         async with asyncio.timeout(seconds):
             while not condition():
