Bound connecting to a target

What callers saw: at a host that is cut silently, one connection attempt lasts until the deadline, and the answer is 504, which promises nothing, although no byte was sent.

Cause: a call's own timeout replaces that of the HTTP session, so the bound on connecting that is set there never applied to calls to targets; only calls to the store had one. Class: a default that an override drops as a whole.

Connecting takes at most 0.2 s now (some milliseconds over the longest link), then the attempt counts as not sent, goes to another target, and the caller is refused truly with 503 and Retry-After. The new test fails without the change (504).

Other hosts have to take the requests.

--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -108,7 +108,7 @@
             request.id,
             headers=headers,
             data=request.body or None,
-            timeout=aiohttp.ClientTimeout(total=max(0.001, remaining)),
+            seconds=remaining,
         )
 
     async def stream(
@@ -140,6 +140,7 @@
         target: Target,
         path: str,
         attempt_id: str | None,
+        seconds: float,
         **options: Any,
     ) -> AsyncIterator[OpenedCall]:
         """Send one request; the block gets an answer that belongs to it.
@@ -149,7 +150,7 @@
         """
         sent_at = clock.now()
         requests = TargetRequests(self.kernel)
-        async with requests.open(method, target, path, **options) as call:
+        async with requests.open(method, target, path, seconds, **options) as call:
             response = call.response
             self._apply_keepalive_timeout(response)
             self.kernel.get(UnknownNames).record_headers(
@@ -233,7 +234,7 @@
             item.id,
             headers=headers,
             data=item.body,
-            timeout=aiohttp.ClientTimeout(total=max(0.001, remaining)),
+            seconds=remaining,
         ) as call:
             raise_if_run_failed(call.response)
             check_signature(call.response, item.id)
@@ -256,7 +257,7 @@
             call.id,
             headers=headers,
             data=call.body or None,
-            timeout=aiohttp.ClientTimeout(total=remaining),
+            seconds=remaining,
         ) as opened:
             response = opened.response
             await self._read_body(response)
@@ -289,7 +290,7 @@
             target,
             _REPORT_PATH,
             None,
-            timeout=aiohttp.ClientTimeout(total=_CONTROL_TIMEOUT_SECONDS),
+            seconds=_CONTROL_TIMEOUT_SECONDS,
         ) as call:
             response = call.response
             body = await self.kernel.get(HttpClients).read(response)
@@ -322,7 +323,7 @@
             None,
             json=body,
             headers={header_names.EXPECT_INSTANCE: target.id},
-            timeout=aiohttp.ClientTimeout(total=_CONTROL_TIMEOUT_SECONDS),
+            seconds=_CONTROL_TIMEOUT_SECONDS,
         ) as call:
             status = call.response.status
         if status in (200, 202):
--- a/cranberryrun/platform/target_requests.py
+++ b/cranberryrun/platform/target_requests.py
@@ -20,6 +20,10 @@
 
 # aiohttp would add these to a request that does not have them.
 _AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+# Connecting takes some milliseconds even over the longest link. Where it takes longer
+# the request was not sent, and another way has to be left time for it.
+_CONNECT_TIMEOUT_SECONDS = 0.2
+_MIN_SECONDS = 0.001
 _CONNECTION_ENDED = (
     aiohttp.ServerDisconnectedError,
     aiohttp.ClientOSError,
@@ -70,6 +74,14 @@
         watch.end()
 
 
+def _timeout(seconds: float) -> aiohttp.ClientTimeout:
+    """Return the time limits of a call, which replace those of the session."""
+    seconds = max(_MIN_SECONDS, seconds)
+    return aiohttp.ClientTimeout(
+        total=seconds, sock_connect=min(seconds, _CONNECT_TIMEOUT_SECONDS)
+    )
+
+
 class TargetRequests:
     """Makes one attempt at each request."""
 
@@ -78,10 +90,11 @@
 
     @asynccontextmanager
     async def open(
-        self, method: str, target: Target, path: str, **options: Any
+        self, method: str, target: Target, path: str, seconds: float, **options: Any
     ) -> AsyncIterator[OpenedCall]:
         """Send a request; the block gets the call once its answer has begun.
 
+        :param seconds: how long the call may take.
         :param options: further arguments of aiohttp's ``request``.
         :raises TargetUnreachableError: nothing was sent.
         :raises ConnectionLostError: the connection ended before the answer did.
@@ -96,6 +109,7 @@
                 url,
                 allow_redirects=False,
                 skip_auto_headers=_AUTO_HEADERS,
+                timeout=_timeout(seconds),
                 **options,
             ) as response:
                 watch.heard()
--- a/tests/test_cut_host.py
+++ b/tests/test_cut_host.py
@@ -85,6 +85,19 @@
         return [event.kind.name for event in host.kernel.get(Events).after(-1)]
 
 
+class HangingConnectionTest(CutHostTestCase):
+    """Guards against RECOVER: connecting to a target used up the whole deadline."""
+
+    async def test_request_is_refused_soon_when_no_connection_can_be_made(self):
+        self.cut(Cut.HANG, "host-1", "host-2")
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        status, headers, _ = await self.request("POST", "/hold/x", headers=DEADLINE)
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", headers)
+        self.assertLess(loop.time() - started_at, 0.75)
+
+
 class CutHostRequestTest(CutHostTestCase):
     """Guards against RECOVER: requests failed at hosts that had lost the targets."""
 
