Send calls to targets through a neighbour while this host reaches none

What callers saw: at hosts cut from all targets each request failed for as long as the cut lasted, with 504 at the deadline or 503 after all targets had been tried, although callers, the store and the other hosts reached these hosts.

Cause: store calls have a path through a neighbour, calls to targets had none. Class: a dependency that is reached over links of this host alone, while others' links would do.

A call that can't connect goes through a neighbour at once: nothing was sent. While the links are doubted, because calls failed or wait with no target heard since, new calls go through a neighbour first, hedged requests among them; a probe of a new connection settles it. What is heard on kept connections does not end a loss, as they may live on while new ones are refused. With neither way a request is refused at once.

The neighbour makes one attempt at a target that it knows itself by its id, and passes the bytes back; retries, limits, software versions, crash records and cancelling stay with the host that has the caller. Load orders and reports are never passed on: engines tell holders by their host.

Ruled out: reporting the host not ready (open connections stay, and a zone with few hosts ready gets all of them back), and passing whole requests to another host's forwarder (two hosts would retry, count and limit the same request). The store's relay and this one are served at one address; store_relay.py is neighbour_server.py now.

--- a/cranberryrun/fleet/target_paths.py
+++ b/cranberryrun/fleet/target_paths.py
@@ -1,15 +1,36 @@
-"""Whether this host reaches targets at all, as its own calls show."""
+"""The paths from this host to targets: direct, or through a neighbour.
+
+A host may lose its links to all targets while callers, the store and the other hosts
+reach it. Calls then go through neighbours that reach targets, until a new connection of
+this host succeeds again.
+"""
 
 from __future__ import annotations
 
+import asyncio
+import random
+
 from .. import clock
 from ..events import Events
 from ..kernel import Service
-from .directory import Directory
+from .directory import Directory, Target
+from .neighbours import Neighbours
+from .reach_client import ReachClient
 from .reachability import DOUBT_SECONDS, Reachability
-
-# One target that can't be reached may have ended by itself.
-_MIN_FAILED_TARGETS = 2
+from .relay_choice import RelayChoice
+
+# If all of these can't be connected to, the fault is this host's links.
+_PROBED_TARGETS = 3
+_PROBE_INTERVAL_SECONDS = 0.3
+# A failed connection is followed by at most one probe in this time.
+_PROBE_PAUSE_SECONDS = 1.0
+# Most hosts may be cut at once, so a few neighbours would not do.
+_ASKED_NEIGHBOURS = 8
+_ASK_INTERVAL_SECONDS = 1.0
+# After a round in which no neighbour reached targets, calls fail at once for this long.
+_ASK_PAUSE_SECONDS = 0.3
+# What was heard from a target this short a time ago shows that the host reaches it.
+_RECENT_SECONDS = 1.0
 
 
 class CallWatch:
@@ -25,16 +46,20 @@
         """Record that the target sent something."""
         self._heard_at = clock.now()
         self._paths.reachability.end_waiting(self._call)
-        self._paths.record_heard()
+        self._paths.reachability.record_heard(self._heard_at)
 
-    def failed(self) -> None:
-        """Record that no connection was made, or that it ended."""
-        self._paths.record_failure(self._target_id, self._heard_at)
+    def unreachable(self) -> None:
+        """Record that no connection was made."""
+        self._paths.record_unreachable(self._target_id)
+
+    def lost(self) -> None:
+        """Record that the connection ended."""
+        self._paths.record_silence(self._target_id, self._heard_at)
 
     def abandoned(self) -> None:
         """Record that the call was ended while the target said nothing."""
         if clock.now() >= self._heard_at + DOUBT_SECONDS:
-            self.failed()
+            self._paths.record_silence(self._target_id, self._heard_at)
 
     def end(self) -> None:
         """Record that the call is over."""
@@ -42,33 +67,164 @@
 
 
 class TargetPaths(Service):
-    """Follows the outcomes of this host's calls to targets."""
+    """Judges whether this host reaches targets, and knows neighbours that do.
+
+    ``lost`` is set while no new connection to any target can be made.
+    """
 
     name = "target_paths"
-    requires = ("events", "directory")
+    requires = ("events", "directory", "neighbours")
 
-    def __init__(self) -> None:
+    def __init__(self, rng: random.Random) -> None:
         super().__init__()
+        self._rng = rng
         self.reachability = Reachability()
         self.lost = False
+        self._relays = RelayChoice(rng)
+        self._probe_task: asyncio.Task[None] | None = None
+        self._ask_task: asyncio.Task[None] | None = None
+        self._settled = asyncio.Event()
+        self._settled.set()
+        self._neighbour_answered = asyncio.Event()
+        self._next_probe_at = float("-inf")
+        self._asked_at = float("-inf")
 
     def watch(self, target_id: str) -> CallWatch:
-        """Return the watch of a call that begins now."""
+        """Return the watch of a direct call that begins now."""
         return CallWatch(self, target_id)
 
-    def record_heard(self) -> None:
-        """Record that some target sent something."""
-        self.reachability.record_heard(clock.now())
+    @property
+    def doubtful(self) -> bool:
+        """Whether a call should go through a neighbour if there is one."""
+        if self.lost or self._probe_task is not None:
+            return True
+        return self.reachability.doubtful(clock.now())
+
+    def record_unreachable(self, target_id: str) -> None:
+        """Record that no connection to a target was made.
+
+        What was heard over other connections does not count: they may live on while
+        new ones fail.
+        """
+        self.reachability.record_failure(target_id, clock.now())
+        if clock.now() >= self._next_probe_at:
+            self._start_probing()
+
+    def record_silence(self, target_id: str, since: float) -> None:
+        """Record a call that heard nothing since ``since`` and then ended."""
+        if self.reachability.record_failure(target_id, since):
+            self._start_probing()
+
+    def _start_probing(self) -> None:
+        if self._probe_task is None:
+            self._settled.clear()
+            self._probe_task = self.spawn(self._probe_until_connected())
+
+    async def _probe_until_connected(self) -> None:
+        try:
+            while not await self._connects_to_any():
+                if not self.lost:
+                    self.lost = True
+                    failed = sorted(self.reachability.failed_targets)
+                    self.kernel.get(Events).emit("targets_lost", failed=failed)
+                    self._settled.set()
+                self._refresh_relays()
+                await asyncio.sleep(_PROBE_INTERVAL_SECONDS)
+        finally:
+            self._probe_task = None
+            self._settled.set()
+            self._next_probe_at = clock.now() + _PROBE_PAUSE_SECONDS
         if self.lost:
             self.lost = False
             self.kernel.get(Events).emit("targets_reached")
 
-    def record_failure(self, target_id: str, since: float) -> None:
-        """Record a call to a target that heard nothing since ``since``."""
-        if not self.reachability.record_failure(target_id, since) or self.lost:
-            return
-        known = len(self.kernel.get(Directory).target_by_id)
+    async def _connects_to_any(self) -> bool:
+        """Return whether a new connection to some target succeeds."""
+        client = self.kernel.get(ReachClient)
+        targets = self._targets_to_probe()
+        if not targets:
+            return True
+        tasks = [asyncio.create_task(client.connects(target)) for target in targets]
+        try:
+            for done in asyncio.as_completed(tasks):
+                if await done:
+                    self.reachability.record_heard(clock.now())
+                    return True
+            return False
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    def _targets_to_probe(self) -> list[Target]:
+        """Return targets of different services, those that did not fail first."""
+        targets = list(self.kernel.get(Directory).target_by_id.values())
+        self._rng.shuffle(targets)
         failed = self.reachability.failed_targets
-        if len(failed) >= min(_MIN_FAILED_TARGETS, known):
-            self.lost = True
-            self.kernel.get(Events).emit("targets_lost", failed=sorted(failed))
+        targets.sort(key=lambda target: target.id in failed)
+        probed_services: set[str] = set()
+        first, others = [], []
+        for target in targets:
+            if target.service in probed_services:
+                others.append(target)
+                continue
+            probed_services.add(target.service)
+            first.append(target)
+        return (first + others)[:_PROBED_TARGETS]
+
+    async def settled(self) -> None:
+        """Wait until a probe in progress has shown whether the links are lost."""
+        await self._settled.wait()
+
+    async def reaches_targets(self) -> bool:
+        """Return whether this host reaches targets now."""
+        if self.lost:
+            return False
+        if clock.now() < self.reachability.heard_at + _RECENT_SECONDS:
+            return True
+        self._start_probing()
+        await self.settled()
+        return not self.lost
+
+    async def relays(self) -> list[str]:
+        """Return neighbours that reach targets; ask them if none is known.
+
+        A neighbour answers at once whether it reaches targets, so a host that knows of
+        none waits for the first one that does.
+        """
+        if not self.has_relays and clock.now() >= self._asked_at + _ASK_PAUSE_SECONDS:
+            self._ask_task = self._ask_task or self.spawn(self._ask_neighbours())
+        self._refresh_relays()
+        while self._ask_task is not None and not self.has_relays:
+            self._neighbour_answered.clear()
+            await self._neighbour_answered.wait()
+        return self._relays.hosts(clock.now())
+
+    @property
+    def has_relays(self) -> bool:
+        """Whether a neighbour is known that reaches targets."""
+        return bool(self._relays.hosts(clock.now()))
+
+    def refute_relay(self, host: str) -> None:
+        """Record that a neighbour did not reach a target."""
+        self._relays.refute(host)
+
+    def _refresh_relays(self) -> None:
+        due = clock.now() >= self._asked_at + _ASK_INTERVAL_SECONDS
+        if due and self._ask_task is None:
+            self._ask_task = self.spawn(self._ask_neighbours())
+
+    async def _ask_neighbours(self) -> None:
+        self._asked_at = clock.now()
+        neighbours = self.kernel.get(Neighbours).choose(_ASKED_NEIGHBOURS)
+        try:
+            await asyncio.gather(*(self._ask(each.host) for each in neighbours))
+        finally:
+            self._ask_task = None
+            self._neighbour_answered.set()
+
+    async def _ask(self, host: str) -> None:
+        if await self.kernel.get(ReachClient).reaches_targets(host):
+            self._relays.confirm(host, clock.now())
+            self._neighbour_answered.set()
+        else:
+            self._relays.refute(host)
--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -132,6 +132,12 @@
         ("service",),
         "Attempts at requests that a target's limit did not allow.",
     ),
+    "relayed_calls": MetricKind(
+        "cranberryrun_relayed_calls",
+        "counter",
+        (),
+        "Calls to targets that a neighbour passed on for this host.",
+    ),
     "crashing_requests": MetricKind(
         "cranberryrun_crashing_requests",
         "counter",
@@ -248,6 +254,10 @@
         """Count an attempt that a target's limit did not allow."""
         self._add("limited", service=service)
 
+    def relayed_call(self) -> None:
+        """Count a call to a target that a neighbour passed on."""
+        self._add("relayed_calls")
+
     def crashing_request(self) -> None:
         """Count a request that was refused because targets ended under it."""
         self._add("crashing_requests")
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -35,10 +35,11 @@
 from ..requests.streams import Streams
 from ..rewards.caller import RewardCaller
 from .frontend import Frontend
+from .neighbour_server import NeighbourServer
 from .permit_calls import HttpPermitClient
+from .reach_calls import HttpReachClient
 from .settings import HostSettings, load_host_settings, settings_path
 from .store_client import StoreClient
-from .store_relay import StoreRelay
 from .target_client import HttpTargetClient
 from .unknown_names import UnknownNames
 from .wire import HOST_TOPIC, WireDecoder
@@ -111,7 +112,8 @@
             ),
             HttpPermitClient(),
             SendPermits(settings.host_id, rng),
-            TargetPaths(),
+            TargetPaths(rng),
+            HttpReachClient(),
             EnginePool(),
             Loads(settings.host_id),
             BatchLog(
@@ -129,7 +131,7 @@
             Streams(),
             RewardCaller(),
             Neighbours(HOST_TOPIC, self._own_entry(), rng),
-            StoreRelay(settings),
+            NeighbourServer(settings),
             Frontend(settings),
         ]
 
--- a/cranberryrun/platform/neighbour_server.py
+++ b/cranberryrun/platform/neighbour_server.py
@@ -1,4 +1,4 @@
-"""Serves other hosts: relays calls to the store, and grants permits."""
+"""Serves other hosts: relays calls to the store and to targets, grants permits."""
 
 from __future__ import annotations
 
@@ -7,23 +7,34 @@
 from ..exceptions import AppendUnknownError, LogReadError, LogUnavailableError
 from ..fleet.send_permits import SendPermits
 from ..fleet.store_paths import StorePaths
+from ..fleet.target_paths import TargetPaths
 from ..kernel import Service
 from .http_server import listen
 from .permit_calls import PERMITS_PATH, serve_permits
+from .reach_calls import REACH_PATH, serve_reach
 from .settings import HostSettings
 from .store_client import StoreClient
+from .target_relay import relay_call
+from .target_requests import RELAY_PREFIX
 
 _KEEPALIVE_SECONDS = 30.0
 
 
-class StoreRelay(Service):
-    """Relays calls to the store and its answers unchanged.
+class NeighbourServer(Service):
+    """Serves the calls that other hosts make at this host's peer address.
 
-    The same address serves requests for permits.
+    Calls to the store and to targets, and their answers, are passed on unchanged.
     """
 
-    name = "store_relay"
-    requires = ("events", "store", "store_paths", "send_permits")
+    name = "neighbour_server"
+    requires = (
+        "events",
+        "directory",
+        "store",
+        "store_paths",
+        "send_permits",
+        "target_paths",
+    )
 
     def __init__(self, settings: HostSettings) -> None:
         super().__init__()
@@ -43,12 +54,16 @@
             await self._runner.cleanup()
         await super().stop()
 
-    async def _serve(self, request: web.BaseRequest) -> web.Response:
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == PERMITS_PATH:
             return await serve_permits(self.kernel.get(SendPermits), request)
-        return await self._relay(request)
+        if request.path == REACH_PATH:
+            return await serve_reach(self.kernel.get(TargetPaths))
+        if request.path.startswith(RELAY_PREFIX):
+            return await relay_call(self.kernel, request)
+        return await self._relay_store_call(request)
 
-    async def _relay(self, request: web.BaseRequest) -> web.Response:
+    async def _relay_store_call(self, request: web.BaseRequest) -> web.Response:
         paths = self.kernel.get(StorePaths)
         if paths.direct_path_failed:
             return web.Response(status=503)
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -84,7 +84,7 @@
         """See :meth:`TargetClient.send`."""
         async with self._send_forwarded(target, request) as call:
             response = call.response
-            body = await self._read_body(response)
+            body = await call.read_body(self.kernel.get(HttpClients))
             check_signature(response, request.id)
             return Answer(response.status, forwardable(response.headers), body)
 
@@ -120,7 +120,7 @@
             check_signature(response, request.id)
             headers = forwardable(response.headers)
             if response.status != 200 or response.content_type != _EVENT_STREAM:
-                body = await self._read_body(response)
+                body = await call.read_body(self.kernel.get(HttpClients))
                 yield Answer(response.status, headers, body)
                 return
             yield Answer(response.status, headers, b"")
@@ -146,11 +146,18 @@
         """Send one request; the block gets an answer that belongs to it.
 
         :param attempt_id: the id that the answer must echo; None for reports and
-            orders, whose answers have none.
+            orders, whose answers have none and which no neighbour passes on.
         """
         sent_at = clock.now()
         requests = TargetRequests(self.kernel)
-        async with requests.open(method, target, path, seconds, **options) as call:
+        async with requests.open(
+            method,
+            target,
+            path,
+            seconds,
+            relayable=attempt_id is not None,
+            **options,
+        ) as call:
             response = call.response
             self._apply_keepalive_timeout(response)
             self.kernel.get(UnknownNames).record_headers(
@@ -182,25 +189,6 @@
             target.id, rate, sent_at, says_it_has_no_limit(response)
         )
 
-    async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
-        """Return the complete body.
-
-        A body without Content-Length or Transfer-Encoding ends with the connection, so
-        it is complete only if the target closed the connection without an error.
-
-        :raises TruncatedAnswerError: the connection was reset.
-        """
-        connection = response.connection
-        protocol = connection.protocol if connection is not None else None
-        body = await self.kernel.get(HttpClients).read(response)
-        if is_framed(response):
-            return body
-        if protocol is None or not isinstance(
-            protocol.exception(), (aiohttp.ServerDisconnectedError, type(None))
-        ):
-            raise TruncatedAnswerError("the connection was reset before the body ended")
-        return body
-
     def _apply_keepalive_timeout(self, response: aiohttp.ClientResponse) -> None:
         timeout = _KEEPALIVE_TIMEOUT_PATTERN.search(
             response.headers.get("Keep-Alive", "")
@@ -260,7 +248,7 @@
             seconds=remaining,
         ) as opened:
             response = opened.response
-            await self._read_body(response)
+            await opened.read_body(self.kernel.get(HttpClients))
             check_signature(response, call.id)
             if response.status == 500:
                 raise RunFailedError(f"{target.id} answered 500 to a reward call")
--- /dev/null
+++ b/cranberryrun/platform/target_relay.py
@@ -0,0 +1,98 @@
+"""Passes calls of other hosts on to targets, and their answers back unchanged."""
+
+from __future__ import annotations
+
+from urllib.parse import unquote
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from ..exceptions import CranberryrunError, TargetFailedError, TargetUnreachableError
+from ..fleet.directory import Directory
+from ..fleet.target_paths import TargetPaths
+from ..http import HttpClients, forwardable
+from ..kernel import Kernel
+from . import header_names
+from .answer_checks import is_framed
+from .target_requests import (
+    RELAY_FAILURE,
+    RELAY_PREFIX,
+    OpenedCall,
+    RelayFailure,
+    TargetRequests,
+)
+
+# Applies to calls without a deadline header.
+_DEFAULT_SECONDS = 60.0
+_EVENT_STREAM = "text/event-stream"
+
+
+async def relay_call(kernel: Kernel, request: web.BaseRequest) -> web.StreamResponse:
+    """Make one attempt at a call of another host to a registered target."""
+    target_id, _, path = request.raw_path.removeprefix(RELAY_PREFIX).partition("/")
+    directory = kernel.get(Directory)
+    target = directory.target_by_id.get(unquote(target_id))
+    if target is None:
+        return _failure(RelayFailure.UNKNOWN)
+    if kernel.get(TargetPaths).lost:
+        return _failure(RelayFailure.UNREACHABLE)
+    body = b"".join([chunk async for chunk in request.content.iter_any()])
+    try:
+        async with TargetRequests(kernel).open(
+            request.method,
+            target,
+            f"/{path}",
+            _seconds(request),
+            relayable=False,
+            headers=CIMultiDict(forwardable(request.headers)),
+            data=body or None,
+        ) as call:
+            return await _pass_on(kernel, request, call)
+    except TargetUnreachableError:
+        return _failure(RelayFailure.UNREACHABLE)
+    except TargetFailedError:
+        return _failure(RelayFailure.LOST)
+
+
+async def _pass_on(
+    kernel: Kernel, request: web.BaseRequest, call: OpenedCall
+) -> web.StreamResponse:
+    response = call.response
+    headers = CIMultiDict(forwardable(response.headers))
+    framed = is_framed(response)
+    if not framed and response.content_type != _EVENT_STREAM:
+        body = await call.read_body(kernel.get(HttpClients))
+        return web.Response(status=response.status, headers=headers, body=body)
+    answer = web.StreamResponse(status=response.status, headers=headers)
+    if framed and response.content_length is not None:
+        answer.content_length = response.content_length
+    else:
+        answer.enable_chunked_encoding()
+    await answer.prepare(request)
+    try:
+        async for chunk in call.chunks():
+            await answer.write(chunk)
+    except CranberryrunError:
+        _abort(request)
+        return answer
+    if not framed:
+        # Nothing says whether the stream is whole.
+        _abort(request)
+        return answer
+    await answer.write_eof()
+    return answer
+
+
+def _abort(request: web.BaseRequest) -> None:
+    """Break the connection off: a normal end would make the answer look complete."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def _failure(failure: RelayFailure) -> web.Response:
+    return web.Response(status=502, headers={RELAY_FAILURE: failure.value})
+
+
+def _seconds(request: web.BaseRequest) -> float:
+    milliseconds = request.headers.get(header_names.DEADLINE_MS, "")
+    return int(milliseconds) / 1000 if milliseconds.isdigit() else _DEFAULT_SECONDS
--- a/cranberryrun/platform/target_requests.py
+++ b/cranberryrun/platform/target_requests.py
@@ -3,20 +3,30 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 from collections.abc import AsyncIterator, Iterator
-from contextlib import asynccontextmanager, contextmanager
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 from dataclasses import dataclass
 from typing import Any
+from urllib.parse import quote
 
 import aiohttp
 from yarl import URL
 
-from ..exceptions import TargetFailedError, TargetUnreachableError
+from .. import clock
+from ..exceptions import (
+    TargetFailedError,
+    TargetUnreachableError,
+    TruncatedAnswerError,
+)
 from ..fleet.client import ConnectionLostError
 from ..fleet.directory import Target
+from ..fleet.neighbours import Neighbours
 from ..fleet.target_paths import CallWatch, TargetPaths
 from ..http import HttpClients
 from ..kernel import Kernel
+from ..metrics import Metrics
+from .answer_checks import is_framed
 
 # aiohttp would add these to a request that does not have them.
 _AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
@@ -31,18 +41,54 @@
 )
 
 
+# Each neighbour has said within seconds that it reaches targets.
+_MAX_RELAYS = 3
+# The path and the header of calls that one host passes on for another.
+RELAY_PREFIX = "/relay/"
+RELAY_FAILURE = "Relay-Failure"
+
+
+class RelayFailure(enum.Enum):
+    """Why a neighbour has no answer; nothing was sent except where it was ``LOST``."""
+
+    UNKNOWN = "unknown target"
+    UNREACHABLE = "unreachable"
+    LOST = "lost"
+
+
 @dataclass(frozen=True, slots=True)
 class OpenedCall:
-    """A request whose answer has begun."""
+    """A request whose answer has begun. ``watch`` is None if a neighbour made it."""
 
     response: aiohttp.ClientResponse
-    watch: CallWatch
+    watch: CallWatch | None
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the bytes of the body as they arrive."""
-        async for chunk in self.response.content.iter_any():
-            self.watch.heard()
-            yield chunk
+        with _translated_errors(self.response.url.authority):
+            async for chunk in self.response.content.iter_any():
+                if self.watch is not None:
+                    self.watch.heard()
+                yield chunk
+
+    async def read_body(self, clients: HttpClients) -> bytes:
+        """Return the complete body.
+
+        A body without Content-Length or Transfer-Encoding ends with the connection, so
+        it is complete only if the target closed the connection without an error.
+
+        :raises TruncatedAnswerError: the connection was reset.
+        """
+        connection = self.response.connection
+        protocol = connection.protocol if connection is not None else None
+        body = await clients.read(self.response)
+        if is_framed(self.response):
+            return body
+        if protocol is None or not isinstance(
+            protocol.exception(), (aiohttp.ServerDisconnectedError, type(None))
+        ):
+            raise TruncatedAnswerError("the connection was reset before the body ended")
+        return body
 
 
 @contextmanager
@@ -60,12 +106,18 @@
 
 
 @contextmanager
-def _watched(watch: CallWatch) -> Iterator[None]:
+def _watched(watch: CallWatch | None) -> Iterator[None]:
     """Tell ``watch`` how the call ended."""
+    if watch is None:
+        yield
+        return
     try:
         yield
-    except (TargetUnreachableError, ConnectionLostError):
-        watch.failed()
+    except TargetUnreachableError:
+        watch.unreachable()
+        raise
+    except ConnectionLostError:
+        watch.lost()
         raise
     except (TargetFailedError, asyncio.CancelledError, GeneratorExit):
         watch.abandoned()
@@ -74,6 +126,80 @@
         watch.end()
 
 
+class _Sending:
+    """One request on its way to a target, directly or through a neighbour."""
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        stack: AsyncExitStack,
+        method: str,
+        target: Target,
+        path: str,
+        seconds: float,
+        options: dict[str, Any],
+    ) -> None:
+        self._kernel = kernel
+        self._stack = stack
+        self._method = method
+        self._target = target
+        self._path = path
+        self._deadline = clock.now() + seconds
+        self._options = options
+
+    async def send_directly(self) -> OpenedCall:
+        """Send the request to the target itself."""
+        watch = self._kernel.get(TargetPaths).watch(self._target.id)
+        with _watched(watch):
+            response = await self._request(f"{self._target.address}{self._path}")
+            watch.heard()
+            return OpenedCall(response, watch)
+
+    async def send_through_neighbours(self) -> OpenedCall | None:
+        """Send the request through a neighbour; return None if none can pass it on.
+
+        :raises ConnectionLostError: a neighbour may have passed it on.
+        """
+        paths = self._kernel.get(TargetPaths)
+        neighbours = self._kernel.get(Neighbours)
+        path = f"{RELAY_PREFIX}{quote(self._target.id, safe='')}{self._path}"
+        for host in (await paths.relays())[:_MAX_RELAYS]:
+            address = neighbours.address_of(host)
+            if address is None:
+                continue
+            try:
+                response = await self._request(f"{address}{path}")
+            except TargetUnreachableError:
+                paths.refute_relay(host)
+                continue
+            failure = response.headers.get(RELAY_FAILURE)
+            if failure is None:
+                self._kernel.get(Metrics).relayed_call()
+                return OpenedCall(response, None)
+            if failure == RelayFailure.LOST.value:
+                raise ConnectionLostError(
+                    f"host {host} lost the connection to {self._target.id}"
+                )
+            if failure == RelayFailure.UNREACHABLE.value:
+                paths.refute_relay(host)
+        return None
+
+    async def _request(self, location: str) -> aiohttp.ClientResponse:
+        """Return the response, whose connection is released with the stack."""
+        url = URL(f"http://{location}", encoded=True)
+        with _translated_errors(url.authority):
+            return await self._stack.enter_async_context(
+                self._kernel.get(HttpClients).shared.request(
+                    self._method,
+                    url,
+                    allow_redirects=False,
+                    skip_auto_headers=_AUTO_HEADERS,
+                    timeout=_timeout(self._deadline - clock.now()),
+                    **self._options,
+                )
+            )
+
+
 def _timeout(seconds: float) -> aiohttp.ClientTimeout:
     """Return the time limits of a call, which replace those of the session."""
     seconds = max(_MIN_SECONDS, seconds)
@@ -90,27 +216,52 @@
 
     @asynccontextmanager
     async def open(
-        self, method: str, target: Target, path: str, seconds: float, **options: Any
+        self,
+        method: str,
+        target: Target,
+        path: str,
+        seconds: float,
+        *,
+        relayable: bool,
+        **options: Any,
     ) -> AsyncIterator[OpenedCall]:
         """Send a request; the block gets the call once its answer has begun.
 
         :param seconds: how long the call may take.
+        :param relayable: whether a neighbour may pass the request on if this host can't
+            reach the target. Load orders may not be: engines tell holders by the host.
         :param options: further arguments of aiohttp's ``request``.
         :raises TargetUnreachableError: nothing was sent.
         :raises ConnectionLostError: the connection ended before the answer did.
         :raises TargetFailedError: there is no complete answer.
         """
-        url = URL(f"http://{target.address}{path}", encoded=True)
-        session = self._kernel.get(HttpClients).shared
-        watch = self._kernel.get(TargetPaths).watch(target.id)
-        with _watched(watch), _translated_errors(url.authority):
-            async with session.request(
-                method,
-                url,
-                allow_redirects=False,
-                skip_auto_headers=_AUTO_HEADERS,
-                timeout=_timeout(seconds),
-                **options,
-            ) as response:
-                watch.heard()
-                yield OpenedCall(response, watch)
+        async with AsyncExitStack() as stack:
+            sending = _Sending(
+                self._kernel, stack, method, target, path, seconds, options
+            )
+            call = await (self._send(sending) if relayable else sending.send_directly())
+            with _watched(call.watch), _translated_errors(call.response.url.authority):
+                yield call
+
+    async def _send(self, sending: _Sending) -> OpenedCall:
+        """Send a request the way that is likely to work, then the other one.
+
+        The other one is tried only if nothing was sent the first way.
+        """
+        paths = self._kernel.get(TargetPaths)
+        if paths.doubtful:
+            call = await sending.send_through_neighbours()
+            if call is not None:
+                return call
+            if paths.lost:
+                raise TargetUnreachableError(
+                    "neither this host nor a neighbour reaches targets"
+                )
+            return await sending.send_directly()
+        try:
+            return await sending.send_directly()
+        except TargetUnreachableError:
+            call = await sending.send_through_neighbours()
+            if call is None:
+                raise
+            return call
