Do not take a cut of this host's links for the end of a target

What callers saw: after a cut that refuses connections an innocent request could be refused everywhere.

Cause: a refused connection shows that the target has ended only if this host's links work. Class: a fault of one's own taken for one of the other side's.

A target that refuses connections counts as ended only if this host connects to another target at that moment (one connection for each lost connection that is followed by a refusal). Without another target nothing speaks against the links, and it counts.

--- a/cranberryrun/fleet/target_paths.py
+++ b/cranberryrun/fleet/target_paths.py
@@ -154,8 +154,17 @@
 
     async def _connects_to_any(self) -> bool:
         """Return whether a new connection to some target succeeds."""
+        return await self._connects_to_one_of(self._targets_to_probe())
+
+    async def connects_to_another(self, target_id: str) -> bool:
+        """Return whether this host connects to a target other than the named one.
+
+        If there is no other target, nothing speaks against this host's links.
+        """
+        return await self._connects_to_one_of(self._targets_to_probe(target_id))
+
+    async def _connects_to_one_of(self, targets: list[Target]) -> bool:
         client = self.kernel.get(ReachClient)
-        targets = self._targets_to_probe()
         if not targets:
             return True
         # Mostly the first one answers, and a connection is a cost to its target.
@@ -166,9 +175,10 @@
             self.reachability.record_heard(clock.now())
         return connected
 
-    def _targets_to_probe(self) -> list[Target]:
+    def _targets_to_probe(self, except_id: str | None = None) -> list[Target]:
         """Return targets of different services, those that did not fail first."""
-        targets = list(self.kernel.get(Directory).target_by_id.values())
+        target_by_id = self.kernel.get(Directory).target_by_id
+        targets = [each for each in target_by_id.values() if each.id != except_id]
         self._rng.shuffle(targets)
         failed = self.reachability.failed_targets
         targets.sort(key=lambda target: target.id in failed)
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -32,6 +32,7 @@
 )
 from ..fleet.directory import Directory, Target
 from ..fleet.send_permits import SendPermits
+from ..fleet.target_paths import TargetPaths
 from ..http import HOP_HEADERS, HttpClients, forwardable
 from ..rewards.models import RewardCall
 from . import header_names, wire
@@ -265,7 +266,8 @@
             async with asyncio.timeout(_CONTROL_TIMEOUT_SECONDS):
                 _, writer = await asyncio.open_connection(host, port)
         except ConnectionRefusedError:
-            return True
+            # A host that is cut from all targets may find connections refused, too.
+            return await self.kernel.get(TargetPaths).connects_to_another(target.id)
         except (OSError, TimeoutError):
             return False
         writer.close()
--- a/tests/test_cut_host.py
+++ b/tests/test_cut_host.py
@@ -2,8 +2,10 @@
 
 import asyncio
 from dataclasses import replace
+from unittest.mock import patch
 
 from cranberryrun.events import Events
+from cranberryrun.fleet import neighbours
 from cranberryrun.fleet.directory import Directory
 from cranberryrun.fleet.lease import Lease
 from cranberryrun.fleet.neighbours import Neighbours
@@ -49,14 +51,16 @@
         decoder.target = target
 
     async def asyncSetUp(self):
+        # Hosts know each other some seconds after their start.
+        patcher = patch.object(neighbours, "_REFRESH_SECONDS", 0.3)
+        patcher.start()
+        self.addCleanup(patcher.stop)
         await super().asyncSetUp()
         routes = [route("resumed", "streaming", "lm", resumable=True)]
         self.store.put(OPERATOR_TOPIC, "config", manifest(2, routes=routes))
         self.other, self.other_url, _ = await self.start_host("host-2")
         for host in (self.host, self.other):
-            await self.wait_until(
-                lambda: host.kernel.get(Neighbours).host_count == 2, seconds=12.0
-            )
+            await self.wait_until(lambda: host.kernel.get(Neighbours).host_count == 2)
             directory = host.kernel.get(Directory)
             await self.wait_until(lambda: directory.manifest.version == 2)
 
@@ -191,6 +195,7 @@
     async def test_host_reaches_targets_by_itself_after_the_cut(self):
         self.cut(Cut.HANG)
         await self.send_all("/status/x", "c")
+        await self.wait_until(lambda: "targets_lost" in self.event_names(self.host))
         await self.heal()
         await self.wait_until(
             lambda: "targets_reached" in self.event_names(self.host), seconds=3.0
@@ -200,8 +205,7 @@
         self.assertEqual(statuses, [200] * REQUEST_COUNT)
 
     async def test_host_passes_calls_on_to_registered_targets_only(self):
-        neighbours = self.host.kernel.get(Neighbours)
-        address = neighbours.address_of("host-2")
+        address = self.host.kernel.get(Neighbours).address_of("host-2")
         for path in ("/relay/unknown/x", "/relay/10.0.0.1:80/x", "/relay/"):
             async with self.session.post(f"http://{address}{path}") as response:
                 self.assertGreaterEqual(response.status, 400)
