Move steps of the own API away from hosts that hear from no engine

A step moves if the host has no recent view of the versions; whether it reaches engines was not asked. Steps now move, and new ones are refused at once with Retry-After, also while the host's polls of the pool's engines fail and none has answered for twice the view limit, if there are live peers.

The streams of the own API never go on at another engine, so ORDER does not concern them. Requests at such a host are refused with 503 and not passed on: open. The base of GuaranteesTest is a class of its own, so that other modules use it without running its tests again.

--- a/cranberryrun/step_run.py
+++ b/cranberryrun/step_run.py
@@ -140,7 +140,9 @@
         while self._slots:
             if dispatch.done():
                 dispatch.result()
-            if self._move_requested or self._steps.should_move_steps():
+            if self._move_requested or self._steps.should_move_steps(
+                self.workload.spec.pool
+            ):
                 await self._send_moved()
                 return
             error = self._check_failure()
--- a/cranberryrun/steps.py
+++ b/cranberryrun/steps.py
@@ -9,8 +9,10 @@
 
 from absl import logging
 
+from . import clock
 from .budgets import Claim
 from .configuration import Configuration
+from .engines import Engines
 from .exceptions import NotFoundError, NotReadyError
 from .kernel import Service
 from .membership import Membership
@@ -105,16 +107,25 @@
             service.spec.pool for service in state.list("services") if service.spec.pool
         }
 
-    def should_move_steps(self) -> bool:
-        """Return whether steps should move because this host's view is out of date.
+    def should_move_steps(self, pool: str) -> bool:
+        """Return whether steps should move because another host may do better.
 
-        A host without a recent view of the versions hands no groups over, but another
-        host may be able to.
+        A host without a recent view of the versions hands no groups over. A host that
+        hears from no engine of the pool may be cut from them while others are not.
         """
+        if not self.kernel.get(Membership).peers():
+            return False
         limit = self.view_limit * _MOVE_VIEW_AGE_FACTOR
-        if self.kernel.get(Versions).view_age() <= limit:
+        if self.kernel.get(Versions).view_age() > limit:
+            return True
+        return self._hears_no_engine(pool, limit)
+
+    def _hears_no_engine(self, pool: str, limit: float) -> bool:
+        """Return whether engines failed and none answered in the last ``limit`` s."""
+        engines = self.kernel.get(Engines).in_pool(pool)
+        if not any(engine.health.failures for engine in engines):
             return False
-        return bool(self.kernel.get(Membership).peers())
+        return all(clock.now() > engine.state_at + limit for engine in engines)
 
     def move_all(self) -> None:
         """Move every step to other hosts and take no new ones."""
@@ -136,9 +147,10 @@
         resource = configuration.state.get("workloads", workload)
         if resource is None:
             raise NotFoundError(f"there is no workloads/{workload}")
-        if self.should_move_steps():
+        if self.should_move_steps(resource.spec.pool):
             raise NotReadyError(
-                "the host has no recent view of the versions", retry_after=1
+                "the host has no recent view of the versions or the engines",
+                retry_after=1,
             )
         return resource
 
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -31,8 +31,8 @@
 TIMELINE_LINES = 200
 
 
-class GuaranteesTest(HostTestCase):
-    """Runs three hosts, injects a failure and checks the whole history."""
+class GuaranteesTestCase(HostTestCase):
+    """Runs three hosts and checks the whole history."""
 
     async def begin(self, **options: Any) -> Simulation:
         """Start three hosts, declare all resources and announce version 1."""
@@ -80,6 +80,10 @@
         step = self.trainer.make_step(number)
         await self.trainer.run_step(step, STEP_DEADLINE_SECONDS, host)
 
+
+class GuaranteesTest(GuaranteesTestCase):
+    """Injects a failure and checks the whole history."""
+
     async def test_guarantees_hold_without_faults(self):
         simulation = await self.begin()
         calls = asyncio.create_task(self.caller.run(5))
