Answer a caller whose request crashed a target when all hosts know of it

Cause: the answer to the caller and the record for the other hosts leave at the same time, and the caller is as quick. The host now answers when it has read its own record back from the shared topic, which the others read at the same rate, 0.1 s later at most; without the store the record is written later as before.

--- a/cranberryrun/requests/crashes.py
+++ b/cranberryrun/requests/crashes.py
@@ -44,6 +44,8 @@
 _WRITE_RETRY_SECONDS = 0.5
 # A caller waits while its host claims a trial.
 _CLAIM_TIMEOUT_SECONDS = 0.3
+# A caller waits while a crash under its request becomes known; some ten milliseconds.
+_SHARE_TIMEOUT_SECONDS = 0.1
 # A target that ended refuses connections until its next start, some seconds later.
 _CONFIRMATION_SECONDS = 2.0
 _MAX_UNWRITTEN = 1024
@@ -64,6 +66,7 @@
         self._value_by_unwritten_key: OrderedDict[str, bytes] = OrderedDict()
         self._keys_by_fingerprint: dict[str, set[str]] = {}
         self._unwritten = asyncio.Event()
+        self._shared_by_key: dict[str, asyncio.Event] = {}
         self._follower: KeyedFollower
 
     async def start(self) -> None:
@@ -122,19 +125,43 @@
             return
         if not await self.kernel.get(TargetClient).refuses_connections(target):
             return
-        for fingerprint in self._lost.confirm(target.id, clock.now()):
+        keys = [
             self._record_crash(target, fingerprint)
+            for fingerprint in self._lost.confirm(target.id, clock.now())
+        ]
+        await self._wait_until_shared(keys)
 
-    def _record_crash(self, target: Target, fingerprint: str) -> None:
+    async def _wait_until_shared(self, keys: list[str]) -> None:
+        """Wait a short time until the other hosts know these records as well.
+
+        The caller repeats its request at another host as soon as it has an answer. This
+        host reads its own records as soon as the others do.
+        """
+        shared = [self._shared_by_key.setdefault(key, asyncio.Event()) for key in keys]
+        try:
+            async with asyncio.timeout(_SHARE_TIMEOUT_SECONDS):
+                for event in shared:
+                    await event.wait()
+        except TimeoutError:
+            # Without the store nobody can be told; the record is written later.
+            return
+        finally:
+            for key in keys:
+                self._shared_by_key.pop(key, None)
+
+    def _record_crash(self, target: Target, fingerprint: str) -> str:
+        """Record that ``target`` ended under a request; return the record's key."""
         process = f"{target.id[:_MAX_TARGET_KEY_LENGTH]}:{target.born}"
+        key = f"{fingerprint}/{process}"
         self._records.record_crash(fingerprint, process, clock.now())
-        self._queue(f"{fingerprint}/{process}", _RECORDED)
+        self._queue(key, _RECORDED)
         self.kernel.get(Events).emit(
             "target_crashed",
             target=target.id,
             fingerprint=fingerprint,
             crashes=self._records.crash_count(fingerprint),
         )
+        return key
 
     def record_answer(self, request: Request) -> None:
         """Record that a target answered the request, which shows it to be harmless."""
@@ -209,6 +236,8 @@
                 self._keys_by_fingerprint.pop(fingerprint, None)
             return
         self._remember(fingerprint, record.key)
+        if record.key in self._shared_by_key:
+            self._shared_by_key[record.key].set()
         number = suffix.removeprefix(_TRIAL_PREFIX)
         if suffix.startswith(_TRIAL_PREFIX) and number.isdigit():
             self._records.record_trial(fingerprint, int(number), clock.now())
--- a/tests/test_crash_budget.py
+++ b/tests/test_crash_budget.py
@@ -91,6 +91,15 @@
             len(self.crashes()) - 3, MOST_SENDS_AFTER_THIRD_CRASH, self.crashes()
         )
 
+    async def test_repeat_at_another_host_right_after_the_answer_is_refused(self):
+        """Guards against BUDGET: the caller was quicker than the record."""
+        for _ in range(3):
+            await self.call(self.hosts[0], CRASHING_PATH)
+            crashes = len(self.crashes())
+            outcome = await self.call(self.hosts[1], CRASHING_PATH)
+            self.assertIsInstance(outcome, RequestCrashesTargetsError)
+            self.assertEqual(len(self.crashes()), crashes)
+
     async def test_other_callers_are_served_meanwhile(self):
         crashing = asyncio.create_task(self.repeat_crashing_request(80, 0.25))
         outcomes = []
