Ask neighbours one after the other whether they reach targets

A host in doubt asked eight neighbours at once, and each that had heard from no target for a second connected to one to answer: up to eight connections to targets for one slow call at an idle host, a cost that grows with the hosts that doubt. They are asked 15 ms apart now, until one says that it reaches targets, or three while the links are lost; all calls go through those.

--- a/cranberryrun/fleet/target_paths.py
+++ b/cranberryrun/fleet/target_paths.py
@@ -27,6 +27,10 @@
 # Most hosts may be cut at once, so a few neighbours would not do.
 _ASKED_NEIGHBOURS = 8
 _ASK_INTERVAL_SECONDS = 1.0
+# Several times the few milliseconds that a neighbour needs to answer.
+_ASK_STAGGER_SECONDS = 0.015
+# While the links are lost, all calls go through these.
+_RELAYS_WHEN_LOST = 3
 # After a round in which no neighbour reached targets, calls fail at once for this long.
 _ASK_PAUSE_SECONDS = 0.3
 # What was heard from a target this short a time ago shows that the host reaches it.
@@ -235,17 +239,33 @@
             self._ask_task = self.spawn(self._ask_neighbours())
 
     async def _ask_neighbours(self) -> None:
+        """Ask one neighbour after the other until enough of them reach targets.
+
+        One that was idle has to connect to a target to know, which costs the target a
+        connection.
+        """
         self._asked_at = clock.now()
-        neighbours = self.kernel.get(Neighbours).choose(_ASKED_NEIGHBOURS)
+        wanted = _RELAYS_WHEN_LOST if self.lost else 1
+        answers: list[asyncio.Task[bool]] = []
         try:
-            await asyncio.gather(*(self._ask(each.host) for each in neighbours))
+            for neighbour in self.kernel.get(Neighbours).choose(_ASKED_NEIGHBOURS):
+                confirmed = sum(each.done() and each.result() for each in answers)
+                if confirmed >= wanted:
+                    break
+                answers.append(asyncio.create_task(self._ask(neighbour.host)))
+                await asyncio.sleep(_ASK_STAGGER_SECONDS)
+            await asyncio.gather(*answers)
         finally:
+            for each in answers:
+                each.cancel()
             self._ask_task = None
             self._neighbour_answered.set()
 
-    async def _ask(self, host: str) -> None:
-        if await self.kernel.get(ReachClient).reaches_targets(host):
+    async def _ask(self, host: str) -> bool:
+        reaches_targets = await self.kernel.get(ReachClient).reaches_targets(host)
+        if reaches_targets:
             self._relays.confirm(host, clock.now())
             self._neighbour_answered.set()
         else:
             self._relays.refute(host)
+        return reaches_targets
