Read the change as a newcomer: fold repeated test code, drop an unused method

TargetPaths.settled() had no caller outside the class since refuses_connections() asks for another target; the event has a line on what it means. Tests: the two restarts of items share their set-up, the frozen host uses the window of the tests of limits, attempt ids are compared by their name.

--- a/cranberryrun/fleet/target_paths.py
+++ b/cranberryrun/fleet/target_paths.py
@@ -88,6 +88,7 @@
         self._probe_task: asyncio.Task[None] | None = None
         self._probe_timer: asyncio.TimerHandle | None = None
         self._ask_task: asyncio.Task[None] | None = None
+        # Set unless a probe runs that has not shown yet whether the links are lost.
         self._settled = asyncio.Event()
         self._settled.set()
         self._neighbour_answered = asyncio.Event()
@@ -196,10 +197,6 @@
             first.append(target)
         return (first + others)[:_PROBED_TARGETS]
 
-    async def settled(self) -> None:
-        """Wait until a probe in progress has shown whether the links are lost."""
-        await self._settled.wait()
-
     async def reaches_targets(self) -> bool:
         """Return whether this host reaches targets now."""
         if self.lost:
@@ -207,7 +204,7 @@
         if clock.now() < self.reachability.heard_at + _RECENT_SECONDS:
             return True
         self._start_probing()
-        await self.settled()
+        await self._settled.wait()
         return not self.lost
 
     async def relays(self) -> list[str]:
--- a/tests/test_cut_host.py
+++ b/tests/test_cut_host.py
@@ -12,6 +12,7 @@
 from standins.target_link import Cut, TargetLink
 
 from .test_platform_host import (
+    ATTEMPT_ID,
     DEADLINE_MS,
     OPERATOR_TOPIC,
     PlatformTestCase,
@@ -125,16 +126,13 @@
                 await asyncio.sleep(SECONDS_UNTIL_COUNTED)
                 statuses = await self.send_all("/hold/x", how.value)
                 self.assertEqual(statuses, [200] * REQUEST_COUNT)
-                ids = [each["X-Cranberryrun-Attempt-Id"] for each in self.sent_to(how)]
+                ids = [
+                    attempt_id
+                    for each in self.portal_requests()
+                    if (attempt_id := each[ATTEMPT_ID]).startswith(how.value)
+                ]
                 self.assertEqual(len(ids), len(set(ids)))
 
-    def sent_to(self, how):
-        return [
-            each
-            for each in self.portal_requests()
-            if each["X-Cranberryrun-Attempt-Id"].startswith(how.value)
-        ]
-
     async def test_streams_are_served(self):
         for how in Cut:
             await self.heal("host-1", "host-2")
@@ -157,9 +155,7 @@
         self.assertEqual(direct[2], relayed[2])
         for name in ("X-Own", "Content-Length", "Content-Type"):
             self.assertEqual(direct[1].get(name), relayed[1].get(name))
-        sent = {
-            each["X-Cranberryrun-Attempt-Id"]: each for each in self.portal_requests()
-        }
+        sent = {each[ATTEMPT_ID]: each for each in self.portal_requests()}
         for name in ("method", "path", "body", "Host"):
             self.assertEqual(sent["r1"][name], sent["r2"][name])
 
--- a/tests/test_frozen_host.py
+++ b/tests/test_frozen_host.py
@@ -14,13 +14,12 @@
 from fakes.deployment import SERVICE, Deployment, batch_route, manifest
 from fakes.loop import start_task
 
+from .test_named_limits import MOST_IN_WINDOW, most_in_a_window
 from .virtual import HostTestCase
 
 LIMIT = 2.0
 WINDOW_SECONDS = 4.0
-# The users' rules: one and a half times the limit, and five requests more; three sends
-# after the third crash.
-MOST_IN_WINDOW = 1.5 * LIMIT * WINDOW_SECONDS + 5
+# The users' rule: three sends after the third crash.
 MOST_CRASHES = 3 + 3
 FREEZE_SECONDS = 6.0
 CRASHING_PATH = "/x/crash"
@@ -57,12 +56,9 @@
 
     async def freeze(self):
         self.loop.pause("frozen")
+        self.loop.call_later(FREEZE_SECONDS, self.loop.resume, "frozen")
         await asyncio.sleep(FREEZE_SECONDS / 2)
 
-    async def wake(self):
-        await asyncio.sleep(FREEZE_SECONDS / 2)
-        self.loop.resume("frozen")
-
     async def test_both_hosts_keep_a_limit_that_was_named_meanwhile(self):
         self.assertTrue(self.frozen.get(Lease).held or self.awake.get(Lease).held)
         self.deployment.remove_target("t1")
@@ -71,14 +67,10 @@
         await self.freeze()
         sent_at = []
         task = start_task("awake", self.send_for("awake", self.awake, 14.0, sent_at))
-        await self.wake()
+        await asyncio.sleep(FREEZE_SECONDS / 2)
         await self.send_for("frozen", self.frozen, 8.0, sent_at)
         await task
-        most = max(
-            sum(start <= other < start + WINDOW_SECONDS for other in sent_at)
-            for start in sent_at
-        )
-        self.assertLessEqual(most, MOST_IN_WINDOW)
+        self.assertLessEqual(most_in_a_window(sent_at), MOST_IN_WINDOW)
         self.assertGreater(len(sent_at), LIMIT * WINDOW_SECONDS)
 
     async def send_for(self, name, host, seconds, sent_at):
@@ -95,7 +87,7 @@
         self.targets.crashing_paths = {CRASHING_PATH}
         await self.freeze()
         await self.call("awake", self.awake, CRASHING_PATH)
-        await self.wake()
+        await asyncio.sleep(FREEZE_SECONDS / 2)
         for number in range(3, 9):
             self.register(f"t{number}")
         for _ in range(20):
@@ -109,6 +101,6 @@
         origin = Origin(SERVICE, "v1")
         await self.freeze()
         await start_task("awake", self.awake.get(StreamOrigins).record("s1", origin))
-        await self.wake()
+        await asyncio.sleep(FREEZE_SECONDS / 2)
         found = await start_task("frozen", self.frozen.get(StreamOrigins).find("s1"))
         self.assertEqual(found, origin)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -25,11 +25,6 @@
         self.host = await self.deployment.start_host()
         await asyncio.sleep(1.0)
 
-    async def run_batch(self, host=None, seconds=10.0, **options):
-        host = host or self.host
-        await self.deployment.submit(host, batch(**options))
-        return await self.deployment.results(host, "b1", seconds)
-
     def versions_of(self, result):
         return {line.rpartition("@")[2] for line in result.text.split("\n")}
 
@@ -89,26 +84,24 @@
         self.assert_one_version_each(results, 16)
         self.assertTrue(self.resumed_runs())
 
-    async def test_items_start_anew_when_no_engine_of_their_version_is_left(self):
+    async def results_after_the_old_version_ended(self, remove_entry):
         await self.start(e0={"software": OLD, "gap": 0.1}, e1={"software": NEW})
         self.engines["e1"].gone = True
         await self.deployment.submit(self.host, batch(groups=1, size=2))
         await asyncio.sleep(0.5)
         self.engines["e1"].gone = False
         self.engines["e0"].gone = True
-        self.deployment.remove_target("e0")
-        results = await self.deployment.results(self.host, "b1", 5.0)
+        if remove_entry:
+            self.deployment.remove_target("e0")
+        return await self.deployment.results(self.host, "b1", 5.0)
+
+    async def test_items_start_anew_when_no_engine_of_their_version_is_left(self):
+        results = await self.results_after_the_old_version_ended(remove_entry=True)
         self.assert_one_version_each(results, 2)
         for result in results:
             self.assertEqual(self.versions_of(result), {NEW})
 
     async def test_items_start_anew_when_their_version_takes_no_runs(self):
         """The entry of the only engine of the version stays in the store."""
-        await self.start(e0={"software": OLD, "gap": 0.1}, e1={"software": NEW})
-        self.engines["e1"].gone = True
-        await self.deployment.submit(self.host, batch(groups=1, size=2))
-        await asyncio.sleep(0.5)
-        self.engines["e1"].gone = False
-        self.engines["e0"].gone = True
-        results = await self.deployment.results(self.host, "b1", 5.0)
+        results = await self.results_after_the_old_version_ended(remove_entry=False)
         self.assert_one_version_each(results, 2)
