Take only what a neighbour passed on for an answer of a target

Found by reading: an answer that the neighbour gives by itself, a 400 of its HTTP server or a 500 of an error, had no mark, so a host passed it to its caller as the target's.

Each answer to a relayed call says in Relay-Outcome what became of the call; without the header the call counts as lost, which promises nothing. The header concerns one connection only: it is stripped from what targets send and from what callers get.

The new test fails without the change (400 in place of 502). tests.test_cut_host: 14 pass.

--- a/cranberryrun/http.py
+++ b/cranberryrun/http.py
@@ -25,6 +25,7 @@
         "proxy-authenticate",
         "proxy-authorization",
         "proxy-connection",
+        "relay-outcome",
         "te",
         "trailer",
         "transfer-encoding",
--- a/cranberryrun/platform/header_names.py
+++ b/cranberryrun/platform/header_names.py
@@ -43,6 +43,7 @@
     "expect",
     "host",
     "keep-alive",
+    "relay-outcome",
     "retry-after",
     "server",
     "transfer-encoding",
--- a/cranberryrun/platform/target_relay.py
+++ b/cranberryrun/platform/target_relay.py
@@ -15,10 +15,10 @@
 from . import header_names
 from .answer_checks import is_framed
 from .target_requests import (
-    RELAY_FAILURE,
+    RELAY_OUTCOME,
     RELAY_PREFIX,
     OpenedCall,
-    RelayFailure,
+    RelayOutcome,
     TargetRequests,
 )
 
@@ -33,9 +33,9 @@
     directory = kernel.get(Directory)
     target = directory.target_by_id.get(unquote(target_id))
     if target is None:
-        return _failure(RelayFailure.UNKNOWN)
+        return _failure(RelayOutcome.UNKNOWN)
     if kernel.get(TargetPaths).lost:
-        return _failure(RelayFailure.UNREACHABLE)
+        return _failure(RelayOutcome.UNREACHABLE)
     body = b"".join([chunk async for chunk in request.content.iter_any()])
     try:
         async with TargetRequests(kernel).open(
@@ -49,9 +49,9 @@
         ) as call:
             return await _pass_on(kernel, request, call)
     except TargetUnreachableError:
-        return _failure(RelayFailure.UNREACHABLE)
+        return _failure(RelayOutcome.UNREACHABLE)
     except TargetFailedError:
-        return _failure(RelayFailure.LOST)
+        return _failure(RelayOutcome.LOST)
 
 
 async def _pass_on(
@@ -59,6 +59,7 @@
 ) -> web.StreamResponse:
     response = call.response
     headers = CIMultiDict(forwardable(response.headers))
+    headers[RELAY_OUTCOME] = RelayOutcome.ANSWERED.value
     framed = is_framed(response)
     if not framed and response.content_type != _EVENT_STREAM:
         body = await call.read_body(kernel.get(HttpClients))
@@ -89,8 +90,8 @@
         request.transport.abort()
 
 
-def _failure(failure: RelayFailure) -> web.Response:
-    return web.Response(status=502, headers={RELAY_FAILURE: failure.value})
+def _failure(outcome: RelayOutcome) -> web.Response:
+    return web.Response(status=502, headers={RELAY_OUTCOME: outcome.value})
 
 
 def _seconds(request: web.BaseRequest) -> float:
--- a/cranberryrun/platform/target_requests.py
+++ b/cranberryrun/platform/target_requests.py
@@ -43,14 +43,20 @@
 
 # Each neighbour has said within seconds that it reaches targets.
 _MAX_RELAYS = 3
-# The path and the header of calls that one host passes on for another.
+# The path of calls that one host passes on for another, and the header of each answer
+# that says how it went. Without it the neighbour did not get so far as to pass it on.
 RELAY_PREFIX = "/relay/"
-RELAY_FAILURE = "Relay-Failure"
+RELAY_OUTCOME = "Relay-Outcome"
 
 
-class RelayFailure(enum.Enum):
-    """Why a neighbour has no answer; nothing was sent except where it was ``LOST``."""
+class RelayOutcome(enum.Enum):
+    """What became of a call at a neighbour.
 
+    Nothing was sent if the target is ``UNKNOWN`` to it or ``UNREACHABLE``. If the
+    connection was ``LOST``, the target may have run the call.
+    """
+
+    ANSWERED = "answered"
     UNKNOWN = "unknown target"
     UNREACHABLE = "unreachable"
     LOST = "lost"
@@ -172,16 +178,16 @@
             except TargetUnreachableError:
                 paths.refute_relay(host)
                 continue
-            failure = response.headers.get(RELAY_FAILURE)
-            if failure is None:
+            outcome = response.headers.get(RELAY_OUTCOME)
+            if outcome == RelayOutcome.ANSWERED.value:
                 self._kernel.get(Metrics).relayed_call()
                 return OpenedCall(response, None)
-            if failure == RelayFailure.LOST.value:
+            if outcome == RelayOutcome.UNREACHABLE.value:
+                paths.refute_relay(host)
+            elif outcome != RelayOutcome.UNKNOWN.value:
                 raise ConnectionLostError(
-                    f"host {host} lost the connection to {self._target.id}"
+                    f"host {host} has no answer of {self._target.id}: {outcome}"
                 )
-            if failure == RelayFailure.UNREACHABLE.value:
-                paths.refute_relay(host)
         return None
 
     async def _request(self, location: str) -> aiohttp.ClientResponse:
--- a/tests/test_cut_host.py
+++ b/tests/test_cut_host.py
@@ -4,11 +4,14 @@
 from dataclasses import replace
 from unittest.mock import patch
 
+from aiohttp import web
+
 from cranberryrun.events import Events
 from cranberryrun.fleet import neighbours
 from cranberryrun.fleet.directory import Directory
 from cranberryrun.fleet.lease import Lease
 from cranberryrun.fleet.neighbours import Neighbours
+from cranberryrun.platform import neighbour_server
 from standins.target_link import Cut, TargetLink
 
 from .test_platform_host import (
@@ -159,6 +162,17 @@
         for name in ("method", "path", "body", "Host"):
             self.assertEqual(sent["r1"][name], sent["r2"][name])
 
+    async def test_answer_of_the_other_host_itself_is_no_answer_of_a_target(self):
+        self.cut(Cut.REFUSE)
+        await self.send_all("/status/x", "w")
+
+        async def answer(kernel, request):
+            return web.Response(status=400)
+
+        with patch.object(neighbour_server, "relay_call", answer):
+            status, _, _ = await self.request("POST", "/hold/x", "own")
+        self.assertEqual(status, 502)
+
     async def test_answer_that_breaks_off_behind_the_other_host_is_no_answer(self):
         self.cut(Cut.REFUSE)
         await self.send_all("/status/x", "w")
