--- a/cranberryrun/platform/settings.py
+++ b/cranberryrun/platform/settings.py
@@ -48,7 +48,7 @@
     ready_address: str = Field(description="IP and port for readiness checks.")
     peer_address: str | None = Field(
         None,
-        description="IP and port for relaying store calls of other hosts.",
+        description="IP and port for the calls of other hosts.",
     )
     link_mbps: float = Field(
         600.0, gt=0, description="Bandwidth of the host's link, in Mbit/s."
