--- a/cranberryrun/batches/continuation.py
+++ b/cranberryrun/batches/continuation.py
@@ -21,8 +21,8 @@
 ) -> list[ScheduledItem]:
     """Return the waiting items whose output should be discarded.
 
-    An item whose output any engine could only start later waits on: discarding it would
-    gain nothing.
+    While no other engine could start the item now, its output is kept: discarding it
+    would gain nothing.
 
     :param engines: the engines that are not draining.
     :param now: the current time, in loop seconds.
