Do not take a stall of the own loop for an unreachable target

Cause: connecting to a target is bounded to 0.2 s. A loop that stalls for longer runs the timer before it sees that the connection was made, so a sound target counted as unreachable. Two tests of endless answers failed once each for this reason, with "Connection timeout".

Ruled out: a longer bound. It would only need a longer stall, and a host that is cut from its targets has to find that out in time.

A target that really is silent is still given up after 0.2 s, since the loop runs its timers in time there.

--- a/cranberryrun/platform/target_requests.py
+++ b/cranberryrun/platform/target_requests.py
@@ -26,6 +26,7 @@
 from ..http import HttpClients
 from ..kernel import Kernel
 from ..metrics import Metrics
+from ..stall_watch import StallWatch
 from .answer_checks import is_framed
 
 # aiohttp would add these to a request that does not have them.
@@ -191,19 +192,32 @@
         return None
 
     async def _request(self, location: str) -> aiohttp.ClientResponse:
-        """Return the response, whose connection is released with the stack."""
+        """Return the response, whose connection is released with the stack.
+
+        Connecting is tried again where it timed out while this host's event loop
+        stalled: the connection may have been made long before the loop noticed.
+        """
         url = URL(f"http://{location}", encoded=True)
-        with _translated_errors(url.authority):
-            return await self._stack.enter_async_context(
-                self._kernel.get(HttpClients).shared.request(
-                    self._method,
-                    url,
-                    allow_redirects=False,
-                    skip_auto_headers=_AUTO_HEADERS,
-                    timeout=_timeout(self._deadline - clock.now()),
-                    **self._options,
-                )
+        while True:
+            stalls = StallWatch(_CONNECT_TIMEOUT_SECONDS)
+            with _translated_errors(url.authority), stalls:
+                try:
+                    return await self._send_once(url)
+                except aiohttp.ConnectionTimeoutError:
+                    if not stalls.stalled or clock.now() >= self._deadline:
+                        raise
+
+    async def _send_once(self, url: URL) -> aiohttp.ClientResponse:
+        return await self._stack.enter_async_context(
+            self._kernel.get(HttpClients).shared.request(
+                self._method,
+                url,
+                allow_redirects=False,
+                skip_auto_headers=_AUTO_HEADERS,
+                timeout=_timeout(self._deadline - clock.now()),
+                **self._options,
             )
+        )
 
 
 def _timeout(seconds: float) -> aiohttp.ClientTimeout:
