--- a/cranberryrun/batches/models.py
+++ b/cranberryrun/batches/models.py
@@ -57,6 +57,8 @@
 
     ``wanted_groups`` is the number of complete groups that the trainer waits for.
     ``min_version`` is the oldest weight version that may generate its tokens.
+    ``workspace`` is the one that submitted it, and ``priority`` its rank, 0 first; both
+    are None without workspaces.
     """
 
     id: str
@@ -68,6 +70,8 @@
     wanted_groups: int
     submitted_at: float
     items: tuple[Item, ...]
+    workspace: str | None = None
+    priority: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/cranberryrun/fleet/client.py
+++ b/cranberryrun/fleet/client.py
@@ -50,6 +50,7 @@
     """A caller's request. ``target`` is the path and query as the caller sent them.
 
     ``deadline`` is in loop seconds. ``headers`` has only the headers to forward.
+    ``workspace`` is the workspace of the caller's key; None without workspaces.
     """
 
     id: str
@@ -58,6 +59,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     deadline: float
+    workspace: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/cranberryrun/fleet/manifest.py
+++ b/cranberryrun/fleet/manifest.py
@@ -37,7 +37,7 @@
 
     ``latency_goal`` is the time within which an answer has its full value. The results
     of a batch are due ``run_deadline`` after its submission; an item may be abandoned
-    ``queue_ttl`` after it.
+    ``queue_ttl`` after it. A ``public`` route needs no key of a workspace.
     """
 
     name: str
@@ -53,6 +53,7 @@
     run_deadline: float = 0.0
     queue_ttl: float = 0.0
     single_version: bool = False
+    public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/cranberryrun/platform/settings.py
+++ b/cranberryrun/platform/settings.py
@@ -10,6 +10,7 @@
 from ..exceptions import SettingsError
 
 SETTINGS_PATH_VARIABLE = "CRANBERRYRUN_SETTINGS"
+_PRESSURE_CONTRACT = "pressure"
 
 
 class _Section(BaseModel):
@@ -36,6 +37,41 @@
     batch_keep_ms: float = Field(
         120_000, gt=0, description="How long results of a batch can be read."
     )
+    usage_window_s: float = Field(
+        5.0, gt=0, description="Length of a window of usage reports, in seconds."
+    )
+    usage_late_s: float = Field(
+        10.0,
+        gt=0,
+        description="Time from the end of a window until its report is late, in s.",
+    )
+    require_fence: bool = Field(
+        False, description="Whether the platform's API checks fencing tokens."
+    )
+
+
+class PlatformApiSettings(_Section):
+    """The platform's API for the duties of the lease holder."""
+
+    address: str = Field(description="IP and port of the API.")
+    duties: tuple[str, ...] = Field((), description="The duties: usage, scale.")
+    calls_per_s: float = Field(
+        50.0, gt=0, description="Calls a second that the API takes from all hosts."
+    )
+
+
+class SecondAttemptSettings(_Section):
+    """Second attempts at repeatable requests whose answers are slow."""
+
+    max_extra_share: float | None = Field(
+        None,
+        ge=0,
+        le=1,
+        description=(
+            "Extra runs as a share of all runs, over all hosts together. Without it "
+            "plain requests get a second attempt after three mean answer times."
+        ),
+    )
 
 
 class HostSettings(_Section):
@@ -60,11 +96,25 @@
         None, description="Port for /metrics; not served if unset."
     )
     store: StoreSettings = Field(description="The platform's store.")
+    platform_api: PlatformApiSettings | None = Field(
+        None, description="The platform's API for duties; none are done without it."
+    )
+    second_attempts: SecondAttemptSettings = Field(
+        SecondAttemptSettings(), description="Second attempts at slow requests."
+    )
+    contracts: frozenset[str] = Field(
+        frozenset(), description="The parts of the platform's rules that are in force."
+    )
     bounds: BoundSettings = Field(
         BoundSettings(), description="Time limits of the platform."
     )
     log_level: str = Field("info", description="debug, info, warning or error.")
 
+    @property
+    def engines_crash_when_full(self) -> bool:
+        """Whether an engine crashes when its requests exceed its memory."""
+        return _PRESSURE_CONTRACT in self.contracts
+
 
 def settings_path() -> Path:
     """Return the path of the settings file from the environment.
--- a/cranberryrun/platform/wire.py
+++ b/cranberryrun/platform/wire.py
@@ -53,6 +53,7 @@
     max_attempts: int = 1
     resumable: bool = False
     single_version: bool = False
+    public: bool = False
     # The deadline for all results of a batch, counted from its first submission.
     run_deadline_ms: float = 0
     # An item may be abandoned this long after the batch's first submission, also while
@@ -93,6 +94,7 @@
             run_deadline=self.run_deadline_ms / _MS_PER_SECOND,
             queue_ttl=self.queue_ttl_s,
             single_version=self.single_version,
+            public=self.public,
         )
 
 
--- /dev/null
+++ b/cranberryrun/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Orders for engines: what is wanted, and the policy behind it."""
--- /dev/null
+++ b/cranberryrun/second_attempts/__init__.py
@@ -0,0 +1,1 @@
+"""Second attempts at slow requests, within a limit over all hosts."""
--- /dev/null
+++ b/cranberryrun/usage_counts/__init__.py
@@ -0,0 +1,1 @@
+"""Counts of the requests that targets ran for each workspace."""
--- /dev/null
+++ b/cranberryrun/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces, their keys and who may use what."""
