Do not guess the version of an unnamed stream after targets left

Cause: a caller may take a stream up with the number of its last event alone. A host that knew no origin took the version of the targets in sight if it was the only one. After a restart of all hosts, targets of the version that began the stream may have just left, so text of two versions was joined and answered 200.

Ruled out: named streams.

Change: the holder of the lease records which software versions serve resumable streams, and when they left.

--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -213,6 +213,12 @@
         WARNING,
         "A stream began before the store had its origin; it is written later.",
     ),
+    (
+        427,
+        "software_version_recorded",
+        INFO,
+        "The store has that a software version of a service serves, or no longer does.",
+    ),
     (500, "version_announced", INFO, "A trainer announced a weight version."),
     (501, "version_known", INFO, "This host learned of a newer weight version."),
     (502, "order_sent", INFO, "An engine was ordered to load a version."),
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -32,6 +32,7 @@
 from ..metrics import Metrics
 from ..requests.crashes import Crashes
 from ..requests.forwarder import Forwarder
+from ..requests.software_history import SoftwareHistory
 from ..requests.stream_origins import StreamOrigins
 from ..requests.streams import Streams
 from ..rewards.caller import RewardCaller
@@ -130,6 +131,7 @@
             Crashes(),
             Forwarder(settings.zone, rng),
             StreamOrigins(),
+            SoftwareHistory(),
             Streams(),
             RewardCaller(),
             Neighbours(HOST_TOPIC, self._own_entry(), rng),
--- a/cranberryrun/requests/stream_origins.py
+++ b/cranberryrun/requests/stream_origins.py
@@ -79,6 +79,15 @@
         If the store takes too long, the stream goes on and the origin is written when
         the store can be reached.
         """
+        written = self.record_soon(attempt_id, origin)
+        try:
+            async with asyncio.timeout(_RECORD_TIMEOUT_SECONDS):
+                await written.wait()
+        except TimeoutError:
+            self.kernel.get(Events).emit("stream_unrecorded", request=attempt_id)
+
+    def record_soon(self, attempt_id: str, origin: Origin) -> asyncio.Event:
+        """Record an origin in the background; return the event of its completion."""
         key = stream_key(attempt_id)
         self._table.record(key, origin)
         self._unwritten[key] = OriginRecord(key, origin.service, origin.software)
@@ -86,11 +95,7 @@
             self._forget_oldest_unwritten()
         written = self._written_by_key.setdefault(key, asyncio.Event())
         self._wake.set()
-        try:
-            async with asyncio.timeout(_RECORD_TIMEOUT_SECONDS):
-                await written.wait()
-        except TimeoutError:
-            self.kernel.get(Events).emit("stream_unrecorded", request=attempt_id)
+        return written
 
     def _forget_oldest_unwritten(self) -> None:
         key = next(iter(self._unwritten))
--- a/cranberryrun/requests/streams.py
+++ b/cranberryrun/requests/streams.py
@@ -29,6 +29,7 @@
 from ..kernel import Service
 from .crashes import Crashes
 from .forwarder import Forwarder
+from .software_history import SoftwareHistory
 from .stream_origins import StreamOrigins
 
 # Callers abandon a stream after a silence of two seconds or four times the latency
@@ -81,6 +82,7 @@
         "send_permits",
         "crashes",
         "stream_origins",
+        "software_history",
         "target_client",
     )
 
@@ -141,6 +143,9 @@
         unsent: set[str] = set()
         head_sent = False
         may_have_run = False
+        if origin is not None:
+            # A caller whose connection breaks again may name this request.
+            origins.record_soon(request.id, origin)
         while True:
             target = forwarder.choose_target(service, tried | unsent, origin)
             if target is None or len(tried) >= route.max_attempts:
@@ -226,7 +231,7 @@
         origin = await self.kernel.get(StreamOrigins).find(resumes or request.id)
         if origin is None and resumes is None:
             # The caller does not say which stream it means.
-            origin = self._only_origin(service)
+            origin = await self._only_origin(service)
         if origin is None:
             raise NoTargetError(
                 f"no host knows where stream {resumes or request.id} began",
@@ -240,11 +245,17 @@
             )
         return origin
 
-    def _only_origin(self, service: str) -> Origin | None:
-        """Return the origin of all streams of a service that has one version."""
+    async def _only_origin(self, service: str) -> Origin | None:
+        """Return the origin of all streams of a service that had one version lately.
+
+        :raises OriginUnknownError: it can't be read which versions it had.
+        """
         targets = self.kernel.get(Directory).target_by_id.values()
         origins = {Origin.of(each) for each in targets if each.service == service}
-        return origins.pop() if len(origins) == 1 else None
+        if len(origins) != 1:
+            return None
+        possible = await self.kernel.get(SoftwareHistory).possible_origins(service)
+        return origins.pop() if possible == origins else None
 
     def _no_target_error(self, service: str, origin: Origin | None) -> NoTargetError:
         error = self.kernel.get(Forwarder).no_target_error(service)
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -27,6 +27,7 @@
 from cranberryrun.metrics import Metrics
 from cranberryrun.requests.crashes import Crashes
 from cranberryrun.requests.forwarder import Forwarder
+from cranberryrun.requests.software_history import SoftwareHistory
 from cranberryrun.requests.stream_origins import StreamOrigins
 from cranberryrun.requests.streams import Streams
 from cranberryrun.rewards.caller import RewardCaller
@@ -287,6 +288,7 @@
             Crashes(),
             Forwarder("a", random.Random(1)),
             StreamOrigins(),
+            SoftwareHistory(),
             Streams(),
             RewardCaller(),
             Runner(),
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,9 +1,13 @@
 """Callers' streams keep to the software version of the target that began them."""
 
 import asyncio
+import contextlib
 from collections import deque
 
+import aiohttp
+
 from cranberryrun.fleet.directory import Directory
+from cranberryrun.requests.stream_origins import StreamOrigins
 from standins.platform_target import PlatformTarget
 
 from .test_platform_host import (
@@ -21,11 +25,8 @@
 STREAM_COUNT = 12
 
 
-class StreamVersionTest(PlatformTestCase):
-    """Guards against ORDER and LOST: callers' streams that went on at other software.
-
-    Two engines of each version serve a route that may be resumed.
-    """
+class StreamVersionTestCase(PlatformTestCase):
+    """Two engines of each version serve a route that may be resumed."""
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -114,6 +115,10 @@
                 self.assertEqual(self.software_of(again), set())
         return went_on
 
+
+class StreamVersionTest(StreamVersionTestCase):
+    """Guards against ORDER and LOST: callers' streams at other software."""
+
     async def test_stream_that_is_cut_goes_on_at_its_version(self):
         for number in range(STREAM_COUNT):
             self.share_script("cut")
@@ -187,3 +192,102 @@
             status, _, body = await self.request("POST", "/resumed/x", attempt_id)
             self.assertEqual((status, body), (200, self.events(attempt_id)))
             self.assertEqual(len(self.software_of(attempt_id)), 1)
+
+
+class AllHostsKilledTest(StreamVersionTestCase):
+    """Guards against ORDER: text of two versions after all hosts were killed.
+
+    A caller may name only the last event that it has. A host that just started then saw
+    one version of the software, and took that for the one that began the stream.
+    """
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.unnamed_status = set()
+        await self.begin_many()
+
+    async def kill_and_restart(self, target_count=6):
+        await self.host.kernel.stop()
+        host, url, _ = await self.start_host("host-2", target_count)
+        await self.wait_until(lambda: host.kernel.get(Directory).manifest.version == 2)
+        return host, url
+
+    def remove_old_targets(self):
+        for engine in self.engines:
+            if engine.software == OLD:
+                self.store.put(TARGET_TOPIC, engine.id, None)
+
+    async def resume_unnamed(self, url):
+        """Take all streams up again without naming them; return the joined ones."""
+        joined = []
+        for number in range(STREAM_COUNT):
+            again = f"s{number}-again"
+            status, headers, _ = await self.request(
+                "POST",
+                "/resumed/x",
+                again,
+                url=url,
+                headers={"Last-Event-Id": "3"},
+            )
+            self.unnamed_status.add(status)
+            if status == 503:
+                self.assertIn("Retry-After", headers)
+                self.assertEqual(self.software_of(again), set())
+            elif self.software_of(again) != self.software_of(f"s{number}"):
+                joined.append(again)
+        return joined
+
+    async def test_stream_without_a_name_is_refused_after_the_old_targets_left(self):
+        self.remove_old_targets()
+        _, url = await self.kill_and_restart(target_count=4)
+        self.assertEqual(await self.resume_unnamed(url), [])
+        self.assertEqual(self.unnamed_status, {503})
+
+    async def test_old_targets_leave_while_no_host_runs(self):
+        await self.host.kernel.stop()
+        self.remove_old_targets()
+        _, url = await self.kill_and_restart(target_count=4)
+        self.assertEqual(await self.resume_unnamed(url), [])
+
+    async def test_stream_without_a_name_is_refused_while_both_versions_serve(self):
+        _, url = await self.kill_and_restart()
+        self.assertEqual(await self.resume_unnamed(url), [])
+
+    async def test_stream_with_a_name_is_refused_after_the_old_targets_left(self):
+        self.remove_old_targets()
+        _, url = await self.kill_and_restart(target_count=4)
+        new = [n for n in range(STREAM_COUNT) if self.software_of(f"s{n}") == {NEW}]
+        self.assertEqual(await self.resume_many(url), len(new))
+
+    async def test_store_fails_when_streams_are_taken_up(self):
+        self.remove_old_targets()
+        _, url = await self.kill_and_restart(target_count=4)
+        self.store.mode = "busy"
+        self.assertEqual(await self.resume_unnamed(url), [])
+        self.assertEqual(self.unnamed_status, {503})
+
+    async def test_take_up_that_breaks_off_is_taken_up_under_its_own_name(self):
+        _, url = await self.kill_and_restart()
+        self.share_script("cut", "cut", "cut", "cut")
+        with contextlib.suppress(aiohttp.ClientError):
+            await self.resume("s0", url)
+        self.share_script()
+        status, _, _ = await self.resume(
+            "s0-again", url, **{"Resumes": "s0-again", "Last-Event-Id": "4"}
+        )
+        self.assertEqual(status, 200)
+        self.assertEqual(self.software_of("s0-again-again"), self.software_of("s0"))
+
+
+class UnrecordedStreamTest(StreamVersionTestCase):
+    """Guards against ORDER: a stream whose origin the store did not take in time."""
+
+    async def test_stream_is_refused_when_its_host_was_killed_before_the_record(self):
+        self.store.mode = "busy"
+        await self.begin_many()
+        # The origins were only in the memory of the host that is killed.
+        self.host.kernel.get(StreamOrigins)._unwritten.clear()
+        await self.host.kernel.stop()
+        self.store.mode = "up"
+        _, url = await self.start_second_host()
+        self.assertEqual(await self.resume_many(url), 0)
