List the new platform settings on the configuration page

Cause: a set can't be rendered as a default, so `make pages` failed, and two sections were missing on the page.

--- a/cranberryrun/pages.py
+++ b/cranberryrun/pages.py
@@ -13,7 +13,13 @@
 
 from .catalogue import EVENT_BY_NAME
 from .models import EngineSpec, ServiceSpec, ServiceTarget, WorkloadSpec
-from .platform.settings import BoundSettings, HostSettings, StoreSettings
+from .platform.settings import (
+    BoundSettings,
+    HostSettings,
+    PlatformApiSettings,
+    SecondAttemptSettings,
+    StoreSettings,
+)
 from .settings import (
     LimitSettings,
     LogSettings,
@@ -81,6 +87,8 @@
     ("Host", "", HostSettings),
     ("store", "", StoreSettings),
     ("bounds", "", BoundSettings),
+    ("platform_api", "", PlatformApiSettings),
+    ("second_attempts", "", SecondAttemptSettings),
 )
 _SIGN_BY_CONSTRAINT = {"ge": "≥", "gt": ">", "le": "≤", "lt": "<"}
 
--- a/cranberryrun/platform/settings.py
+++ b/cranberryrun/platform/settings.py
@@ -102,8 +102,8 @@
     second_attempts: SecondAttemptSettings = Field(
         SecondAttemptSettings(), description="Second attempts at slow requests."
     )
-    contracts: frozenset[str] = Field(
-        frozenset(), description="The parts of the platform's rules that are in force."
+    contracts: tuple[str, ...] = Field(
+        (), description="The parts of the platform's rules that are in force."
     )
     bounds: BoundSettings = Field(
         BoundSettings(), description="Time limits of the platform."
