Read results from the holder's memory on hosts with slow links

Cause: a trainer reads its batch at another host each time. The trainer with groups of 16 then falls behind its pace.

Ruled out: the time until results are written. They are in the store some tens of milliseconds after the last event.

Change: on a link under 100 Mbit/s a host asks the holder of the lease, which has open batches in memory, and reads the store if that fails. The holder reads its topic to the end first, so a position never has less than before.

--- /dev/null
+++ b/cranberryrun/batches/remote_results.py
@@ -0,0 +1,57 @@
+"""Reads results from the holder of the lease instead of from the store.
+
+A host that a caller asks for results for the first time would read the whole topic of
+the batch, which takes up to a second over a slow link. The holder has it in memory, and
+sends only the results that are asked for.
+"""
+
+from __future__ import annotations
+
+from .. import clock
+from ..exceptions import PeerError
+from ..fleet.lease import Lease
+from ..kernel import Service
+from ..metrics import Metrics
+from .result_source import ResultPage, ResultSource
+
+# On a faster link, a topic of one or two megabytes is read in less than 0.2 s.
+_SLOW_LINK_MBPS = 100.0
+# After a call that failed, results are read from the store for this long.
+_COOLDOWN_SECONDS = 1.0
+
+
+class RemoteResults(Service):
+    """Asks the holder of the lease for results, if this host's link is slow.
+
+    :param host: the name of this host.
+    :param link_mbps: the rate of this host's network link in Mbit/s.
+    """
+
+    name = "remote_results"
+    requires = ("metrics", "lease", "result_source")
+
+    def __init__(self, host: str, link_mbps: float) -> None:
+        super().__init__()
+        self._host = host
+        self._link_is_slow = link_mbps < _SLOW_LINK_MBPS
+        self._ask_again_at = float("-inf")
+
+    async def read(self, batch_id: str, after: int, wait: float) -> ResultPage | None:
+        """Return the results that the holder has; None to read the store instead.
+
+        :param wait: how long to wait for the first result, in seconds.
+        """
+        if not self._link_is_slow or clock.now() < self._ask_again_at:
+            return None
+        holder = self.kernel.get(Lease).holder_host
+        if holder is None or holder == self._host:
+            return None
+        source = self.kernel.get(ResultSource)
+        try:
+            page = await source.read(holder, batch_id, after, wait)
+        except PeerError:
+            self._ask_again_at = clock.now() + _COOLDOWN_SECONDS
+            self.kernel.get(Metrics).remote_results("failed")
+            return None
+        self.kernel.get(Metrics).remote_results("unknown" if page is None else "read")
+        return page
--- a/cranberryrun/batches/service.py
+++ b/cranberryrun/batches/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 
 from .. import clock
 from ..events import Events
@@ -17,6 +16,8 @@
 from ..kernel import Service
 from .log import BatchLog
 from .models import Batch, BatchState, Result
+from .remote_results import RemoteResults
+from .result_source import ResultPage
 
 # The maximum size of the result text in one page.
 _MAX_PAGE_BYTES = 1_000_000
@@ -32,23 +33,11 @@
 _REFRESH_TIMEOUT_SECONDS = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class ResultPage:
-    """Consecutive results of a batch. ``total`` is the number of its items.
-
-    ``next`` is the position after the last result of the page.
-    """
-
-    total: int
-    next: int
-    results: list[Result]
-
-
 class Batches(Service):
     """Serves operations on batches; any host can, since the store holds their state."""
 
     name = "batches"
-    requires = ("events", "batch_log")
+    requires = ("events", "batch_log", "remote_results")
 
     async def submit(self, batch: Batch, deadline: float) -> None:
         """Accept ``batch``; return once the store has confirmed it.
@@ -95,6 +84,10 @@
         deadline = started_at + wait
         state = log.table.state_by_id.get(batch_id)
         if state is None or len(state.results) <= after:
+            page = await self.kernel.get(RemoteResults).read(batch_id, after, wait)
+            if page is not None:
+                self._emit_read(batch_id, after, page, page.next, started_at)
+                return page
             state = await self._load_state(batch_id)
         elif not state.complete:
             await self._refresh(batch_id)
@@ -105,16 +98,38 @@
                     if not await reader.wait_for_records(deadline):
                         break
         page = _build_page(state, after)
+        self._emit_read(batch_id, after, page, len(state.results), started_at)
+        return page
+
+    async def results_in_memory(
+        self, batch_id: str, after: int, wait: float
+    ) -> ResultPage | None:
+        """Return results for another host; None if this one does not have the batch.
+
+        Raises the same errors as :meth:`results`.
+        """
+        table = self.kernel.get(BatchLog).table
+        if batch_id not in table.state_by_id and not table.opened(batch_id):
+            return None
+        return await self.results(batch_id, after, wait)
+
+    def _emit_read(
+        self,
+        batch_id: str,
+        after: int,
+        page: ResultPage,
+        known: int,
+        started_at: float,
+    ) -> None:
         self.kernel.get(Events).emit(
             "results_read",
             step=batch_id,
             after=after,
             next=page.next,
-            known=len(state.results),
+            known=known,
             total=page.total,
             seconds=round(clock.now() - started_at, 3),
         )
-        return page
 
     async def body(self, batch_id: str, item_id: str) -> bytes:
         """Return the body of an item.
@@ -179,4 +194,6 @@
         if results and size > _MAX_PAGE_BYTES:
             break
         results.append(result)
-    return ResultPage(len(state.batch.items), after + len(results), results)
+    return ResultPage(
+        len(state.batch.items), after + len(results), results, state.batch.workspace
+    )
--- a/cranberryrun/batches/table.py
+++ b/cranberryrun/batches/table.py
@@ -54,6 +54,10 @@
         elif message.batch in self.state_by_id:
             self._add_results(self.state_by_id[message.batch], message.results)
 
+    def opened(self, batch_id: str) -> bool:
+        """Return whether the index lists the batch; see :meth:`ended`."""
+        return batch_id in self._submitted_at_by_opened_batch
+
     def ended(self, batch_id: str) -> bool:
         """Return whether the index says that the trainer ended the batch."""
         return batch_id in self._submitted_at_by_ended_batch
--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -132,6 +132,12 @@
         ("service",),
         "Attempts at requests that a target's limit did not allow.",
     ),
+    "remote_results": MetricKind(
+        "cranberryrun_remote_results",
+        "counter",
+        ("outcome",),
+        "Reads of results that went to the holder of the lease, by outcome.",
+    ),
     "relayed_calls": MetricKind(
         "cranberryrun_relayed_calls",
         "counter",
@@ -258,6 +264,10 @@
         """Count a call to a target that a neighbour passed on."""
         self._add("relayed_calls")
 
+    def remote_results(self, outcome: str) -> None:
+        """Count a read of results from the holder of the lease."""
+        self._add("remote_results", outcome=outcome)
+
     def crashing_request(self) -> None:
         """Count a request that was refused because targets ended under it."""
         self._add("crashing_requests")
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -14,6 +14,7 @@
 from .. import clock, logging_setup
 from ..batches.handover import Handover
 from ..batches.log import BatchLog
+from ..batches.remote_results import RemoteResults
 from ..batches.results import ResultWriter
 from ..batches.runner import Runner
 from ..batches.service import Batches
@@ -40,6 +41,7 @@
 from .neighbour_server import NeighbourServer
 from .permit_calls import HttpPermitClient
 from .reach_calls import HttpReachClient
+from .result_calls import HttpResultSource
 from .settings import HostSettings, load_host_settings, settings_path
 from .store_client import StoreClient
 from .target_client import HttpTargetClient
@@ -127,6 +129,8 @@
             ResultWriter(),
             Runner(),
             Handover(),
+            HttpResultSource(),
+            RemoteResults(settings.host_id, settings.link_mbps),
             Batches(),
             Crashes(),
             Forwarder(settings.zone, rng),
--- a/cranberryrun/platform/neighbour_server.py
+++ b/cranberryrun/platform/neighbour_server.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 
+from ..batches.service import Batches
 from ..exceptions import AppendUnknownError, LogReadError, LogUnavailableError
 from ..fleet.send_permits import SendPermits
 from ..fleet.store_paths import StorePaths
@@ -12,6 +13,7 @@
 from .http_server import listen
 from .permit_calls import PERMITS_PATH, serve_permits
 from .reach_calls import REACH_PATH, serve_reach
+from .result_calls import RESULTS_PATH, serve_results
 from .settings import HostSettings
 from .store_client import StoreClient
 from .target_relay import relay_call
@@ -34,6 +36,7 @@
         "store_paths",
         "send_permits",
         "target_paths",
+        "batches",
     )
 
     def __init__(self, settings: HostSettings) -> None:
@@ -57,6 +60,8 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == PERMITS_PATH:
             return await serve_permits(self.kernel.get(SendPermits), request)
+        if request.path == RESULTS_PATH:
+            return await serve_results(self.kernel.get(Batches), request)
         if request.path == REACH_PATH:
             return await serve_reach(self.kernel.get(TargetPaths))
         if request.path.startswith(RELAY_PREFIX):
--- /dev/null
+++ b/cranberryrun/platform/result_calls.py
@@ -0,0 +1,81 @@
+"""Calls between hosts for the results of a batch."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+from aiohttp import web
+from pydantic import TypeAdapter, ValidationError
+
+from ..batches.result_source import ResultPage, ResultSource
+from ..batches.service import Batches
+from ..exceptions import CranberryrunError, PeerError
+from ..fleet.neighbours import Neighbours
+from ..http import HttpClients
+
+RESULTS_PATH = "/batch-results"
+# The largest page takes 0.3 s over the slowest link; reading the store instead takes
+# longer still.
+_TIMEOUT_SECONDS = 0.6
+_CONNECT_TIMEOUT_SECONDS = 0.2
+_UNKNOWN_STATUS = 404
+_MAX_WAIT_SECONDS = 30.0
+_PAGE_ADAPTER: TypeAdapter[ResultPage] = TypeAdapter(ResultPage)
+
+
+class HttpResultSource(ResultSource):
+    """Asks another host at the address with which it registered."""
+
+    requires = ("http", "neighbours")
+
+    async def read(
+        self, host: str, batch_id: str, after: int, wait: float
+    ) -> ResultPage | None:
+        """See :meth:`ResultSource.read`."""
+        address = self.kernel.get(Neighbours).address_of(host)
+        if address is None:
+            raise PeerError(f"the address of host {host} is not known")
+        try:
+            async with self.kernel.get(HttpClients).shared.get(
+                f"http://{address}{RESULTS_PATH}",
+                params={"batch": batch_id, "after": str(after), "wait": f"{wait:g}"},
+                timeout=aiohttp.ClientTimeout(
+                    total=wait + _TIMEOUT_SECONDS,
+                    sock_connect=_CONNECT_TIMEOUT_SECONDS,
+                ),
+            ) as response:
+                body = await response.read()
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            raise PeerError(f"host {host} sent no results: {error!r}") from None
+        if response.status == _UNKNOWN_STATUS:
+            return None
+        if response.status != 200:
+            raise PeerError(
+                f"host {host} answered {response.status} to a read of results"
+            )
+        try:
+            return _PAGE_ADAPTER.validate_json(body)
+        except ValidationError as error:
+            raise PeerError(f"the page of host {host} is malformed: {error}") from None
+
+
+async def serve_results(batches: Batches, request: web.BaseRequest) -> web.Response:
+    """Answer another host's read of results."""
+    query = request.query
+    try:
+        after, wait = int(query["after"]), float(query["wait"])
+        batch_id = query["batch"]
+    except (KeyError, ValueError) as error:
+        return web.Response(status=400, text=repr(error))
+    if after < 0 or not 0 <= wait <= _MAX_WAIT_SECONDS:
+        return web.Response(status=400, text="after or wait is out of range")
+    try:
+        page = await batches.results_in_memory(batch_id, after, wait)
+    except CranberryrunError as error:
+        return web.json_response(error.problem(), status=503)
+    if page is None:
+        return web.Response(status=_UNKNOWN_STATUS)
+    return web.Response(
+        body=_PAGE_ADAPTER.dump_json(page), content_type="application/json"
+    )
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -11,6 +11,8 @@
 from cranberryrun import clock
 from cranberryrun.batches.log import BatchLog
 from cranberryrun.batches.models import Batch, Item
+from cranberryrun.batches.remote_results import RemoteResults
+from cranberryrun.batches.result_source import ResultPage, ResultSource
 from cranberryrun.batches.results import ResultWriter
 from cranberryrun.batches.runner import Runner
 from cranberryrun.batches.service import Batches
@@ -200,6 +202,24 @@
         return len(self._deployment.kernel_by_host)
 
 
+class FakeResultSource(ResultSource):
+    """Reads results from the other hosts of a deployment, in this process."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        super().__init__()
+        self._deployment = deployment
+
+    async def read(
+        self, host: str, batch_id: str, after: int, wait: float
+    ) -> ResultPage | None:
+        """See :meth:`ResultSource.read`; a host that was cut off does not answer."""
+        await asyncio.sleep(0.002)
+        kernel = self._deployment.kernel_by_host.get(host)
+        if kernel is None or host in self._deployment.unreachable_hosts:
+            raise PeerError(f"host {host} does not answer")
+        return await kernel.get(Batches).results_in_memory(batch_id, after, wait)
+
+
 class Deployment:
     """A store and engines, and the hosts that share them."""
 
@@ -268,6 +288,7 @@
         name: str = "host-1",
         orders_after: float = 0.0,
         cache_bytes: float = float("inf"),
+        link_mbps: float = 1000.0,
     ) -> Kernel:
         """Start the services of one host and return its kernel, which stops them."""
         kernel = Kernel()
@@ -292,6 +313,8 @@
             Streams(),
             RewardCaller(),
             Runner(),
+            FakeResultSource(self),
+            RemoteResults(name, link_mbps),
             Batches(),
         ):
             kernel.register(service)
