Open and end batches through a spare index while the index fails

Ruled out: single calls that are reset by chance, and hosts that are turned away. In the log all calls of some topics failed at all hosts, and those of others succeeded.

Change: a message that the index does not take goes to a spare topic, and is copied to the index later. The holder reads both.

--- a/cranberryrun/batches/log.py
+++ b/cranberryrun/batches/log.py
@@ -3,7 +3,9 @@
 A batch and its results are stored in one of a few *batch topics*, chosen by a hash of
 its id, so that a host reads little more than the batches that its callers request. The
 *index* lists which batches were opened and which were ended; only the holder of the
-lease follows it. The *progress* of running items is read only by the next holder.
+lease follows it. The store may be down for some topics only, so there is a *spare
+index*: a message that the index does not take goes there, and later to the index too.
+The *progress* of running items is read only by the next holder.
 """
 
 from __future__ import annotations
@@ -17,6 +19,7 @@
 from ..exceptions import (
     AppendUnknownError,
     CranberryrunError,
+    LogReadError,
     LogUnavailableError,
     RecordInvalidError,
 )
@@ -38,12 +41,20 @@
 from .table import BatchTable
 
 INDEX_TOPIC = "batch-index"
+SPARE_INDEX_TOPIC = "batch-index-spare"
 PROGRESS_TOPIC = "batch-progress"
 # The store allows 100 topics. With this many, only a few batches share a topic.
 _BATCH_TOPIC_COUNT = 32
 # Delay before a failed append is repeated. It is several times the 4 ms that an answer
 # of the store usually takes.
 _APPEND_RETRY_SECONDS = 0.1
+# How long a message of the spare index is also offered to the index. An outage of the
+# store lasts some seconds.
+_COPY_SECONDS = 60.0
+_COPY_RETRY_SECONDS = 1.0
+# How often the holder reads the spare index while the index fails, and otherwise.
+_SPARE_READ_SECONDS = 0.3
+_IDLE_SPARE_READ_SECONDS = 3.0
 # Limit of topics read at the same time. On a slow link, more concurrent reads would
 # each take longer than the timeout of a read.
 _MAX_CONCURRENT_READS = 4
@@ -130,12 +141,68 @@
         """
         if batch.id not in self.table.state_by_id:
             await self._append(topic_of(batch.id), [Accepted(batch)], deadline)
-        opened = Opened(batch.id, batch.submitted_at)
-        await self._append(INDEX_TOPIC, [opened], deadline)
+        await self._append_to_index(Opened(batch.id, batch.submitted_at), deadline)
 
     async def end(self, batch_id: str, deadline: float) -> None:
         """Mark a batch as ended. Raises the same errors as :meth:`accept`."""
-        await self._append(INDEX_TOPIC, [Ended(batch_id)], deadline)
+        await self._append_to_index(Ended(batch_id), deadline)
+
+    async def _append_to_index(self, message: Message, deadline: float) -> None:
+        """Append to the index, or to the spare one if the index fails.
+
+        The message may be in both, since it is idempotent.
+        """
+        unknown_error: AppendUnknownError | None = None
+        while True:
+            for topic in (INDEX_TOPIC, SPARE_INDEX_TOPIC):
+                try:
+                    await self._append(topic, [message], clock.now())
+                except AppendUnknownError as error:
+                    unknown_error = failure = error
+                except LogUnavailableError as error:
+                    failure = unknown_error or error
+                else:
+                    if topic == SPARE_INDEX_TOPIC:
+                        self.kernel.get(Events).emit(
+                            "spare_index_used", step=message.batch
+                        )
+                        self.spawn(self._copy_to_index(message))
+                    return
+            if clock.now() + _APPEND_RETRY_SECONDS >= deadline:
+                raise failure
+            await asyncio.sleep(_APPEND_RETRY_SECONDS)
+
+    async def _copy_to_index(self, message: Message) -> None:
+        """Append a message of the spare index to the index, too.
+
+        The next holder, and hosts of an earlier build, may read only the index.
+        """
+        give_up_at = clock.now() + _COPY_SECONDS
+        while clock.now() < give_up_at:
+            await asyncio.sleep(_COPY_RETRY_SECONDS)
+            try:
+                await self._append(INDEX_TOPIC, [message], clock.now())
+            except CranberryrunError:
+                # The directory logs outages of the store.
+                continue
+            return
+
+    async def follow_spare_index(self) -> None:
+        """Read the spare index at intervals, without end."""
+        while True:
+            failing = self.index.failing
+            await asyncio.sleep(
+                _SPARE_READ_SECONDS if failing else _IDLE_SPARE_READ_SECONDS
+            )
+            await self.read_spare_index()
+
+    async def read_spare_index(self) -> None:
+        """Read the spare index to its end, unless the store fails."""
+        try:
+            await self._reader(SPARE_INDEX_TOPIC).catch_up()
+        except LogReadError:
+            # What it has is copied to the index when that can be written again.
+            return
 
     async def append_results(self, results: Listed, deadline: float) -> None:
         """Append results of a batch. Raises the same errors as :meth:`accept`."""
@@ -182,7 +249,7 @@
         for state in self.table.state_by_id.values():
             states_by_topic.setdefault(topic_of(state.batch.id), []).append(state)
         in_use = {topic_of(state.batch.id) for state in self.table.open_states()}
-        in_use |= {kept_topic, INDEX_TOPIC, PROGRESS_TOPIC}
+        in_use |= {kept_topic, INDEX_TOPIC, SPARE_INDEX_TOPIC, PROGRESS_TOPIC}
         for topic, reader in list(self._reader_by_topic.items()):
             if self.table.text_bytes <= self._cache_bytes:
                 return
--- a/cranberryrun/batches/reader.py
+++ b/cranberryrun/batches/reader.py
@@ -23,6 +23,8 @@
 class TopicReader:
     """Passes each record of a topic to ``apply``, once and in order.
 
+    ``failing`` tells whether the last read failed.
+
     :param spawn: starts a task that is cancelled when the owning service stops.
     :param apply: called with the offset and the bytes of a record.
     :param skips_are_normal: whether records may expire unread without a log line.
@@ -42,6 +44,7 @@
         self._apply_record = apply
         self._skips_are_normal = skips_are_normal
         self._next_offset = 0
+        self.failing = False
         self._new_records = asyncio.Event()
         self._followers = 0
         self._follow_task: asyncio.Task[None] | None = None
@@ -97,6 +100,10 @@
                 )
             self._next_offset = max(self._next_offset, error.first)
             return None
+        except LogReadError:
+            self.failing = True
+            raise
+        self.failing = False
         self._apply(page)
         return page
 
--- a/cranberryrun/batches/result_source.py
+++ b/cranberryrun/batches/result_source.py
@@ -35,6 +35,6 @@
         """Return results of a batch from position ``after`` on.
 
         :param wait: how long ``host`` may wait for the first of them, in seconds.
-        :return: None if the host does not have the batch.
+        :return: None if the host does not have the batch or the page is too large.
         :raises PeerError: the host can't be reached, or can't read the store.
         """
--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -148,6 +148,7 @@
     async def _run_as_holder(self, lease: Lease, log: BatchLog) -> None:
         await self._recover(lease, log)
         wake_task = self.spawn(self._wake_on_change(log))
+        spare_task = self.spawn(log.follow_spare_index())
         try:
             while lease.assigned and not self._stopping:
                 self._load_opened(log)
@@ -160,6 +161,7 @@
                 await self._pause(_TICK_SECONDS)
         finally:
             wake_task.cancel()
+            spare_task.cancel()
 
     async def _recover(self, lease: Lease, log: BatchLog) -> None:
         """Read the open batches and the progress that the previous holder recorded."""
@@ -167,6 +169,7 @@
         while lease.assigned and not self._stopping:
             try:
                 await log.index.catch_up()
+                await log.read_spare_index()
                 recent_ids = log.table.opened_since(
                     clock.wall() - _RECOVERY_WINDOW_SECONDS
                 )
--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -219,6 +219,12 @@
         INFO,
         "The store has that a software version of a service serves, or no longer does.",
     ),
+    (
+        428,
+        "spare_index_used",
+        WARNING,
+        "The index of batches took no message, so the spare index has it.",
+    ),
     (500, "version_announced", INFO, "A trainer announced a weight version."),
     (501, "version_known", INFO, "This host learned of a newer weight version."),
     (502, "order_sent", INFO, "An engine was ordered to load a version."),
--- a/cranberryrun/platform/result_calls.py
+++ b/cranberryrun/platform/result_calls.py
@@ -20,6 +20,9 @@
 _TIMEOUT_SECONDS = 0.6
 _CONNECT_TIMEOUT_SECONDS = 0.2
 _UNKNOWN_STATUS = 404
+# Larger pages are read from the store. The holder serves all trainers, and its memory
+# and link are no larger than those of the host that asks.
+_MAX_PAGE_BYTES = 262_144
 _MAX_WAIT_SECONDS = 30.0
 _PAGE_ADAPTER: TypeAdapter[ResultPage] = TypeAdapter(ResultPage)
 
@@ -74,7 +77,7 @@
         page = await batches.results_in_memory(batch_id, after, wait)
     except CranberryrunError as error:
         return web.json_response(error.problem(), status=503)
-    if page is None:
+    if page is None or sum(len(each.text) for each in page.results) > _MAX_PAGE_BYTES:
         return web.Response(status=_UNKNOWN_STATUS)
     return web.Response(
         body=_PAGE_ADAPTER.dump_json(page), content_type="application/json"
--- a/fakes/store.py
+++ b/fakes/store.py
@@ -38,6 +38,7 @@
     :ivar link_bytes_per_second: bandwidth that concurrent reads share; a read that
         takes longer than ``silence_seconds`` fails.
     :ivar down: whether the store refuses every call.
+    :ivar down_topics: the topics of which the store refuses every call.
     :ivar silent: whether every call fails after ``silence_seconds`` without an answer.
     :ivar lost_answers: number of appends to come that take effect but whose answers
         are lost.
@@ -48,6 +49,7 @@
         self.records_by_topic: dict[str, list[bytes]] = {}
         self.first_by_topic: dict[str, int] = {}
         self.down = False
+        self.down_topics: set[str] = set()
         self.silent = False
         self.silence_seconds = 0.6
         self.lost_answers = 0
@@ -79,6 +81,8 @@
     ) -> int:
         """See :meth:`Store.append`."""
         await self._simulate_response(LogUnavailableError, AppendUnknownError)
+        if topic in self.down_topics:
+            raise AppendUnknownError(f"the store reset an append to {topic}")
         start = len(self.records_by_topic.setdefault(topic, []))
         if at is not None and at != start:
             raise AppendConflictError(f"topic {topic} ends at offset {start}, not {at}")
@@ -94,6 +98,8 @@
     async def read(self, topic: str, start: int, wait: float) -> Page:
         """See :meth:`Store.read`."""
         await self._simulate_response(LogReadError, LogReadError, wait)
+        if topic in self.down_topics:
+            raise LogReadError(f"the store reset a read of {topic}")
         first = self.first_by_topic.get(topic, 0)
         if start < first:
             raise LogGapError("the records at this offset were deleted", first=first)
