Decode workspaces and their keys from the manifest

Cause: a manifest may list workspaces (`tenants`) with keys; nothing decoded it.

The header names of key and workspace are known.

--- a/cranberryrun/fleet/manifest.py
+++ b/cranberryrun/fleet/manifest.py
@@ -5,6 +5,8 @@
 import enum
 from dataclasses import dataclass, field
 
+from ..workspaces.keyring import Keyring
+
 
 class RouteKind(enum.Enum):
     """The kind of a route's requests.
@@ -71,6 +73,7 @@
     """One complete version of the manifest.
 
     ``tokens_per_event_by_service`` has the number of tokens in an event of a stream.
+    ``keyring`` has the workspaces; None if callers need no keys.
     """
 
     version: int
@@ -79,6 +82,7 @@
     limits: Limits
     models_by_service: dict[str, tuple[str, ...]]
     tokens_per_event_by_service: dict[str, float]
+    keyring: Keyring | None = None
     _by_host: dict[str, list[Route]] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
--- a/cranberryrun/platform/header_names.py
+++ b/cranberryrun/platform/header_names.py
@@ -29,6 +29,12 @@
 RESUMES = "Resumes"
 # The requests a second that the target takes from all hosts together, while it says so.
 LIMIT = "Server-Limit"
+# The secret of a caller. It ends at this host: no target and no other host gets it.
+KEY = "X-Cranberryrun-Key"
+# The name of the caller's workspace, which only hosts set.
+WORKSPACE = "X-Cranberryrun-Tenant"
+# Headers of callers that nothing behind the frontend may see, in lower case.
+CALLERS_OWN = frozenset({KEY.lower(), WORKSPACE.lower()})
 
 _STANDARD = {
     "accept",
@@ -80,6 +86,6 @@
     | {
         name.lower()
         for name in (ATTEMPT_ID, DEADLINE_MS, WAIT_MS, MODEL, LENGTH_HINT)
-        + (LAST_EVENT_ID, RESUMES)
+        + (LAST_EVENT_ID, RESUMES, KEY, WORKSPACE)
     }
 )
--- a/cranberryrun/platform/wire.py
+++ b/cranberryrun/platform/wire.py
@@ -8,12 +8,13 @@
 
 from typing import Any
 
-from pydantic import Field, ValidationError
+from pydantic import Field, SecretStr, ValidationError
 
 from ..exceptions import RecordInvalidError
 from ..fleet.client import EngineReport
 from ..fleet.directory import Decoder, Target
 from ..fleet.manifest import Backend, Limits, Manifest, Route, RouteKind
+from ..workspaces.keyring import Keyring, Workspace
 from .wire_model import BodyObserver, WireModel, ignore_body
 
 # The keyed topic in which hosts register.
@@ -137,16 +138,28 @@
     idle_timeout_ms: float = _DEFAULT_LIMITS.idle_timeout * _MS_PER_SECOND
 
 
+class _Tenant(WireModel):
+    """A workspace and its keys, which do not appear in the text of the model."""
+
+    name: str
+    api_keys: list[SecretStr] = []
+    # Replaces the priority of routes if it is given.
+    priority: int | None = None
+
+
 class _Manifest(WireModel):
     version: int
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = _Limits()
+    # An empty list means the same as none: callers need no keys.
+    tenants: list[_Tenant] | None = None
 
     def to_manifest(self) -> Manifest:
         """Convert to a manifest.
 
-        :raises RecordInvalidError: a route names no service.
+        :raises RecordInvalidError: a route names no service, or two workspaces share a
+            name or a key.
         """
         engines = {
             service.name: service.engine for service in self.services if service.engine
@@ -168,6 +181,18 @@
             tokens_per_event_by_service={
                 name: max(1.0, engine.stride) for name, engine in engines.items()
             },
+            keyring=self._keyring(),
+        )
+
+    def _keyring(self) -> Keyring | None:
+        if not self.tenants:
+            return None
+        return Keyring(
+            (
+                Workspace(tenant.name, tenant.priority),
+                [key.get_secret_value() for key in tenant.api_keys],
+            )
+            for tenant in self.tenants
         )
 
 
--- /dev/null
+++ b/cranberryrun/workspaces/keyring.py
@@ -0,0 +1,74 @@
+"""The workspaces of a manifest and the digests of their keys. Does no I/O."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ..exceptions import RecordInvalidError
+
+
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """A group of callers that shares keys and batches.
+
+    ``priority`` replaces that of routes, 0 first; with None the route's applies.
+    """
+
+    name: str
+    priority: int | None = None
+
+
+class Keyring:
+    """Finds the workspace of a key; keeps no key, only digests.
+
+    :param entries: each workspace with its keys. An empty key admits nobody: a request
+        without a key must not match it.
+    :raises RecordInvalidError: a name is empty or has control characters, or two
+        workspaces share a name or a key.
+    """
+
+    def __init__(self, entries: Iterable[tuple[Workspace, Iterable[str]]]) -> None:
+        self._workspace_by_name: dict[str, Workspace] = {}
+        self._workspace_by_digest: dict[bytes, Workspace] = {}
+        keyless = []
+        for workspace, keys in entries:
+            self._add_workspace(workspace)
+            digests = {_digest(key) for key in keys if key}
+            for digest in digests:
+                self._add_digest(digest, workspace)
+            if not digests:
+                keyless.append(workspace.name)
+        self.keyless = tuple(keyless)
+        """The names of the workspaces that have no key, as all were revoked."""
+
+    def __len__(self) -> int:
+        """Return the number of workspaces."""
+        return len(self._workspace_by_name)
+
+    def find(self, key: str) -> Workspace | None:
+        """Return the workspace of a key; None if no workspace has it."""
+        return self._workspace_by_digest.get(_digest(key))
+
+    def _add_workspace(self, workspace: Workspace) -> None:
+        # The name is sent in a header.
+        if not workspace.name or not workspace.name.isprintable():
+            raise RecordInvalidError(
+                f"workspace {workspace.name!r}: the name is empty or has control "
+                "characters"
+            )
+        if workspace.name in self._workspace_by_name:
+            raise RecordInvalidError(f"two workspaces have the name {workspace.name}")
+        self._workspace_by_name[workspace.name] = workspace
+
+    def _add_digest(self, digest: bytes, workspace: Workspace) -> None:
+        other = self._workspace_by_digest.setdefault(digest, workspace)
+        if other is not workspace:
+            raise RecordInvalidError(
+                f"workspaces {other.name} and {workspace.name} share a key"
+            )
+
+
+def _digest(key: str) -> bytes:
+    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).digest()
