Check the keys of calls, and give requests and batches their workspace

Cause: with workspaces in the manifest every call needs a key, and batches belong to the workspace that submitted them.

Change: the frontend checks the key before it reads a body, and again after it, since a key may be revoked meanwhile. Key and workspace headers of callers are dropped before a request is built; targets get the name of the workspace. Submission, results, item bodies and the end of a batch check its owner. An id is accepted only once the topic shows that no other workspace has it. Items are carried over within one workspace only. The fingerprint of a request has its workspace.

--- a/cranberryrun/batches/item_run.py
+++ b/cranberryrun/batches/item_run.py
@@ -92,6 +92,7 @@
             scheduled.run_version,
             received,
             deadline,
+            batch.workspace,
         ):
             now = clock.now()
             if scheduled.origin is None:
--- a/cranberryrun/batches/models.py
+++ b/cranberryrun/batches/models.py
@@ -34,6 +34,14 @@
 
 from ..rewards.models import RewardCall
 
+# Callers choose the ids of items, so an id means an item of one workspace only.
+ItemKey = str | tuple[str, str]
+
+
+def item_key(workspace: str | None, item_id: str) -> ItemKey:
+    """Return the key of an item over all batches of its workspace."""
+    return item_id if workspace is None else (workspace, item_id)
+
 
 @dataclass(frozen=True, slots=True)
 class Item:
--- a/cranberryrun/batches/records.py
+++ b/cranberryrun/batches/records.py
@@ -52,7 +52,7 @@
     appended to an output. When an item is restarted or another holder resumes it, a
     new output begins, which is recorded from position 0 on. ``complete`` marks the
     last pieces of an output, which then lacks only its score. ``origin`` is None in
-    records of hosts that did not know it.
+    records of hosts that did not know it. ``workspace`` is that of the batch.
     """
 
     batch: str
@@ -63,6 +63,7 @@
     versions: list[int]
     complete: bool = False
     origin: Origin | None = None
+    workspace: str | None = None
     kind: Literal["progressed"] = "progressed"
 
 
--- a/cranberryrun/batches/results.py
+++ b/cranberryrun/batches/results.py
@@ -108,6 +108,7 @@
                     versions=[piece.version for piece in new_pieces],
                     complete=scheduled.scoring,
                     origin=scheduled.origin,
+                    workspace=scheduled.state.batch.workspace,
                 )
             )
         if not messages:
--- a/cranberryrun/batches/scheduled_items.py
+++ b/cranberryrun/batches/scheduled_items.py
@@ -12,7 +12,7 @@
 from ..kernel import Kernel
 from .carry_over import NextBatches, unneeded_items
 from .dispatch import ScheduledItem, pieces_meet_version
-from .models import Batch, BatchState, Item, Result, result_of
+from .models import Batch, BatchState, Item, Result, item_key, result_of
 from .table import BatchTable, RecordedOutput
 
 # Runs of an ended batch continue for this long, because the trainer's next batch may
@@ -186,7 +186,8 @@
 
     def _restore_output(self, scheduled: ScheduledItem) -> None:
         """Continue the output that an earlier holder recorded, if there is one."""
-        output = self._table.output_by_item.get(scheduled.item.id)
+        key = item_key(scheduled.state.batch.workspace, scheduled.item.id)
+        output = self._table.output_by_item.get(key)
         if output is None:
             return
         if output.origin is None and not output.complete:
@@ -287,7 +288,8 @@
         """Keep incomplete results for later batches that contain their items."""
         for item_id, scheduled in scheduled_items.items():
             if scheduled.pieces and not scheduled.finished:
-                self._table.output_by_item[item_id] = RecordedOutput(
+                key = item_key(scheduled.state.batch.workspace, item_id)
+                self._table.output_by_item[key] = RecordedOutput(
                     scheduled.output_id,
                     scheduled.pieces,
                     scheduled.scoring,
--- a/cranberryrun/batches/service.py
+++ b/cranberryrun/batches/service.py
@@ -8,6 +8,7 @@
 from .. import clock
 from ..events import Events
 from ..exceptions import (
+    AppendUnknownError,
     CranberryrunError,
     LogReadError,
     LogUnavailableError,
@@ -15,6 +16,7 @@
     NotReadyError,
 )
 from ..kernel import Service
+from ..workspaces.access import Caller, KeyState
 from .log import BatchLog
 from .models import Batch, BatchState, Result
 
@@ -45,18 +47,29 @@
 
 
 class Batches(Service):
-    """Serves operations on batches; any host can, since the store holds their state."""
+    """Serves operations on batches; any host can, since the store holds their state.
+
+    An operation raises what :meth:`Caller.check_batch` raises if its caller may not use
+    the batch. Calls without a caller, which this package makes itself, may use all. To
+    callers of other workspaces an operation behaves as for a batch that does not exist,
+    also while the store fails.
+    """
 
     name = "batches"
     requires = ("events", "batch_log")
 
-    async def submit(self, batch: Batch, deadline: float) -> None:
+    async def submit(
+        self, batch: Batch, deadline: float, caller: Caller | None = None
+    ) -> None:
         """Accept ``batch``; return once the store has confirmed it.
 
         :param deadline: until when the caller waits, in loop seconds.
         :raises LogUnavailableError: the batch was certainly not accepted.
         :raises AppendUnknownError: the batch may have been accepted.
+        :raises OtherWorkspaceError: a batch of another workspace has the same id.
         """
+        if caller is not None:
+            await self._check_known_owner(batch, caller)
         append_deadline = min(deadline, clock.now() + _APPEND_TIMEOUT_SECONDS)
         try:
             await self.kernel.get(BatchLog).accept(batch, append_deadline)
@@ -68,8 +81,41 @@
         except CranberryrunError as error:
             self._emit("batch_unknown", batch, error.detail)
             raise
+        if caller is not None and caller.key is not KeyState.UNUSED:
+            await self._check_owner(batch, caller, deadline)
         self._emit("batch_accepted", batch, "the store confirmed the batch")
 
+    async def _check_known_owner(self, batch: Batch, caller: Caller) -> None:
+        """Raise if this host knows a batch of the same id that others own."""
+        state = self.kernel.get(BatchLog).table.state_by_id.get(batch.id)
+        if state is None or caller.may_use(state.batch.workspace):
+            return
+        # Without the store a submission fails, whether or not the id is in use.
+        state = await self._read_state(batch.id)
+        if state is not None:
+            caller.check_submission(batch.id, state.batch.workspace)
+
+    async def _check_owner(self, batch: Batch, caller: Caller, deadline: float) -> None:
+        """Return if no batch of another workspace has the same id.
+
+        The first record of an id counts, so this is certain only once the topic is read
+        up to the record of this batch. The lease holder runs the items meanwhile.
+
+        :raises AppendUnknownError: the store can't be read.
+        """
+        log = self.kernel.get(BatchLog)
+        if batch.id not in log.table.state_by_id:
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await log.load([batch.id])
+            except (LogReadError, TimeoutError) as error:
+                detail = f"the store can't be read after the append: {error!r}"
+                self._emit("batch_unknown", batch, detail)
+                raise AppendUnknownError(detail) from None
+        state = log.table.state_by_id.get(batch.id)
+        if state is not None:
+            caller.check_submission(batch.id, state.batch.workspace)
+
     def _emit(self, name: str, batch: Batch, reason: str) -> None:
         self.kernel.get(Events).emit(
             name,
@@ -80,10 +126,13 @@
             samples=len(batch.items),
             groups=len({item.group for item in batch.items}),
             wanted_groups=batch.wanted_groups,
+            workspace=batch.workspace,
             reason=reason,
         )
 
-    async def results(self, batch_id: str, after: int, wait: float) -> ResultPage:
+    async def results(
+        self, batch_id: str, after: int, wait: float, caller: Caller | None = None
+    ) -> ResultPage:
         """Return the results from position ``after`` on.
 
         :param wait: how long to wait for the first of them, in seconds.
@@ -94,8 +143,8 @@
         started_at = clock.now()
         deadline = started_at + wait
         state = log.table.state_by_id.get(batch_id)
-        if state is None or len(state.results) <= after:
-            state = await self._load_state(batch_id)
+        if state is None or len(state.results) <= after or not _may_use(caller, state):
+            state = await self._load_state(batch_id, caller)
         elif not state.complete:
             await self._refresh(batch_id)
         if len(state.results) <= after and wait > 0 and not state.complete:
@@ -116,21 +165,23 @@
         )
         return page
 
-    async def body(self, batch_id: str, item_id: str) -> bytes:
+    async def body(
+        self, batch_id: str, item_id: str, caller: Caller | None = None
+    ) -> bytes:
         """Return the body of an item.
 
         :raises NotFoundError: the batch or the item does not exist.
         :raises NotReadyError: the store can't be read.
         """
-        state = self.kernel.get(BatchLog).table.state_by_id.get(batch_id)
-        if state is None:
-            state = await self._load_state(batch_id)
+        state = await self._state(batch_id, caller)
         item = state.item(item_id)
         if item is None:
             raise NotFoundError(f"batch {batch_id} has no item {item_id}")
         return item.body
 
-    async def end(self, batch_id: str, deadline: float) -> None:
+    async def end(
+        self, batch_id: str, deadline: float, caller: Caller | None = None
+    ) -> None:
         """End a batch; return once the store has confirmed it.
 
         :raises NotFoundError: the batch does not exist.
@@ -139,9 +190,7 @@
         :raises AppendUnknownError: the batch may have been ended.
         """
         log = self.kernel.get(BatchLog)
-        state = log.table.state_by_id.get(batch_id)
-        if state is None:
-            state = await self._load_state(batch_id)
+        state = await self._state(batch_id, caller)
         if log.table.ended(batch_id):
             return
         await log.end(batch_id, min(deadline, clock.now() + _APPEND_TIMEOUT_SECONDS))
@@ -156,7 +205,24 @@
             # The directory logs outages of the store.
             return
 
-    async def _load_state(self, batch_id: str) -> BatchState:
+    async def _state(self, batch_id: str, caller: Caller | None) -> BatchState:
+        """Return a batch that the caller may use, from memory if it is there."""
+        state = self.kernel.get(BatchLog).table.state_by_id.get(batch_id)
+        if state is None or not _may_use(caller, state):
+            state = await self._load_state(batch_id, caller)
+        return state
+
+    async def _load_state(self, batch_id: str, caller: Caller | None) -> BatchState:
+        """Return a batch that the caller may use, read from the store."""
+        state = await self._read_state(batch_id)
+        if caller is not None:
+            owner = state.batch.workspace if state is not None else None
+            caller.check_batch(batch_id, state is not None, owner)
+        if state is None:
+            raise NotFoundError(f"batch {batch_id} does not exist")
+        return state
+
+    async def _read_state(self, batch_id: str) -> BatchState | None:
         log = self.kernel.get(BatchLog)
         try:
             await log.load([batch_id])
@@ -165,10 +231,11 @@
                 f"batch {batch_id} can't be read from the store: {error}",
                 retry_after=_RETRY_AFTER_SECONDS,
             ) from None
-        state = log.table.state_by_id.get(batch_id)
-        if state is None:
-            raise NotFoundError(f"batch {batch_id} does not exist")
-        return state
+        return log.table.state_by_id.get(batch_id)
+
+
+def _may_use(caller: Caller | None, state: BatchState) -> bool:
+    return caller is None or caller.may_use(state.batch.workspace)
 
 
 def _build_page(state: BatchState, after: int) -> ResultPage:
--- a/cranberryrun/batches/table.py
+++ b/cranberryrun/batches/table.py
@@ -6,7 +6,7 @@
 
 from .. import clock
 from ..fleet.origin import Origin
-from .models import Batch, BatchState, Item, Piece, Result
+from .models import Batch, BatchState, Item, ItemKey, Piece, Result, item_key
 from .records import Accepted, Ended, Message, Opened, Progressed
 
 
@@ -35,11 +35,11 @@
         self._keep_seconds = keep_seconds
         self.state_by_id: dict[str, BatchState] = {}
         self.text_bytes = 0
-        self.output_by_item: dict[str, RecordedOutput] = {}
+        self.output_by_item: dict[ItemKey, RecordedOutput] = {}
         self._submitted_at_by_opened_batch: dict[str, float] = {}
         self._submitted_at_by_ended_batch: dict[str, float] = {}
-        self._latest_batch_by_item: dict[str, str] = {}
-        self._earlier_batch_by_item: dict[str, str] = {}
+        self._latest_batch_by_item: dict[ItemKey, str] = {}
+        self._earlier_batch_by_item: dict[ItemKey, str] = {}
 
     def apply(self, message: Message) -> None:
         """Apply the next message of a topic."""
@@ -84,13 +84,14 @@
         return states
 
     def carried(self, batch: Batch, item: Item) -> bool:
-        """Return whether the item was already in an earlier batch.
+        """Return whether the item was already in an earlier batch of its workspace.
 
         Only the latest batch of an item carries it over.
         """
+        key = item_key(batch.workspace, item.id)
         return (
-            self._latest_batch_by_item.get(item.id) == batch.id
-            and item.id in self._earlier_batch_by_item
+            self._latest_batch_by_item.get(key) == batch.id
+            and key in self._earlier_batch_by_item
         )
 
     def earlier_state(self, batch: Batch, item: Item) -> BatchState | None:
@@ -100,7 +101,8 @@
         """
         if not self.carried(batch, item):
             return None
-        earlier = self.state_by_id.get(self._earlier_batch_by_item[item.id])
+        key = item_key(batch.workspace, item.id)
+        earlier = self.state_by_id.get(self._earlier_batch_by_item[key])
         earlier_item = earlier.item(item.id) if earlier is not None else None
         if earlier_item is None or (earlier_item.path, earlier_item.body) != (
             item.path,
@@ -136,22 +138,22 @@
         state = BatchState(batch, ended=self.ended(batch.id))
         self.state_by_id[batch.id] = state
         for item in batch.items:
-            self._update_batch_order(item.id, batch)
+            self._update_batch_order(item_key(batch.workspace, item.id), batch)
         self._remove_before(batch.submitted_at - self._keep_seconds)
 
-    def _update_batch_order(self, item_id: str, batch: Batch) -> None:
+    def _update_batch_order(self, key: ItemKey, batch: Batch) -> None:
         """Update the latest and the earlier batch of an item.
 
         Topics are read in any order, so the submission times decide.
         """
-        latest = self.state_by_id.get(self._latest_batch_by_item.get(item_id, ""))
+        latest = self.state_by_id.get(self._latest_batch_by_item.get(key, ""))
         if latest is None:
-            self._latest_batch_by_item[item_id] = batch.id
+            self._latest_batch_by_item[key] = batch.id
         elif latest.batch.submitted_at > batch.submitted_at:
-            self._earlier_batch_by_item[item_id] = batch.id
+            self._earlier_batch_by_item[key] = batch.id
         else:
-            self._earlier_batch_by_item[item_id] = latest.batch.id
-            self._latest_batch_by_item[item_id] = batch.id
+            self._earlier_batch_by_item[key] = latest.batch.id
+            self._latest_batch_by_item[key] = batch.id
 
     def _add_results(self, state: BatchState, results: list[Result]) -> None:
         for result in results:
@@ -162,8 +164,9 @@
             state.results.append(result)
             self.text_bytes += len(result.text)
             state.result_by_item[result.item] = result
-            if self._latest_batch_by_item.get(result.item) == state.batch.id:
-                self.output_by_item.pop(result.item, None)
+            key = item_key(state.batch.workspace, result.item)
+            if self._latest_batch_by_item.get(key) == state.batch.id:
+                self.output_by_item.pop(key, None)
 
     def _apply_progress(self, message: Progressed) -> None:
         state = self.state_by_id.get(message.batch)
@@ -173,12 +176,13 @@
             Piece(text, version)
             for text, version in zip(message.texts, message.versions)
         ]
-        known = self.output_by_item.get(message.item)
+        key = item_key(message.workspace, message.item)
+        known = self.output_by_item.get(key)
         if known is None or known.id != message.text:
             # A replaced holder may still record progress. Pieces of two different
             # outputs are never joined.
             if message.start == 0:
-                self.output_by_item[message.item] = RecordedOutput(
+                self.output_by_item[key] = RecordedOutput(
                     message.text, pieces, message.complete, message.origin
                 )
         elif message.start <= len(known.pieces):
@@ -198,8 +202,9 @@
         del self.state_by_id[batch_id]
         self.text_bytes -= sum(len(result.text) for result in state.results)
         for item in state.batch.items:
-            if self._latest_batch_by_item.get(item.id) == batch_id:
-                del self._latest_batch_by_item[item.id]
-                self.output_by_item.pop(item.id, None)
-            if self._earlier_batch_by_item.get(item.id) == batch_id:
-                del self._earlier_batch_by_item[item.id]
+            key = item_key(state.batch.workspace, item.id)
+            if self._latest_batch_by_item.get(key) == batch_id:
+                del self._latest_batch_by_item[key]
+                self.output_by_item.pop(key, None)
+            if self._earlier_batch_by_item.get(key) == batch_id:
+                del self._earlier_batch_by_item[key]
--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -88,6 +88,12 @@
     (211, "manifest_applied", INFO, "A manifest took effect at this host."),
     (212, "store_turned_away", WARNING, "The store does not serve this host."),
     (213, "store_serves_again", INFO, "The store serves this host again."),
+    (
+        214,
+        "workspaces_without_keys",
+        WARNING,
+        "A manifest took effect in which some workspaces have no keys.",
+    ),
     (
         220,
         "lease_taken",
@@ -191,6 +197,12 @@
     (413, "call_outcome", INFO, "A keyed call's outcome was recorded."),
     (414, "call_forwarded", INFO, "A keyed call was forwarded to the key's owner."),
     (415, "request_on_trial", INFO, "A request that crashed targets is sent again."),
+    (
+        416,
+        "key_rejected",
+        WARNING,
+        "A call had no key or an unknown one, or asked for another workspace's batch.",
+    ),
     (420, "limit_named", INFO, "A target named how many requests a second it takes."),
     (421, "limit_ended", INFO, "A target no longer names a limit."),
     (422, "limit_invalid", WARNING, "A target named a limit that is not a number."),
--- a/cranberryrun/fleet/client.py
+++ b/cranberryrun/fleet/client.py
@@ -146,6 +146,7 @@
         version: int,
         done: int,
         deadline: float,
+        workspace: str | None = None,
     ) -> AsyncIterator[Piece]:
         """Run an item and yield its pieces, without the first ``done`` ones.
 
@@ -153,6 +154,7 @@
 
         :param host: the host name of the item's route.
         :param version: the weight version that the engine must have.
+        :param workspace: the workspace of the item's batch, which the engine is told.
         :raises ItemImpossibleError: the item can never succeed.
         :raises RunFailedError: the engine ran the item and reported a failure.
         """
--- a/cranberryrun/fleet/directory.py
+++ b/cranberryrun/fleet/directory.py
@@ -292,6 +292,12 @@
         self.kernel.get(Events).emit(
             "manifest_applied", version=manifest.version, routes=len(manifest.routes)
         )
+        if manifest.keyring is not None and manifest.keyring.keyless:
+            self.kernel.get(Events).emit(
+                "workspaces_without_keys",
+                version=manifest.version,
+                workspaces=list(manifest.keyring.keyless),
+            )
 
     def _apply_version(self, model: str, version: int) -> None:
         if version <= self.version_by_model.get(model, 0):
--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -144,6 +144,12 @@
         (),
         "Requests that were refused because targets ended while they ran them.",
     ),
+    "rejected_keys": MetricKind(
+        "cranberryrun_rejected_keys",
+        "counter",
+        ("reason",),
+        "Calls rejected by their key: missing, unknown or other_workspace.",
+    ),
     "queue": MetricKind(
         "cranberryrun_queue",
         "gauge",
@@ -262,6 +268,10 @@
         """Count a request that was refused because targets ended under it."""
         self._add("crashing_requests")
 
+    def rejected_key(self, reason: str) -> None:
+        """Count a call that was rejected because of its key."""
+        self._add("rejected_keys", reason=reason)
+
     def register_gauge(
         self, key: str, read: Callable[[], float | Mapping[str, float]]
     ) -> None:
--- a/cranberryrun/platform/batch_wire.py
+++ b/cranberryrun/platform/batch_wire.py
@@ -14,6 +14,7 @@
 from ..exceptions import RequestError
 from ..fleet.manifest import Route
 from ..rewards.models import RewardCall
+from ..workspaces.keyring import Workspace
 from . import header_names
 from .wire_model import BodyObserver, WireModel, ignore_body
 
@@ -51,17 +52,29 @@
 
 
 def decode_batch(
-    batch_id: str, route: Route, body: bytes, observe: BodyObserver = ignore_body
+    batch_id: str,
+    route: Route,
+    body: bytes,
+    observe: BodyObserver = ignore_body,
+    workspace: Workspace | None = None,
 ) -> Batch:
     """Decode a submitted batch.
 
+    :param workspace: the workspace that submits it.
     :raises RequestError: the batch is malformed or two of its items share an id.
     """
     try:
         submission = _Submission.model_validate_json(body)
         observe("batch", submission)
         items = tuple(_decode_item(item) for item in submission.items)
-    except (ValidationError, binascii.Error) as error:
+    except ValidationError as error:
+        # The text of the error itself has parts of the body, which may be secrets.
+        first_error = error.errors(include_input=False)[0]
+        field = ".".join(str(part) for part in first_error["loc"]) or "body"
+        raise RequestError(
+            f"the batch is malformed: {field}: {first_error['msg']}"
+        ) from None
+    except binascii.Error as error:
         raise RequestError(f"the batch is malformed: {error}") from None
     if len({item.id for item in items}) != len(items):
         raise RequestError("two items of the batch have the same id")
@@ -77,6 +90,8 @@
         wanted_groups=submission.group_count or group_count,
         submitted_at=clock.wall(),
         items=items,
+        workspace=workspace.name if workspace is not None else None,
+        priority=workspace.priority if workspace is not None else None,
     )
 
 
@@ -90,7 +105,11 @@
         id=item.id,
         group=item.group_id or item.id,
         path=item.path,
-        headers=item.headers,
+        headers={
+            name: value
+            for name, value in item.headers.items()
+            if name.lower() not in header_names.CALLERS_OWN
+        },
         body=base64.b64decode(item.body, validate=True),
         expected_tokens=expected_tokens,
         reward=_decode_scorer(item.scorer) if item.scorer is not None else None,
--- a/cranberryrun/platform/frontend.py
+++ b/cranberryrun/platform/frontend.py
@@ -25,6 +25,7 @@
 from ..metrics import CONTENT_TYPE, Metrics
 from ..requests.forwarder import Forwarder
 from ..requests.streams import Streams
+from ..workspaces.access import Caller, KeyRejectedError, OtherWorkspaceError
 from . import batch_wire, header_names
 from .http_server import Handler, listen
 from .settings import HostSettings
@@ -120,6 +121,8 @@
         headers = {}
         if error.retry_after is not None:
             headers["Retry-After"] = f"{error.retry_after:g}"
+        if isinstance(error, (KeyRejectedError, OtherWorkspaceError)):
+            self._record_rejection(request, error)
         self.kernel.get(Events).emit(
             "answer_failed",
             request=request.headers.get(header_names.ATTEMPT_ID),
@@ -131,27 +134,64 @@
         )
         return web.json_response(error.problem(), status=error.status, headers=headers)
 
+    def _record_rejection(
+        self, request: web.BaseRequest, error: KeyRejectedError | OtherWorkspaceError
+    ) -> None:
+        manifest = self.kernel.get(Directory).manifest
+        reason = error.rejection.value
+        self.kernel.get(Metrics).rejected_key(reason)
+        self.kernel.get(Events).emit(
+            "key_rejected",
+            request=request.headers.get(header_names.ATTEMPT_ID),
+            method=request.method,
+            path=request.path,
+            manifest=manifest.version if manifest is not None else None,
+            reason=reason,
+        )
+
     async def _route_request(self, request: web.BaseRequest) -> web.StreamResponse:
         path = request.rel_url.raw_path
+        manifest = self._manifest()
         if path.startswith(_BATCH_PREFIX):
-            return await self._serve_batch(request, path.removeprefix(_BATCH_PREFIX))
+            return await self._serve_batch(
+                request,
+                path.removeprefix(_BATCH_PREFIX),
+                self._identify(manifest, request),
+            )
         if path.startswith(_ITEM_BODY_PREFIX):
             return await self._serve_item_body(
-                request, path.removeprefix(_ITEM_BODY_PREFIX)
-            )
-        manifest = self.kernel.get(Directory).manifest
-        if manifest is None or not self.kernel.get(Directory).ready:
-            raise NotReadyError(
-                "this host has not read the manifest and the targets yet",
-                retry_after=_NOT_READY_RETRY_SECONDS,
+                request,
+                path.removeprefix(_ITEM_BODY_PREFIX),
+                self._identify(manifest, request),
             )
+        if not self.kernel.get(Directory).ready:
+            raise _not_ready()
+        caller = self._identify(manifest, request)
         route = manifest.route_for(request.headers.get("Host", ""), path)
+        caller.check_route(route)
         if route is None:
             raise NotFoundError(f"manifest {manifest.version} has no route for {path}")
         body = await self._read_body(request, manifest)
+        # A body may take so long that the key is revoked meanwhile.
+        caller = self._identify(self._manifest(), request)
+        caller.check_route(route)
+        route = caller.with_priority(route)
         if route.kind is RouteKind.ROLLOUT:
-            return await self._submit_batch(request, route, body)
-        return await self._forward(request, route, body)
+            return await self._submit_batch(request, route, body, caller)
+        return await self._forward(request, route, body, caller)
+
+    def _manifest(self) -> Manifest:
+        """Return the manifest in force.
+
+        :raises NotReadyError: this host has none, so it can't tell who calls.
+        """
+        manifest = self.kernel.get(Directory).manifest
+        if manifest is None:
+            raise _not_ready()
+        return manifest
+
+    def _identify(self, manifest: Manifest, request: web.BaseRequest) -> Caller:
+        return Caller.identify(manifest, request.headers.get(header_names.KEY))
 
     async def _read_body(self, request: web.BaseRequest, manifest: Manifest) -> bytes:
         limit = manifest.limits.body_bytes
@@ -167,15 +207,20 @@
         return b"".join(chunks)
 
     async def _forward(
-        self, request: web.BaseRequest, route: Route, body: bytes
+        self, request: web.BaseRequest, route: Route, body: bytes, caller: Caller
     ) -> web.StreamResponse:
         forwarded = Request(
             id=request.headers.get(header_names.ATTEMPT_ID, ""),
             method=request.method,
             target=request.raw_path,
-            headers=tuple(request.headers.items()),
+            headers=tuple(
+                (name, value)
+                for name, value in request.headers.items()
+                if name.lower() not in header_names.CALLERS_OWN
+            ),
             body=body,
             deadline=min(_deadline(request), clock.now() + route.timeout),
+            workspace=caller.workspace_name,
         )
         if route.kind is RouteKind.STREAMING:
             return await self._forward_stream(request, route, forwarded)
@@ -216,40 +261,50 @@
         return response
 
     async def _submit_batch(
-        self, request: web.BaseRequest, route: Route, body: bytes
+        self, request: web.BaseRequest, route: Route, body: bytes, caller: Caller
     ) -> web.Response:
         batch_id = request.headers.get(header_names.ATTEMPT_ID, "")
         if request.method != "POST" or not batch_id:
             raise RequestError("a batch must be a POST request with its id in a header")
         batch = batch_wire.decode_batch(
-            batch_id, route, body, self.kernel.get(UnknownNames).record_fields
+            batch_id,
+            route,
+            body,
+            self.kernel.get(UnknownNames).record_fields,
+            caller.workspace,
         )
-
-        await self.kernel.get(Batches).submit(batch, _deadline(request))
+        await self.kernel.get(Batches).submit(batch, _deadline(request), caller)
         return web.json_response({}, status=202)
 
     async def _serve_batch(
-        self, request: web.BaseRequest, batch_id: str
+        self, request: web.BaseRequest, batch_id: str, caller: Caller
     ) -> web.Response:
         batches = self.kernel.get(Batches)
         if request.method == "DELETE":
-            await batches.end(batch_id, _deadline(request))
+            await batches.end(batch_id, _deadline(request), caller)
             return web.json_response({})
         after = _parse_number(_query_parameter(request, "after"), 0)
         wait_seconds = (
             _parse_number(request.headers.get(header_names.WAIT_MS), 0) / 1000
         )
-        page = await batches.results(batch_id, after, wait_seconds)
+        page = await batches.results(batch_id, after, wait_seconds, caller)
         return web.json_response(batch_wire.encode_results(page))
 
     async def _serve_item_body(
-        self, request: web.BaseRequest, batch_id: str
+        self, request: web.BaseRequest, batch_id: str, caller: Caller
     ) -> web.Response:
         item_id = _query_parameter(request, "id") or ""
-        body = await self.kernel.get(Batches).body(batch_id, item_id)
+        body = await self.kernel.get(Batches).body(batch_id, item_id, caller)
         return web.Response(body=body)
 
 
+def _not_ready() -> NotReadyError:
+    return NotReadyError(
+        "this host has not read the manifest and the targets yet",
+        retry_after=_NOT_READY_RETRY_SECONDS,
+    )
+
+
 def _response(answer: Answer) -> web.Response:
     return web.Response(
         status=answer.status, body=answer.body, headers=CIMultiDict(answer.headers)
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -50,15 +50,19 @@
 from .target_requests import OpenedCall, TargetRequests
 from .unknown_names import UnknownNames
 
-# The client sets these headers itself, so those of the caller are dropped.
-_REPLACED_HEADERS = HOP_HEADERS | {
-    name.lower()
-    for name in (
-        header_names.DEADLINE_MS,
-        header_names.EXPECT_INSTANCE,
-        header_names.EXPECT_VERSION,
-    )
-}
+# The client sets these headers itself, if at all, so those of the caller are dropped.
+_REPLACED_HEADERS = (
+    HOP_HEADERS
+    | header_names.CALLERS_OWN
+    | {
+        name.lower()
+        for name in (
+            header_names.DEADLINE_MS,
+            header_names.EXPECT_INSTANCE,
+            header_names.EXPECT_VERSION,
+        )
+    }
+)
 # Reports and orders take some milliseconds. An answer that takes longer counts as lost.
 _CONTROL_TIMEOUT_SECONDS = 0.6
 _KEEPALIVE_TIMEOUT_PATTERN = re.compile(r"timeout=(\d+)")
@@ -100,6 +104,8 @@
         )
         headers[header_names.DEADLINE_MS] = str(max(1, int(remaining * 1000)))
         headers[header_names.EXPECT_INSTANCE] = target.id
+        if request.workspace is not None:
+            headers[header_names.WORKSPACE] = request.workspace
         if last_event is not None:
             headers[header_names.LAST_EVENT_ID] = str(last_event)
         return self._open_call(
@@ -205,15 +211,22 @@
         version: int,
         done: int,
         deadline: float,
+        workspace: str | None = None,
     ) -> AsyncIterator[Piece]:
         """See :meth:`TargetClient.run`."""
         remaining = deadline - clock.now()
-        headers = CIMultiDict(item.headers)
+        headers = CIMultiDict(
+            (name, value)
+            for name, value in item.headers.items()
+            if name.lower() not in header_names.CALLERS_OWN
+        )
         headers["Host"] = host
         headers[header_names.ATTEMPT_ID] = item.id
         headers[header_names.DEADLINE_MS] = str(max(1, int(remaining * 1000)))
         headers[header_names.EXPECT_INSTANCE] = target.id
         headers[header_names.EXPECT_VERSION] = str(version)
+        if workspace is not None:
+            headers[header_names.WORKSPACE] = workspace
         if done:
             headers[header_names.LAST_EVENT_ID] = str(done)
         async with self._open_call(
--- a/cranberryrun/platform/target_relay.py
+++ b/cranberryrun/platform/target_relay.py
@@ -36,6 +36,9 @@
         return _failure(RelayOutcome.UNKNOWN)
     if kernel.get(TargetPaths).lost:
         return _failure(RelayOutcome.UNREACHABLE)
+    headers = CIMultiDict(forwardable(request.headers))
+    # A host of an earlier build passes all headers of its callers on.
+    headers.popall(header_names.KEY, None)
     body = b"".join([chunk async for chunk in request.content.iter_any()])
     try:
         async with TargetRequests(kernel).open(
@@ -44,7 +47,7 @@
             f"/{path}",
             _seconds(request),
             relayable=False,
-            headers=CIMultiDict(forwardable(request.headers)),
+            headers=headers,
             data=body or None,
         ) as call:
             return await _pass_on(kernel, request, call)
--- a/cranberryrun/requests/fingerprint.py
+++ b/cranberryrun/requests/fingerprint.py
@@ -13,13 +13,16 @@
 def fingerprint_of(request: Request) -> str:
     """Return the same text for all repeats of a request, whatever their ids.
 
-    A repeat has the same method, host name, path, query, caller and body.
+    A repeat has the same method, host name, path, query, caller and body. Callers of
+    one workspace are the same caller, whichever of its keys they use.
     """
     identity = sorted(
         f"{name.lower()}: {value}"
         for name, value in request.headers
         if name.lower() in _IDENTIFYING_HEADERS
     )
+    if request.workspace is not None:
+        identity.append(f"workspace: {request.workspace}")
     digest = xxhash.xxh3_128()
     for part in (request.method, request.target, *identity):
         encoded = part.encode("utf-8", "surrogateescape")
--- a/cranberryrun/workspaces/access.py
+++ b/cranberryrun/workspaces/access.py
@@ -8,6 +8,7 @@
 
 import enum
 from dataclasses import dataclass, replace
+from typing import NoReturn
 
 from ..exceptions import NotFoundError, NotReadyError, UnauthorizedError
 from ..fleet.manifest import Manifest, Route
@@ -130,9 +131,20 @@
             return
         if self.key in (KeyState.MISSING, KeyState.UNKNOWN):
             raise self._key_error()
-        detail = f"batch {batch_id} does not exist"
         if not exists:
-            raise NotFoundError(detail)
+            raise NotFoundError(_no_batch(batch_id))
+        self._refuse_other(batch_id)
+
+    def check_submission(self, batch_id: str, owner: str | None) -> None:
+        """Return if a submission repeats a batch that the caller may use.
+
+        :raises OtherWorkspaceError: the batch belongs to another workspace.
+        :raises NotReadyError: as for :meth:`check_batch`.
+        """
+        if not self.may_use(owner):
+            self._refuse_other(batch_id)
+
+    def _refuse_other(self, batch_id: str) -> NoReturn:
         if self.key is KeyState.UNUSED:
             # Another host has a manifest with workspaces, which this one has not read
             # yet: it can't tell the owner from others.
@@ -141,7 +153,7 @@
                 "the batch can't be checked",
                 retry_after=_RETRY_AFTER_SECONDS,
             )
-        raise OtherWorkspaceError(detail)
+        raise OtherWorkspaceError(_no_batch(batch_id))
 
     def _key_error(self) -> KeyRejectedError:
         if self.key is KeyState.MISSING:
@@ -152,3 +164,8 @@
             f"no workspace of manifest {self.manifest_version} has the key",
             Rejection.KEY_UNKNOWN,
         )
+
+
+def _no_batch(batch_id: str) -> str:
+    """Return the text for a batch that does not exist, and for those of others."""
+    return f"batch {batch_id} does not exist"
--- a/fakes/engines.py
+++ b/fakes/engines.py
@@ -153,6 +153,7 @@
         version: int,
         done: int,
         deadline: float,
+        workspace: str | None = None,
     ) -> AsyncIterator[Piece]:
         """See :meth:`TargetClient.run`."""
         engine = self.engine_by_id[target.id]
