--- a/cranberryrun/batches/service.py
+++ b/cranberryrun/batches/service.py
@@ -8,7 +8,6 @@
 from .. import clock
 from ..events import Events
 from ..exceptions import (
-    AppendUnknownError,
     CranberryrunError,
     LogReadError,
     LogUnavailableError,
@@ -30,6 +29,10 @@
 # The append was also relayed through neighbouring hosts, so the store is down for all
 # hosts. Such an outage takes seconds; an earlier retry would waste a caller's attempts.
 _OUTAGE_RETRY_SECONDS = 2.0
+# A submission waits this long to learn whether its id is in use. A batch topic of some
+# megabytes takes longer over the slowest links; a trainer that is told of a failure
+# would submit again, although the store has the batch.
+_OWNER_CHECK_SECONDS = 0.5
 # Much longer than the few milliseconds that the store needs for a read.
 _REFRESH_TIMEOUT_SECONDS = 0.1
 
@@ -81,9 +84,11 @@
         except CranberryrunError as error:
             self._emit("batch_unknown", batch, error.detail)
             raise
+        reason = "the store confirmed the batch"
         if caller is not None and caller.key is not KeyState.UNUSED:
-            await self._check_owner(batch, caller, deadline)
-        self._emit("batch_accepted", batch, "the store confirmed the batch")
+            if not await self._check_owner(batch, caller, deadline):
+                reason += "; whether its id was in use is not known"
+        self._emit("batch_accepted", batch, reason)
 
     async def _check_known_owner(self, batch: Batch, caller: Caller) -> None:
         """Raise if this host knows a batch of the same id that others own."""
@@ -95,26 +100,27 @@
         if state is not None:
             caller.check_submission(batch.id, state.batch.workspace)
 
-    async def _check_owner(self, batch: Batch, caller: Caller, deadline: float) -> None:
-        """Return if no batch of another workspace has the same id.
+    async def _check_owner(self, batch: Batch, caller: Caller, deadline: float) -> bool:
+        """Raise if a batch of another workspace has the same id.
 
         The first record of an id counts, so this is certain only once the topic is read
-        up to the record of this batch. The lease holder runs the items meanwhile.
+        up to the record of this batch. The lease holder runs the items meanwhile. The
+        record of a batch whose id is in use has no effect, whatever its caller is told.
 
-        :raises AppendUnknownError: the store can't be read.
+        :return: False if the store could not be read in time.
         """
         log = self.kernel.get(BatchLog)
         if batch.id not in log.table.state_by_id:
+            deadline = min(deadline, clock.now() + _OWNER_CHECK_SECONDS)
             try:
                 async with asyncio.timeout_at(deadline):
                     await log.load([batch.id])
-            except (LogReadError, TimeoutError) as error:
-                detail = f"the store can't be read after the append: {error!r}"
-                self._emit("batch_unknown", batch, detail)
-                raise AppendUnknownError(detail) from None
+            except (LogReadError, TimeoutError):
+                return False
         state = log.table.state_by_id.get(batch.id)
         if state is not None:
             caller.check_submission(batch.id, state.batch.workspace)
+        return state is not None
 
     def _emit(self, name: str, batch: Batch, reason: str) -> None:
         self.kernel.get(Events).emit(
--- a/fakes/engines.py
+++ b/fakes/engines.py
@@ -87,13 +87,15 @@
     says, by default 10. Reward calls get the steps of ``score_steps_by_target``, of
     which the last one applies to all further calls. A request to a path of
     ``crashing_paths`` ends its target, and all that it runs, after some milliseconds;
-    ``crashes`` has target, path and time.
+    ``crashes`` has target, path and time. ``workspaces_by_item`` has the workspaces that
+    the runs of an item were sent with.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.engine_by_id: dict[str, FakeEngine] = {}
         self.events_by_item: dict[str, int] = {}
+        self.workspaces_by_item: dict[str, list[str | None]] = {}
         self.answers_by_target: dict[str, list[object]] = {}
         self.sent: list[tuple[str, str]] = []
         self.crashed_targets: set[str] = set()
@@ -157,6 +159,7 @@
     ) -> AsyncIterator[Piece]:
         """See :meth:`TargetClient.run`."""
         engine = self.engine_by_id[target.id]
+        self.workspaces_by_item.setdefault(item.id, []).append(workspace)
         await asyncio.sleep(0.001)
         if engine.gone:
             raise TargetUnreachableError("the engine refused the connection")
