--- a/cranberryrun/fleet/directory.py
+++ b/cranberryrun/fleet/directory.py
@@ -287,6 +287,9 @@
     def _apply_manifest(self, manifest: Manifest) -> None:
         if self.manifest is not None and manifest.version <= self.manifest.version:
             return
+        earlier = self.manifest.keyring if self.manifest is not None else None
+        if earlier is not None and manifest.keyring is not None:
+            manifest.keyring.follow(earlier)
         self.manifest = manifest
         self._change_count += 1
         self.kernel.get(Events).emit(
--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -148,7 +148,7 @@
         "cranberryrun_rejected_keys",
         "counter",
         ("reason",),
-        "Calls rejected by their key: missing, unknown or other_workspace.",
+        "Calls rejected by their key: missing, unknown, revoked or other_workspace.",
     ),
     "queue": MetricKind(
         "cranberryrun_queue",
--- a/cranberryrun/platform/frontend.py
+++ b/cranberryrun/platform/frontend.py
@@ -146,6 +146,7 @@
             method=request.method,
             path=request.path,
             manifest=manifest.version if manifest is not None else None,
+            workspace=error.workspace,
             reason=reason,
         )
 
--- a/cranberryrun/workspaces/access.py
+++ b/cranberryrun/workspaces/access.py
@@ -34,38 +34,50 @@
 
     KEY_MISSING = "missing"
     KEY_UNKNOWN = "unknown"
+    KEY_REVOKED = "revoked"
     OTHER_WORKSPACE = "other_workspace"
 
 
 class KeyRejectedError(UnauthorizedError):
-    """The call needs a key of a workspace and has none, or an unknown one."""
+    """The call needs a key of a workspace and has none, or an unknown one.
 
-    def __init__(self, detail: str, rejection: Rejection) -> None:
+    :param workspace: the workspace that a revoked key led to. The caller is not told.
+    """
+
+    def __init__(
+        self, detail: str, rejection: Rejection, workspace: str | None = None
+    ) -> None:
         super().__init__(detail)
         self.rejection = rejection
+        self.workspace = workspace
 
 
 class OtherWorkspaceError(NotFoundError):
     """The batch belongs to another workspace.
 
     Its answer is that for a batch that does not exist, so that it says nothing of it.
+
+    :param workspace: the workspace of the caller, if it has one.
     """
 
-    def __init__(self, detail: str) -> None:
+    def __init__(self, detail: str, workspace: str | None) -> None:
         super().__init__(detail)
         self.rejection = Rejection.OTHER_WORKSPACE
+        self.workspace = workspace
 
 
 @dataclass(frozen=True, slots=True)
 class Caller:
     """Who makes a call. ``manifest_version`` is that of the manifest that was asked.
 
-    ``workspace`` is set if and only if the key is known.
+    ``workspace`` is set if and only if the key is known, and ``former_workspace`` if
+    the key was revoked since this host started.
     """
 
     key: KeyState
     manifest_version: int
     workspace: Workspace | None = None
+    former_workspace: Workspace | None = None
 
     @classmethod
     def identify(cls, manifest: Manifest, key: str | None) -> Caller:
@@ -78,8 +90,10 @@
         if not key:
             return cls(KeyState.MISSING, manifest.version)
         workspace = manifest.keyring.find(key)
-        state = KeyState.UNKNOWN if workspace is None else KeyState.KNOWN
-        return cls(state, manifest.version, workspace)
+        if workspace is not None:
+            return cls(KeyState.KNOWN, manifest.version, workspace)
+        former = manifest.keyring.find_revoked(key)
+        return cls(KeyState.UNKNOWN, manifest.version, former_workspace=former)
 
     @property
     def workspace_name(self) -> str | None:
@@ -153,16 +167,18 @@
                 "the batch can't be checked",
                 retry_after=_RETRY_AFTER_SECONDS,
             )
-        raise OtherWorkspaceError(_no_batch(batch_id))
+        raise OtherWorkspaceError(_no_batch(batch_id), self.workspace_name)
 
     def _key_error(self) -> KeyRejectedError:
         if self.key is KeyState.MISSING:
             return KeyRejectedError(
                 "the request has no key of a workspace", Rejection.KEY_MISSING
             )
+        detail = f"no workspace of manifest {self.manifest_version} has the key"
+        if self.former_workspace is None:
+            return KeyRejectedError(detail, Rejection.KEY_UNKNOWN)
         return KeyRejectedError(
-            f"no workspace of manifest {self.manifest_version} has the key",
-            Rejection.KEY_UNKNOWN,
+            detail, Rejection.KEY_REVOKED, self.former_workspace.name
         )
 
 
--- a/cranberryrun/workspaces/keyring.py
+++ b/cranberryrun/workspaces/keyring.py
@@ -8,6 +8,9 @@
 
 from ..exceptions import RecordInvalidError
 
+# A manifest has some thousand keys, and each takes about 100 bytes.
+_MAX_REVOKED_KEYS = 10_000
+
 
 @dataclass(frozen=True, slots=True)
 class Workspace:
@@ -32,6 +35,7 @@
     def __init__(self, entries: Iterable[tuple[Workspace, Iterable[str]]]) -> None:
         self._workspace_by_name: dict[str, Workspace] = {}
         self._workspace_by_digest: dict[bytes, Workspace] = {}
+        self._workspace_by_revoked_digest: dict[bytes, Workspace] = {}
         keyless = []
         for workspace, keys in entries:
             self._add_workspace(workspace)
@@ -51,6 +55,20 @@
         """Return the workspace of a key; None if no workspace has it."""
         return self._workspace_by_digest.get(_digest(key))
 
+    def follow(self, earlier: Keyring) -> None:
+        """Remember the keys of an earlier keyring that are revoked in this one."""
+        former = earlier._workspace_by_revoked_digest | earlier._workspace_by_digest
+        revoked = [
+            (digest, workspace)
+            for digest, workspace in former.items()
+            if digest not in self._workspace_by_digest
+        ]
+        self._workspace_by_revoked_digest = dict(revoked[-_MAX_REVOKED_KEYS:])
+
+    def find_revoked(self, key: str) -> Workspace | None:
+        """Return the workspace that a key led to before it was revoked, if known."""
+        return self._workspace_by_revoked_digest.get(_digest(key))
+
     def _add_workspace(self, workspace: Workspace) -> None:
         # The name is sent in a header.
         if not workspace.name or not workspace.name.isprintable():
--- a/tests/test_keyring.py
+++ b/tests/test_keyring.py
@@ -39,6 +39,19 @@
         keyring = Keyring([(RED, ["r1", "r1"])])
         self.assertEqual(keyring.find("r1"), RED)
 
+    def test_revoked_key_is_told_from_one_that_was_never_known(self):
+        first = Keyring([(RED, ["r1", "r2"]), (BLUE, ["b1"])])
+        second = Keyring([(RED, ["r2"]), (BLUE, ["b1"])])
+        second.follow(first)
+        third = Keyring([(RED, ["r2"]), (BLUE, [])])
+        third.follow(second)
+        found = [third.find_revoked(key) for key in ("r1", "b1", "r2", "x")]
+        self.assertEqual(found, [RED, BLUE, None, None])
+        fourth = Keyring([(BLUE, ["r1"])])
+        fourth.follow(third)
+        self.assertIsNone(fourth.find_revoked("r1"))
+        self.assertEqual(fourth.find("r1"), BLUE)
+
     def test_only_digests_are_kept(self):
         keyring = Keyring([(RED, ["secret-key"])])
         self.assertNotIn("secret-key", str(vars(keyring)))
--- a/tests/test_workspaces.py
+++ b/tests/test_workspaces.py
@@ -179,6 +179,10 @@
         await self.put_manifest(keyed_manifest(3, KEYS | {"red": []}))
         for key, expected in ((RED, 401), (RED_2, 401), (BLUE, 200)):
             self.assertEqual(await self.status("/status/x", key), expected)
+        reasons = [
+            (each["reason"], each["workspace"]) for each in self.events("key_rejected")
+        ]
+        self.assertEqual(reasons, [("revoked", "red")] * 2)
         logged = self.events("workspaces_without_keys")
         self.assertEqual([each["workspaces"] for each in logged][-1], ["red", "grey"])
 
