--- a/tests/test_workspace_batches.py
+++ b/tests/test_workspace_batches.py
@@ -3,12 +3,18 @@
 import asyncio
 import json
 from dataclasses import replace
+from unittest.mock import patch
 
+from cranberryrun.batches.log import BatchLog
 from cranberryrun.batches.models import Piece, Result
 from cranberryrun.batches.records import Accepted, Listed, Progressed
+from cranberryrun.batches.service import Batches
 from cranberryrun.batches.table import BatchTable
+from cranberryrun.exceptions import LogReadError
 from cranberryrun.fleet.lease import Lease
 from cranberryrun.requests.fingerprint import fingerprint_of
+from cranberryrun.workspaces.access import Caller
+from cranberryrun.workspaces.keyring import Keyring, Workspace
 from fakes.deployment import Deployment, batch, manifest
 from standins.platform_target import PlatformTarget
 
@@ -169,6 +175,31 @@
         self.assertNotIn(KEY, sent)
 
 
+class UnreadTopicTest(VirtualTimeTestCase):
+    async def test_submission_is_accepted_when_its_topic_can_not_be_read_in_time(self):
+        """A trainer that gets an error submits again, and its step comes late."""
+        deployment = Deployment()
+        self.addAsyncCleanup(deployment.stop)
+        deployment.put_manifest(manifest())
+        host = await deployment.start_host()
+        await asyncio.sleep(1.0)
+        keyring = Keyring([(Workspace("red"), ["r1"])])
+        caller = Caller.identify(replace(manifest(), keyring=keyring), "r1")
+
+        async def load_slowly(log, batch_ids):
+            await asyncio.sleep(10.0)
+
+        for number, load in enumerate((load_slowly, LogReadError("down"))):
+            options = {"side_effect": load} if number else {"new": load}
+            with patch.object(BatchLog, "load", **options):
+                started_at = self.now()
+                value = batch(f"b{number}", workspace="red")
+                await host.get(Batches).submit(value, started_at + 5.0, caller)
+                self.assertLess(self.now() - started_at, 0.6)
+            results = await host.get(Batches).results(value.id, 0, 0, caller)
+            self.assertEqual(results.total, 4)
+
+
 class HolderTest(VirtualTimeTestCase):
     async def test_items_keep_their_workspace_under_a_new_holder(self):
         deployment = Deployment()
