Merge workspaces and their keys

Cause: on deployments whose manifest has workspaces, requests reached targets without one, and no key was checked.

--- a/cranberryrun/fleet/directory.py
+++ b/cranberryrun/fleet/directory.py
@@ -287,11 +287,20 @@
     def _apply_manifest(self, manifest: Manifest) -> None:
         if self.manifest is not None and manifest.version <= self.manifest.version:
             return
+        earlier = self.manifest.keyring if self.manifest is not None else None
+        if earlier is not None and manifest.keyring is not None:
+            manifest.keyring.follow(earlier)
         self.manifest = manifest
         self._change_count += 1
         self.kernel.get(Events).emit(
             "manifest_applied", version=manifest.version, routes=len(manifest.routes)
         )
+        if manifest.keyring is not None and manifest.keyring.keyless:
+            self.kernel.get(Events).emit(
+                "workspaces_without_keys",
+                version=manifest.version,
+                workspaces=list(manifest.keyring.keyless),
+            )
 
     def _apply_version(self, model: str, version: int) -> None:
         if version <= self.version_by_model.get(model, 0):
