Describe settings that are sets or sections of the platform on the generated page

The page could not be generated any more since contracts, a set, and the sections platform_api and second_attempts came in: a set is no JSON. test_settings compares the page and failed with a TypeError. Sets and tuples are shown as lists, and both sections have a table. tests.test_settings passes: 10 tests.

--- a/cranberryrun/pages.py
+++ b/cranberryrun/pages.py
@@ -13,7 +13,13 @@
 
 from .catalogue import EVENT_BY_NAME
 from .models import EngineSpec, ServiceSpec, ServiceTarget, WorkloadSpec
-from .platform.settings import BoundSettings, HostSettings, StoreSettings
+from .platform.settings import (
+    BoundSettings,
+    HostSettings,
+    PlatformApiSettings,
+    SecondAttemptSettings,
+    StoreSettings,
+)
 from .settings import (
     LimitSettings,
     LogSettings,
@@ -75,11 +81,13 @@
 --check-settings` checks the file. On SIGHUP the host reads the file again. The event
 `settings_read` names the changed fields; they come into force at the next start. If
 the file is invalid, the host emits `settings_kept` and keeps its settings. Times are
-in milliseconds here, as the platform states them.
+in milliseconds here, as the platform states them, but where a name ends in `_s`.
 """
 _PLATFORM_MODELS = (
     ("Host", "", HostSettings),
     ("store", "", StoreSettings),
+    ("platform_api", "No duties are done without it.", PlatformApiSettings),
+    ("second_attempts", "", SecondAttemptSettings),
     ("bounds", "", BoundSettings),
 )
 _SIGN_BY_CONSTRAINT = {"ge": "≥", "gt": ">", "le": "≤", "lt": "<"}
@@ -126,6 +134,8 @@
 def _default_text(value: Any) -> str:
     if isinstance(value, BaseModel):
         return "see below"
+    if isinstance(value, (frozenset, tuple)):
+        value = sorted(value)
     return f"`{json.dumps(value)}`"
 
 
@@ -135,7 +145,7 @@
         return _type_text(get_args(annotation)[0])
     if origin is Literal:
         return " or ".join(f"`{value}`" for value in get_args(annotation))
-    if origin is list:
+    if origin in (list, tuple, frozenset):
         return f"list of {_type_text(get_args(annotation)[0])}"
     if origin in (Union, UnionType):
         kinds = [kind for kind in get_args(annotation) if kind is not type(None)]
