Make calls to the platform's API as the holder of the lease

Some calls to the platform's API may be made by one host at a time, and nothing can be read back from it. A new holder reads all records before its first call and goes on with those that have no answer. A duty decides what to call and does no I/O.

--- a/cranberryrun/batches/reader.py
+++ b/cranberryrun/batches/reader.py
@@ -48,6 +48,11 @@
         self._read_task: asyncio.Task[LogReadError | None] | None = None
         self._queued_read_task: asyncio.Task[LogReadError | None] | None = None
 
+    @property
+    def next_offset(self) -> int:
+        """The offset after the last record that was read."""
+        return self._next_offset
+
     @property
     def busy(self) -> bool:
         """Whether the topic is currently being read or followed."""
--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -228,4 +228,22 @@
     (507, "engine_out", WARNING, "An engine was taken out of service."),
     (508, "engine_in", INFO, "An engine was put back into service."),
     (600, "usage_written", INFO, "Usage records were appended to the log."),
+    (610, "duty_recorded", INFO, "A call to the platform's API was recorded."),
+    (611, "duty_accepted", INFO, "The platform's API accepted a call."),
+    (612, "duty_refused", WARNING, "The platform's API refused a call for good."),
+    (
+        613,
+        "duty_unanswered",
+        WARNING,
+        "A call to the platform's API has no answer; it is made again.",
+    ),
+    (
+        614,
+        "duty_fenced",
+        ERROR,
+        "Another host used a higher fencing token; this one makes no more calls.",
+    ),
+    (615, "duty_late", WARNING, "A call was accepted after it was due."),
+    (616, "duty_skipped", WARNING, "Calls to the platform's API were given up."),
+    (617, "duty_failed", ERROR, "The code that decides on a duty's calls failed."),
 )
--- a/cranberryrun/duties/client.py
+++ b/cranberryrun/duties/client.py
@@ -32,20 +32,32 @@
 
 
 class DutyConflictError(CranberryrunError):
-    """The call was refused with a conflict and not carried out.
+    """The call was refused for good and not carried out.
 
-    Another host used a higher fencing token, or no engine can be had in the zone.
+    For instance, no engine can be had in the zone.
     """
 
     code = "duty_conflict"
 
 
+class DutyFencedError(DutyConflictError):
+    """The call was not carried out: another host used a higher fencing token."""
+
+    code = "duty_fenced"
+
+
 class DutyThrottledError(RefusedError):
     """The API takes no more calls for now; the call was not carried out."""
 
     code = "duty_throttled"
 
 
+class DutyUnsentError(RefusedError):
+    """Nothing was sent: the API can't be reached, or the lease ended before."""
+
+    code = "duty_unsent"
+
+
 class DutyUnknownError(CranberryrunError):
     """There is no answer; the call may have been carried out, or may be later."""
 
@@ -55,8 +67,8 @@
 class DutyClient(Service):
     """Makes single calls to the platform's API. No method retries.
 
-    All methods raise :exc:`DutyConflictError`, :exc:`DutyThrottledError` or
-    :exc:`DutyUnknownError`.
+    All methods raise :exc:`DutyFencedError`, :exc:`DutyConflictError`,
+    :exc:`DutyThrottledError`, :exc:`DutyUnsentError` or :exc:`DutyUnknownError`.
     """
 
     name = "duty_client"
--- a/cranberryrun/duties/duty.py
+++ b/cranberryrun/duties/duty.py
@@ -11,10 +11,10 @@
 
 @dataclass(frozen=True, slots=True)
 class DutyCall:
-    """One call of a duty.
+    """One call of a duty. ``content`` is JSON.
 
-    ``subject`` and ``number`` identify it: of all calls with both of them equal, only
-    the first that the store has may be sent. ``content`` is JSON.
+    The numbers of the calls of one ``subject`` increase. Of all calls with the same
+    subject and number only the first that the store has is sent.
     """
 
     duty: str
@@ -24,14 +24,17 @@
 
 
 class Duty(ABC):
-    """A duty of the lease holder, driven by the ``Duties`` service.
+    """A duty of the lease holder, driven by the :class:`~.service.Duties` service.
 
     The service asks for the next call, records it in the store, sends it until it is
-    answered, and records the answer. After a change of the holder the new one first
-    passes all records to its duties.
+    answered, and records the answer. The calls of one subject are sent in the order of
+    their records, each after the answer to the one before it. A new holder first passes
+    all records that it has not read yet to its duties.
     """
 
     name: ClassVar[str]
+    # Calls that the duty gave up before they were recorded. The service logs increases.
+    skipped_count = 0
 
     @abstractmethod
     def apply_record(self, call: DutyCall) -> None:
@@ -45,6 +48,8 @@
     def next_call(self, now: float) -> DutyCall | None:
         """Return the next new call; None if there is none to make now.
 
+        Several calls of this method may precede :meth:`apply_record`.
+
         :param now: seconds since 1970.
         """
 
@@ -53,3 +58,16 @@
         self, client: DutyClient, call: DutyCall, holder: str, fence: int
     ) -> None:
         """Make the call once; raises what the client raises."""
+
+    def expired(self, call: DutyCall, now: float) -> bool:
+        """Return whether a recorded call without an answer is no longer to be sent.
+
+        The service then records it as refused.
+
+        :param now: seconds since 1970.
+        """
+        return False
+
+    def due_at(self, call: DutyCall) -> float | None:
+        """Return when the call is late, in seconds since 1970; None if it never is."""
+        return None
--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -144,6 +144,13 @@
         (),
         "Requests that were refused because targets ended while they ran them.",
     ),
+    "duty_calls": MetricKind(
+        "cranberryrun_duty_calls",
+        "counter",
+        ("duty", "outcome"),
+        "Calls to the platform's API by outcome: accepted, late (accepted, but after "
+        "it was due), refused, throttled, unsent, unanswered, fenced or skipped.",
+    ),
     "queue": MetricKind(
         "cranberryrun_queue",
         "gauge",
@@ -262,6 +269,11 @@
         """Count a request that was refused because targets ended under it."""
         self._add("crashing_requests")
 
+    def duty_call(self, duty: str, outcome: str, count: int = 1) -> None:
+        """Count calls of a duty to the platform's API by outcome."""
+        labels = {"duty": duty, "outcome": outcome}
+        self._counter_by_key["duty_calls"].add(count, labels)
+
     def register_gauge(
         self, key: str, read: Callable[[], float | Mapping[str, float]]
     ) -> None:
