Leave the whole delay between the orders of two holders in three more cases

A holder that released the lease before it might order reported that no order had been sent, though the holder before it had sent one; the next holder ordered at once. A restarted holder that released it forgot the orders of its former process. If the answer to the acquisition was lost, a host ordered never, or at once if it had held the lease before.

The release now names the last order of any holder, and an acquisition that is only seen in the topic sets the delay.

The three new tests of test_lease fail without the change (an order after 0.08 s and 0.69 s in place of 3 s, and none at all) and pass with it: 13 tests.

--- a/cranberryrun/fleet/lease.py
+++ b/cranberryrun/fleet/lease.py
@@ -110,6 +110,7 @@
         self._last_record_at = float("-inf")
         self._renewed_at = float("-inf")
         self._orders_allowed_at = float("inf")
+        # The latest time at which a holder before this process may have ordered.
         self._previous_holder_order_at = float("-inf")
         self._last_order_at = float("-inf")
         self._started_at = 0.0
@@ -170,7 +171,12 @@
         """
         if not self.assigned:
             return
-        since_order = self._now() - self._last_order_at
+        # A holder that released the lease before it might order says when the one
+        # before it last ordered; the next holder has to wait for that one, too.
+        self._previous_holder_order_at = max(
+            self._last_order_at, self._previous_holder_order_at
+        )
+        since_order = self._now() - self._previous_holder_order_at
         record = self._encode_record("released", min(since_order, 3600.0))
         self._set_holder(None, self._fence)
         await self.kernel.get(Store).append(TOPIC, [record])
@@ -229,6 +235,11 @@
         if record.kind == "taken":
             self._last_record_at = self._now()
             self._holder_host = record.host
+            if record.holder == self._own_holder_id and offset != self._fence:
+                # The answer to the append was lost. The previous holder may have
+                # ordered until now.
+                self._previous_holder_order_at = self._now()
+                self._orders_allowed_at = self._now() + self._order_handover_delay
             self._set_holder(record.holder, offset)
         elif record.fence == self._fence:
             self._last_record_at = self._now()
@@ -266,16 +277,18 @@
         if self._withdrawn:
             return
         self._renewed_at = requested_at
-        last_order_at = self._previous_holder_order_at if released else requested_at
-        self._set_holder(self._own_holder_id, offset)
+        if offset == 0:
+            self._previous_holder_order_at = float("-inf")
+        elif not released:
+            self._previous_holder_order_at = requested_at
         # Engines treat all orders of one host as those of one holder, so no delay is
-        # needed after an earlier process of this host, nor for the first holder.
-        no_other_holder = held_by_own_host or offset == 0
+        # needed after an earlier process of this host.
         self._orders_allowed_at = (
             requested_at
-            if no_other_holder
-            else last_order_at + self._order_handover_delay
+            if held_by_own_host
+            else self._previous_holder_order_at + self._order_handover_delay
         )
+        self._set_holder(self._own_holder_id, offset)
 
     def _acquire_delay(self) -> float:
         age = self._now() - self._started_at
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -145,3 +145,71 @@
         for _ in range(100):
             await asyncio.sleep(0.01)
             self.assertFalse(first.held and second.held)
+
+    async def time_of_first_order(self, lease):
+        deadline = self.now() + 10.0
+        while not lease.may_order:
+            self.assertLess(self.now(), deadline)
+            await asyncio.sleep(0.02)
+        return self.now()
+
+    async def test_release_before_the_first_order_does_not_shorten_the_delay(self):
+        """The next holder took a holder that never ordered for one long past."""
+        first = await self.start("host-1")
+        await asyncio.sleep(1.0)
+        second = await self.start("host-2")
+        await asyncio.sleep(1.0)
+        first.record_order()
+        ordered_at = self.now()
+        await first.release()
+        while not second.held:
+            await asyncio.sleep(0.02)
+        third = await self.start("host-3")
+        await asyncio.sleep(0.2)
+        self.assertFalse(second.may_order)
+        await second.release()
+        first_order_at = await self.time_of_first_order(third)
+        self.assertGreaterEqual(first_order_at - ordered_at, ORDER_HANDOVER_SECONDS)
+        self.assertLess(first_order_at - ordered_at, ORDER_HANDOVER_SECONDS + 1.0)
+
+    async def test_lost_answer_to_the_acquisition_keeps_the_delay_and_ends_it(self):
+        """A first such holder never ordered, and a former holder ordered at once."""
+        first = await self.start("host-1")
+        await asyncio.sleep(1.0)
+        second = await self.start("host-2")
+        for _ in range(2):
+            await asyncio.sleep(1.0)
+            first.may_acquire = self.refuse
+            first.record_order()
+            ordered_at = self.now()
+            await first.step_down()
+            self.store.lost_answers = 1
+            first_order_at = await self.time_of_first_order(second)
+            self.assertGreaterEqual(first_order_at - ordered_at, ORDER_HANDOVER_SECONDS)
+            first.may_acquire = self.allow
+            second.may_acquire = self.refuse
+            await second.step_down()
+            await self.time_of_first_order(first)
+            second.may_acquire = self.allow
+
+    async def refuse(self):
+        return False
+
+    async def allow(self):
+        return True
+
+    async def test_restarted_holder_that_releases_hands_over_after_the_delay(self):
+        """Its former process may have ordered until the restart."""
+        first = await self.start("host-1")
+        await asyncio.sleep(1.0)
+        second = await self.start("host-2")
+        await asyncio.sleep(1.0)
+        first.record_order()
+        ordered_at = self.now()
+        await self.kernel_by_name["host-1"].stop()
+        restarted = await self.start("host-1", incarnation=2)
+        while not restarted.held:
+            await asyncio.sleep(0.02)
+        await restarted.release()
+        first_order_at = await self.time_of_first_order(second)
+        self.assertGreaterEqual(first_order_at - ordered_at, ORDER_HANDOVER_SECONDS)
