Record answers of the platform's API at once

A holder that was killed within a tick of an answer made its successor repeat calls that had been accepted.

--- a/cranberryrun/duties/duty.py
+++ b/cranberryrun/duties/duty.py
@@ -62,7 +62,9 @@
     def expired(self, call: DutyCall, now: float) -> bool:
         """Return whether a recorded call without an answer is no longer to be sent.
 
-        The service then records it as refused.
+        The service then records it as refused. After a change of the holder, calls that
+        were carried out may be without an answer; a duty whose older calls must not be
+        repeated returns True for all but the newest one of a subject.
 
         :param now: seconds since 1970.
         """
--- a/cranberryrun/duties/service.py
+++ b/cranberryrun/duties/service.py
@@ -69,7 +69,8 @@
         self._logged_skips_by_duty: dict[str, int] = {}
         self._next_trim_at = 0.0
         self._trimmed_before = 0
-        self._wake = asyncio.Event()
+        self._record_added = asyncio.Event()
+        self._answer_added = asyncio.Event()
 
     async def start(self) -> None:
         """Start to record and make calls whenever this host holds the lease."""
@@ -88,11 +89,11 @@
             self.kernel.get(Events).emit(
                 "record_invalid", topic=TOPIC, offset=offset, reason=repr(error)
             )
-        self._wake.set()
+        self._record_added.set()
 
     async def _keep_records(self) -> None:
         while True:
-            await asyncio.sleep(_TICK_SECONDS)
+            await _wait_for(self._answer_added)
             try:
                 await self._write_answers()
                 await self._record_as_holder()
@@ -185,19 +186,11 @@
         while True:
             call = self._call_to_make()
             if call is None:
-                await self._pause()
+                await _wait_for(self._record_added)
                 continue
             await self._make_call(self._duty_by_name[call.duty], call)
             await asyncio.sleep(self._min_call_interval)
 
-    async def _pause(self) -> None:
-        try:
-            async with asyncio.timeout(_TICK_SECONDS):
-                await self._wake.wait()
-        except TimeoutError:
-            return
-        self._wake.clear()
-
     def _call_to_make(self) -> DutyCall | None:
         lease = self.kernel.get(Lease)
         if not lease.may_order or lease.fence != self._read_fence:
@@ -257,6 +250,7 @@
     ) -> None:
         answer = self._ledger.record_answer(call, accepted)
         self._unwritten_answers.append(answer)
+        self._answer_added.set()
         self._log(call, outcome, event, **fields)
 
     def _log(self, call: DutyCall, outcome: str, event: str, **fields: object) -> None:
@@ -264,3 +258,13 @@
         self.kernel.get(Events).emit(
             event, duty=call.duty, subject=call.subject, call=call.number, **fields
         )
+
+
+async def _wait_for(event: asyncio.Event) -> None:
+    """Wait for the event, at most for a tick, and clear it."""
+    try:
+        async with asyncio.timeout(_TICK_SECONDS):
+            await event.wait()
+    except TimeoutError:
+        return
+    event.clear()
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import random
+import unittest
 
 from cranberryrun.duties.client import (
     DutyConflictError,
     DutyThrottledError,
     DutyUnsentError,
 )
-from cranberryrun.duties.records import TOPIC, CallRecord, encode
+from cranberryrun.duties.records import TOPIC, CallRecord, DutyLedger, encode
 from cranberryrun.duties.service import Duties
 from cranberryrun.events import Events
 from cranberryrun.fleet.lease import Lease
@@ -70,6 +71,12 @@
             self.assertLess(asyncio.get_running_loop().time(), deadline)
             await asyncio.sleep(0.01)
 
+    async def refuse(self):
+        return False
+
+    async def allow(self):
+        return True
+
     def counts(self):
         """Return the orders that were carried out, without exact repeats."""
         return list(dict.fromkeys(c.content.count for c in self.api.carried_out))
@@ -81,6 +88,32 @@
         self.assertEqual(self.api.violations(HANDOVER_SECONDS), [])
 
 
+class DutyLedgerTest(unittest.TestCase):
+    def test_first_record_of_a_call_counts(self):
+        """A second one may come from a holder that decided at the same time."""
+        duty = CountingDuty()
+        ledger = DutyLedger((duty,))
+        for offset, count in enumerate((1, 2)):
+            record = CallRecord("scale", "a", 1, {"count": count})
+            ledger.apply(offset, encode(record))
+        self.assertEqual([call.content for call in duty.recorded], [{"count": 1}])
+        self.assertEqual(ledger.next_to_send(0.0), duty.recorded[0])
+
+    def test_calls_whose_records_were_trimmed_have_an_answer(self):
+        """A host that did not read the answer would make an old call after newer."""
+        ledger = DutyLedger((CountingDuty(),))
+        ledger.apply(0, encode(CallRecord("scale", "a", 1, {"count": 1})))
+        ledger.apply(9, encode(CallRecord("scale", "a", 5, {"count": 5})))
+        self.assertEqual(ledger.next_to_send(0.0).number, 5)
+
+    def test_calls_of_a_duty_that_this_host_lacks_are_kept_but_not_made(self):
+        ledger = DutyLedger(())
+        ledger.apply(0, encode(CallRecord("scale", "a", 1, {"count": 1})))
+        ledger.apply(1, encode(CallRecord("scale", "b", 1, {"count": 1})))
+        self.assertIsNone(ledger.next_to_send(0.0))
+        self.assertEqual(ledger.trimmable_before(), 0)
+
+
 class DutyCallsTest(DutiesTestCase):
     """One host; the API and the store fail in turn."""
 
@@ -305,6 +338,51 @@
         await self.until(lambda: second.answers)
         self.assertEqual(self.counts(), [17])
 
+    async def test_record_of_another_holder_is_adopted_if_it_came_first(self):
+        """Without the condition on the append, both holders' records are stored."""
+        duty = await self.start("host-1")
+        await self.until(lambda: self.lease("host-1").may_order)
+        append = self.store.append
+
+        async def append_after_another(topic, records, at=None):
+            if topic == TOPIC and at == 0:
+                record = CallRecord("scale", "a", 1, {"count": 17})
+                self.store.add(TOPIC, encode(record))
+            return await append(topic, records, at)
+
+        self.store.append = append_after_another
+        duty.wanted = 1
+        await self.until(lambda: duty.answers)
+        self.assertEqual(self.counts(), [17])
+        await asyncio.sleep(0.5)
+        self.assertEqual(len(self.store.records_by_topic[TOPIC]), 2)
+
+    async def test_holder_makes_no_call_before_it_has_read_all_records(self):
+        """A call from its former term, confirmed since, must not follow newer ones."""
+        self.api.down = True
+        first, second = await self.start_pair()
+        first.wanted = 1
+        await self.until(lambda: first.recorded)
+        lease = self.lease("host-1")
+        lease.may_acquire = self.refuse
+        await lease.step_down()
+        await self.until(lambda: self.lease("host-2").may_order)
+        lease.may_acquire = self.allow
+        self.api.down = False
+        second.wanted = 2
+        await self.until(lambda: len(second.answers) == 2)
+        await asyncio.sleep(0.1)
+        read = self.store.read
+
+        async def read_slowly(topic, start, wait):
+            await asyncio.sleep(4.0 if topic == TOPIC else 0.0)
+            return await read(topic, start, wait)
+
+        self.store.read = read_slowly
+        await self.kernel_by_host["host-2"].stop()
+        await self.until(lambda: len(first.answers) == 2, 20.0)
+        self.assertEqual([c.content.count for c in self.api.calls], [1, 2])
+
     async def test_holder_stops_after_a_higher_token_until_it_has_a_new_one(self):
         duty = await self.start("host-1", wanted=1)
         self.api.fence_by_subject["m/a"] = 5
