Count the requests that targets began, by workspace and window

A usage report needs, for each window, the requests of each workspace that targets began to run. The counter takes one count for a request at the time at which its first attempt was sent that no target refused, or of the first event of a stream. Requests without a workspace and streams that are taken up again do not count.

--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -245,5 +245,6 @@
     ),
     (615, "duty_late", WARNING, "A call was accepted after it was due."),
     (616, "duty_skipped", WARNING, "Calls to the platform's API were given up."),
+    (618, "usage_lost", WARNING, "Counts of requests came too late for a report."),
     (617, "duty_failed", ERROR, "The code that decides on a duty's calls failed."),
 )
--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -151,6 +151,12 @@
         "Calls to the platform's API by outcome: accepted, late (accepted, but after "
         "it was due), refused, throttled, unsent, unanswered, fenced or skipped.",
     ),
+    "usage_counted": MetricKind(
+        "cranberryrun_usage_counted",
+        "counter",
+        (),
+        "Requests of workspaces that this host counted for usage reports.",
+    ),
     "queue": MetricKind(
         "cranberryrun_queue",
         "gauge",
@@ -274,6 +280,10 @@
         labels = {"duty": duty, "outcome": outcome}
         self._counter_by_key["duty_calls"].add(count, labels)
 
+    def usage_counted(self, requests: int) -> None:
+        """Count requests that are reported as usage."""
+        self._counter_by_key["usage_counted"].add(requests)
+
     def register_gauge(
         self, key: str, read: Callable[[], float | Mapping[str, float]]
     ) -> None:
--- a/cranberryrun/requests/forwarder.py
+++ b/cranberryrun/requests/forwarder.py
@@ -23,11 +23,12 @@
 from ..fleet.origin import Origin
 from ..fleet.rate_limits import TargetLimitedError
 from ..fleet.send_permits import SendPermits
-from ..health import Health
 from ..kernel import Service
 from ..metrics import Metrics
 from ..routing import Candidate, LeastLoaded, RoutingHints
+from ..usage_counts.counter import RequestUsage, UsageCounter
 from .crashes import Crashes
+from .target_state import TargetState
 
 # A hedged request is sent when an answer takes this many times the mean.
 _HEDGE_FACTOR = 3.0
@@ -39,19 +40,13 @@
 _SERVER_ERROR_STATUS = 500
 
 
-class TargetState:
-    """Health and load of one target of a plain service, as this host observed them."""
-
-    def __init__(self) -> None:
-        self.health = Health()
-        self.in_flight = 0
-
-
 class Forwarder(Service):
     """Forwards requests and buffers each answer until it is complete.
 
     A repeatable request is sent to a second target when the first is slow or fails. Any
     other request is sent to another target only if the first certainly did not run it.
+
+    :param usage: counts the requests that targets began; None counts nothing.
     """
 
     name = "forwarder"
@@ -64,8 +59,11 @@
         "target_client",
     )
 
-    def __init__(self, zone: str, rng: random.Random) -> None:
+    def __init__(
+        self, zone: str, rng: random.Random, usage: UsageCounter | None = None
+    ) -> None:
         super().__init__()
+        self.usage = usage
         self._zone = zone
         self._rng = rng
         self._policy = LeastLoaded(rng)
@@ -211,7 +209,9 @@
             seconds - mean
         )
 
-    async def send(self, target: Target, request: Request) -> Answer:
+    async def send(
+        self, target: Target, request: Request, usage: RequestUsage
+    ) -> Answer:
         """Send ``request`` to ``target`` once and record the result.
 
         :raises TargetLimitedError: the target's limit allows no request; none was sent.
@@ -221,7 +221,8 @@
         state.in_flight += 1
         started_at = clock.now()
         try:
-            answer = await self.kernel.get(TargetClient).send(target, request)
+            with usage.attempt():
+                answer = await self.kernel.get(TargetClient).send(target, request)
         except RefusedError as error:
             state.health.record_refusal()
             self.record_failed_attempt(request, target, started_at, error)
@@ -278,6 +279,7 @@
         self._route = route
         self._service = service
         self._request = request
+        self._usage = RequestUsage(forwarder.usage, request)
         self._tried: set[str] = set()
         self._unsent_count = 0
         self._running: set[asyncio.Task[Answer]] = set()
@@ -298,6 +300,7 @@
                 return self._error_answer
             raise self._final_error(deadline_passed=True) from None
         finally:
+            self._usage.close()
             for task in self._running:
                 task.add_done_callback(_discard_outcome)
                 task.cancel()
@@ -365,7 +368,7 @@
         if target is None:
             return
         self._tried.add(target.id)
-        attempt = self._forwarder.send(target, self._request)
+        attempt = self._forwarder.send(target, self._request, self._usage)
         self._running.add(asyncio.get_running_loop().create_task(attempt))
 
     def _final_error(self, deadline_passed: bool) -> CranberryrunError:
--- a/cranberryrun/requests/streams.py
+++ b/cranberryrun/requests/streams.py
@@ -27,6 +27,7 @@
 from ..fleet.rate_limits import TargetLimitedError
 from ..fleet.send_permits import SendPermits
 from ..kernel import Service
+from ..usage_counts.counter import RequestUsage
 from .crashes import Crashes
 from .forwarder import Forwarder
 from .stream_origins import StreamOrigins
@@ -106,12 +107,17 @@
         service = forwarder.choose_service(route)
         origin: Origin | None = None
         outcome, reason = "caller_gone", "cancelled"
+        # A stream that is taken up again was counted when it began.
+        resumed = bool(last_event or resumes)
+        usage = RequestUsage(None if resumed else forwarder.usage, request)
         try:
-            if last_event or resumes:
+            if resumed:
                 origin = await self._origin(route, service, resumes, request)
                 service = origin.service
             await self.kernel.get(Crashes).admit(request)
-            parts = self._attempts(route, service, request, last_event, origin, resumes)
+            parts = self._attempts(
+                route, service, request, last_event, origin, resumes, usage
+            )
             async for part in parts:
                 yield part
             outcome, reason = "answered", "whole"
@@ -121,6 +127,7 @@
             reason = error.detail
             raise
         finally:
+            usage.close()
             forwarder.record_outcome(
                 route, service, request, started_at, outcome, reason
             )
@@ -133,6 +140,7 @@
         last_event: int | None,
         origin: Origin | None,
         resumes: str | None,
+        usage: RequestUsage,
     ) -> AsyncIterator[Answer | StreamedEvent]:
         forwarder = self.kernel.get(Forwarder)
         permits = self.kernel.get(SendPermits)
@@ -163,6 +171,7 @@
                 parts = self._attempt(
                     target,
                     request,
+                    usage,
                     last_event,
                     lambda: self._max_silence(route, service, tried, origin),
                 )
@@ -170,6 +179,7 @@
                     if isinstance(part, StreamedEvent):
                         if not begun:
                             begun = True
+                            usage.begin()
                             self._emit("stream_begun", request, target)
                         if part.number is not None:
                             if last_event is not None and part.number <= last_event:
@@ -273,6 +283,7 @@
         self,
         target: Target,
         request: Request,
+        usage: RequestUsage,
         last_event: int | None,
         max_silence: Callable[[], float | None],
     ) -> AsyncIterator[Answer | StreamedEvent]:
@@ -284,20 +295,22 @@
         try:
             client = self.kernel.get(TargetClient)
             parts = client.stream(target, request, last_event)
-            async for part in _end_when_silent(parts, target, max_silence):
-                if isinstance(part, Answer) and last_event and part.status != 200:
-                    raise TargetFailedError(
-                        f"{target.id} answered the resumption with status {part.status}"
-                    )
-                # The head is held back until the first event, because until then
-                # another target may still answer instead.
-                if isinstance(part, Answer):
-                    head = part
-                    continue
-                if head is not None:
-                    yield head
-                    head = None
-                yield part
+            with usage.attempt(streamed=True):
+                async for part in _end_when_silent(parts, target, max_silence):
+                    if isinstance(part, Answer) and last_event and part.status != 200:
+                        raise TargetFailedError(
+                            f"{target.id} answered the resumption with status "
+                            f"{part.status}"
+                        )
+                    # The head is held back until the first event, because until then
+                    # another target may still answer instead.
+                    if isinstance(part, Answer):
+                        head = part
+                        continue
+                    if head is not None:
+                        yield head
+                        head = None
+                    yield part
             if head is not None:
                 yield head
         except CranberryrunError as error:
