Give up a lease acquired during its release; wait after a short term

A host that was released while its acquisition was under way held the lease on, and kept it until its process ended: release() found no lease to release, and the answer to the append was ignored, but the topic then named the host. It now releases what it acquired.

A process that was killed before it might order, and restarted within the TTL, ordered at once, as if its former process had waited for the holder before it. It now waits unless the renewals show that the former process held the lease for the whole delay.

--- a/cranberryrun/fleet/lease.py
+++ b/cranberryrun/fleet/lease.py
@@ -107,6 +107,9 @@
         self._holder: str | None = None
         self._holder_host: str | None = None
         self._fence = -1
+        self._renewal_count = 0
+        # The topic may still bring the record of an acquisition that was given up.
+        self._given_up_fence = -1
         self._last_record_at = float("-inf")
         self._renewed_at = float("-inf")
         self._orders_allowed_at = float("inf")
@@ -123,7 +126,9 @@
     @property
     def assigned(self) -> bool:
         """Whether the topic, as far as it was read, names this process as holder."""
-        return self._holder == self._own_holder_id
+        return (
+            self._holder == self._own_holder_id and self._fence > self._given_up_fence
+        )
 
     @property
     def holder_host(self) -> str | None:
@@ -179,6 +184,7 @@
         since_order = self._now() - self._previous_holder_order_at
         record = self._encode_record("released", min(since_order, 3600.0))
         self._set_holder(None, self._fence)
+        self._given_up_fence = self._fence
         await self.kernel.get(Store).append(TOPIC, [record])
 
     def _encode_record(
@@ -235,14 +241,18 @@
         if record.kind == "taken":
             self._last_record_at = self._now()
             self._holder_host = record.host
+            self._renewal_count = 0
             if record.holder == self._own_holder_id and offset != self._fence:
                 # The answer to the append was lost. The previous holder may have
                 # ordered until now.
+                if self._withdrawn:
+                    self._given_up_fence = offset
                 self._previous_holder_order_at = self._now()
                 self._orders_allowed_at = self._now() + self._order_handover_delay
             self._set_holder(record.holder, offset)
         elif record.fence == self._fence:
             self._last_record_at = self._now()
+            self._renewal_count += 1
             if record.kind == "released":
                 self._previous_holder_order_at = self._now() - record.since_order
                 self._set_holder(None, self._fence)
@@ -262,6 +272,10 @@
             # Where nobody held it yet, all hosts would ask at once for nothing.
             if self._next_offset and not await self.may_acquire():
                 return
+        own_process_ordered = (
+            self._fence == 0
+            or self._renewal_count * _RENEW_SECONDS >= self._order_handover_delay
+        )
         requested_at = self._now()
         record = self._encode_record("taken")
         try:
@@ -274,21 +288,29 @@
         except CranberryrunError:
             await asyncio.sleep(_RETRY_DELAY_SECONDS)
             return
-        if self._withdrawn:
-            return
         self._renewed_at = requested_at
         if offset == 0:
             self._previous_holder_order_at = float("-inf")
         elif not released:
             self._previous_holder_order_at = requested_at
         # Engines treat all orders of one host as those of one holder, so no delay is
-        # needed after an earlier process of this host.
+        # needed after an earlier process of this host that was allowed to order.
         self._orders_allowed_at = (
             requested_at
-            if held_by_own_host
+            if held_by_own_host and own_process_ordered
             else self._previous_holder_order_at + self._order_handover_delay
         )
         self._set_holder(self._own_holder_id, offset)
+        if self._withdrawn:
+            await self._release_late()
+
+    async def _release_late(self) -> None:
+        """Release a lease that was acquired while :meth:`release` was called."""
+        try:
+            await self.step_down()
+        except CranberryrunError:
+            # The other hosts wait until the lease expires.
+            return
 
     def _acquire_delay(self) -> float:
         age = self._now() - self._started_at
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -4,6 +4,7 @@
 import random
 
 from cranberryrun.events import Events
+from cranberryrun.exceptions import AppendUnknownError
 from cranberryrun.fleet.lease import TOPIC, Lease
 from cranberryrun.kernel import Kernel
 from fakes.deployment import shared
@@ -213,3 +214,41 @@
         await restarted.release()
         first_order_at = await self.time_of_first_order(second)
         self.assertGreaterEqual(first_order_at - ordered_at, ORDER_HANDOVER_SECONDS)
+
+    async def test_holder_restarted_before_it_might_order_waits_again(self):
+        """It took the orders of the holder before it for those of its own host."""
+        first = await self.start("host-1")
+        await asyncio.sleep(4.0)
+        second = await self.start("host-2")
+        await asyncio.sleep(1.0)
+        first.record_order()
+        ordered_at = self.now()
+        await self.kernel_by_name["host-1"].stop()
+        while not second.held:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.3)
+        await self.kernel_by_name["host-2"].stop()
+        restarted = await self.start("host-2", incarnation=2)
+        first_order_at = await self.time_of_first_order(restarted)
+        self.assertGreaterEqual(first_order_at - ordered_at, ORDER_HANDOVER_SECONDS)
+
+    async def test_lease_acquired_while_it_is_released_is_given_up(self):
+        """A stopping host whose acquisition was under way held the lease to its end."""
+        for milliseconds in range(0, 60, 2):
+            for lost_answers in (0, 1):
+                with self.subTest(milliseconds=milliseconds, lost=lost_answers):
+                    self.store.records_by_topic.clear()
+                    self.store.lost_answers = lost_answers
+                    first = await self.start("host-1")
+                    await asyncio.sleep(milliseconds / 1000)
+                    try:
+                        await first.release()
+                    except AppendUnknownError:
+                        pass
+                    self.store.lost_answers = 0
+                    second = await self.start("host-2")
+                    await asyncio.sleep(2.0)
+                    self.assertFalse(first.assigned)
+                    self.assertTrue(second.held)
+                    for kernel in self.kernel_by_name.values():
+                        await kernel.stop()
