Call the platform's API over HTTP for the duties that the settings name

A stopping host writes its usage counts before the process exits. A host whose settings name no duty has none of the new services.

--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -17,6 +17,8 @@
 from ..batches.results import ResultWriter
 from ..batches.runner import Runner
 from ..batches.service import Batches
+from ..duties.duty import Duty
+from ..duties.service import Duties
 from ..events import Events
 from ..exceptions import CranberryrunError, SettingsError
 from ..fleet.directory import Directory
@@ -35,6 +37,11 @@
 from ..requests.stream_origins import StreamOrigins
 from ..requests.streams import Streams
 from ..rewards.caller import RewardCaller
+from ..usage_counts.counter import UsageCounter
+from ..usage_counts.report_duty import ReportDuty
+from ..usage_counts.service import UsageCounts
+from ..usage_counts.totals import UsageTotals
+from .duty_client import HttpDutyClient
 from .frontend import Frontend
 from .neighbour_server import NeighbourServer
 from .permit_calls import HttpPermitClient
@@ -89,6 +96,7 @@
         settings = self._settings
         bounds = settings.bounds
         unknown_names = UnknownNames()
+        usage = UsageCounter(bounds.usage_window_s) if self._has_duty("usage") else None
         return [
             Events(settings.host_id, incarnation, _EVENT_RING_SIZE),
             Metrics(settings.host_id),
@@ -128,13 +136,42 @@
             Handover(),
             Batches(),
             Crashes(),
-            Forwarder(settings.zone, rng),
+            Forwarder(settings.zone, rng, usage),
             StreamOrigins(),
             Streams(),
             RewardCaller(),
             Neighbours(HOST_TOPIC, self._own_entry(), rng),
             NeighbourServer(settings),
             Frontend(settings),
+            *self._create_duty_services(incarnation, usage),
+        ]
+
+    def _has_duty(self, name: str) -> bool:
+        api = self._settings.platform_api
+        return api is not None and name in api.duties
+
+    def _create_duty_services(
+        self, incarnation: int, usage: UsageCounter | None
+    ) -> list[Service]:
+        """Create the services of the duties that the settings name, if any."""
+        settings = self._settings
+        bounds = settings.bounds
+        duties: list[Duty] = []
+        services: list[Service] = []
+        if usage is not None:
+            totals = UsageTotals()
+            services.append(UsageCounts(settings.host_id, incarnation, usage, totals))
+            duties.append(
+                ReportDuty(
+                    totals, bounds.usage_window_s, bounds.usage_late_s, clock.wall()
+                )
+            )
+        if settings.platform_api is None or not duties:
+            return []
+        api = settings.platform_api
+        return services + [
+            HttpDutyClient(api.address),
+            Duties(settings.host_id, tuple(duties), api.calls_per_s),
         ]
 
     def _own_entry(self) -> Neighbour:
@@ -179,6 +216,8 @@
                 )
                 break
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
+        if self._has_duty("usage"):
+            await self.kernel.get(UsageCounts).finish(deadline)
         self.kernel.get(Events).emit("host_stopped")
         await self.kernel.stop()
 
--- a/cranberryrun/platform/header_names.py
+++ b/cranberryrun/platform/header_names.py
@@ -29,6 +29,9 @@
 RESUMES = "Resumes"
 # The requests a second that the target takes from all hosts together, while it says so.
 LIMIT = "Server-Limit"
+# The host that makes a call to the platform's API, and the fencing token of its lease.
+DUTY_HOLDER = "X-Cranberryrun-Duty-Holder"
+FENCING_TOKEN = "X-Cranberryrun-Fencing-Token"
 
 _STANDARD = {
     "accept",
