Test that a repeated append of usage counts counts once

The lost answers of the test went to the renewals of the lease, so no append of counts was ever repeated. tests.test_usage_reports passes: 17 tests; without the check of sequence numbers this one fails.

--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -8,13 +8,19 @@
 from cranberryrun.duties.client import DutyUnknownError
 from cranberryrun.duties.service import Duties
 from cranberryrun.events import Events
+from cranberryrun.exceptions import AppendUnknownError
 from cranberryrun.fleet.lease import Lease
 from cranberryrun.kernel import Kernel
 from cranberryrun.metrics import Metrics
 from cranberryrun.usage_counts.counter import UsageCounter
 from cranberryrun.usage_counts.report_duty import ReportDuty
 from cranberryrun.usage_counts.service import UsageCounts
-from cranberryrun.usage_counts.totals import TOPIC, UsageTotals
+from cranberryrun.usage_counts.totals import (
+    TOPIC,
+    UsageRecord,
+    UsageTotals,
+    encode,
+)
 from fakes.deployment import shared
 from fakes.duties import FakeApi, FakeDutyClient
 from fakes.loop import start_task, virtual_wall_time
@@ -147,13 +153,36 @@
 
     async def test_repeated_append_counts_once(self):
         """The store has the counts, but its answer to the append was lost."""
+        append = self.store.append
+        appended = []
+
+        async def lose_answers(topic, records, at=None):
+            offset = await append(topic, records, at)
+            if topic == TOPIC:
+                appended.extend(records)
+                if len(appended) % 3:
+                    raise AppendUnknownError("the answer was lost")
+            return offset
+
+        self.store.append = lose_answers
         await self.start_hosts()
-        self.store.lost_answers = 12
         await self.count_for(9.0)
-        self.store.lost_answers = 0
         await asyncio.sleep(10.0)
+        self.assertGreater(len(appended), len(set(appended)))
         self.assert_reported(windows=range(2))
 
+    async def test_first_report_is_of_the_oldest_window_with_counts(self):
+        """Other hosts may have served requests before the holder started."""
+        totals = UsageTotals()
+        record = UsageRecord("host-1", 1, 1, FIRST_WINDOW - 2, {"w": 1})
+        totals.apply(encode(record))
+        duty = ReportDuty(totals, WINDOW_SECONDS, LATE_SECONDS, clock.wall())
+        totals.record_read(clock.wall())
+        totals.record_read(clock.wall() + 1.4)
+        call = duty.next_call(clock.wall() + 1.4)
+        self.assertEqual(call.number, FIRST_WINDOW - 2)
+        self.assertEqual(call.content, {"counts": {"w": 1}})
+
     async def kill_holder_after(self, seconds):
         """Kill the holder; the reports of all windows have to come in time and exact.
 
