--- a/cranberryrun/duties/service.py
+++ b/cranberryrun/duties/service.py
@@ -28,6 +28,8 @@
 # leaves time for several attempts before a report is late.
 _CALL_TIMEOUT_SECONDS = 1.0
 _CALL_RETRY_SECONDS = 0.3
+# An API that throttles states its limit for a second; a report has only six.
+_MAX_CALL_RETRY_SECONDS = 2.0
 _STORE_RETRY_SECONDS = 0.3
 # Delay before a duty whose code failed is asked again.
 _FAILED_DUTY_SECONDS = 5.0
@@ -241,7 +243,7 @@
     def _retry(
         self, call: DutyCall, outcome: str, error: Exception, delay: float = 0.0
     ) -> None:
-        delay = max(delay, _CALL_RETRY_SECONDS)
+        delay = min(max(delay, _CALL_RETRY_SECONDS), _MAX_CALL_RETRY_SECONDS)
         self._ledger.retry(call, clock.now() + delay)
         self._log(call, outcome, "duty_unanswered", reason=repr(error))
 
--- a/cranberryrun/platform/duty_client.py
+++ b/cranberryrun/platform/duty_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import socket
 from types import SimpleNamespace
 from typing import Any
@@ -150,9 +151,10 @@
 
 def _retry_after(response: aiohttp.ClientResponse) -> float:
     try:
-        return float(response.headers.get("Retry-After", _THROTTLED_SECONDS))
+        seconds = float(response.headers.get("Retry-After", _THROTTLED_SECONDS))
     except ValueError:
         return _THROTTLED_SECONDS
+    return seconds if math.isfinite(seconds) else _THROTTLED_SECONDS
 
 
 def _reported_token(response: aiohttp.ClientResponse, body: bytes) -> int:
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -141,12 +141,14 @@
 
     async def test_throttled_call_is_made_again_after_the_named_time(self):
         self.api.errors.append(DutyThrottledError("429", retry_after=1.5))
+        self.api.errors.append(DutyThrottledError("429", retry_after=3600.0))
         self.api.errors.append(DutyUnsentError("refused"))
         duty = await self.start("host-1", wanted=1)
         await self.until(lambda: duty.answers)
-        first, second, third = self.api.calls
+        first, second, third, fourth = self.api.calls
         self.assertGreaterEqual(second.time - first.time, 1.5)
-        self.assertGreaterEqual(third.time - second.time, 0.3)
+        self.assertLess(third.time - second.time, 2.2)
+        self.assertGreaterEqual(fourth.time - third.time, 0.3)
         self.assertEqual(duty.answers, [(1, True)])
 
     async def test_refused_call_is_not_made_again_by_any_holder(self):
