--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -278,6 +278,26 @@
         }
         return json.dumps(row | fields)
 
+    def test_calls_to_the_platforms_api_are_listed_over_a_takeover(self):
+        call = {"duty": "usage", "subject": "windows", "call": 7}
+        lines = [
+            self.event_line(1, "duty_recorded", **call),
+            self.event_line(2, "duty_unanswered", reason="TimeoutError()", **call),
+            self.event_line(3, "duty_accepted", **call | {"host": "h2"}),
+            self.event_line(4, "duty_recorded", **call | {"call": 8}),
+            self.event_line(5, "duty_skipped", duty="usage", calls=3, reason="old"),
+        ]
+        output = self.run_command("duties", lines="\n".join(lines)).splitlines()
+        self.assertEqual(
+            [line.split() for line in output[1:]],
+            [
+                "usage windows 7 accepted 1 00:16:41.000 00:16:43.000 h1, h2".split(),
+                "usage windows 8 recorded 0 00:16:44.000 - h1".split(),
+            ],
+        )
+        result = self.runner.invoke(main, ["duties"])
+        self.assertEqual(result.exit_code, 2)
+
     def batch_lines(self):
         return "\n".join(
             [
