--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -156,6 +156,19 @@
         ("reason",),
         "Calls rejected by their key: missing, unknown, revoked or other_workspace.",
     ),
+    "duty_calls": MetricKind(
+        "cranberryrun_duty_calls",
+        "counter",
+        ("duty", "outcome"),
+        "Calls to the platform's API by outcome: accepted, late (accepted, but after "
+        "it was due), refused, throttled, unsent, unanswered, fenced or skipped.",
+    ),
+    "usage_counted": MetricKind(
+        "cranberryrun_usage_counted",
+        "counter",
+        (),
+        "Requests of workspaces that this host counted for usage reports.",
+    ),
     "queue": MetricKind(
         "cranberryrun_queue",
         "gauge",
@@ -282,6 +295,15 @@
         """Count a call that was rejected because of its key."""
         self._add("rejected_keys", reason=reason)
 
+    def duty_call(self, duty: str, outcome: str, count: int = 1) -> None:
+        """Count calls of a duty to the platform's API by outcome."""
+        labels = {"duty": duty, "outcome": outcome}
+        self._counter_by_key["duty_calls"].add(count, labels)
+
+    def usage_counted(self, requests: int) -> None:
+        """Count requests that are reported as usage."""
+        self._counter_by_key["usage_counted"].add(requests)
+
     def register_gauge(
         self, key: str, read: Callable[[], float | Mapping[str, float]]
     ) -> None:
--- a/cranberryrun/platform/header_names.py
+++ b/cranberryrun/platform/header_names.py
@@ -35,6 +35,9 @@
 WORKSPACE = "X-Cranberryrun-Tenant"
 # Headers of callers that nothing behind the frontend may see, in lower case.
 CALLERS_OWN = frozenset({KEY.lower(), WORKSPACE.lower()})
+# The host that makes a call to the platform's API, and the fencing token of its lease.
+DUTY_HOLDER = "X-Cranberryrun-Duty-Holder"
+FENCING_TOKEN = "X-Cranberryrun-Fencing-Token"
 
 _STANDARD = {
     "accept",
