Hedge requests under a budget that all hosts share

Cause: each host hedged after three times its own mean response time. With a request every 7 to 15 s a host has no meaningful mean, and nothing limited the extra runs, least of all when every target was slow.

Change: with second_attempts.max_extra_share above 0, hosts report counts and response times to the lease holder, which merges them, computes the delay after which a second attempt saves the most time, and grants permits while extra runs stay under the share. Unset, hedging and its cost are as before: no calls between hosts. With 0 there is no hedging. The attempts at a request move from forwarder.py to attempts.py; the page generator accepts sets as defaults, which the setting "contracts" needs.

--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -132,6 +132,13 @@
         ("service",),
         "Attempts at requests that a target's limit did not allow.",
     ),
+    "second_attempts": MetricKind(
+        "cranberryrun_second_attempts",
+        "counter",
+        ("service", "outcome"),
+        "Second attempts by outcome: won, lost, or why none was sent: no_budget, "
+        "slow, full, unknown or no_holder.",
+    ),
     "relayed_calls": MetricKind(
         "cranberryrun_relayed_calls",
         "counter",
@@ -254,6 +261,10 @@
         """Count an attempt that a target's limit did not allow."""
         self._add("limited", service=service)
 
+    def second_attempt(self, service: str, outcome: str) -> None:
+        """Count a second attempt by its outcome, or by why there was none."""
+        self._add("second_attempts", service=service, outcome=outcome)
+
     def relayed_call(self) -> None:
         """Count a call to a target that a neighbour passed on."""
         self._add("relayed_calls")
--- a/cranberryrun/pages.py
+++ b/cranberryrun/pages.py
@@ -13,7 +13,12 @@
 
 from .catalogue import EVENT_BY_NAME
 from .models import EngineSpec, ServiceSpec, ServiceTarget, WorkloadSpec
-from .platform.settings import BoundSettings, HostSettings, StoreSettings
+from .platform.settings import (
+    BoundSettings,
+    HostSettings,
+    SecondAttemptSettings,
+    StoreSettings,
+)
 from .settings import (
     LimitSettings,
     LogSettings,
@@ -81,6 +86,7 @@
     ("Host", "", HostSettings),
     ("store", "", StoreSettings),
     ("bounds", "", BoundSettings),
+    ("second_attempts", "", SecondAttemptSettings),
 )
 _SIGN_BY_CONSTRAINT = {"ge": "≥", "gt": ">", "le": "≤", "lt": "<"}
 
@@ -126,6 +132,8 @@
 def _default_text(value: Any) -> str:
     if isinstance(value, BaseModel):
         return "see below"
+    if isinstance(value, frozenset):
+        value = sorted(value)
     return f"`{json.dumps(value)}`"
 
 
@@ -135,16 +143,19 @@
         return _type_text(get_args(annotation)[0])
     if origin is Literal:
         return " or ".join(f"`{value}`" for value in get_args(annotation))
-    if origin is list:
+    if origin in (list, tuple, frozenset):
         return f"list of {_type_text(get_args(annotation)[0])}"
     if origin in (Union, UnionType):
         kinds = [kind for kind in get_args(annotation) if kind is not type(None)]
         return " or ".join(_type_text(kind) for kind in kinds)
     if isinstance(annotation, type) and issubclass(annotation, BaseModel):
         return "object"
-    return {"str": "text", "int": "whole number", "float": "number"}.get(
-        annotation.__name__, annotation.__name__
-    )
+    return {
+        "str": "text",
+        "int": "whole number",
+        "float": "number",
+        "bool": "true or false",
+    }.get(annotation.__name__, annotation.__name__)
 
 
 def _constraint_texts(field: FieldInfo) -> list[str]:
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -35,7 +35,9 @@
 from ..requests.stream_origins import StreamOrigins
 from ..requests.streams import Streams
 from ..rewards.caller import RewardCaller
+from ..second_attempts.service import SecondAttempts
 from .frontend import Frontend
+from .hedge_calls import HttpHedgeClient
 from .neighbour_server import NeighbourServer
 from .permit_calls import HttpPermitClient
 from .reach_calls import HttpReachClient
@@ -128,6 +130,8 @@
             Handover(),
             Batches(),
             Crashes(),
+            HttpHedgeClient(),
+            SecondAttempts(settings.host_id, settings.second_attempts.max_extra_share),
             Forwarder(settings.zone, rng),
             StreamOrigins(),
             Streams(),
--- a/cranberryrun/platform/neighbour_server.py
+++ b/cranberryrun/platform/neighbour_server.py
@@ -9,6 +9,8 @@
 from ..fleet.store_paths import StorePaths
 from ..fleet.target_paths import TargetPaths
 from ..kernel import Service
+from ..second_attempts.service import SecondAttempts
+from .hedge_calls import HEDGE_QUERY, serve_report
 from .http_server import listen
 from .permit_calls import PERMITS_PATH, serve_permits
 from .reach_calls import REACH_PATH, serve_reach
@@ -32,6 +34,7 @@
         "directory",
         "store",
         "store_paths",
+        "second_attempts",
         "send_permits",
         "target_paths",
     )
@@ -55,6 +58,8 @@
         await super().stop()
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == PERMITS_PATH and HEDGE_QUERY in request.query:
+            return await serve_report(self.kernel.get(SecondAttempts), request)
         if request.path == PERMITS_PATH:
             return await serve_permits(self.kernel.get(SendPermits), request)
         if request.path == REACH_PATH:
--- a/cranberryrun/platform/settings.py
+++ b/cranberryrun/platform/settings.py
@@ -68,8 +68,9 @@
         ge=0,
         le=1,
         description=(
-            "Extra runs as a share of all runs, over all hosts together. Without it "
-            "plain requests get a second attempt after three mean answer times."
+            "Extra runs as a share of all runs, over all hosts together; 0: none. "
+            "Without it plain requests get a second attempt after three mean answer "
+            "times, without a limit."
         ),
     )
 
--- a/cranberryrun/requests/forwarder.py
+++ b/cranberryrun/requests/forwarder.py
@@ -1,4 +1,4 @@
-"""Forwards callers' requests to targets, with retries and hedged requests."""
+"""Forwards callers' requests to targets and records how they ended."""
 
 from __future__ import annotations
 
@@ -9,13 +9,9 @@
 from ..events import Events
 from ..exceptions import (
     CranberryrunError,
-    DeadlineError,
     NoTargetError,
-    OutcomeUnknownError,
     RefusedError,
     TargetFailedError,
-    TargetTimeoutError,
-    TargetUnreachableError,
 )
 from ..fleet.client import Answer, Request, TargetClient
 from ..fleet.directory import Directory, Target
@@ -27,6 +23,9 @@
 from ..kernel import Service
 from ..metrics import Metrics
 from ..routing import Candidate, LeastLoaded, RoutingHints
+from ..second_attempts.policy import SecondTarget, second_targets
+from ..second_attempts.service import SecondAttempts
+from .attempts import RETRY_AFTER_SECONDS, SERVER_ERROR_STATUS, Attempts
 from .crashes import Crashes
 
 # A hedged request is sent when an answer takes this many times the mean.
@@ -34,9 +33,6 @@
 _MIN_HEDGE_DELAY_SECONDS = 0.06
 _NEWEST_ANSWER_WEIGHT = 0.1
 _INITIAL_MEAN_SECONDS = 0.05
-_RETRY_AFTER_SECONDS = 0.2
-# Statuses from here on say that the target failed, not that the request is malformed.
-_SERVER_ERROR_STATUS = 500
 
 
 class TargetState:
@@ -61,6 +57,7 @@
         "directory",
         "send_permits",
         "crashes",
+        "second_attempts",
         "target_client",
     )
 
@@ -72,6 +69,10 @@
         self._state_by_target: dict[str, TargetState] = {}
         self._mean_seconds_by_service: dict[str, float] = {}
 
+    async def start(self) -> None:
+        """Let the budget of second attempts see the calls that are in flight."""
+        self.kernel.get(SecondAttempts).in_flight_at = self.in_flight_at
+
     async def forward(self, route: Route, request: Request) -> Answer:
         """Return the complete answer of a target.
 
@@ -82,7 +83,9 @@
         service = self.choose_service(route)
         try:
             await self.kernel.get(Crashes).admit(request)
-            answer = await _Attempts(self, route, service, request).answer()
+            if route.kind.repeatable:
+                self.kernel.get(SecondAttempts).begin(service)
+            answer = await Attempts(self, route, service, request).answer()
         except CranberryrunError as error:
             outcome = "refused" if isinstance(error, RefusedError) else "unknown"
             self.record_outcome(
@@ -111,6 +114,8 @@
         """Count and log the outcome of a request."""
         seconds = clock.now() - started_at
         self.kernel.get(Metrics).request(service, outcome, seconds)
+        if outcome != "refused":
+            self.kernel.get(SecondAttempts).record_run(service)
         event_name = {
             "answered": "request_answered",
             "refused": "request_refused",
@@ -169,6 +174,44 @@
         chosen = self._policy.choose(candidates, RoutingHints(self._zone))
         return targets[chosen.id] if chosen is not None else None
 
+    def choose_second_target(self, service: str, first: Target) -> Target | None:
+        """Return the target for an attempt beside ``first``; None if all are full.
+
+        Unlike for a first attempt, a target in cooldown or without a free slot is never
+        chosen.
+        """
+        permits = self.kernel.get(SendPermits)
+        targets = {
+            target.id: target
+            for target in self.kernel.get(Directory).targets_of(service)
+            if target.id != first.id and not permits.exhausted(target.id)
+        }
+        candidates = [
+            Candidate(
+                id=second.id,
+                zone=second.zone,
+                slots=second.slots,
+                in_flight=second.in_flight,
+            )
+            for second in second_targets(
+                [self.second_target(target) for target in targets.values()], first.zone
+            )
+        ]
+        chosen = self._policy.choose(candidates, RoutingHints(self._zone))
+        return targets[chosen.id] if chosen is not None else None
+
+    def second_target(self, target: Target) -> SecondTarget:
+        """Return what this host knows of a target that may get a second attempt."""
+        state = self.state_of(target.id)
+        health = state.health
+        return SecondTarget(
+            id=target.id,
+            zone=target.zone,
+            slots=target.slots,
+            in_flight=state.in_flight,
+            usable=health.usable() and not health.probing() and not health.refusals,
+        )
+
     def no_target_error(self, service: str) -> NoTargetError:
         """Return the error of a request for which no target is left."""
         permits = self.kernel.get(SendPermits)
@@ -179,18 +222,22 @@
         if not waits or min(waits) <= 0:
             return NoTargetError(
                 f"service {service} has no target that accepts requests",
-                retry_after=_RETRY_AFTER_SECONDS,
+                retry_after=RETRY_AFTER_SECONDS,
             )
         return TargetLimitedError(
             f"the targets of service {service} take no more requests for now, as they "
             "named limits",
-            retry_after=max(_RETRY_AFTER_SECONDS, min(waits)),
+            retry_after=max(RETRY_AFTER_SECONDS, min(waits)),
         )
 
     def state_of(self, target_id: str) -> TargetState:
         """Return the state of a target; a new one at its first use."""
         return self._state_by_target.setdefault(target_id, TargetState())
 
+    def in_flight_at(self, target_id: str) -> int:
+        """Return how many calls of this host a target runs now."""
+        return self.state_of(target_id).in_flight
+
     def may_hedge(self, request: Request) -> bool:
         """Return whether a second target may run the request beside the first."""
         return self.kernel.get(Crashes).may_hedge(request)
@@ -229,15 +276,17 @@
             raise
         except TargetFailedError as error:
             state.health.record_failure()
+            self._record_time(target, started_at, complete=False)
             self.record_failed_attempt(request, target, started_at, error)
             await self.kernel.get(Crashes).examine(target, request, error)
             raise
         except asyncio.CancelledError:
             self.kernel.get(Crashes).suspect(target, request)
+            self._record_time(target, started_at, complete=False)
             raise
         finally:
             state.in_flight -= 1
-        if answer.status >= _SERVER_ERROR_STATUS:
+        if answer.status >= SERVER_ERROR_STATUS:
             state.health.record_failure()
             reason = TargetFailedError(
                 f"target {target.id} answered with status {answer.status}"
@@ -247,8 +296,13 @@
         state.health.record_answer()
         self.kernel.get(Crashes).record_answer(request)
         self.record_answer_time(target.service, clock.now() - started_at)
+        self._record_time(target, started_at, complete=True)
         return answer
 
+    def _record_time(self, target: Target, started_at: float, complete: bool) -> None:
+        seconds = clock.now() - started_at
+        self.kernel.get(SecondAttempts).record_time(target.service, seconds, complete)
+
     def record_failed_attempt(
         self,
         request: Request,
@@ -266,130 +320,3 @@
             seconds=round(clock.now() - started_at, 4),
             reason=error.detail,
         )
-
-
-class _Attempts:
-    """The attempts at one request, each of which sends it to another target."""
-
-    def __init__(
-        self, forwarder: Forwarder, route: Route, service: str, request: Request
-    ) -> None:
-        self._forwarder = forwarder
-        self._route = route
-        self._service = service
-        self._request = request
-        self._tried: set[str] = set()
-        self._unsent_count = 0
-        self._running: set[asyncio.Task[Answer]] = set()
-        self._error_to_raise: CranberryrunError | None = None
-        self._error_answer: Answer | None = None
-
-    async def answer(self) -> Answer:
-        """Return the first complete answer; attempts that still run are cancelled.
-
-        For a repeatable request an answer with a server error is returned only if no
-        other target gives a better answer.
-        """
-        try:
-            async with asyncio.timeout_at(self._request.deadline):
-                return await self._first_answer()
-        except TimeoutError:
-            if self._error_answer is not None:
-                return self._error_answer
-            raise self._final_error(deadline_passed=True) from None
-        finally:
-            for task in self._running:
-                task.add_done_callback(_discard_outcome)
-                task.cancel()
-
-    async def _first_answer(self) -> Answer:
-        self._start_attempt()
-        while self._running:
-            may_hedge = (
-                self._route.kind.repeatable
-                and self._forwarder.may_hedge(self._request)
-                and self._may_start_attempt()
-            )
-            hedge_delay = (
-                self._forwarder.hedge_delay(self._service) if may_hedge else None
-            )
-            done, self._running = await asyncio.wait(
-                self._running, timeout=hedge_delay, return_when=asyncio.FIRST_COMPLETED
-            )
-            if not done:
-                self._start_attempt()
-                continue
-            for task in done:
-                if task.exception() is None and not self._should_retry(task.result()):
-                    return task.result()
-            for task in done:
-                self._handle_failure(task)
-        if self._error_answer is not None:
-            return self._error_answer
-        raise self._final_error(deadline_passed=False)
-
-    def _should_retry(self, answer: Answer) -> bool:
-        """Return whether another target may give a better answer than ``answer``."""
-        return answer.status >= _SERVER_ERROR_STATUS and self._route.kind.repeatable
-
-    def _handle_failure(self, task: asyncio.Task[Answer]) -> None:
-        error = task.exception()
-        if error is None:
-            self._error_answer = task.result()
-        elif isinstance(error, CranberryrunError):
-            may_have_run = isinstance(error, OutcomeUnknownError)
-            if self._error_to_raise is None or may_have_run:
-                self._error_to_raise = error
-            if isinstance(error, (TargetLimitedError, TargetUnreachableError)):
-                # Nothing was sent, so another target may still be tried instead.
-                self._unsent_count += 1
-            # Another attempt could run the request a second time.
-            if may_have_run and not self._may_run_again():
-                return
-        else:
-            raise error
-        if not self._running and self._may_start_attempt():
-            self._start_attempt()
-
-    def _may_run_again(self) -> bool:
-        return self._route.kind.repeatable and self._forwarder.may_repeat(self._request)
-
-    def _may_start_attempt(self) -> bool:
-        sent_count = len(self._tried) - self._unsent_count
-        if sent_count >= max(1, self._route.max_attempts):
-            return False
-        return self._forwarder.choose_target(self._service, self._tried) is not None
-
-    def _start_attempt(self) -> None:
-        target = self._forwarder.choose_target(self._service, self._tried)
-        if target is None:
-            return
-        self._tried.add(target.id)
-        attempt = self._forwarder.send(target, self._request)
-        self._running.add(asyncio.get_running_loop().create_task(attempt))
-
-    def _final_error(self, deadline_passed: bool) -> CranberryrunError:
-        if deadline_passed and self._tried:
-            return TargetTimeoutError("no target answered before the deadline")
-        if deadline_passed:
-            return DeadlineError(
-                "the deadline passed before the request was sent to a target",
-                retry_after=0,
-            )
-        if self._error_to_raise is None or isinstance(
-            self._error_to_raise, TargetLimitedError
-        ):
-            return self._forwarder.no_target_error(self._service)
-        if isinstance(self._error_to_raise, RefusedError):
-            self._error_to_raise.retry_after = _RETRY_AFTER_SECONDS
-        return self._error_to_raise
-
-
-def _discard_outcome(task: asyncio.Task[Answer]) -> None:
-    """Retrieve the exception of an abandoned attempt.
-
-    Otherwise asyncio would warn that the exception was never retrieved. The attempt
-    has already logged its failure.
-    """
-    if not task.cancelled():
-        task.exception()
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -31,6 +31,8 @@
 from cranberryrun.requests.streams import Streams
 from cranberryrun.rewards.caller import RewardCaller
 from cranberryrun.rewards.models import RewardCall
+from cranberryrun.second_attempts.client import HedgeAnswer, HedgeClient, HedgeReport
+from cranberryrun.second_attempts.service import SecondAttempts
 
 from .engines import FakeEngine, FakeTargets
 from .store import MemoryStore
@@ -199,6 +201,23 @@
         return len(self._deployment.kernel_by_host)
 
 
+class FakeHedgeClient(HedgeClient):
+    """Reports to the other hosts of a deployment, in this process."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        super().__init__()
+        self._deployment = deployment
+
+    async def report(self, host: str, report: HedgeReport) -> HedgeAnswer:
+        """See :meth:`HedgeClient.report`; a host that was cut off does not answer."""
+        self._deployment.hedge_reports.append(report)
+        await asyncio.sleep(0.002)
+        kernel = self._deployment.kernel_by_host.get(host)
+        if kernel is None or host in self._deployment.unreachable_hosts:
+            raise PeerError(f"host {host} does not answer")
+        return kernel.get(SecondAttempts).serve(report)
+
+
 class Deployment:
     """A store and engines, and the hosts that share them."""
 
@@ -210,6 +229,8 @@
         self.kernel_by_host: dict[str, Kernel] = {}
         self.unreachable_hosts: set[str] = set()
         self.events: list[Event] = []
+        self.max_extra_share: float | None = None
+        self.hedge_reports: list[HedgeReport] = []
         self._sequence = 0
 
     def add_engine(self, engine_id: str, **state: Any) -> FakeEngine:
@@ -285,6 +306,8 @@
             ResultWriter(),
             Metrics(name),
             Crashes(),
+            FakeHedgeClient(self),
+            SecondAttempts(name, self.max_extra_share),
             Forwarder("a", random.Random(1)),
             StreamOrigins(),
             Streams(),
