Test the forwarder's restrictions for hedged requests

A hedge beside a suspected request, or at a target with a used-up limit, would break what the forwarder promises; the budget is filled so that it is not what prevents the hedge. 13 tests of test_hedged_requests pass.

--- a/tests/test_hedged_requests.py
+++ b/tests/test_hedged_requests.py
@@ -9,6 +9,9 @@
 from cranberryrun.fleet.directory import Directory
 from cranberryrun.fleet.lease import Lease
 from cranberryrun.fleet.manifest import Backend, RouteKind
+from cranberryrun.fleet.send_permits import SendPermits
+from cranberryrun.requests.crashes import Crashes
+from cranberryrun.requests.fingerprint import fingerprint_of
 from cranberryrun.requests.forwarder import Forwarder
 from cranberryrun.second_attempts.client import PermitAsk
 from cranberryrun.second_attempts.service import SecondAttempts
@@ -119,6 +122,9 @@
 class HedgedRequestsTest(HedgingTestCase):
     """Hosts share a budget that the holder of the lease keeps."""
 
+    def fill_budget(self):
+        self.holder().get(SecondAttempts)._budget.record_runs(1000, clock.now())
+
     async def test_one_slow_target_costs_less_and_extra_runs_keep_the_share(self):
         self.slow_target()
         await self.play(20.0)
@@ -207,7 +213,7 @@
         await self.play(20.0)
         host = next(each for each in self.hosts if not each.get(Lease).assigned)
         second_attempts = host.get(SecondAttempts)
-        self.holder().get(SecondAttempts)._budget.record_runs(100, clock.now())
+        self.fill_budget()
         ask = PermitAsk(service="models", slow_target="t0", target="t1")
         self.assertIsNone(await second_attempts.acquire(ask))
         second_attempts.give_back()
@@ -222,6 +228,7 @@
     async def test_requests_that_may_run_once_or_have_one_attempt_are_not_hedged(self):
         self.slow_target()
         await self.play(20.0)
+        self.fill_budget()
         before = self.extra_runs
         for changes in ({"kind": RouteKind.UNSAFE}, {"max_attempts": 1}):
             route = replace(self.route, **changes)
@@ -232,6 +239,7 @@
     async def test_targets_in_cooldown_or_with_a_refusal_get_no_hedge(self):
         self.slow_target()
         await self.play(20.0)
+        self.fill_budget()
         before = self.extra_runs
         for host in self.hosts:
             state_of = host.get(Forwarder).state_of
@@ -243,6 +251,27 @@
         reasons = [each.fields["reason"] for each in self.events("hedge_refused")]
         self.assertEqual(reasons[-2:], ["full", "full"])
 
+    async def test_suspected_requests_and_limited_targets_are_not_hedged(self):
+        self.slow_target()
+        await self.play(20.0)
+        holder = self.holder()
+        slow = f"t{self.hosts.index(holder) % 3}"
+        self.slow_target(slow)
+        self.fill_budget()
+        before = self.extra_runs
+        request = Request("x", "GET", "/x", (), b"", clock.now() + 2.0)
+        records = holder.get(Crashes)._records
+        records.record_crash(fingerprint_of(request), "t9:1", clock.now())
+        await self.request(holder)
+        records.clear(fingerprint_of(request))
+        for target in {"t0", "t1", "t2"} - {slow}:
+            holder.get(SendPermits).record_answer(target, 0.0, clock.now(), True)
+            while not holder.get(SendPermits).exhausted(target):
+                holder.get(SendPermits).take(target)
+        await self.request(holder)
+        self.assertEqual(self.extra_runs, before)
+        self.assertEqual([target for target, _ in self.targets.sent[-2:]], [slow] * 2)
+
 
 class UnlimitedTest(HedgingTestCase):
     """Without the setting hosts hedge after a fixed delay and call no other host."""
