Explain where a request or a run would go, without sending it

Cause: operators could see where a request went, but not where one would go now or why a target is passed over.

Change: hosts serve /explain beside /metrics, and cranberryctl route shows it. It runs the forwarder's choice and the planning of runs on a copy of the random state, so it changes no later choice, takes no permit, claims no trial and contacts no target. The search for a route moves from the frontend to requests/routes.py, so that both refuse alike.

--- a/cranberryrun/ctl.py
+++ b/cranberryrun/ctl.py
@@ -5,7 +5,7 @@
 import click
 from click.shell_completion import get_completion_class
 
-from . import ctl_fleet, ctl_resources
+from . import ctl_fleet, ctl_resources, ctl_route
 from .ctl_control import Control
 
 _PROGRAM = "cranberryctl"
@@ -60,7 +60,11 @@
     click.echo(completion_class(main, {}, _PROGRAM, "_CRANBERRYCTL_COMPLETE").source())
 
 
-for _command in (*ctl_resources.COMMANDS, *ctl_fleet.COMMANDS):
+for _command in (
+    *ctl_resources.COMMANDS,
+    *ctl_fleet.COMMANDS,
+    *ctl_route.COMMANDS,
+):
     main.add_command(_command)
 
 
--- a/cranberryrun/fleet/directory.py
+++ b/cranberryrun/fleet/directory.py
@@ -87,20 +87,20 @@
     """
 
     def __init__(self) -> None:
-        self._last_success_at = clock.now()
+        self.last_success_at = clock.now()
         self.in_outage = False
         self.ended_at = float("-inf")
 
     def record_failure(self) -> bool:
         """Record a failed read; return whether it starts an outage."""
-        if self.in_outage or clock.now() - self._last_success_at < _OUTAGE_SECONDS:
+        if self.in_outage or clock.now() - self.last_success_at < _OUTAGE_SECONDS:
             return False
         self.in_outage = True
         return True
 
     def record_success(self) -> bool:
         """Record a successful read; return whether it ends an outage."""
-        self._last_success_at = clock.now()
+        self.last_success_at = clock.now()
         if not self.in_outage:
             return False
         self.in_outage = False
@@ -171,6 +171,15 @@
             if target.service == service and not target.draining
         ]
 
+    def seconds_since_read(self) -> tuple[float, float]:
+        """Return how long ago the operator's and the targets' topic were last read."""
+        now = clock.now()
+        operator, targets = (
+            now - self._outage_detector_by_topic[topic].last_success_at
+            for topic in (self._decoder.operator_topic, self._decoder.target_topic)
+        )
+        return operator, targets
+
     def mark_leaving(self, target_id: str) -> None:
         """Give a target no new work for the life of this host's process.
 
--- a/cranberryrun/fleet/send_permits.py
+++ b/cranberryrun/fleet/send_permits.py
@@ -99,6 +99,13 @@
             return self._limits.seconds_until_token(target_id, now, self._share)
         return max(0.0, self._exhausted_until_by_target.get(target_id, now) - now)
 
+    def limit_of(self, target_id: str) -> tuple[float, float] | None:
+        """Return the limit that a target named, a second, and its age in s."""
+        rate = self._limits.rate(target_id)
+        if rate is None:
+            return None
+        return rate, clock.now() - self._limits.named_at(target_id)
+
     async def acquire(self, target: Target) -> None:
         """Return when a caller's request may be sent to ``target``.
 
--- a/cranberryrun/platform/frontend.py
+++ b/cranberryrun/platform/frontend.py
@@ -12,8 +12,6 @@
 from ..events import Events
 from ..exceptions import (
     CranberryrunError,
-    NotFoundError,
-    NotReadyError,
     RequestError,
     TargetFailedError,
     TooLargeError,
@@ -24,8 +22,10 @@
 from ..kernel import Service
 from ..metrics import CONTENT_TYPE, Metrics
 from ..requests.forwarder import Forwarder
+from ..requests.routes import find_route
 from ..requests.streams import Streams
 from . import batch_wire, header_names
+from .explain_endpoint import EXPLAIN_PATH, serve_explanation
 from .http_server import Handler, listen
 from .settings import HostSettings
 from .unknown_names import UnknownNames
@@ -35,7 +35,6 @@
 _ITEM_BODY_PREFIX = "/v1/items/"
 # Applies to requests without a deadline header.
 _DEFAULT_DEADLINE_SECONDS = 10.0
-_NOT_READY_RETRY_SECONDS = 0.3
 # How long an idle connection of a caller stays open; longer than the idle timeout of
 # any manifest.
 _KEEPALIVE_SECONDS = 75.0
@@ -94,6 +93,8 @@
         return web.Response(status=200 if ready else 503)
 
     async def _serve_metrics(self, request: web.BaseRequest) -> web.Response:
+        if request.path == EXPLAIN_PATH:
+            return serve_explanation(self.kernel, request)
         return web.Response(
             body=self.kernel.get(Metrics).scrape(),
             headers={"Content-Type": CONTENT_TYPE},
@@ -139,15 +140,10 @@
             return await self._serve_item_body(
                 request, path.removeprefix(_ITEM_BODY_PREFIX)
             )
-        manifest = self.kernel.get(Directory).manifest
-        if manifest is None or not self.kernel.get(Directory).ready:
-            raise NotReadyError(
-                "this host has not read the manifest and the targets yet",
-                retry_after=_NOT_READY_RETRY_SECONDS,
-            )
-        route = manifest.route_for(request.headers.get("Host", ""), path)
-        if route is None:
-            raise NotFoundError(f"manifest {manifest.version} has no route for {path}")
+        directory = self.kernel.get(Directory)
+        route = find_route(directory, request.headers.get("Host", ""), path)
+        manifest = directory.manifest
+        assert manifest is not None
         body = await self._read_body(request, manifest)
         if route.kind is RouteKind.ROLLOUT:
             return await self._submit_batch(request, route, body)
--- a/cranberryrun/requests/crash_records.py
+++ b/cranberryrun/requests/crash_records.py
@@ -76,6 +76,11 @@
         record = self._record_by_fingerprint.get(fingerprint)
         return len(record.targets) if record is not None else 0
 
+    def changed_at(self, fingerprint: str) -> float | None:
+        """Return when the record of the request last changed; None without one."""
+        record = self._record_by_fingerprint.get(fingerprint)
+        return record.changed_at if record is not None else None
+
     def may_repeat(self, fingerprint: str) -> bool:
         """Return whether the request may be sent to another target at once."""
         return self.crash_count(fingerprint) < _CRASH_LIMIT
--- a/cranberryrun/requests/crashes.py
+++ b/cranberryrun/requests/crashes.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections import OrderedDict
+from dataclasses import dataclass
 
 from .. import clock
 from ..events import Events
@@ -25,7 +26,7 @@
 from ..kernel import Service
 from ..metrics import Metrics
 from ..store import KeyedRecord, Store
-from .crash_records import CrashRecords, RequestCrashesTargetsError
+from .crash_records import CrashRecords, Decision, RequestCrashesTargetsError
 from .fingerprint import fingerprint_of
 from .lost_connections import LostConnections
 
@@ -53,6 +54,15 @@
 _RECORDED = b"1"
 
 
+@dataclass(frozen=True, slots=True)
+class CrashFact:
+    """The crashes under a request, what follows, and the age of the record in s."""
+
+    crashes: int
+    decision: Decision
+    age: float | None
+
+
 class Crashes(Service):
     """Records the crashes of targets by request, and refuses such requests."""
 
@@ -94,6 +104,17 @@
         self.kernel.get(Metrics).crashing_request()
         raise RequestCrashesTargetsError.after(decision)
 
+    def explain(self, request: Request) -> CrashFact:
+        """Return what is known of a request, without claiming a trial."""
+        fingerprint = fingerprint_of(request)
+        now = clock.now()
+        changed_at = self._records.changed_at(fingerprint)
+        return CrashFact(
+            crashes=self._records.crash_count(fingerprint),
+            decision=self._records.decide(fingerprint, now),
+            age=now - changed_at if changed_at is not None else None,
+        )
+
     def may_repeat(self, request: Request) -> bool:
         """Return whether a request that may have run may go to another target."""
         return not len(self._records) or self._records.may_repeat(
--- a/cranberryrun/requests/forwarder.py
+++ b/cranberryrun/requests/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import random
 
 from .. import clock
@@ -41,6 +42,8 @@
     def __init__(self) -> None:
         self.health = Health()
         self.in_flight = 0
+        # When the last attempt at the target ended, in loop seconds.
+        self.last_result_at: float | None = None
 
 
 class Forwarder(Service):
@@ -63,7 +66,7 @@
 
     def __init__(self, zone: str, rng: random.Random) -> None:
         super().__init__()
-        self._zone = zone
+        self.zone = zone
         self._rng = rng
         self._policy = LeastLoaded(rng)
         self._state_by_target: dict[str, TargetState] = {}
@@ -139,10 +142,33 @@
         weights = [backend.weight for backend in route.backends]
         return self._rng.choices(route.backends, weights)[0].service
 
+    def dry_run(self) -> Forwarder:
+        """Return a forwarder that chooses as this one does next, without changing it.
+
+        Without a copy of the random state, asking where a request would go would
+        change where the next one goes.
+        """
+        twin = copy.copy(self)
+        twin._rng = random.Random()
+        twin._rng.setstate(self._rng.getstate())
+        twin._policy = LeastLoaded(twin._rng)
+        twin._state_by_target = dict(self._state_by_target)
+        return twin
+
     def choose_target(
         self, service: str, tried: set[str], origin: Origin | None = None
     ) -> Target | None:
-        """Return the target for the next attempt; None if no target is left.
+        """Return the target for the next attempt; None if no target is left."""
+        candidates = self.candidates(service, tried, origin)
+        chosen = self._policy.choose(candidates, RoutingHints(self.zone))
+        if chosen is None:
+            return None
+        return self.kernel.get(Directory).target_by_id[chosen.id]
+
+    def candidates(
+        self, service: str, tried: set[str], origin: Origin | None = None
+    ) -> list[Candidate]:
+        """Return the targets of which one may get the next attempt.
 
         Targets in cooldown are chosen only if there are no others, and targets whose
         limit is used up are not chosen.
@@ -162,7 +188,7 @@
             for target_id in targets
             if self.state_of(target_id).health.usable()
         ]
-        candidates = [
+        return [
             Candidate(
                 id=target_id,
                 zone=targets[target_id].zone,
@@ -171,8 +197,6 @@
             )
             for target_id in usable or targets
         ]
-        chosen = self._policy.choose(candidates, RoutingHints(self._zone))
-        return targets[chosen.id] if chosen is not None else None
 
     def choose_second_target(self, service: str, first: Target) -> Target | None:
         """Return the target for an attempt beside ``first``; None if all are full.
@@ -197,7 +221,7 @@
                 [self.second_target(target) for target in targets.values()], first.zone
             )
         ]
-        chosen = self._policy.choose(candidates, RoutingHints(self._zone))
+        chosen = self._policy.choose(candidates, RoutingHints(self.zone))
         return targets[chosen.id] if chosen is not None else None
 
     def second_target(self, target: Target) -> SecondTarget:
@@ -286,6 +310,7 @@
             raise
         finally:
             state.in_flight -= 1
+            state.last_result_at = clock.now()
         if answer.status >= SERVER_ERROR_STATUS:
             state.health.record_failure()
             reason = TargetFailedError(
--- a/cranberryrun/second_attempts/service.py
+++ b/cranberryrun/second_attempts/service.py
@@ -130,6 +130,13 @@
     def _answer_is_recent(self) -> bool:
         return clock.now() < self._answered_at + _MAX_AGE_SECONDS
 
+    def explain(self, service: str) -> tuple[Expectation | None, float | None]:
+        """Return the expectation that is in use and the age of the answer in s."""
+        if not self._answer_is_recent:
+            return None, None
+        age = clock.now() - self._answered_at
+        return self._expectation_by_service.get(service), age
+
     async def acquire(self, ask: PermitAsk) -> str | None:
         """Obtain a permit; return why there is none, if it was refused."""
         call = self.spawn(self._call(ask))
--- a/tests/test_hedged_requests.py
+++ b/tests/test_hedged_requests.py
@@ -79,7 +79,7 @@
             for number in range(self.host_count)
         ]
         for number, host in enumerate(self.hosts):
-            host.get(Forwarder)._zone = "abc"[number % 3]
+            host.get(Forwarder).zone = "abc"[number % 3]
             directory = host.get(Directory)
             while len(directory.target_by_id) < 3:
                 await asyncio.sleep(0.1)
