Merge hedged requests within a budget, and the explanation of routes

Cause: operators want fewer slow answers at a limited amount of extra work, and a way to see where a request would go.

Change: with second_attempts.max_extra_share set, the holder of the lease grants second attempts of repeatable requests from response times of all hosts. Unset, requests are hedged as before.

--- a/cranberryrun/pages.py
+++ b/cranberryrun/pages.py
@@ -152,9 +152,12 @@
         return " or ".join(_type_text(kind) for kind in kinds)
     if isinstance(annotation, type) and issubclass(annotation, BaseModel):
         return "object"
-    return {"str": "text", "int": "whole number", "float": "number"}.get(
-        annotation.__name__, annotation.__name__
-    )
+    return {
+        "str": "text",
+        "int": "whole number",
+        "float": "number",
+        "bool": "true or false",
+    }.get(annotation.__name__, annotation.__name__)
 
 
 def _constraint_texts(field: FieldInfo) -> list[str]:
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -39,12 +39,14 @@
 from ..requests.stream_origins import StreamOrigins
 from ..requests.streams import Streams
 from ..rewards.caller import RewardCaller
+from ..second_attempts.service import SecondAttempts
 from ..usage_counts.counter import UsageCounter
 from ..usage_counts.report_duty import ReportDuty
 from ..usage_counts.service import UsageCounts
 from ..usage_counts.totals import UsageTotals
 from .duty_client import HttpDutyClient
 from .frontend import Frontend
+from .hedge_calls import HttpHedgeClient
 from .neighbour_server import NeighbourServer
 from .permit_calls import HttpPermitClient
 from .reach_calls import HttpReachClient
@@ -141,6 +143,8 @@
             RemoteResults(settings.host_id, settings.link_mbps),
             Batches(),
             Crashes(),
+            HttpHedgeClient(),
+            SecondAttempts(settings.host_id, settings.second_attempts.max_extra_share),
             Forwarder(settings.zone, rng, usage),
             StreamOrigins(),
             SoftwareHistory(),
--- a/cranberryrun/platform/frontend.py
+++ b/cranberryrun/platform/frontend.py
@@ -12,8 +12,6 @@
 from ..events import Events
 from ..exceptions import (
     CranberryrunError,
-    NotFoundError,
-    NotReadyError,
     RequestError,
     TargetFailedError,
     TooLargeError,
@@ -24,9 +22,11 @@
 from ..kernel import Service
 from ..metrics import CONTENT_TYPE, Metrics
 from ..requests.forwarder import Forwarder
+from ..requests.routes import find_route, not_ready_error, require_ready
 from ..requests.streams import Streams
 from ..workspaces.access import Caller, KeyRejectedError, OtherWorkspaceError
 from . import batch_wire, header_names
+from .explain_endpoint import EXPLAIN_PATH, serve_explanation
 from .http_server import Handler, listen
 from .settings import HostSettings
 from .unknown_names import UnknownNames
@@ -36,7 +36,6 @@
 _ITEM_BODY_PREFIX = "/v1/items/"
 # Applies to requests without a deadline header.
 _DEFAULT_DEADLINE_SECONDS = 10.0
-_NOT_READY_RETRY_SECONDS = 0.3
 # How long an idle connection of a caller stays open; longer than the idle timeout of
 # any manifest.
 _KEEPALIVE_SECONDS = 75.0
@@ -95,6 +94,8 @@
         return web.Response(status=200 if ready else 503)
 
     async def _serve_metrics(self, request: web.BaseRequest) -> web.Response:
+        if request.path == EXPLAIN_PATH:
+            return serve_explanation(self.kernel, request)
         return web.Response(
             body=self.kernel.get(Metrics).scrape(),
             headers={"Content-Type": CONTENT_TYPE},
@@ -165,13 +166,12 @@
                 path.removeprefix(_ITEM_BODY_PREFIX),
                 self._identify(manifest, request),
             )
-        if not self.kernel.get(Directory).ready:
-            raise _not_ready()
+        directory = self.kernel.get(Directory)
+        require_ready(directory)
         caller = self._identify(manifest, request)
-        route = manifest.route_for(request.headers.get("Host", ""), path)
-        caller.check_route(route)
-        if route is None:
-            raise NotFoundError(f"manifest {manifest.version} has no route for {path}")
+        host = request.headers.get("Host", "")
+        caller.check_route(directory.route_for(host, path))
+        route = find_route(directory, host, path)
         body = await self._read_body(request, manifest)
         # A body may take so long that the key is revoked meanwhile.
         caller = self._identify(self._manifest(), request)
@@ -188,7 +188,7 @@
         """
         manifest = self.kernel.get(Directory).manifest
         if manifest is None:
-            raise _not_ready()
+            raise not_ready_error()
         return manifest
 
     def _identify(self, manifest: Manifest, request: web.BaseRequest) -> Caller:
@@ -299,13 +299,6 @@
         return web.Response(body=body)
 
 
-def _not_ready() -> NotReadyError:
-    return NotReadyError(
-        "this host has not read the manifest and the targets yet",
-        retry_after=_NOT_READY_RETRY_SECONDS,
-    )
-
-
 def _response(answer: Answer) -> web.Response:
     return web.Response(
         status=answer.status, body=answer.body, headers=CIMultiDict(answer.headers)
--- a/cranberryrun/requests/target_state.py
+++ b/cranberryrun/requests/target_state.py
@@ -11,3 +11,5 @@
     def __init__(self) -> None:
         self.health = Health()
         self.in_flight = 0
+        # When the last attempt at the target ended, in loop seconds.
+        self.last_result_at: float | None = None
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -34,6 +34,8 @@
 from cranberryrun.requests.streams import Streams
 from cranberryrun.rewards.caller import RewardCaller
 from cranberryrun.rewards.models import RewardCall
+from cranberryrun.second_attempts.client import HedgeAnswer, HedgeClient, HedgeReport
+from cranberryrun.second_attempts.service import SecondAttempts
 
 from .engines import FakeEngine, FakeTargets
 from .store import MemoryStore
@@ -192,10 +194,7 @@
     async def ask(self, host: str, request: PermitRequest) -> PermitGrant:
         """See :meth:`PermitClient.ask`; a host that was cut off does not answer."""
         await asyncio.sleep(0.002)
-        kernel = self._deployment.kernel_by_host.get(host)
-        if kernel is None or host in self._deployment.unreachable_hosts:
-            raise PeerError(f"host {host} does not answer")
-        return kernel.get(SendPermits).grant(request)
+        return self._deployment.reach(host).get(SendPermits).grant(request)
 
     def host_count(self) -> int:
         """See :meth:`PermitClient.host_count`."""
@@ -214,12 +213,24 @@
     ) -> ResultPage | None:
         """See :meth:`ResultSource.read`; a host that was cut off does not answer."""
         await asyncio.sleep(0.002)
-        kernel = self._deployment.kernel_by_host.get(host)
-        if kernel is None or host in self._deployment.unreachable_hosts:
-            raise PeerError(f"host {host} does not answer")
+        kernel = self._deployment.reach(host)
         return await kernel.get(Batches).results_in_memory(batch_id, after, wait)
 
 
+class FakeHedgeClient(HedgeClient):
+    """Reports to the other hosts of a deployment, in this process."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        super().__init__()
+        self._deployment = deployment
+
+    async def report(self, host: str, report: HedgeReport) -> HedgeAnswer:
+        """See :meth:`HedgeClient.report`; a host that was cut off does not answer."""
+        self._deployment.hedge_reports.append(report)
+        await asyncio.sleep(0.002)
+        return self._deployment.reach(host).get(SecondAttempts).serve(report)
+
+
 class Deployment:
     """A store and engines, and the hosts that share them."""
 
@@ -231,6 +242,8 @@
         self.kernel_by_host: dict[str, Kernel] = {}
         self.unreachable_hosts: set[str] = set()
         self.events: list[Event] = []
+        self.max_extra_share: float | None = None
+        self.hedge_reports: list[HedgeReport] = []
         self._sequence = 0
 
     def add_engine(self, engine_id: str, **state: Any) -> FakeEngine:
@@ -307,6 +320,8 @@
             ResultWriter(),
             Metrics(name),
             Crashes(),
+            FakeHedgeClient(self),
+            SecondAttempts(name, self.max_extra_share),
             Forwarder("a", random.Random(1)),
             StreamOrigins(),
             SoftwareHistory(),
@@ -324,6 +339,16 @@
         self.kernel_by_host[name] = kernel
         return kernel
 
+    def reach(self, host: str) -> Kernel:
+        """Return the services of a host.
+
+        :raises PeerError: the host was cut off, or there is none of the name.
+        """
+        kernel = self.kernel_by_host.get(host)
+        if kernel is None or host in self.unreachable_hosts:
+            raise PeerError(f"host {host} does not answer")
+        return kernel
+
     async def stop(self) -> None:
         """Stop all hosts."""
         for kernel in self.kernels:
