Decide how many engines are wanted from the steps of the trainers

Cause: the platform charges for each second of an engine and lets the holder of the lease order their number, but the number was fixed.

Orders for more are made at once, for fewer after three paces. Runs move off engines that end at a known time.

--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -20,6 +20,7 @@
     plan_starts,
 )
 from .item_run import Outcome, run_item
+from .leaving import plan_departures
 from .log import BatchLog
 from .models import Result
 from .results import ResultWriter
@@ -276,6 +277,11 @@
             if scheduled.engine is not None and not scheduled.finished
         ]
         scheduled_items.sort(key=ScheduledItem.remaining_events, reverse=True)
+        departures = plan_departures(
+            scheduled_items, available, fastest_interval, clock.now()
+        )
+        for scheduled, engine in departures:
+            self._move_run(scheduled, engine, 0.0)
         for scheduled in scheduled_items:
             if clock.now() < scheduled.movable_at:
                 continue
--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -227,5 +227,30 @@
     (506, "load_failed", WARNING, "An engine failed to load a version."),
     (507, "engine_out", WARNING, "An engine was taken out of service."),
     (508, "engine_in", INFO, "An engine was put back into service."),
+    (
+        520,
+        "autoscale_invalid",
+        WARNING,
+        "The autoscale of a service is invalid; its engines are not ordered.",
+    ),
+    (
+        521,
+        "engines_wanted",
+        INFO,
+        "Another number of engines is wanted in a zone; an order is recorded.",
+    ),
+    (522, "engines_ordered", INFO, "The platform accepted an order for engines."),
+    (
+        523,
+        "engine_order_refused",
+        WARNING,
+        "The platform refused an order for engines; another zone is tried.",
+    ),
+    (
+        524,
+        "scaling_held",
+        INFO,
+        "No engines are ordered for a service for now; the reason is given.",
+    ),
     (600, "usage_written", INFO, "Usage records were appended to the log."),
 )
--- a/cranberryrun/fleet/directory.py
+++ b/cranberryrun/fleet/directory.py
@@ -42,7 +42,8 @@
     ``born`` is the start time of the process, in milliseconds since 1970, and
     ``sequence`` the number of its entry since then. ``version_by_model`` has the weight
     version of each model it serves, and ``software`` names the version of the program
-    that it runs.
+    that it runs. A ``spot`` target may be taken back by the platform; once it drains,
+    ``leaves_in`` has the seconds from its entry to its end, if it is known.
     """
 
     id: str
@@ -55,6 +56,8 @@
     sequence: int
     version_by_model: dict[str, int] = field(default_factory=dict)
     software: str = ""
+    spot: bool = False
+    leaves_in: float | None = None
 
 
 class Decoder(ABC):
@@ -292,6 +295,10 @@
         self.kernel.get(Events).emit(
             "manifest_applied", version=manifest.version, routes=len(manifest.routes)
         )
+        for service, reason in manifest.autoscale_error_by_service.items():
+            self.kernel.get(Events).emit(
+                "autoscale_invalid", service=service, reason=reason
+            )
 
     def _apply_version(self, model: str, version: int) -> None:
         if version <= self.version_by_model.get(model, 0):
--- a/cranberryrun/fleet/engine_pool.py
+++ b/cranberryrun/fleet/engine_pool.py
@@ -36,7 +36,8 @@
     not known. The engine gets no new runs until ``cooldown_until``, in loop seconds.
     ``loaded_version_by_model`` has the versions of completed loads, which the target
     registers only later. ``permits`` returns how many runs the engine's limit allows
-    now; None if it has none.
+    now; None if it has none. ``leaves_at`` is when the engine ends, in loop seconds,
+    if that is known.
     """
 
     target: Target
@@ -48,6 +49,7 @@
     loading_model: str | None = None
     loaded_version_by_model: dict[str, int] = field(default_factory=dict)
     permits: Callable[[], int | None] = _unlimited
+    leaves_at: float | None = None
 
     @property
     def id(self) -> str:
@@ -74,6 +76,16 @@
         permits = self.permits()
         return slots if permits is None else min(slots, permits)
 
+    def update_target(self, target: Target) -> None:
+        """Take over a newer entry of the same process."""
+        self.target = target
+        if target.leaves_in is None:
+            return
+        # The same entry is read again with each change of the directory, so the
+        # earliest time counts.
+        leaves_at = clock.now() + target.leaves_in
+        self.leaves_at = min(leaves_at, self.leaves_at or leaves_at)
+
     def start_cooldown(self, seconds: float) -> None:
         """Start no new runs at this engine for ``seconds``."""
         self.cooldown_until = max(self.cooldown_until, clock.now() + seconds)
@@ -134,11 +146,9 @@
                 continue
             engine = self.engine_by_id.get(target.id)
             if engine is None or engine.target.born != target.born:
-                self.engine_by_id[target.id] = Engine(
-                    target, permits=partial(permits.available, target.id)
-                )
-                continue
-            engine.target = target
+                engine = Engine(target, permits=partial(permits.available, target.id))
+                self.engine_by_id[target.id] = engine
+            engine.update_target(target)
         self.notify_observers()
 
     def engines_of(self, services: frozenset[str]) -> list[Engine]:
--- a/cranberryrun/fleet/manifest.py
+++ b/cranberryrun/fleet/manifest.py
@@ -66,11 +66,33 @@
     idle_timeout: float = 15.0
 
 
+@dataclass(frozen=True, slots=True)
+class Autoscale:
+    """The bounds and prices within which a service's engines are ordered.
+
+    ``minimum`` and ``maximum`` are engines in one zone, spot and on-demand ones
+    together. An engine serves ``boot_seconds`` after its order. An on-demand engine
+    costs ``price_by_zone`` for each second, a spot engine ``spot_price`` times that.
+    """
+
+    minimum: int
+    maximum: int
+    boot_seconds: float = 4.0
+    spot_price: float = 0.18
+    price_by_zone: dict[str, float] = field(default_factory=dict)
+
+    def price(self, zone: str, spot: bool) -> float:
+        """Return the price of an engine for one second; 1 where none is given."""
+        price = self.price_by_zone.get(zone, 1.0)
+        return price * self.spot_price if spot else price
+
+
 @dataclass(frozen=True, slots=True)
 class Manifest:
     """One complete version of the manifest.
 
     ``tokens_per_event_by_service`` has the number of tokens in an event of a stream.
+    ``autoscale_error_by_service`` says why an ``autoscale`` of a service is ignored.
     """
 
     version: int
@@ -79,6 +101,8 @@
     limits: Limits
     models_by_service: dict[str, tuple[str, ...]]
     tokens_per_event_by_service: dict[str, float]
+    autoscale_by_service: dict[str, Autoscale] = field(default_factory=dict)
+    autoscale_error_by_service: dict[str, str] = field(default_factory=dict)
     _by_host: dict[str, list[Route]] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -168,6 +168,18 @@
     "log_up": MetricKind(
         "cranberryrun_log_up", "gauge", (), "1 if the log can be read, else 0."
     ),
+    "engines_wanted": MetricKind(
+        "cranberryrun_engines_wanted",
+        "gauge",
+        ("zone",),
+        "Engines that the policy wants, on the holder of the lease.",
+    ),
+    "engines_present": MetricKind(
+        "cranberryrun_engines_present",
+        "gauge",
+        ("zone",),
+        "Engines of autoscaled services that do not drain, on the lease holder.",
+    ),
     "loop_lag": MetricKind(
         "cranberryrun_event_loop_lag_seconds",
         "gauge",
--- a/cranberryrun/platform/wire.py
+++ b/cranberryrun/platform/wire.py
@@ -14,6 +14,7 @@
 from ..fleet.client import EngineReport
 from ..fleet.directory import Decoder, Target
 from ..fleet.manifest import Backend, Limits, Manifest, Route, RouteKind
+from .autoscale import decode_autoscale, seconds_until_leaving
 from .wire_model import BodyObserver, WireModel, ignore_body
 
 # The keyed topic in which hosts register.
@@ -128,6 +129,8 @@
 
     name: str
     engine: _ServiceEngine | None = None
+    # Checked apart: an invalid one leaves the rest of the manifest in force.
+    autoscale: Any = None
 
 
 class _Limits(WireModel):
@@ -151,6 +154,9 @@
         engines = {
             service.name: service.engine for service in self.services if service.engine
         }
+        autoscale_by_service, autoscale_error_by_service = decode_autoscale(
+            {service.name: service.autoscale for service in self.services}
+        )
         return Manifest(
             version=self.version,
             routes=tuple(route.to_route() for route in self.routes),
@@ -168,6 +174,8 @@
             tokens_per_event_by_service={
                 name: max(1.0, engine.stride) for name, engine in engines.items()
             },
+            autoscale_by_service=autoscale_by_service,
+            autoscale_error_by_service=autoscale_error_by_service,
         )
 
 
@@ -199,6 +207,10 @@
     # The start time of the target, in milliseconds since 1970.
     born: int = 0
     models: list[_LoadedModel] = []
+    # Whether the platform may take the target back at short notice.
+    use_spot: bool = False
+    # Given by a draining target that ends at a known time.
+    leaves_ms: float | None = None
 
 
 class _Report(WireModel):
@@ -215,6 +227,7 @@
             "held",
             "state",
             "leaves_ms",
+            "use-spot",
             "next",
             "runs",
         }
@@ -257,17 +270,20 @@
         entry = _parse(_Target, value, "target", self._observe)
         if entry.state not in (_READY, _DRAINING):
             raise RecordInvalidError(f"target {key} has unknown state {entry.state!r}")
+        draining = entry.state == _DRAINING
         return Target(
             id=key,
             service=entry.service,
             address=entry.address,
             zone=entry.zone,
             slots=entry.slots,
-            draining=entry.state == _DRAINING,
+            draining=draining,
             born=entry.born,
             sequence=entry.sequence,
             version_by_model={model.name: model.version for model in entry.models},
             software=str(entry.version),
+            spot=entry.use_spot,
+            leaves_in=seconds_until_leaving(entry.leaves_ms, draining),
         )
 
 
--- /dev/null
+++ b/cranberryrun/scaling/policy.py
@@ -0,0 +1,383 @@
+"""When which number of engines is ordered. Does no I/O.
+
+Responds to a demand that rises and falls within minutes, to engines that are lost, and
+to zones without engines. More engines are ordered at once, fewer only after the lower
+number has been enough for some time: an idle engine costs its price, a late step far
+more.
+"""
+
+from __future__ import annotations
+
+import math
+import statistics
+from collections import deque
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..fleet.manifest import Autoscale
+from .capacity import (
+    TARGET_UTILIZATION,
+    EngineKind,
+    Need,
+    ZoneState,
+    capacity_slots,
+    choose_engines,
+    covers,
+    needed_slots,
+    total_price,
+)
+from .demand import ServiceDemand
+
+# A lower number must have been enough for this many paces of the slowest trainer, and
+# at least for this time, before fewer engines are ordered.
+_HOLD_PACES = 3.0
+_MIN_HOLD_SECONDS = 10.0
+# Engines are exchanged or removed only if that saves this share of their price: the
+# sizes of steps vary, and each removal interrupts runs.
+_MIN_SAVING_SHARE = 0.08
+# The time between two orders for fewer engines, in paces of the slowest trainer, so
+# that a step has run on the engines that are left before more are removed.
+_REDUCTION_PACES = 2.0
+# The share of the engines that is ordered away at a time, at least one engine: their
+# runs move at once, and the free slots of the others have to take them.
+_MAX_REMOVED_SHARE = 0.1
+# An order has its effect within this many boot times and this time. After that, an
+# engine that is missing counts as lost, and the order may be repeated.
+_SETTLE_BOOTS = 2.0
+_SETTLE_SECONDS = 2.0
+# An engine whose entry is missing for less than this is taken as there: entries lapse
+# in outages of the store, and targets that restart are back soon.
+_PRESENCE_SECONDS = 3.0
+# Speeds of zones between these shares of the fastest zone's speed are believed.
+_MIN_ZONE_SPEED = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class EngineGroup:
+    """The engines of one kind in a zone.
+
+    ``ready`` engines take work, ``draining`` ones end. ``event_interval`` is their
+    median number of seconds per event; 0 if none was measured.
+    """
+
+    zone: str
+    spot: bool
+    ready: int
+    draining: int
+    slots: int
+    event_interval: float
+
+
+@dataclass(frozen=True, slots=True)
+class ScalingInputs:
+    """What the policy knows of a service.
+
+    ``runs`` are those in flight on its engines, ``plain_requests`` tells whether
+    callers' requests run on them too.
+    """
+
+    autoscale: Autoscale
+    demand: ServiceDemand
+    groups: tuple[EngineGroup, ...]
+    runs: int
+    plain_requests: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """The decision to order ``count`` engines; ``present`` are there."""
+
+    zone: str
+    spot: bool
+    count: int
+    present: int
+    needed_slots: float
+
+
+@dataclass(slots=True)
+class _KindState:
+    """The last recorded order for a zone and kind, and recent observations.
+
+    Times are in seconds since 1970.
+    """
+
+    ordered: int | None = None
+    ordered_at: float = float("-inf")
+    exhausted_until: float = float("-inf")
+    ready: deque[tuple[float, int]] = field(default_factory=deque)
+
+
+class ScalingPolicy:
+    """Decides on the orders for one service."""
+
+    def __init__(self) -> None:
+        self._state_by_kind: dict[EngineKind, _KindState] = {}
+        self._reduced_at = float("-inf")
+        self._needs: deque[tuple[float, Need]] = deque()
+        self.wanted_by_kind: dict[EngineKind, int] = {}
+        self.present_by_kind: dict[EngineKind, int] = {}
+        # Why nothing is ordered; None if orders are possible.
+        self.held_reason: str | None = None
+
+    def record_order(
+        self, zone: str, spot: bool, count: int, present: int, at: float
+    ) -> None:
+        """Take note of a recorded order, which may be of an earlier holder.
+
+        :param present: the engines that were there.
+        :param at: when it was decided, in seconds since 1970.
+        """
+        if count < present:
+            self._reduced_at = max(self._reduced_at, at)
+        state = self._state(zone, spot)
+        state.ordered, state.ordered_at = count, at
+
+    def record_refusal(
+        self, zone: str, spot: bool, at: float, boot_seconds: float
+    ) -> None:
+        """Take note that no such engine can be had in the zone now.
+
+        The same may be ordered again after the boot time.
+        """
+        self.forget_order(zone, spot)
+        self._state(zone, spot).exhausted_until = at + boot_seconds
+
+    def forget_order(self, zone: str, spot: bool) -> None:
+        """Take note that the last order was not carried out."""
+        self._state(zone, spot).ordered = None
+
+    def next_order(self, inputs: ScalingInputs, now: float) -> Order | None:
+        """Return the next order to make; None if there is none now.
+
+        :param now: in seconds since 1970.
+        """
+        present = self._observe(inputs, now)
+        self.present_by_kind = present
+        interval = _reference_interval(inputs.groups)
+        self.held_reason = _reason_to_hold(inputs, interval)
+        if self.held_reason is not None:
+            self._needs.clear()
+            return None
+        hold_seconds = _HOLD_PACES * _longest_pace(inputs.demand)
+        need = needed_slots(inputs.demand, interval, inputs.plain_requests)
+        _remember(self._needs, now, need, max(_MIN_HOLD_SECONDS, hold_seconds))
+        largest = Need(
+            total=max(each.total for _, each in self._needs),
+            on_demand=max(each.on_demand for _, each in self._needs),
+        )
+        expected = self._expected(inputs, present, now)
+        zones = self._zone_states(inputs, expected, interval, now)
+        slots_by_zone = {zone.zone: zone.slots for zone in zones}
+        self.wanted_by_kind = choose_engines(largest, zones, inputs.autoscale)
+        if covers(expected, slots_by_zone, need):
+            observed_seconds = now - self._needs[0][0]
+            if observed_seconds < max(_MIN_HOLD_SECONDS, hold_seconds) or (
+                not self._saves_enough(inputs.autoscale, expected)
+            ):
+                self.wanted_by_kind = expected
+                return None
+        return self._increase(inputs, present, expected, need, now) or self._decrease(
+            inputs, slots_by_zone, present, largest, now
+        )
+
+    def _saves_enough(
+        self, autoscale: Autoscale, expected: Mapping[EngineKind, int]
+    ) -> bool:
+        """Return whether the wanted engines are clearly cheaper than these."""
+        limit = (1.0 - _MIN_SAVING_SHARE) * total_price(expected, autoscale)
+        return total_price(self.wanted_by_kind, autoscale) <= limit
+
+    def _state(self, zone: str, spot: bool) -> _KindState:
+        return self._state_by_kind.setdefault((zone, spot), _KindState())
+
+    def _observe(self, inputs: ScalingInputs, now: float) -> dict[EngineKind, int]:
+        """Return the engines that are there, by zone and kind."""
+        zones = {group.zone for group in inputs.groups}
+        zones.update(inputs.autoscale.price_by_zone)
+        group_by_kind = {(group.zone, group.spot): group for group in inputs.groups}
+        present: dict[EngineKind, int] = {}
+        for zone in sorted(zones):
+            for spot in (False, True):
+                state = self._state(zone, spot)
+                group = group_by_kind.get((zone, spot))
+                ready = group.ready if group is not None else 0
+                if group is not None and group.draining:
+                    state.ready.clear()
+                    if spot:
+                        # The platform takes the spot engines of this zone back, also
+                        # those that were ordered last.
+                        state.ordered = None
+                        state.exhausted_until = now + inputs.autoscale.boot_seconds
+                _remember(state.ready, now, ready, _PRESENCE_SECONDS)
+                present[zone, spot] = max(count for _, count in state.ready)
+        return present
+
+    def _settling(self, kind: EngineKind, inputs: ScalingInputs, now: float) -> bool:
+        """Return whether the last order may still take effect."""
+        state = self._state(*kind)
+        settle_seconds = _SETTLE_BOOTS * inputs.autoscale.boot_seconds + _SETTLE_SECONDS
+        return state.ordered is not None and now < state.ordered_at + settle_seconds
+
+    def _expected(
+        self, inputs: ScalingInputs, present: Mapping[EngineKind, int], now: float
+    ) -> dict[EngineKind, int]:
+        """Return the engines that are there once the last orders have taken effect."""
+        return {
+            kind: (
+                self._state(*kind).ordered or 0
+                if self._settling(kind, inputs, now)
+                else count
+            )
+            for kind, count in present.items()
+        }
+
+    def _zone_states(
+        self,
+        inputs: ScalingInputs,
+        expected: Mapping[EngineKind, int],
+        interval: float,
+        now: float,
+    ) -> list[ZoneState]:
+        slots = statistics.median(group.slots for group in inputs.groups if group.ready)
+        return [
+            ZoneState(
+                zone,
+                slots * _zone_speed(inputs.groups, zone, interval),
+                {spot: expected[zone, spot] for spot in (False, True)},
+                frozenset(
+                    spot
+                    for spot in (False, True)
+                    if now < self._state(zone, spot).exhausted_until
+                ),
+            )
+            for zone in sorted({zone for zone, _ in expected})
+        ]
+
+    def _increase(
+        self,
+        inputs: ScalingInputs,
+        present: Mapping[EngineKind, int],
+        expected: Mapping[EngineKind, int],
+        need: Need,
+        now: float,
+    ) -> Order | None:
+        for (zone, spot), count in self.wanted_by_kind.items():
+            # Engines of the other kind take up room until they are removed.
+            other_kind = zone, not spot
+            other = max(present[other_kind], expected[other_kind])
+            count = min(count, inputs.autoscale.maximum - other)
+            if count <= expected[zone, spot]:
+                continue
+            if now < self._state(zone, spot).exhausted_until:
+                continue
+            return Order(zone, spot, count, present[zone, spot], need.total)
+        return None
+
+    def _decrease(
+        self,
+        inputs: ScalingInputs,
+        slots_by_zone: Mapping[str, float],
+        present: Mapping[EngineKind, int],
+        need: Need,
+        now: float,
+    ) -> Order | None:
+        pause_seconds = _REDUCTION_PACES * _longest_pace(inputs.demand)
+        if now < self._reduced_at + pause_seconds:
+            return None
+        ready = {kind: 0 for kind in present} | {
+            (group.zone, group.spot): group.ready for group in inputs.groups
+        }
+        # The engines of the kind that costs most for its slots go first.
+        kinds = sorted(
+            ready,
+            key=lambda kind: (
+                inputs.autoscale.price(*kind) / slots_by_zone[kind[0]],
+                kind,
+            ),
+            reverse=True,
+        )
+        most = max(1, int(sum(ready.values()) * _MAX_REMOVED_SHARE))
+        for zone, spot in kinds:
+            kind = zone, spot
+            if self._settling(kind, inputs, now) or ready[kind] < present[kind]:
+                continue
+            in_zone = ready[zone, False] + ready[zone, True]
+            removed = min(
+                most,
+                ready[kind] - self.wanted_by_kind[kind],
+                in_zone - inputs.autoscale.minimum,
+            )
+            if removed <= 0:
+                continue
+            left = ready | {kind: ready[kind] - removed}
+            if _can_do_without(inputs, left, slots_by_zone, need, now):
+                return Order(zone, spot, left[kind], present[kind], need.total)
+        return None
+
+
+def _remember(
+    samples: deque[tuple[float, Any]], now: float, value: Any, seconds: float
+) -> None:
+    """Add a sample and remove those that are not needed to cover ``seconds``."""
+    samples.append((now, value))
+    while len(samples) > 1 and samples[1][0] <= now - seconds:
+        samples.popleft()
+
+
+def _reference_interval(groups: Sequence[EngineGroup]) -> float:
+    """Return the event interval of the fastest zone, in seconds; 0 if unknown."""
+    return min(
+        (group.event_interval for group in groups if group.event_interval), default=0.0
+    )
+
+
+def _zone_speed(groups: Sequence[EngineGroup], zone: str, interval: float) -> float:
+    """Return the speed of a zone's engines relative to the fastest zone."""
+    intervals = [
+        group.event_interval
+        for group in groups
+        if group.zone == zone and group.event_interval
+    ]
+    if not intervals:
+        return 1.0
+    return max(_MIN_ZONE_SPEED, min(1.0, interval / max(intervals)))
+
+
+def _reason_to_hold(inputs: ScalingInputs, interval: float) -> str | None:
+    if inputs.demand.missing_models:
+        names = ", ".join(inputs.demand.missing_models)
+        return f"fewer than two steps were seen of {names}"
+    if not any(group.ready for group in inputs.groups):
+        return "no engine is known"
+    if not interval:
+        return "no engine's speed was measured"
+    return None
+
+
+def _longest_pace(demand: ServiceDemand) -> float:
+    return max((model.pace for model in demand.models), default=0.0)
+
+
+def _can_do_without(
+    inputs: ScalingInputs,
+    left: Mapping[EngineKind, int],
+    slots_by_zone: Mapping[str, float],
+    need: Need,
+    now: float,
+) -> bool:
+    """Return whether the engines that are left do the known work in time."""
+    if not covers(left, slots_by_zone, need):
+        return False
+    usable_slots = TARGET_UTILIZATION * capacity_slots(left, slots_by_zone)
+    if inputs.runs > usable_slots:
+        return False
+    interval = _reference_interval(inputs.groups)
+    work = 0.0
+    for step in sorted(inputs.demand.open_steps, key=lambda step: step.due):
+        work += step.events * interval
+        if not math.isfinite(step.due):
+            continue
+        if work > usable_slots * (step.due - now):
+            return False
+    return True
