Count only the slots that items of any length may occupy

Cause: the dispatcher keeps a third of the slots for long items, and the memory of an engine may hold fewer runs than it has slots, so the number of engines was too low.

--- a/bench/scaling.py
+++ b/bench/scaling.py
@@ -14,7 +14,8 @@
 
 from cranberryrun.scaling.capacity import EngineKind
 from cranberryrun.scaling.demand import DemandHistory
-from cranberryrun.scaling.policy import ScalingInputs, ScalingPolicy
+from cranberryrun.scaling.models import ScalingInputs
+from cranberryrun.scaling.policy import ScalingPolicy
 
 from .scaling_fleet import (
     AUTOSCALE,
--- a/bench/scaling_fleet.py
+++ b/bench/scaling_fleet.py
@@ -17,7 +17,7 @@
     RouteKind,
 )
 from cranberryrun.scaling.capacity import EngineKind
-from cranberryrun.scaling.policy import EngineGroup
+from cranberryrun.scaling.models import EngineGroup
 
 SERVICE = "models"
 MODELS = ("m0", "m1", "m2")
--- a/cranberryrun/batches/dispatch.py
+++ b/cranberryrun/batches/dispatch.py
@@ -292,6 +292,11 @@
         return slots
     if scheduled.remaining_events() * fastest_interval >= _LONG_ITEM_SECONDS:
         return slots
+    return unreserved_slots(slots)
+
+
+def unreserved_slots(slots: int) -> int:
+    """Return how many of an engine's slots items of any length may occupy."""
     return slots - int(slots * _RESERVED_SLOT_SHARE)
 
 
--- a/cranberryrun/scaling/duty.py
+++ b/cranberryrun/scaling/duty.py
@@ -10,7 +10,8 @@
 
 from ..duties.client import DutyClient, EngineOrder
 from ..duties.duty import Duty, DutyCall
-from .policy import Order, ScalingInputs, ScalingPolicy
+from .models import Order, ScalingInputs
+from .policy import ScalingPolicy
 
 # Batches are read at intervals of some tenths of a second, so more frequent decisions
 # would be based on the same inputs.
--- a/cranberryrun/scaling/inputs.py
+++ b/cranberryrun/scaling/inputs.py
@@ -16,7 +16,7 @@
 from ..metrics import Metrics
 from .demand import DemandHistory
 from .duty import ScaleDuty
-from .policy import EngineGroup, ScalingInputs
+from .models import EngineGroup, ScalingInputs
 
 
 class Scaling(Service):
--- a/cranberryrun/scaling/policy.py
+++ b/cranberryrun/scaling/policy.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from ..batches.dispatch import unreserved_slots
 from ..fleet.manifest import Autoscale
 from .capacity import (
     TARGET_UTILIZATION,
@@ -28,6 +29,7 @@
     total_price,
 )
 from .demand import ServiceDemand
+from .models import EngineGroup, Order, ScalingInputs
 
 # A lower number must have been enough for this many paces of the slowest trainer, and
 # at least for this time, before fewer engines are ordered.
@@ -49,52 +51,15 @@
 # An engine whose entry is missing for less than this is taken as there: entries lapse
 # in outages of the store, and targets that restart are back soon.
 _PRESENCE_SECONDS = 3.0
+# The dispatcher may keep the runs of an engine below its slots, for instance because of
+# its memory. The most runs an engine that were seen within this time while items waited
+# count as its slots, if this many decisions saw them wait.
+_CONCURRENCY_SECONDS = 30.0
+_MIN_CONCURRENCY_SAMPLES = 6
 # Speeds of zones between these shares of the fastest zone's speed are believed.
 _MIN_ZONE_SPEED = 0.4
 
 
-@dataclass(frozen=True, slots=True)
-class EngineGroup:
-    """The engines of one kind in a zone.
-
-    ``ready`` engines take work, ``draining`` ones end. ``event_interval`` is their
-    median number of seconds per event; 0 if none was measured.
-    """
-
-    zone: str
-    spot: bool
-    ready: int
-    draining: int
-    slots: int
-    event_interval: float
-
-
-@dataclass(frozen=True, slots=True)
-class ScalingInputs:
-    """What the policy knows of a service.
-
-    ``runs`` are those in flight on its engines, ``plain_requests`` tells whether
-    callers' requests run on them too.
-    """
-
-    autoscale: Autoscale
-    demand: ServiceDemand
-    groups: tuple[EngineGroup, ...]
-    runs: int
-    plain_requests: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Order:
-    """The decision to order ``count`` engines; ``present`` are there."""
-
-    zone: str
-    spot: bool
-    count: int
-    present: int
-    needed_slots: float
-
-
 @dataclass(slots=True)
 class _KindState:
     """The last recorded order for a zone and kind, and recent observations.
@@ -115,6 +80,7 @@
         self._state_by_kind: dict[EngineKind, _KindState] = {}
         self._reduced_at = float("-inf")
         self._needs: deque[tuple[float, Need]] = deque()
+        self._runs_per_engine: deque[tuple[float, float]] = deque()
         self.wanted_by_kind: dict[EngineKind, int] = {}
         self.present_by_kind: dict[EngineKind, int] = {}
         # Why nothing is ordered; None if orders are possible.
@@ -239,7 +205,7 @@
         interval: float,
         now: float,
     ) -> list[ZoneState]:
-        slots = statistics.median(group.slots for group in inputs.groups if group.ready)
+        slots = self._usable_slots(inputs, now)
         return [
             ZoneState(
                 zone,
@@ -254,6 +220,21 @@
             for zone in sorted({zone for zone, _ in expected})
         ]
 
+    def _usable_slots(self, inputs: ScalingInputs, now: float) -> float:
+        """Return how many runs an engine takes, also if other limits are below."""
+        ready = [group for group in inputs.groups if group.ready]
+        slots = unreserved_slots(int(statistics.median(each.slots for each in ready)))
+        engines = sum(group.ready for group in ready)
+        samples = self._runs_per_engine
+        while samples and samples[0][0] < now - _CONCURRENCY_SECONDS:
+            samples.popleft()
+        open_items = sum(step.items for step in inputs.demand.open_steps)
+        if open_items - inputs.runs >= engines:
+            samples.append((now, inputs.runs / engines))
+        if len(samples) < _MIN_CONCURRENCY_SAMPLES:
+            return slots
+        return max(1.0, min(slots, max(runs for _, runs in samples)))
+
     def _increase(
         self,
         inputs: ScalingInputs,
