Order engines as a duty of the lease holder

Cause: the scaling policy had no service that drives it.

Change: the scale duty is created where the settings name it. An order for more engines is answered before the next one of its kind, so that a new holder repeats the recorded one; an old order for fewer is given up.

--- a/bench/scaling.py
+++ b/bench/scaling.py
@@ -125,7 +125,9 @@
         while (order := self._policy.next_order(inputs, fleet.now)) is not None:
             kind: EngineKind = (order.zone, order.spot)
             self._policy.record_order(*kind, order.count, order.present, fleet.now)
-            if not fleet.order(kind, order.count):
+            if fleet.order(kind, order.count):
+                self._policy.record_acceptance(*kind, fleet.now)
+            else:
                 self._policy.record_refusal(*kind, fleet.now, AUTOSCALE.boot_seconds)
 
 
--- a/cranberryrun/batches/leaving.py
+++ b/cranberryrun/batches/leaving.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 from ..fleet.engine_pool import Engine
-from .dispatch import ScheduledItem, is_slow, may_run
+from .dispatch import ScheduledItem, fastest_event_interval, is_slow, may_run
 
 # Covers the delay until the entry of the engine is read and the end of a run that is
 # on its way.
@@ -15,7 +15,6 @@
 def plan_departures(
     scheduled_items: Sequence[ScheduledItem],
     engines: Sequence[Engine],
-    fastest_interval: float,
     now: float,
 ) -> list[tuple[ScheduledItem, Engine]]:
     """Return the runs that their engine can't finish before it ends, and where to go.
@@ -25,9 +24,9 @@
 
     :param scheduled_items: in the order in which slots are given to them.
     :param engines: engines with free slots.
-    :param fastest_interval: event interval of the fastest engine, in seconds.
     :param now: in loop seconds.
     """
+    fastest_interval = fastest_event_interval(engines)
     free_slots_by_id = {
         engine.id: engine.free_slots()
         for engine in engines
--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -230,7 +230,9 @@
 
     def _dispatch(self) -> None:
         scheduled_items = self._scheduled_items.startable()
-        if not any(scheduled.waiting for scheduled in scheduled_items):
+        waiting = sum(scheduled.waiting for scheduled in scheduled_items)
+        self.kernel.get(EnginePool).waiting_items = waiting
+        if not waiting:
             return
         services = frozenset().union(
             *(scheduled.services for scheduled in scheduled_items)
@@ -239,6 +241,7 @@
         self._restart_outputs(scheduled_items, engines)
         for start in plan_starts(scheduled_items, engines, clock.wall()):
             self._start_run(start.scheduled, start.engine)
+            self.kernel.get(EnginePool).waiting_items -= 1
 
     def _restart_outputs(
         self, scheduled_items: list[ScheduledItem], engines: list[Engine]
@@ -277,9 +280,7 @@
             if scheduled.engine is not None and not scheduled.finished
         ]
         scheduled_items.sort(key=ScheduledItem.remaining_events, reverse=True)
-        departures = plan_departures(
-            scheduled_items, available, fastest_interval, clock.now()
-        )
+        departures = plan_departures(scheduled_items, available, clock.now())
         for scheduled, engine in departures:
             self._move_run(scheduled, engine, 0.0)
         for scheduled in scheduled_items:
--- a/cranberryrun/fleet/engine_pool.py
+++ b/cranberryrun/fleet/engine_pool.py
@@ -116,7 +116,10 @@
 
 
 class EnginePool(Service):
-    """Keeps one :class:`Engine` for each target that serves models."""
+    """Keeps one :class:`Engine` for each target that serves models.
+
+    ``waiting_items`` are those that found no engine when runs were last started.
+    """
 
     name = "engine_pool"
     requires = ("directory", "send_permits")
@@ -125,6 +128,7 @@
         super().__init__()
         self.engine_by_id: dict[str, Engine] = {}
         self.observers: list[Callable[[], None]] = []
+        self.waiting_items = 0
 
     async def start(self) -> None:
         """Start following the directory."""
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -37,6 +37,7 @@
 from ..requests.stream_origins import StreamOrigins
 from ..requests.streams import Streams
 from ..rewards.caller import RewardCaller
+from ..scaling.inputs import Scaling
 from ..usage_counts.counter import UsageCounter
 from ..usage_counts.report_duty import ReportDuty
 from ..usage_counts.service import UsageCounts
@@ -166,6 +167,10 @@
                     totals, bounds.usage_window_s, bounds.usage_late_s, clock.wall()
                 )
             )
+        if self._has_duty("scale"):
+            scaling = Scaling()
+            services.append(scaling)
+            duties.append(scaling.duty)
         if settings.platform_api is None or not duties:
             return []
         api = settings.platform_api
--- a/cranberryrun/scaling/demand.py
+++ b/cranberryrun/scaling/demand.py
@@ -55,14 +55,13 @@
 
 @dataclass(frozen=True, slots=True)
 class OpenStep:
-    """The work of an open step that has no results: expected events, and items.
+    """The expected events of the items of an open step that have no results.
 
     ``due`` is in seconds since 1970.
     """
 
     due: float
     events: float
-    items: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,13 +190,13 @@
             share = step.share_by_service.get(service, 0.0)
             if not share:
                 continue
-            left = [
+            events = sum(
                 events
                 for item_id, events in step.events_by_item.items()
                 if item_id not in state.result_by_item
-            ]
+            )
             due = step.submitted_at + step.due_within
-            open_steps.append(OpenStep(due, share * factor * sum(left), len(left)))
+            open_steps.append(OpenStep(due, share * factor * events))
         return tuple(open_steps)
 
 
--- a/cranberryrun/scaling/duty.py
+++ b/cranberryrun/scaling/duty.py
@@ -61,7 +61,8 @@
         self._emit = emit
         self._policy_by_service: dict[str, ScalingPolicy] = {}
         self._last_number_by_subject: dict[str, int] = {}
-        self._sent: set[tuple[str, int]] = set()
+        # The event fields of unanswered calls that this process decided or sent.
+        self._fields_by_call: dict[tuple[str, int], dict[str, Any]] = {}
         self._held_reason_by_service: dict[str, str | None] = {}
         # The call that is wanted and is not recorded yet, with the fields of its event.
         self._decision: tuple[DutyCall, dict[str, Any]] | None = None
@@ -82,6 +83,7 @@
             content.zone, content.spot, content.count, content.present, content.at
         )
         if decision is not None and decision[0] == call:
+            self._fields_by_call[call.subject, call.number] = decision[1]
             self._emit("engines_wanted", **decision[1])
 
     def apply_answer(self, call: DutyCall, accepted: bool) -> None:
@@ -93,27 +95,24 @@
         content = _parse(call)
         if content is None:
             return
-        sent_here = (call.subject, call.number) in self._sent
-        self._sent.discard((call.subject, call.number))
+        fields = self._fields_by_call.pop((call.subject, call.number), None)
         policy = self._policy(content.service)
         if call.number < self._last_number_by_subject.get(call.subject, -1):
             return
-        if not accepted and content.count > content.present:
-            # A refusal that is read back took place soon after its order.
-            refused_at = max(content.at, self._now) if sent_here else content.at
+        # An answer that is read back was given soon after the order.
+        answered_at = max(content.at, self._now) if fields is not None else content.at
+        if accepted:
+            policy.record_acceptance(content.zone, content.spot, answered_at)
+        elif content.count > content.present:
             policy.record_refusal(
-                content.zone, content.spot, refused_at, content.boot_seconds
+                content.zone, content.spot, answered_at, content.boot_seconds
             )
-        elif not accepted:
+        else:
             policy.forget_order(content.zone, content.spot)
-        if sent_here:
+        if fields is not None:
             self._emit(
                 "engines_ordered" if accepted else "engine_order_refused",
-                service=content.service,
-                zone=content.zone,
-                spot=content.spot,
-                count=content.count,
-                present=content.present,
+                **fields,
                 age=round(max(0.0, self._now - content.at), 3),
             )
 
@@ -150,7 +149,16 @@
     ) -> None:
         """See :meth:`Duty.send`."""
         content = _CONTENT_ADAPTER.validate_python(call.content)
-        self._sent.add((call.subject, call.number))
+        self._fields_by_call.setdefault(
+            (call.subject, call.number),
+            {
+                "service": content.service,
+                "zone": content.zone,
+                "spot": content.spot,
+                "count": content.count,
+                "present": content.present,
+            },
+        )
         order = EngineOrder(content.service, content.zone, content.count, content.spot)
         await client.order_engines(order, holder, fence)
 
@@ -250,7 +258,7 @@
             group.zone + ("/spot" if group.spot else ""): round(group.event_interval, 4)
             for group in inputs.groups
         },
-        "age": round(now - demand.newest_at, 3),
+        "demand_age": round(now - demand.newest_at, 3),
     }
 
 
--- a/cranberryrun/scaling/inputs.py
+++ b/cranberryrun/scaling/inputs.py
@@ -58,7 +58,7 @@
             return {}
         states = self.kernel.get(BatchLog).table.state_by_id.values()
         self._history.update(states, manifest, now)
-        engines = self.kernel.get(EnginePool).engine_by_id.values()
+        pool = self.kernel.get(EnginePool)
         inputs = {}
         for service, autoscale in manifest.autoscale_by_service.items():
             models = manifest.models_by_service.get(service)
@@ -66,13 +66,16 @@
                 # Without models there are no steps from which a demand is known.
                 continue
             own_engines = [
-                engine for engine in engines if engine.target.service == service
+                engine
+                for engine in pool.engine_by_id.values()
+                if engine.target.service == service
             ]
             inputs[service] = ScalingInputs(
                 autoscale=autoscale,
                 demand=self._history.demand_for(service, models, now),
                 groups=group_engines(own_engines),
                 runs=sum(engine.in_flight for engine in own_engines),
+                waiting_items=pool.waiting_items,
                 plain_requests=_serves_plain_requests(manifest, service),
             )
         return inputs
--- a/cranberryrun/scaling/models.py
+++ b/cranberryrun/scaling/models.py
@@ -28,14 +28,15 @@
 class ScalingInputs:
     """What the policy knows of a service.
 
-    ``runs`` are those in flight on its engines, ``plain_requests`` tells whether
-    callers' requests run on them too.
+    ``runs`` are those in flight on its engines, ``waiting_items`` those that found no
+    engine; ``plain_requests`` tells whether callers' requests run on them too.
     """
 
     autoscale: Autoscale
     demand: ServiceDemand
     groups: tuple[EngineGroup, ...]
     runs: int
+    waiting_items: int = 0
     plain_requests: bool = False
 
 
--- a/cranberryrun/scaling/policy.py
+++ b/cranberryrun/scaling/policy.py
@@ -64,10 +64,12 @@
 class _KindState:
     """The last recorded order for a zone and kind, and recent observations.
 
-    Times are in seconds since 1970.
+    Times are in seconds since 1970. ``ordered`` is None if there is no order that may
+    still take effect.
     """
 
     ordered: int | None = None
+    answered: bool = True
     ordered_at: float = float("-inf")
     exhausted_until: float = float("-inf")
     ready: deque[tuple[float, int]] = field(default_factory=deque)
@@ -97,7 +99,15 @@
         if count < present:
             self._reduced_at = max(self._reduced_at, at)
         state = self._state(zone, spot)
-        state.ordered, state.ordered_at = count, at
+        state.ordered, state.ordered_at, state.answered = count, at, False
+
+    def record_acceptance(self, zone: str, spot: bool, at: float) -> None:
+        """Take note that the last order was accepted.
+
+        :param at: when it was accepted, in seconds since 1970.
+        """
+        state = self._state(zone, spot)
+        state.ordered_at, state.answered = max(state.ordered_at, at), True
 
     def record_refusal(
         self, zone: str, spot: bool, at: float, boot_seconds: float
@@ -111,7 +121,8 @@
 
     def forget_order(self, zone: str, spot: bool) -> None:
         """Take note that the last order was not carried out."""
-        self._state(zone, spot).ordered = None
+        state = self._state(zone, spot)
+        state.ordered, state.answered = None, True
 
     def next_order(self, inputs: ScalingInputs, now: float) -> Order | None:
         """Return the next order to make; None if there is none now.
@@ -183,7 +194,9 @@
         """Return whether the last order may still take effect."""
         state = self._state(*kind)
         settle_seconds = _SETTLE_BOOTS * inputs.autoscale.boot_seconds + _SETTLE_SECONDS
-        return state.ordered is not None and now < state.ordered_at + settle_seconds
+        return state.ordered is not None and (
+            not state.answered or now < state.ordered_at + settle_seconds
+        )
 
     def _expected(
         self, inputs: ScalingInputs, present: Mapping[EngineKind, int], now: float
@@ -228,8 +241,7 @@
         samples = self._runs_per_engine
         while samples and samples[0][0] < now - _CONCURRENCY_SECONDS:
             samples.popleft()
-        open_items = sum(step.items for step in inputs.demand.open_steps)
-        if open_items - inputs.runs >= engines:
+        if inputs.waiting_items >= engines and inputs.runs:
             samples.append((now, inputs.runs / engines))
         if len(samples) < _MIN_CONCURRENCY_SAMPLES:
             return slots
@@ -250,7 +262,11 @@
             count = min(count, inputs.autoscale.maximum - other)
             if count <= expected[zone, spot]:
                 continue
-            if now < self._state(zone, spot).exhausted_until:
+            state = self._state(zone, spot)
+            if now < state.exhausted_until:
+                continue
+            if not state.answered and (state.ordered or 0) > present[zone, spot]:
+                # It is sent first, by a successor too; one for fewer is superseded.
                 continue
             return Order(zone, spot, count, present[zone, spot], need.total)
         return None
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+from collections.abc import Sequence
 from dataclasses import replace
 from typing import Any
 
@@ -23,7 +24,7 @@
 from cranberryrun.fleet.manifest import Backend, Limits, Manifest, Route, RouteKind
 from cranberryrun.fleet.permit_client import PermitClient, PermitGrant, PermitRequest
 from cranberryrun.fleet.send_permits import SendPermits
-from cranberryrun.kernel import Kernel
+from cranberryrun.kernel import Kernel, Service
 from cranberryrun.metrics import Metrics
 from cranberryrun.requests.crashes import Crashes
 from cranberryrun.requests.forwarder import Forwarder
@@ -267,8 +268,12 @@
         name: str = "host-1",
         orders_after: float = 0.0,
         cache_bytes: float = float("inf"),
+        more_services: Sequence[Service] = (),
     ) -> Kernel:
-        """Start the services of one host and return its kernel, which stops them."""
+        """Start the services of one host and return its kernel, which stops them.
+
+        :param more_services: services that only some tests need.
+        """
         kernel = Kernel()
         events = Events(name, 1, 10_000)
         for service in (
@@ -291,6 +296,7 @@
             RewardCaller(),
             Runner(),
             Batches(),
+            *more_services,
         ):
             kernel.register(service)
         events.observers.append(self.events.append)
--- a/tests/test_leaving_engines.py
+++ b/tests/test_leaving_engines.py
@@ -40,7 +40,7 @@
         ]
 
     def departures(self, runs, *engines):
-        plan = plan_departures(runs, engines, INTERVAL, self.now())
+        plan = plan_departures(runs, engines, self.now())
         return [(runs.index(scheduled), engine.id) for scheduled, engine in plan]
 
     async def test_only_runs_that_can_not_end_in_time_move(self):
--- a/tests/test_scale_duty.py
+++ b/tests/test_scale_duty.py
@@ -52,7 +52,7 @@
         self.duty.apply_record(call)
         self.assertEqual(self.event_names(), ["engines_wanted"])
         fields = self.events[0][1]
-        self.assertEqual((fields["age"], fields["present"]), (100.0, 8))
+        self.assertEqual((fields["demand_age"], fields["present"]), (100.0, 8))
         self.assertNotEqual(self.duty.next_call(100.1), call)
 
     def test_call_is_sent_as_recorded_and_its_acceptance_is_logged_with_its_age(self):
@@ -71,7 +71,9 @@
         self.duty.apply_record(call)
         self.send(call)
         self.duty.apply_answer(call, False)
-        self.assertEqual(self.event_names()[-1], "engine_order_refused")
+        name, fields = self.events[-1]
+        self.assertEqual((name, fields["age"]), ("engine_order_refused", 0.0))
+        self.assertIn("needed_slots", fields)
         for tenth in range(39):
             other = self.duty.next_call(100.0 + tenth / 10)
             if other is not None:
--- a/tests/test_scaling_demand.py
+++ b/tests/test_scaling_demand.py
@@ -73,7 +73,8 @@
         item = self.states[1].batch.items[0]
         self.states[1].result_by_item[item.id] = Result(item.id, True)
         (step,) = self.demand(5.0).open_steps
-        self.assertEqual((step.due, step.items), (11.5, 39))
+        self.assertEqual(step.due, 11.5)
+        self.assertAlmostEqual(step.events, 39 * 20 * 1.4)
 
     def test_work_is_divided_among_the_services_of_a_route(self):
         backends = (Backend(SERVICE, 3.0), Backend("other", 1.0))
--- a/tests/test_scaling_policy.py
+++ b/tests/test_scaling_policy.py
@@ -97,14 +97,14 @@
         self.orders = []
         self.now = 0.0
 
-    def inputs(self, each, runs=0, autoscale=ON_DEMAND_ONLY):
+    def inputs(self, each, runs=0, waiting=0, autoscale=ON_DEMAND_ONLY):
         groups = tuple(
             EngineGroup(
                 *kind, ready, self.draining.get(kind, 0), ENGINE_SLOTS, INTERVAL
             )
             for kind, ready in self.ready.items()
         )
-        return ScalingInputs(autoscale, each, groups, runs)
+        return ScalingInputs(autoscale, each, groups, runs, waiting)
 
     def play(self, seconds, each, obey=True, **options):
         """Ask for orders twice a second and carry them out at once."""
@@ -122,7 +122,9 @@
         self.policy.record_order(*kind, order.count, order.present, self.now)
         if kind in self.refused:
             self.policy.record_refusal(*kind, self.now, boot_seconds=4.0)
-        elif obey:
+            return
+        self.policy.record_acceptance(*kind, self.now)
+        if obey:
             self.ready[kind] = order.count
 
 
@@ -181,6 +183,23 @@
         self.assertIn(("b", False, 12), [order[1:] for order in self.orders[2:]])
 
 
+class UnansweredOrderTest(PolicyTestCase):
+    """The platform's API is slow or down, or the holder has just changed."""
+
+    def test_order_for_more_is_answered_before_the_next_one_of_its_kind(self):
+        self.policy.record_order("a", False, 9, 8, at=0.0)
+        self.play(30.0, demand(8000.0), autoscale=EQUAL_PRICES)
+        self.assertEqual({order[1] for order in self.orders}, {"b", "c"})
+        self.policy.record_acceptance("a", False, at=30.0)
+        self.play(0.5, demand(8000.0), autoscale=EQUAL_PRICES)
+        self.assertEqual(self.orders[-1][1:], ("a", False, 12))
+
+    def test_order_for_fewer_is_superseded_when_more_are_needed(self):
+        self.policy.record_order("a", False, 3, 8, at=0.0)
+        order = self.policy.next_order(self.inputs(demand(5000.0)), 5.0)
+        self.assertEqual((order.zone, order.count), ("a", 12))
+
+
 class FewerEnginesTest(PolicyTestCase):
     def test_fewer_engines_are_ordered_only_after_the_hold_time_and_some_at_a_time(
         self,
@@ -206,11 +225,11 @@
 
     def test_nothing_is_removed_while_a_step_is_late_or_may_become_late(self):
         """A trainer that is behind submits less, which looks like little demand."""
-        late = OpenStep(due=-1.0, events=100.0, items=10)
+        late = OpenStep(due=-1.0, events=100.0)
         self.play(60.0, demand(300.0, open_steps=(late,)))
         self.assertEqual(self.orders, [])
         # 5,000 events take 200 slot-seconds.
-        tight = OpenStep(due=61.5, events=5000.0, items=100)
+        tight = OpenStep(due=61.5, events=5000.0)
         self.play(0.5, demand(300.0, open_steps=(tight,)))
         self.assertEqual(self.orders, [])
 
@@ -240,16 +259,14 @@
     """Engines whose memory is full take fewer runs than they have slots."""
 
     def test_nothing_is_removed_while_items_wait_beside_free_slots(self):
-        waiting = OpenStep(due=1e9, events=0.0, items=100)
-        self.play(60.0, demand(1500.0, open_steps=(waiting,)), runs=24 * 3)
+        self.play(60.0, demand(1500.0), runs=24 * 3, waiting=100)
         self.assertEqual([order for order in self.orders if order[3] < 8], [])
         # The steps need 80 slots, and each engine has three, as has the reserve.
         self.assertGreaterEqual(sum(self.ready.values()) * 3, 80 + 3)
 
     def test_waiting_items_change_nothing_while_the_slots_are_used(self):
-        waiting = OpenStep(due=1e9, events=0.0, items=400)
         for runs in (24 * 8, 24 * 3):
-            self.play(3.0, demand(2500.0, open_steps=(waiting,)), runs=runs)
+            self.play(3.0, demand(2500.0), runs=runs, waiting=400)
         self.assertEqual(self.orders, [])
 
 
