--- a/cranberryrun/scaling/policy.py
+++ b/cranberryrun/scaling/policy.py
@@ -38,9 +38,10 @@
 # Engines are exchanged or removed only if that saves this share of their price: the
 # sizes of steps vary, and each removal interrupts runs.
 _MIN_SAVING_SHARE = 0.08
-# The time between two orders for fewer engines, in paces of the slowest trainer, so
-# that a step has run on the engines that are left before more are removed.
+# The time between two orders for fewer engines, in paces of the slowest trainer and at
+# least, so that a step has run on the engines that are left before more are removed.
 _REDUCTION_PACES = 2.0
+_MIN_REDUCTION_SECONDS = 5.0
 # The share of the engines that is ordered away at a time, at least one engine: their
 # runs move at once, and the free slots of the others have to take them.
 _MAX_REMOVED_SHARE = 0.1
@@ -280,7 +281,7 @@
         now: float,
     ) -> Order | None:
         pause_seconds = _REDUCTION_PACES * _longest_pace(inputs.demand)
-        if now < self._reduced_at + pause_seconds:
+        if now < self._reduced_at + max(_MIN_REDUCTION_SECONDS, pause_seconds):
             return None
         ready = {kind: 0 for kind in present} | {
             (group.zone, group.spot): group.ready for group in inputs.groups
--- a/tests/test_scaling_policy.py
+++ b/tests/test_scaling_policy.py
@@ -234,6 +234,8 @@
         self.assertEqual(self.orders, [])
 
     def test_bound_of_a_zone_is_kept_without_any_demand(self):
+        self.play(20.0, demand(0.0, models=0))
+        self.assertEqual(len(self.orders), 2)
         self.play(300.0, demand(0.0, models=0))
         self.assertEqual(self.ready, dict.fromkeys(self.ready, 1))
 
