--- a/cranberryrun/scaling/policy.py
+++ b/cranberryrun/scaling/policy.py
@@ -156,7 +156,7 @@
                 self.wanted_by_kind = expected
                 return None
         return self._increase(inputs, present, expected, need, now) or self._decrease(
-            inputs, slots_by_zone, present, largest, now
+            inputs, slots_by_zone, present, expected, largest, now
         )
 
     def _saves_enough(
@@ -277,6 +277,7 @@
         inputs: ScalingInputs,
         slots_by_zone: Mapping[str, float],
         present: Mapping[EngineKind, int],
+        expected: Mapping[EngineKind, int],
         need: Need,
         now: float,
     ) -> Order | None:
@@ -286,6 +287,8 @@
         ready = {kind: 0 for kind in present} | {
             (group.zone, group.spot): group.ready for group in inputs.groups
         }
+        # An order for fewer that has not taken effect yet will do so.
+        ready = {kind: min(count, expected[kind]) for kind, count in ready.items()}
         # The engines of the kind that costs most for its slots go first.
         kinds = sorted(
             ready,
