--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -10,6 +10,7 @@
 from bench.range_affinity import AgeingHistogram, RangeAffinity
 from bench.report import table
 from bench.running import run_fleet, summarise
+from bench.scaling import CURVES, Chosen, Fixed, run
 from cranberryrun.routing import Candidate, LeastLoaded, RoutingHints
 
 from .virtual import VirtualTimeTestCase
@@ -69,3 +70,13 @@
         row = evaluate(PATTERNS[0], METHODS["adopted"], series=50)
         self.assertGreaterEqual(row["coverage"], 0.8)
         self.assertLess(row["error"], 0.05)
+
+
+class ScalingTest(unittest.TestCase):
+    def test_chosen_policy_costs_less_than_all_engines_and_makes_no_step_late(self):
+        """A policy that removes engines too soon shows in the loss of spot engines."""
+        (curve,) = (each for each in CURVES if each.name == "preempted")
+        chosen, fixed = (run(curve, policy(), 1, 130.0) for policy in (Chosen, Fixed))
+        self.assertEqual((chosen.late, fixed.late), (0, 0))
+        self.assertGreaterEqual(chosen.steps, fixed.steps - 1)
+        self.assertLess(chosen.cost, fixed.cost)
