Merge orders for engines

Cause: nothing ordered engines on deployments where they are billed by the second and may be reclaimed.

Runs on engines that leave at a known time move in that time.

--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -20,6 +20,7 @@
     plan_starts,
 )
 from .item_run import Outcome, run_item
+from .leaving import plan_departures
 from .log import BatchLog
 from .models import Result
 from .results import ResultWriter
@@ -232,7 +233,9 @@
 
     def _dispatch(self) -> None:
         scheduled_items = self._scheduled_items.startable()
-        if not any(scheduled.waiting for scheduled in scheduled_items):
+        waiting = sum(scheduled.waiting for scheduled in scheduled_items)
+        self.kernel.get(EnginePool).waiting_items = waiting
+        if not waiting:
             return
         services = frozenset().union(
             *(scheduled.services for scheduled in scheduled_items)
@@ -241,6 +244,7 @@
         self._restart_outputs(scheduled_items, engines)
         for start in plan_starts(scheduled_items, engines, clock.wall()):
             self._start_run(start.scheduled, start.engine)
+            self.kernel.get(EnginePool).waiting_items -= 1
 
     def _restart_outputs(
         self, scheduled_items: list[ScheduledItem], engines: list[Engine]
@@ -279,6 +283,9 @@
             if scheduled.engine is not None and not scheduled.finished
         ]
         scheduled_items.sort(key=ScheduledItem.remaining_events, reverse=True)
+        departures = plan_departures(scheduled_items, available, clock.now())
+        for scheduled, engine in departures:
+            self._move_run(scheduled, engine, 0.0)
         for scheduled in scheduled_items:
             if clock.now() < scheduled.movable_at:
                 continue
