--- /dev/null
+++ b/cranberryrun/batches/scheduled_item.py
@@ -0,0 +1,112 @@
+"""An item of an open batch with its scheduling state. Does no I/O."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from ..fleet.engine_pool import Engine
+from ..fleet.origin import Origin
+from ..rewards.models import PendingCall
+from .models import BatchState, Item, Piece, Result
+
+# Output lengths have a heavy tail: an output that exceeds its estimate is expected to
+# grow by this share of its current length.
+OVERRUN_SHARE = 0.5
+
+
+def _new_output_id() -> str:
+    return uuid.uuid4().hex
+
+
+@dataclass(slots=True, eq=False)
+class ScheduledItem:
+    """An item of a batch with its scheduling state and the output received so far.
+
+    ``services`` are the services that its route currently allows. ``due`` is the time
+    by which its result should be complete, in seconds since 1970. ``expected_events``
+    is the estimated length of its stream. ``output_id`` identifies the output that
+    ``pieces`` belong to; the store has the first ``recorded_count`` of them, in
+    progress records from offset ``first_record_offset`` on. ``run_version`` is the
+    weight version that the engine had when the current run started, and the run is
+    not moved to another engine before ``movable_at``, in loop seconds. ``carried``
+    items were already in an earlier batch. No run of the item uses weights older than
+    ``min_version``. ``origin`` is where the output began, and None without pieces; a
+    waiting item waits since ``waiting_since``, in loop seconds. ``ahead`` marks an item
+    that its batch no longer needs and that runs for the next batch. ``unscored`` is the
+    result of a complete output whose ``reward_call`` has no answer yet;
+    ``completion_recorded`` tells whether the store knows that the output is complete.
+    """
+
+    item: Item
+    state: BatchState
+    services: frozenset[str]
+    due: float
+    expected_events: float
+    carried: bool = False
+    min_version: int = 0
+    ahead: bool = False
+    pieces: list[Piece] = field(default_factory=list)
+    origin: Origin | None = None
+    output_id: str = field(default_factory=_new_output_id)
+    recorded_count: int = 0
+    first_record_offset: int | None = None
+    failures: int = 0
+    engine: Engine | None = None
+    task: asyncio.Task[None] | None = None
+    run_version: int = 0
+    movable_at: float = 0.0
+    waiting_since: float = 0.0
+    result: Result | None = None
+    unscored: Result | None = None
+    completion_recorded: bool = False
+    reward_call: PendingCall | None = None
+
+    def __post_init__(self) -> None:
+        self.min_version = max(self.min_version, self.state.batch.min_version)
+
+    @property
+    def finished(self) -> bool:
+        """Whether the item has a result and needs no more runs."""
+        return self.result is not None
+
+    @property
+    def waiting(self) -> bool:
+        """Whether the item needs a run and has none."""
+        return self.engine is None and self.unscored is None and not self.finished
+
+    @property
+    def scoring(self) -> bool:
+        """Whether the output is complete and only its score is missing."""
+        return self.unscored is not None and not self.finished
+
+    def discard_output(self) -> None:
+        """Drop all received pieces; the next run starts a new output."""
+        self.pieces = []
+        self.origin = None
+        self.output_id = _new_output_id()
+        self.recorded_count = 0
+        self.first_record_offset = None
+        self.unscored = None
+        self.completion_recorded = False
+
+    def total_events(self) -> float:
+        """Return the expected length of the complete output, in events."""
+        return len(self.pieces) + self.remaining_events()
+
+    def remaining_events(self) -> float:
+        """Return how many more events are expected of an incomplete output.
+
+        The result is at least one.
+
+        An output that is longer than estimated tends to grow further.
+        """
+        done = len(self.pieces)
+        return max(1.0, self.expected_events - done, OVERRUN_SHARE * done)
+
+
+def pieces_meet_version(pieces: Sequence[Piece], min_version: int) -> bool:
+    """Return whether no piece comes from a weight version below ``min_version``."""
+    return all(piece.version >= min_version for piece in pieces)
