Order starts by what can be on time while engines are overloaded

Cause: with more work than the engines can complete, least slack makes all steps late, and each trainer then falls behind its pace.

--- a/cranberryrun/batches/dispatch.py
+++ b/cranberryrun/batches/dispatch.py
@@ -8,14 +8,17 @@
 from ..fleet.engine_pool import Engine
 from .engine_choice import (
     DEFAULT_EVENT_INTERVAL_SECONDS,
+    LONG_ITEM_SECONDS,
     choose_engine,
     fastest_event_interval,
     find_faster_engine,
     has_weights_for,
     is_slow,
     may_run,
+    unreserved_slots,
 )
 from .group_ranks import CARRIED, SPARE, WANTED, rank_by_group
+from .overload import Overload, OverloadPlan
 from .scheduled_item import ScheduledItem, pieces_meet_version
 
 __all__ = [
@@ -35,11 +38,6 @@
     "rank_by_group",
 ]
 
-# Items that run at least this long determine when a step ends, so a share of each
-# engine's slots is reserved for them.
-_LONG_ITEM_SECONDS = 1.5
-_RESERVED_SLOT_SHARE = 1 / 3
-
 
 @dataclass(frozen=True, slots=True)
 class Start:
@@ -50,12 +48,17 @@
 
 
 def plan_starts(
-    scheduled_items: Sequence[ScheduledItem], engines: Sequence[Engine], now_wall: float
+    scheduled_items: Sequence[ScheduledItem],
+    engines: Sequence[Engine],
+    now_wall: float,
+    overload: Overload | None = None,
 ) -> list[Start]:
     """Return the runs to start now.
 
     Spare groups come late, and items that run ahead for the next batch last; within
-    these classes, the items with the least slack until they are due come first.
+    these classes, the items with the least slack until they are due come first. While
+    engines are overloaded, ``overload`` orders their items instead, and no slot is
+    reserved: its order already puts long items first.
 
     :param now_wall: the current time, in seconds since 1970.
     """
@@ -71,13 +74,19 @@
     in_flight_by_id = {engine.id: engine.in_flight for engine in available}
     pool_is_limited = any(engine.permits() is not None for engine in engines)
     ranks = rank_by_group(scheduled_items)
-
-    def urgency(scheduled: ScheduledItem) -> tuple[bool, bool, float]:
+    plan = OverloadPlan()
+    if overload is not None:
+        plan = overload.plan(scheduled_items, engines, fastest_interval, now_wall)
+
+    def urgency(scheduled: ScheduledItem) -> tuple[float, ...]:
+        position = plan.position(scheduled)
+        if position is not None:
+            return 1, *position
         rank = ranks[scheduled.state.batch.id, scheduled.item.group]
         slack = (
             scheduled.due - now_wall - scheduled.remaining_events() * fastest_interval
         )
-        return scheduled.ahead, rank == SPARE, slack
+        return 0, scheduled.ahead, rank == SPARE, slack
 
     engine_by_group: dict[str, str] = {}
     held_events_by_id = dict.fromkeys(free_slots_by_id, 0.0)
@@ -88,17 +97,19 @@
         if scheduled.engine.id in held_events_by_id:
             held_events_by_id[scheduled.engine.id] += scheduled.total_events()
     starts = []
+    waiting_work = 0.0
     for scheduled in sorted(
         (scheduled for scheduled in scheduled_items if scheduled.waiting), key=urgency
     ):
         if not available:
             break
+        all_slots = pool_is_limited or scheduled.services in plan.slots_by_services
         eligible = [
             engine
             for engine in available
             if engine.target.service in scheduled.services
             and in_flight_by_id[engine.id]
-            < _usable_slots(scheduled, engine, fastest_interval, pool_is_limited)
+            < _usable_slots(scheduled, engine, fastest_interval, all_slots)
             and may_run(scheduled, engine)
         ]
         chosen = choose_engine(
@@ -108,8 +119,10 @@
             free_slots_by_id,
             held_events_by_id,
             engine_by_group,
+            plan.wait(scheduled, waiting_work),
         )
         if chosen is None:
+            waiting_work += scheduled.remaining_events() * fastest_interval
             continue
         held_events_by_id[chosen.id] += scheduled.total_events()
         free_slots_by_id[chosen.id] -= 1
@@ -125,16 +138,18 @@
     scheduled: ScheduledItem,
     engine: Engine,
     fastest_interval: float,
-    pool_is_limited: bool,
+    all_slots: bool,
 ) -> int:
     """Return how many of the engine's slots may be occupied once this item runs there.
 
     The remaining slots are reserved for longer items. Nothing is reserved while some
     engine names a limit: what that one does not take has to run on the others.
+
+    :param all_slots: whether nothing is reserved.
     """
     slots = engine.target.slots
-    if pool_is_limited:
+    if all_slots:
         return slots
-    if scheduled.remaining_events() * fastest_interval >= _LONG_ITEM_SECONDS:
+    if scheduled.remaining_events() * fastest_interval >= LONG_ITEM_SECONDS:
         return slots
-    return slots - int(slots * _RESERVED_SLOT_SHARE)
+    return unreserved_slots(slots)
--- a/cranberryrun/batches/engine_choice.py
+++ b/cranberryrun/batches/engine_choice.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
 
 from ..fleet.engine_pool import Engine
 from .scheduled_item import ScheduledItem
@@ -13,8 +14,13 @@
 SLOW_FACTOR = 1.8
 # No run moves between engines whose event intervals differ by less than this factor.
 _SAME_SPEED_FACTOR = 1.15
-# A slow engine may delay an item by at most this; otherwise the item waits for a
-# faster one.
+# A run stays on its engine for at least this long, so that the engine's event interval
+# can be measured.
+_MIN_RUN_BEFORE_MOVE_SECONDS = 1.0
+# A run moves to another engine only if that saves at least this much time.
+_MIN_MOVE_SAVING_SECONDS = 0.4
+# A slow engine may delay an item by at most this, or by as long as it would wait for a
+# faster one; otherwise it waits.
 _MIN_WAIT_SAVING_SECONDS = 0.3
 
 # An engine's events take longer by this share for each event that its other runs hold
@@ -23,12 +29,32 @@
 _SLOWDOWN_PER_EVENT = 1.5e-4
 
 
+# Items that run at least this long determine when a step ends, so a share of each
+# engine's slots is reserved for them.
+LONG_ITEM_SECONDS = 1.5
+_RESERVED_SLOT_SHARE = 1 / 3
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """The decision to move a run to another engine, which saves ``saved_seconds``."""
+
+    scheduled: ScheduledItem
+    engine: Engine
+    saved_seconds: float
+
+
 def fastest_event_interval(engines: Iterable[Engine]) -> float:
     """Return the shortest known event interval of any engine, in seconds."""
     intervals = [engine.event_interval for engine in engines if engine.event_interval]
     return min(intervals, default=DEFAULT_EVENT_INTERVAL_SECONDS)
 
 
+def unreserved_slots(slots: int) -> int:
+    """Return how many of an engine's slots short items may occupy."""
+    return slots - int(slots * _RESERVED_SLOT_SHARE)
+
+
 def is_slow(engine: Engine, fastest_interval: float) -> bool:
     """Return whether an engine is much slower than the fastest one.
 
@@ -67,17 +93,20 @@
     free_slots_by_id: dict[str, int],
     held_events_by_id: dict[str, float],
     engine_by_group: dict[str, str],
+    wait_seconds: float = 0.0,
 ) -> Engine | None:
+    """Return the engine on which an item should start now, if any.
+
+    :param wait_seconds: how long the item would wait for another engine.
+    """
+    max_extra_seconds = max(_MIN_WAIT_SAVING_SECONDS, wait_seconds)
     remaining = scheduled.remaining_events()
     best: Engine | None = None
     best_cost = 0.0
     for engine in engines:
         interval = engine.expected_event_interval(fastest_interval)
         extra_seconds = remaining * (interval - fastest_interval)
-        if (
-            is_slow(engine, fastest_interval)
-            and extra_seconds > _MIN_WAIT_SAVING_SECONDS
-        ):
+        if is_slow(engine, fastest_interval) and extra_seconds > max_extra_seconds:
             continue
         cost = extra_seconds + interval * _utilization(
             engine, free_slots_by_id[engine.id]
@@ -132,5 +161,30 @@
     )
 
 
+def moves(
+    scheduled_items: Iterable[ScheduledItem], engines: Sequence[Engine], now: float
+) -> Iterator[Move]:
+    """Yield the runs to move to an engine that would finish them much sooner.
+
+    The caller carries out each move before it takes the next one, which counts it.
+
+    :param now: the current time, in loop seconds.
+    """
+    fastest_interval = fastest_event_interval(engines)
+    available = [engine for engine in engines if engine.free_slots() > 0]
+    running = [
+        scheduled
+        for scheduled in scheduled_items
+        if scheduled.engine is not None and not scheduled.finished
+    ]
+    running.sort(key=ScheduledItem.remaining_events, reverse=True)
+    for scheduled in running:
+        if now < scheduled.started_at + _MIN_RUN_BEFORE_MOVE_SECONDS:
+            continue
+        move = find_faster_engine(scheduled, available, fastest_interval)
+        if move is not None and move[1] >= _MIN_MOVE_SAVING_SECONDS:
+            yield Move(scheduled, *move)
+
+
 def _utilization(engine: Engine, unused_slots: int) -> float:
     return 1.0 - unused_slots / engine.target.slots
--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -13,12 +13,8 @@
 from ..fleet.send_permits import SendPermits
 from ..kernel import Service
 from .continuation import outputs_to_restart
-from .dispatch import (
-    ScheduledItem,
-    fastest_event_interval,
-    find_faster_engine,
-    plan_starts,
-)
+from .dispatch import ScheduledItem, plan_starts
+from .engine_choice import moves
 from .item_run import Outcome, run_item
 from .log import BatchLog
 from .models import Result
@@ -35,11 +31,6 @@
 _RECOVERY_WINDOW_SECONDS = 60.0
 # The next holder resumes runs from progress that is at most this old.
 _RECORD_INTERVAL_SECONDS = 0.4
-# A run stays on its engine for at least this long, so that the engine's event interval
-# can be measured.
-_MIN_RUN_BEFORE_MOVE_SECONDS = 1.0
-# A run moves to another engine only if that saves at least this much time.
-_MIN_MOVE_SAVING_SECONDS = 0.4
 # Event intervals are means over a few tenths of a second, so more frequent checks would
 # use the same measurements.
 _MOVE_CHECK_INTERVAL_SECONDS = 0.2
@@ -258,7 +249,7 @@
             return
         scheduled.engine = engine
         scheduled.run_version = engine.version(scheduled.state.batch.model) or 0
-        scheduled.movable_at = clock.now() + _MIN_RUN_BEFORE_MOVE_SECONDS
+        scheduled.started_at = clock.now()
         engine.in_flight += 1
         scheduled.task = self.spawn(self._run(scheduled, engine))
 
@@ -268,21 +259,9 @@
             return
         self._next_move_check_at = clock.now() + _MOVE_CHECK_INTERVAL_SECONDS
         engines = list(self.kernel.get(EnginePool).engine_by_id.values())
-        fastest_interval = fastest_event_interval(engines)
-        available = [engine for engine in engines if engine.free_slots() > 0]
-        scheduled_items = [
-            scheduled
-            for scheduled in self._scheduled_items.in_open_batches()
-            if scheduled.engine is not None and not scheduled.finished
-        ]
-        scheduled_items.sort(key=ScheduledItem.remaining_events, reverse=True)
-        for scheduled in scheduled_items:
-            if clock.now() < scheduled.movable_at:
-                continue
-            move = find_faster_engine(scheduled, available, fastest_interval)
-            if move is None or move[1] < _MIN_MOVE_SAVING_SECONDS:
-                continue
-            self._move_run(scheduled, *move)
+        running = self._scheduled_items.in_open_batches()
+        for move in moves(running, engines, clock.now()):
+            self._move_run(move.scheduled, move.engine, move.saved_seconds)
 
     def _move_run(
         self, scheduled: ScheduledItem, engine: Engine, saved_seconds: float
--- a/cranberryrun/batches/scheduled_item.py
+++ b/cranberryrun/batches/scheduled_item.py
@@ -26,12 +26,12 @@
     """An item of a batch with its scheduling state and the output received so far.
 
     ``services`` are the services that its route currently allows. ``due`` is the time
-    by which its result should be complete, in seconds since 1970. ``expected_events``
-    is the estimated length of its stream. ``output_id`` identifies the output that
-    ``pieces`` belong to; the store has the first ``recorded_count`` of them, in
-    progress records from offset ``first_record_offset`` on. ``run_version`` is the
-    weight version that the engine had when the current run started, and the run is
-    not moved to another engine before ``movable_at``, in loop seconds. ``carried``
+    by which its result should be complete and ``limit`` the time when it is given up,
+    both in seconds since 1970. ``expected_events`` is the estimated length of its
+    stream. ``output_id`` identifies the output that ``pieces`` belong to; the store has
+    the first ``recorded_count`` of them, in progress records from offset
+    ``first_record_offset`` on. ``run_version`` is the weight version that the engine
+    had when the current run started at ``started_at``, in loop seconds. ``carried``
     items were already in an earlier batch. No run of the item uses weights older than
     ``min_version``. ``origin`` is where the output began, and None without pieces; a
     waiting item waits since ``waiting_since``, in loop seconds. ``ahead`` marks an item
@@ -45,6 +45,7 @@
     services: frozenset[str]
     due: float
     expected_events: float
+    limit: float = float("inf")
     carried: bool = False
     min_version: int = 0
     ahead: bool = False
@@ -57,7 +58,7 @@
     engine: Engine | None = None
     task: asyncio.Task[None] | None = None
     run_version: int = 0
-    movable_at: float = 0.0
+    started_at: float = 0.0
     waiting_since: float = 0.0
     result: Result | None = None
     unscored: Result | None = None
--- a/cranberryrun/batches/scheduled_items.py
+++ b/cranberryrun/batches/scheduled_items.py
@@ -252,6 +252,7 @@
             return
         scheduled.services = frozenset(backend.service for backend in route.backends)
         scheduled.due = batch.submitted_at + route.run_deadline
+        scheduled.limit = batch.submitted_at + (route.queue_ttl or float("inf"))
         scheduled.expected_events = _expected_events(scheduled.item, route, manifest)
 
     def _fail_expired(self, batch: Batch) -> None:
