Know the memory of engines and what runs will hold of it

Cause: on some deployments an engine crashes when its runs exceed its memory; the manifest states it, and headers of items state their prompts.

Records of the previous build are read as before.

--- a/cranberryrun/batches/models.py
+++ b/cranberryrun/batches/models.py
@@ -39,7 +39,10 @@
 class Item:
     """A request of a batch. ``expected_tokens`` is the caller's estimate.
 
-    An item with a ``reward`` is complete when the call has scored its text.
+    An item with a ``reward`` is complete when the call has scored its text. Its prompt
+    has ``prompt_tokens``, 0 if the caller did not say, and its output at most
+    ``max_output_tokens``. ``prompt_parts`` are the ids and tokens of the parts of the
+    prompt that other items share.
     """
 
     id: str
@@ -49,6 +52,9 @@
     body: Base64Bytes
     expected_tokens: float
     reward: RewardCall | None = None
+    prompt_tokens: float = 0.0
+    max_output_tokens: float | None = None
+    prompt_parts: tuple[tuple[str, float], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/cranberryrun/batches/scheduled_item.py
+++ b/cranberryrun/batches/scheduled_item.py
@@ -15,6 +15,11 @@
 # Output lengths have a heavy tail: an output that exceeds its estimate is expected to
 # grow by this share of its current length.
 OVERRUN_SHARE = 0.5
+# The mean length as a multiple of the estimate. Estimates are right at the median, and
+# a mean excess of a half belongs to a tail that falls with the third power: above the
+# estimate lengths are 1.5 times as long in the mean. If they are as often below it by
+# some factor as above it, they are 0.75 times as long there.
+MEAN_LENGTH = (1.5 + 0.75) / 2
 
 
 def _new_output_id() -> str:
--- a/cranberryrun/fleet/manifest.py
+++ b/cranberryrun/fleet/manifest.py
@@ -70,7 +70,9 @@
 class Manifest:
     """One complete version of the manifest.
 
-    ``tokens_per_event_by_service`` has the number of tokens in an event of a stream.
+    ``tokens_per_event_by_service`` has the number of tokens in an event of a stream,
+    and ``memory_tokens_by_service`` the tokens that an engine's memory holds, if it is
+    stated.
     """
 
     version: int
@@ -79,6 +81,7 @@
     limits: Limits
     models_by_service: dict[str, tuple[str, ...]]
     tokens_per_event_by_service: dict[str, float]
+    memory_tokens_by_service: dict[str, float] = field(default_factory=dict)
     _by_host: dict[str, list[Route]] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
--- a/cranberryrun/platform/batch_wire.py
+++ b/cranberryrun/platform/batch_wire.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import re
 from typing import Any
 
 from pydantic import Field, ValidationError
@@ -17,6 +18,10 @@
 from . import header_names
 from .wire_model import BodyObserver, WireModel, ignore_body
 
+# Longer numbers are no counts of tokens.
+_TOKEN_USAGE_PATTERN = re.compile(r"\s*([0-9]{1,12})\s*,\s*([0-9]{1,12})\s*")
+_PROMPT_PART_PATTERN = re.compile(r"([^\s,;]+):([0-9]{1,12})(?![0-9])")
+
 
 class _Scorer(WireModel):
     """The request that scores an item's text, despite the name of a service."""
@@ -86,6 +91,7 @@
         expected_tokens = float(length_hint)
     except ValueError:
         expected_tokens = item.tokens
+    prompt_tokens, max_output_tokens = _decode_token_usage(item.headers)
     return Item(
         id=item.id,
         group=item.group_id or item.id,
@@ -94,9 +100,25 @@
         body=base64.b64decode(item.body, validate=True),
         expected_tokens=expected_tokens,
         reward=_decode_scorer(item.scorer) if item.scorer is not None else None,
+        prompt_tokens=prompt_tokens,
+        max_output_tokens=max_output_tokens,
+        prompt_parts=tuple(
+            (part, float(tokens))
+            for part, tokens in _PROMPT_PART_PATTERN.findall(
+                item.headers.get(header_names.PREFIX_HASH, "")
+            )
+        ),
     )
 
 
+def _decode_token_usage(headers: dict[str, str]) -> tuple[float, float | None]:
+    """Return the prompt tokens and the maximum of output tokens, as far as known."""
+    usage = _TOKEN_USAGE_PATTERN.fullmatch(headers.get(header_names.TOKEN_USAGE, ""))
+    if usage is None:
+        return 0.0, None
+    return float(usage[1]), float(usage[2])
+
+
 def _decode_scorer(scorer: _Scorer) -> RewardCall:
     return RewardCall(
         id=scorer.id,
--- a/cranberryrun/platform/header_names.py
+++ b/cranberryrun/platform/header_names.py
@@ -18,6 +18,10 @@
 MODEL = "X-Cranberryrun-Model"
 # The caller's estimate of an item's tokens.
 LENGTH_HINT = "X-Cranberryrun-Length-Hint"
+# An item's prompt tokens and its maximum number of output tokens: "812, 1024".
+TOKEN_USAGE = "X-Cranberryrun-Token-Usage"
+# The parts of an item's prompt that other items share, each as ID:TOKENS.
+PREFIX_HASH = "X-Cranberryrun-Prefix-Hash"
 # The weight version with which a stream starts; one number, despite the plural.
 WEIGHT_VERSION = "X-Cranberryrun-Weight-Versions"
 # Present in all answers of a target that is about to end. The platform's announcement
@@ -53,9 +57,7 @@
 _PASSED_ON = {
     "x-cranberryrun-instance-id",
     "x-cranberryrun-pin-ms",
-    "x-cranberryrun-prefix-hash",
     "x-cranberryrun-request-priority",
-    "x-cranberryrun-token-usage",
 }
 
 # In lower case.
@@ -80,6 +82,6 @@
     | {
         name.lower()
         for name in (ATTEMPT_ID, DEADLINE_MS, WAIT_MS, MODEL, LENGTH_HINT)
-        + (LAST_EVENT_ID, RESUMES)
+        + (LAST_EVENT_ID, RESUMES, TOKEN_USAGE, PREFIX_HASH)
     }
 )
--- a/cranberryrun/platform/wire.py
+++ b/cranberryrun/platform/wire.py
@@ -106,7 +106,6 @@
     unused = frozenset(
         {
             "slots",
-            "kv-capacity",
             "kv-bytes",
             "link-mbps",
             "moves",
@@ -120,6 +119,8 @@
 
     # The number of tokens that one event of a stream carries.
     stride: float = 1.0
+    # The tokens that an engine's memory holds; 0 if it is not stated.
+    kv_capacity: float = 0.0
     models: list[_ModelName] = []
 
 
@@ -168,6 +169,11 @@
             tokens_per_event_by_service={
                 name: max(1.0, engine.stride) for name, engine in engines.items()
             },
+            memory_tokens_by_service={
+                name: engine.kv_capacity
+                for name, engine in engines.items()
+                if engine.kv_capacity > 0
+            },
         )
 
 
