Start runs by memory budgets and fair shares of workspaces

Cause: a plan may overfill an engine's memory, and a workspace that floods the engines takes them from others whose items are due later.

Change: plan_starts takes policies: overload, shares and memory budgets.

--- a/cranberryrun/batches/dispatch.py
+++ b/cranberryrun/batches/dispatch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..fleet.engine_pool import Engine
 from .engine_choice import (
@@ -17,15 +17,18 @@
     may_run,
     unreserved_slots,
 )
+from .engine_memory import EngineBudget, roomiest
 from .group_ranks import CARRIED, SPARE, WANTED, rank_by_group
 from .overload import Overload, OverloadPlan
 from .scheduled_item import ScheduledItem, pieces_meet_version
+from .shares import FairQueue, Shares, uses_shares
 
 __all__ = [
     "CARRIED",
     "DEFAULT_EVENT_INTERVAL_SECONDS",
     "SPARE",
     "WANTED",
+    "Policies",
     "ScheduledItem",
     "Start",
     "fastest_event_interval",
@@ -47,21 +50,37 @@
     engine: Engine
 
 
+@dataclass(slots=True)
+class Policies:
+    """What applies where engine capacity is scarce; by default nothing does.
+
+    ``budgets`` has the engines whose memory is limited, by id. ``plan`` is set to the
+    order that ``overload`` decided; None if no engine had a free slot.
+    """
+
+    overload: Overload | None = None
+    shares: Shares | None = None
+    budgets: dict[str, EngineBudget] = field(default_factory=dict)
+    plan: OverloadPlan | None = None
+
+
 def plan_starts(
     scheduled_items: Sequence[ScheduledItem],
     engines: Sequence[Engine],
     now_wall: float,
-    overload: Overload | None = None,
+    policies: Policies | None = None,
 ) -> list[Start]:
     """Return the runs to start now.
 
     Spare groups come late, and items that run ahead for the next batch last; within
     these classes, the items with the least slack until they are due come first. While
-    engines are overloaded, ``overload`` orders their items instead, and no slot is
-    reserved: its order already puts long items first.
+    engines are overloaded, their items have the order of :class:`Overload` instead, and
+    no slot is reserved for long items.
 
     :param now_wall: the current time, in seconds since 1970.
     """
+    policies = policies if policies is not None else Policies()
+    budgets = policies.budgets
     fastest_interval = fastest_event_interval(engines)
     free_slots_by_id = {
         engine.id: free_slots
@@ -75,8 +94,11 @@
     pool_is_limited = any(engine.permits() is not None for engine in engines)
     ranks = rank_by_group(scheduled_items)
     plan = OverloadPlan()
-    if overload is not None:
-        plan = overload.plan(scheduled_items, engines, fastest_interval, now_wall)
+    if policies.overload is not None:
+        plan = policies.overload.plan(
+            scheduled_items, ranks, engines, fastest_interval, now_wall
+        )
+        policies.plan = plan
 
     def urgency(scheduled: ScheduledItem) -> tuple[float, ...]:
         position = plan.position(scheduled)
@@ -98,9 +120,12 @@
             held_events_by_id[scheduled.engine.id] += scheduled.total_events()
     starts = []
     waiting_work = 0.0
-    for scheduled in sorted(
-        (scheduled for scheduled in scheduled_items if scheduled.waiting), key=urgency
-    ):
+    kept_free: set[frozenset[str]] = set()
+    waiting = [scheduled for scheduled in scheduled_items if scheduled.waiting]
+    queue: FairQueue | None = None
+    if policies.shares is not None and uses_shares(scheduled_items):
+        queue = policies.shares.queue(waiting, urgency)
+    for scheduled in queue if queue is not None else sorted(waiting, key=urgency):
         if not available:
             break
         all_slots = pool_is_limited or scheduled.services in plan.slots_by_services
@@ -112,9 +137,18 @@
             < _usable_slots(scheduled, engine, fastest_interval, all_slots)
             and may_run(scheduled, engine)
         ]
+        fitting = [
+            engine
+            for engine in eligible
+            if engine.id not in budgets or budgets[engine.id].fits(scheduled)
+        ]
+        if eligible and not fitting and scheduled.services not in kept_free:
+            # Else shorter items would take all memory that becomes free.
+            available.remove(roomiest(eligible, budgets))
+            kept_free.add(scheduled.services)
         chosen = choose_engine(
             scheduled,
-            eligible,
+            fitting,
             fastest_interval,
             free_slots_by_id,
             held_events_by_id,
@@ -127,6 +161,10 @@
         held_events_by_id[chosen.id] += scheduled.total_events()
         free_slots_by_id[chosen.id] -= 1
         in_flight_by_id[chosen.id] += 1
+        if chosen.id in budgets:
+            budgets[chosen.id].add(scheduled)
+        if queue is not None:
+            queue.record_start(scheduled)
         if not free_slots_by_id[chosen.id]:
             available.remove(chosen)
         engine_by_group[scheduled.item.group] = chosen.id
--- a/cranberryrun/batches/engine_choice.py
+++ b/cranberryrun/batches/engine_choice.py
@@ -4,10 +4,14 @@
 
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from ..fleet.engine_pool import Engine
 from .scheduled_item import ScheduledItem
 
+if TYPE_CHECKING:
+    from .engine_memory import EngineBudget
+
 # Assumed mean time between two events while no engine's speed is known.
 DEFAULT_EVENT_INTERVAL_SECONDS = 0.04
 # An engine is slow if its event interval exceeds this multiple of the fastest one's.
@@ -162,12 +166,16 @@
 
 
 def moves(
-    scheduled_items: Iterable[ScheduledItem], engines: Sequence[Engine], now: float
+    scheduled_items: Iterable[ScheduledItem],
+    engines: Sequence[Engine],
+    now: float,
+    budgets: dict[str, EngineBudget] | None = None,
 ) -> Iterator[Move]:
     """Yield the runs to move to an engine that would finish them much sooner.
 
     The caller carries out each move before it takes the next one, which counts it.
 
+    :param budgets: the engines whose memory is limited, by id.
     :param now: the current time, in loop seconds.
     """
     fastest_interval = fastest_event_interval(engines)
@@ -181,9 +189,19 @@
     for scheduled in running:
         if now < scheduled.started_at + _MIN_RUN_BEFORE_MOVE_SECONDS:
             continue
-        move = find_faster_engine(scheduled, available, fastest_interval)
-        if move is not None and move[1] >= _MIN_MOVE_SAVING_SECONDS:
-            yield Move(scheduled, *move)
+        roomy = [
+            engine
+            for engine in available
+            if not budgets
+            or engine.id not in budgets
+            or budgets[engine.id].fits(scheduled)
+        ]
+        move = find_faster_engine(scheduled, roomy, fastest_interval)
+        if move is None or move[1] < _MIN_MOVE_SAVING_SECONDS:
+            continue
+        if budgets and move[0].id in budgets:
+            budgets[move[0].id].add(scheduled)
+        yield Move(scheduled, *move)
 
 
 def _utilization(engine: Engine, unused_slots: int) -> float:
--- a/cranberryrun/batches/overload.py
+++ b/cranberryrun/batches/overload.py
@@ -8,26 +8,23 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from ..fleet.engine_pool import Engine
 from .engine_choice import LONG_ITEM_SECONDS, unreserved_slots
-from .group_ranks import SPARE, rank_by_group
+from .group_ranks import SPARE
 from .models import Batch
 from .pace import TrainerPaces
-from .scheduled_item import ScheduledItem
+from .scheduled_item import MEAN_LENGTH, ScheduledItem
+from .shares import batch_priority
 
 # A group that is complete this long after its due time still counts in full.
 _GRACE_SECONDS = 0.7
 # From the end of an item's text until the trainer reads its result: a reward call
 # takes 0.1 s, the append to the store and the trainer's next read as long again.
 _LISTING_SECONDS = 0.3
-# The mean length of items as a multiple of the mean estimate. Estimates are right at
-# the median. OVERRUN_SHARE of a half is the mean excess of a tail that falls with the third
-# power: lengths above the estimate are 1.5 times as long as it in the mean, and as far
-# below it 0.75 times.
-_MEAN_LENGTH = 1.125
 # Overload ends when the work fits with this share of the capacity to spare, so that
 # the order does not change with each event that is received.
 _END_LOAD = 0.9
@@ -80,12 +77,14 @@
     """The order of the items that compete for overloaded engines.
 
     ``load`` is the work due by some time as a share of what the engines can do until
-    then, at its largest. ``late_batches`` are the batches that can't be complete on
-    time. ``slots_by_services`` counts slots, those of a slower engine in part.
+    then, at its largest. ``late_batches`` are those of the ``open_batches`` that can't
+    be complete on time. ``slots_by_services`` counts the slots of slower engines in
+    part.
     """
 
     load: float = 0.0
     late_batches: set[str] = field(default_factory=set)
+    open_batches: set[str] = field(default_factory=set)
     behind_by_model: dict[str, float] = field(default_factory=dict)
     position_by_group: dict[GroupKey, Position] = field(default_factory=dict)
     slots_by_services: dict[frozenset[str], float] = field(default_factory=dict)
@@ -133,6 +132,7 @@
     def plan(
         self,
         scheduled_items: Sequence[ScheduledItem],
+        ranks: dict[GroupKey, int],
         engines: Sequence[Engine],
         fastest_interval: float,
         now_wall: float,
@@ -142,13 +142,13 @@
         Items with the same services compete. The slots of an engine that several such
         sets share count in each of them.
 
+        :param ranks: how much each group is needed, as from :func:`rank_by_group`.
         :param fastest_interval: event interval of the fastest engine, in seconds.
         :param now_wall: the current time, in seconds since 1970.
         """
         self.paces.record(
             {each.state.batch.id: each.state.batch for each in scheduled_items}.values()
         )
-        ranks = rank_by_group(scheduled_items)
         items_by_pool: dict[frozenset[str], list[ScheduledItem]] = {}
         for scheduled in scheduled_items:
             items_by_pool.setdefault(scheduled.services, []).append(scheduled)
@@ -160,6 +160,7 @@
             load = pool.load(steps)
             plan.load = max(plan.load, load)
             for step in steps:
+                plan.open_batches.add(step.batch.id)
                 plan.behind_by_model[step.batch.model] = step.behind
             if load <= (_END_LOAD if services in self._active_pools else 1.0):
                 self._active_pools.discard(services)
@@ -208,7 +209,7 @@
     def _add_positions(
         self, plan: OverloadPlan, pool: _Pool, steps: list[_Step]
     ) -> None:
-        order = sorted(steps, key=lambda step: self._precedence(step, steps))
+        order = self._admission_order(steps)
         late = []
         admitted: list[_Group] = []
         for number, step in enumerate(order):
@@ -234,6 +235,26 @@
         for group in groups:
             plan.position_by_group[group.key] = rank, float(number), group.work
 
+    def _admission_order(self, steps: list[_Step]) -> list[_Step]:
+        """Return the steps by priority; workspaces with less work so far come first."""
+        remaining = sorted(steps, key=lambda step: self._precedence(step, steps))
+        work_by_workspace: Counter[str | None] = Counter()
+        order = []
+        while remaining:
+            step = min(
+                remaining,
+                key=lambda step: (
+                    batch_priority(step.batch),
+                    work_by_workspace[step.batch.workspace],
+                ),
+            )
+            remaining.remove(step)
+            work = sum(group.work for group in step.groups.values())
+            if step.batch.workspace is not None:
+                work_by_workspace[step.batch.workspace] += work
+            order.append(step)
+        return order
+
     def _precedence(self, step: _Step, steps: list[_Step]) -> tuple[bool, float, float]:
         return not self._protected(step, steps), -step.behind, step.deadline
 
@@ -347,7 +368,7 @@
                 continue
             if not slots:
                 return float("inf")
-            expected = self._taken(left) + work * _MEAN_LENGTH
+            expected = self._taken(left) + work * MEAN_LENGTH
             load = max(load, expected / (slots * left))
         return load
 
--- a/cranberryrun/batches/pace.py
+++ b/cranberryrun/batches/pace.py
@@ -66,12 +66,16 @@
         ]
         if len(intervals) < _MIN_INTERVALS:
             return
-        count = min(_INTERVALS, len(intervals))
+        if len(intervals) < _INTERVALS:
+            self._pace_by_model[model] = median(intervals)
+            return
         pace = min(
-            median(intervals[start : start + count])
-            for start in range(len(intervals) - count + 1)
+            median(intervals[start : start + _INTERVALS])
+            for start in range(len(intervals) - _INTERVALS + 1)
         )
-        self._pace_by_model[model] = min(pace, self._pace_by_model.get(model, pace))
+        if len(intervals) > _INTERVALS:
+            pace = min(pace, self._pace_by_model[model])
+        self._pace_by_model[model] = pace
 
     def pace(self, model: str) -> float | None:
         """Return the seconds between two steps of a model; None if not known yet."""
--- a/fakes/trainers.py
+++ b/fakes/trainers.py
@@ -41,9 +41,9 @@
 class FakeTrainer:
     """A trainer that submits step k at ``k * pace`` or when version k is announced.
 
-    Version k needs the steps up to ``k - in_flight``. A step ends once ``wanted_share`` of its
-    groups are complete. ``groups`` and ``size`` are the shape of a step, and ``starts``
-    the time of the first, in loop seconds. The item lengths have the median
+    Version k needs the steps up to ``k - in_flight``. A step ends once ``wanted_share``
+    of its groups are complete. ``groups`` and ``size`` are the shape of a step, and
+    ``starts`` the time of the first, in loop seconds. The item lengths have the median
     ``median_events``; an estimate is off by a factor whose logarithm has the standard
     deviation ``estimate_error``.
     """
