Apply the policies for scarce engines on the lease holder

Cause: the runner planned starts without overload, shares and memory.

Change: scheduler.py keeps the policies' state while this host holds the lease; the runner stops the youngest runs of engines that would be full (settings with engines that crash when full only).

--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -13,13 +13,14 @@
 from ..fleet.send_permits import SendPermits
 from ..kernel import Service
 from .continuation import outputs_to_restart
-from .dispatch import ScheduledItem, plan_starts
+from .dispatch import ScheduledItem
 from .engine_choice import moves
 from .item_run import Outcome, run_item
 from .log import BatchLog
 from .models import Result
 from .results import ResultWriter
 from .scheduled_items import ScheduledItems
+from .scheduler import Scheduler
 from .scoring import Scoring
 
 _TICK_SECONDS = 0.1
@@ -41,6 +42,9 @@
 
     A former holder that does not know yet that it lost the lease does no harm: only
     the first result of an item counts, whichever host wrote it.
+
+    :param engines_crash_when_full: whether an engine crashes when its runs exceed its
+        memory.
     """
 
     name = "runner"
@@ -51,14 +55,17 @@
         "engine_pool",
         "batch_log",
         "loads",
+        "metrics",
         "result_writer",
         "reward_caller",
         "send_permits",
         "target_client",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, engines_crash_when_full: bool = False) -> None:
         super().__init__()
+        self._engines_crash_when_full = engines_crash_when_full
+        self._scheduler: Scheduler
         self._scheduled_items: ScheduledItems
         self._scoring: Scoring
         self._next_record_at = 0.0
@@ -74,6 +81,7 @@
         self._scheduled_items = ScheduledItems(
             self.kernel, table, self._stop_run, self._finish
         )
+        self._scheduler = Scheduler(self.kernel, self._engines_crash_when_full)
         self._scoring = Scoring(self.kernel, self.spawn, self._finish, self._wake.set)
         self.kernel.get(Lease).observers.append(self._on_lease_change)
         self.kernel.get(EnginePool).observers.append(self._wake.set)
@@ -135,6 +143,7 @@
                 # The next holder resumes these items from their recorded progress.
                 await self._stop_all()
                 self._scheduled_items.clear()
+                self._scheduler.reset()
 
     async def _run_as_holder(self, lease: Lease, log: BatchLog) -> None:
         await self._recover(lease, log)
@@ -143,6 +152,7 @@
             while lease.assigned and not self._stopping:
                 self._load_opened(log)
                 self._scheduled_items.update()
+                self._stop_excess_runs()
                 self._dispatch()
                 self._scoring.start_calls(self._scheduled_items.in_open_batches())
                 self._move_slow_runs()
@@ -221,15 +231,23 @@
     def _dispatch(self) -> None:
         scheduled_items = self._scheduled_items.startable()
         if not any(scheduled.waiting for scheduled in scheduled_items):
+            self._scheduler.record_idle()
             return
         services = frozenset().union(
             *(scheduled.services for scheduled in scheduled_items)
         )
         engines = self.kernel.get(EnginePool).engines_of(services)
         self._restart_outputs(scheduled_items, engines)
-        for start in plan_starts(scheduled_items, engines, clock.wall()):
+        every_item = list(self._scheduled_items)
+        for start in self._scheduler.plan(every_item, scheduled_items, engines):
             self._start_run(start.scheduled, start.engine)
 
+    def _stop_excess_runs(self) -> None:
+        """Stop the runs without which no engine exceeds its memory."""
+        engines = list(self.kernel.get(EnginePool).engine_by_id.values())
+        for scheduled in self._scheduler.runs_to_stop(self._scheduled_items, engines):
+            self._stop_run(scheduled)
+
     def _restart_outputs(
         self, scheduled_items: list[ScheduledItem], engines: list[Engine]
     ) -> None:
@@ -250,6 +268,7 @@
         scheduled.engine = engine
         scheduled.run_version = engine.version(scheduled.state.batch.model) or 0
         scheduled.started_at = clock.now()
+        self._scheduler.record_start(scheduled)
         engine.in_flight += 1
         scheduled.task = self.spawn(self._run(scheduled, engine))
 
@@ -260,7 +279,8 @@
         self._next_move_check_at = clock.now() + _MOVE_CHECK_INTERVAL_SECONDS
         engines = list(self.kernel.get(EnginePool).engine_by_id.values())
         running = self._scheduled_items.in_open_batches()
-        for move in moves(running, engines, clock.now()):
+        budgets = self._scheduler.budgets(self._scheduled_items, engines)
+        for move in moves(running, engines, clock.now(), budgets):
             self._move_run(move.scheduled, move.engine, move.saved_seconds)
 
     def _move_run(
@@ -293,6 +313,7 @@
 
     def _stop_run(self, scheduled: ScheduledItem) -> None:
         if scheduled.task is not None:
+            self._scheduler.record_stop(scheduled)
             scheduled.task.cancel()
             scheduled.task = None
 
--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -144,6 +144,30 @@
         (),
         "Requests that were refused because targets ended while they ran them.",
     ),
+    "engine_load": MetricKind(
+        "cranberryrun_engine_load",
+        "gauge",
+        (),
+        "Work of open steps as a share of what the engines can do; above 1: overload.",
+    ),
+    "trainer_behind_seconds": MetricKind(
+        "cranberryrun_trainer_behind_seconds",
+        "gauge",
+        ("workload",),
+        "Seconds by which a trainer with open steps is behind its pace.",
+    ),
+    "engine_memory": MetricKind(
+        "cranberryrun_engine_memory",
+        "gauge",
+        ("engine",),
+        "Share of an engine's memory that its runs hold, where memory is limited.",
+    ),
+    "runs_stopped": MetricKind(
+        "cranberryrun_runs_stopped",
+        "counter",
+        (),
+        "Runs that were stopped because their engine's memory was about to be full.",
+    ),
     "queue": MetricKind(
         "cranberryrun_queue",
         "gauge",
@@ -262,6 +286,10 @@
         """Count a request that was refused because targets ended under it."""
         self._add("crashing_requests")
 
+    def run_stopped_for_memory(self) -> None:
+        """Count a run that was stopped because of its engine's memory."""
+        self._add("runs_stopped")
+
     def register_gauge(
         self, key: str, read: Callable[[], float | Mapping[str, float]]
     ) -> None:
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -124,7 +124,7 @@
                 _RESULT_CACHE_MEMORY_SHARE * settings.memory_mb * 1_000_000,
             ),
             ResultWriter(),
-            Runner(),
+            Runner(settings.engines_crash_when_full),
             Handover(),
             Batches(),
             Crashes(),
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -267,6 +267,7 @@
         name: str = "host-1",
         orders_after: float = 0.0,
         cache_bytes: float = float("inf"),
+        engines_crash_when_full: bool = False,
     ) -> Kernel:
         """Start the services of one host and return its kernel, which stops them."""
         kernel = Kernel()
@@ -289,7 +290,7 @@
             StreamOrigins(),
             Streams(),
             RewardCaller(),
-            Runner(),
+            Runner(engines_crash_when_full),
             Batches(),
         ):
             kernel.register(service)
--- a/fakes/engines.py
+++ b/fakes/engines.py
@@ -48,6 +48,8 @@
     :ivar started: event that must be set before a run sends its first event.
     :ivar lose_orders: number of orders to come that take effect but whose answers
         are lost.
+    :ivar memory_tokens: the engine crashes, and breaks off all its runs, when they
+        hold more tokens. ``held_by_run`` has the item and the events of each run.
     """
 
     version: int = 1
@@ -68,6 +70,35 @@
     runs: list[tuple[str, int]] = field(default_factory=list)
     orders: list[LoadOrder] = field(default_factory=list)
     lose_orders: int = 0
+    memory_tokens: float = float("inf")
+    tokens_per_event: float = 10.0
+    held_by_run: dict[object, tuple[Item, int]] = field(default_factory=dict)
+    crashes: int = 0
+
+    def held_tokens(self) -> float:
+        """Return the tokens that the runs hold; shared parts count once."""
+        parts: dict[str, float] = {}
+        tokens = 0.0
+        for item, events in self.held_by_run.values():
+            shared = dict(item.prompt_parts)
+            parts |= shared
+            tokens += item.prompt_tokens - sum(shared.values())
+            tokens += events * self.tokens_per_event
+        return tokens + sum(parts.values())
+
+    def hold(self, run: object, item: Item, events: int, crashes: int) -> None:
+        """Record what a run holds now; crash if that is too much.
+
+        :param crashes: the number of crashes when the run started.
+        :raises TruncatedAnswerError: the engine has crashed since then.
+        """
+        if crashes == self.crashes:
+            self.held_by_run[run] = item, events
+            if self.held_tokens() > self.memory_tokens:
+                self.crashes += 1
+                self.held_by_run.clear()
+        if crashes != self.crashes:
+            raise TruncatedAnswerError("the engine crashed because its memory is full")
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,6 +216,18 @@
 
     async def _events(
         self, engine: FakeEngine, item: Item, done: int
+    ) -> AsyncIterator[Piece]:
+        run = object()
+        crashes = engine.crashes
+        try:
+            engine.hold(run, item, done, crashes)
+            async for piece in self._generate(engine, item, done, run, crashes):
+                yield piece
+        finally:
+            engine.held_by_run.pop(run, None)
+
+    async def _generate(
+        self, engine: FakeEngine, item: Item, done: int, run: object, crashes: int
     ) -> AsyncIterator[Piece]:
         sent_events = 0
         while done < self.events_by_item.get(item.id, 10):
@@ -197,6 +240,7 @@
                 await asyncio.sleep(3600)
             sent_events += 1
             done += 1
+            engine.hold(run, item, done, crashes)
             text = f"{item.id}/{done}"
             if engine.software:
                 text += f"@{engine.software}"
