--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -13,18 +13,15 @@
 from ..fleet.send_permits import SendPermits
 from ..kernel import Service
 from .continuation import outputs_to_restart
-from .dispatch import (
-    ScheduledItem,
-    fastest_event_interval,
-    find_faster_engine,
-    plan_starts,
-)
+from .dispatch import ScheduledItem
+from .engine_choice import moves
 from .item_run import Outcome, run_item
 from .leaving import plan_departures
 from .log import BatchLog
 from .models import Result
 from .results import ResultWriter
 from .scheduled_items import ScheduledItems
+from .scheduler import Scheduler
 from .scoring import Scoring
 
 _TICK_SECONDS = 0.1
@@ -36,11 +33,6 @@
 _RECOVERY_WINDOW_SECONDS = 60.0
 # The next holder resumes runs from progress that is at most this old.
 _RECORD_INTERVAL_SECONDS = 0.4
-# A run stays on its engine for at least this long, so that the engine's event interval
-# can be measured.
-_MIN_RUN_BEFORE_MOVE_SECONDS = 1.0
-# A run moves to another engine only if that saves at least this much time.
-_MIN_MOVE_SAVING_SECONDS = 0.4
 # Event intervals are means over a few tenths of a second, so more frequent checks would
 # use the same measurements.
 _MOVE_CHECK_INTERVAL_SECONDS = 0.2
@@ -51,6 +43,9 @@
 
     A former holder that does not know yet that it lost the lease does no harm: only
     the first result of an item counts, whichever host wrote it.
+
+    :param engines_crash_when_full: whether an engine crashes when its runs exceed its
+        memory.
     """
 
     name = "runner"
@@ -61,14 +56,17 @@
         "engine_pool",
         "batch_log",
         "loads",
+        "metrics",
         "result_writer",
         "reward_caller",
         "send_permits",
         "target_client",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, engines_crash_when_full: bool = False) -> None:
         super().__init__()
+        self._engines_crash_when_full = engines_crash_when_full
+        self._scheduler: Scheduler
         self._scheduled_items: ScheduledItems
         self._scoring: Scoring
         self._next_record_at = 0.0
@@ -84,6 +82,7 @@
         self._scheduled_items = ScheduledItems(
             self.kernel, table, self._stop_run, self._finish
         )
+        self._scheduler = Scheduler(self.kernel, self._engines_crash_when_full)
         self._scoring = Scoring(self.kernel, self.spawn, self._finish, self._wake.set)
         self.kernel.get(Lease).observers.append(self._on_lease_change)
         self.kernel.get(EnginePool).observers.append(self._wake.set)
@@ -145,6 +144,7 @@
                 # The next holder resumes these items from their recorded progress.
                 await self._stop_all()
                 self._scheduled_items.clear()
+                self._scheduler.reset()
 
     async def _run_as_holder(self, lease: Lease, log: BatchLog) -> None:
         await self._recover(lease, log)
@@ -154,6 +154,7 @@
             while lease.assigned and not self._stopping:
                 self._load_opened(log)
                 self._scheduled_items.update()
+                self._stop_excess_runs()
                 self._dispatch()
                 self._scoring.start_calls(self._scheduled_items.in_open_batches())
                 self._move_slow_runs()
@@ -236,16 +237,24 @@
         waiting = sum(scheduled.waiting for scheduled in scheduled_items)
         self.kernel.get(EnginePool).waiting_items = waiting
         if not waiting:
+            self._scheduler.record_idle()
             return
         services = frozenset().union(
             *(scheduled.services for scheduled in scheduled_items)
         )
         engines = self.kernel.get(EnginePool).engines_of(services)
         self._restart_outputs(scheduled_items, engines)
-        for start in plan_starts(scheduled_items, engines, clock.wall()):
+        for start in self._scheduler.plan(
+            self._scheduled_items, scheduled_items, engines
+        ):
             self._start_run(start.scheduled, start.engine)
             self.kernel.get(EnginePool).waiting_items -= 1
 
+    def _stop_excess_runs(self) -> None:
+        """Stop the runs without which no engine exceeds its memory."""
+        for scheduled in self._scheduler.runs_to_stop(self._scheduled_items):
+            self._stop_run(scheduled)
+
     def _restart_outputs(
         self, scheduled_items: list[ScheduledItem], engines: list[Engine]
     ) -> None:
@@ -265,7 +274,8 @@
             return
         scheduled.engine = engine
         scheduled.run_version = engine.version(scheduled.state.batch.model) or 0
-        scheduled.movable_at = clock.now() + _MIN_RUN_BEFORE_MOVE_SECONDS
+        scheduled.started_at = clock.now()
+        self._scheduler.record_start(scheduled)
         engine.in_flight += 1
         scheduled.task = self.spawn(self._run(scheduled, engine))
 
@@ -275,24 +285,12 @@
             return
         self._next_move_check_at = clock.now() + _MOVE_CHECK_INTERVAL_SECONDS
         engines = list(self.kernel.get(EnginePool).engine_by_id.values())
-        fastest_interval = fastest_event_interval(engines)
-        available = [engine for engine in engines if engine.free_slots() > 0]
-        scheduled_items = [
-            scheduled
-            for scheduled in self._scheduled_items.in_open_batches()
-            if scheduled.engine is not None and not scheduled.finished
-        ]
-        scheduled_items.sort(key=ScheduledItem.remaining_events, reverse=True)
-        departures = plan_departures(scheduled_items, available, clock.now())
-        for scheduled, engine in departures:
+        running, now = self._scheduled_items.in_open_batches(), clock.now()
+        budgets = self._scheduler.budgets(self._scheduled_items, engines)
+        for scheduled, engine in plan_departures(running, engines, now, budgets):
             self._move_run(scheduled, engine, 0.0)
-        for scheduled in scheduled_items:
-            if clock.now() < scheduled.movable_at:
-                continue
-            move = find_faster_engine(scheduled, available, fastest_interval)
-            if move is None or move[1] < _MIN_MOVE_SAVING_SECONDS:
-                continue
-            self._move_run(scheduled, *move)
+        for move in moves(running, engines, now, budgets):
+            self._move_run(move.scheduled, move.engine, move.saved_seconds)
 
     def _move_run(
         self, scheduled: ScheduledItem, engine: Engine, saved_seconds: float
@@ -324,6 +322,7 @@
 
     def _stop_run(self, scheduled: ScheduledItem) -> None:
         if scheduled.task is not None:
+            self._scheduler.record_stop(scheduled)
             scheduled.task.cancel()
             scheduled.task = None
 
--- a/cranberryrun/fleet/manifest.py
+++ b/cranberryrun/fleet/manifest.py
@@ -93,7 +93,9 @@
 class Manifest:
     """One complete version of the manifest.
 
-    ``tokens_per_event_by_service`` has the number of tokens in an event of a stream.
+    ``tokens_per_event_by_service`` has the number of tokens in an event of a stream,
+    and ``memory_tokens_by_service`` the tokens that an engine's memory holds, if it is
+    stated.
     ``keyring`` has the workspaces; None if callers need no keys.
     ``autoscale_error_by_service`` says why an ``autoscale`` of a service is ignored.
     """
@@ -107,6 +109,7 @@
     keyring: Keyring | None = None
     autoscale_by_service: dict[str, Autoscale] = field(default_factory=dict)
     autoscale_error_by_service: dict[str, str] = field(default_factory=dict)
+    memory_tokens_by_service: dict[str, float] = field(default_factory=dict)
     _by_host: dict[str, list[Route]] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
--- a/cranberryrun/platform/wire.py
+++ b/cranberryrun/platform/wire.py
@@ -108,7 +108,6 @@
     unused = frozenset(
         {
             "slots",
-            "kv-capacity",
             "kv-bytes",
             "link-mbps",
             "moves",
@@ -122,6 +121,8 @@
 
     # The number of tokens that one event of a stream carries.
     stride: float = 1.0
+    # The tokens that an engine's memory holds; 0 if it is not stated.
+    kv_capacity: float = 0.0
     models: list[_ModelName] = []
 
 
@@ -190,6 +191,11 @@
             keyring=self._keyring(),
             autoscale_by_service=autoscale_by_service,
             autoscale_error_by_service=autoscale_error_by_service,
+            memory_tokens_by_service={
+                name: engine.kv_capacity
+                for name, engine in engines.items()
+                if engine.kv_capacity > 0
+            },
         )
 
     def _keyring(self) -> Keyring | None:
--- a/cranberryrun/scaling/policy.py
+++ b/cranberryrun/scaling/policy.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from ..batches.dispatch import unreserved_slots
+from ..batches.engine_choice import unreserved_slots
 from ..fleet.manifest import Autoscale
 from .capacity import (
     TARGET_UTILIZATION,
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -304,6 +304,7 @@
         cache_bytes: float = float("inf"),
         link_mbps: float = 1000.0,
         more_services: Sequence[Service] = (),
+        engines_crash_when_full: bool = False,
     ) -> Kernel:
         """Start the services of one host and return its kernel, which stops them.
 
@@ -332,9 +333,9 @@
             SoftwareHistory(),
             Streams(),
             RewardCaller(),
-            Runner(),
             FakeResultSource(self),
             RemoteResults(name, link_mbps),
+            Runner(engines_crash_when_full),
             Batches(),
             *more_services,
         ):
