Forget old reports of services that are never hedged

Cause: the holder kept an entry for each report of new requests and removed old entries only when a permit was asked for.

Change: entries older than the window are removed with each report.

Measured: in the new test, 1,000 reports in 100 s left 1,000 entries before and at most 16 now.

--- a/cranberryrun/second_attempts/budget.py
+++ b/cranberryrun/second_attempts/budget.py
@@ -5,6 +5,7 @@
 import math
 from collections import Counter, deque
 from dataclasses import dataclass, field
+from typing import Any
 
 from .client import Expectation, HedgeReport, PermitAsk, Refusal
 from .policy import expectation_of
@@ -101,6 +102,8 @@
             if counts.begun:
                 self._begun.add(counts.begun, now)
                 state.begun.append((now, counts.begun))
+            # Services that are never asked about get reports, too.
+            _forget_old(state.begun, now)
 
     def expectations(self, now: float) -> dict[str, Expectation]:
         """Return the expectation of each service that is known well enough."""
@@ -146,9 +149,8 @@
 
         A single slow target is left out: it is what second attempts are for.
         """
-        for entries in (state.begun, state.asked):
-            while entries and entries[0][0] < now - _SLOW_WINDOW_SECONDS:
-                entries.popleft()
+        _forget_old(state.begun, now)
+        _forget_old(state.asked, now)
         count_by_target = Counter(target for _, target in state.asked)
         slow = len(state.asked) - max(count_by_target.values(), default=0)
         begun = sum(count for _, count in state.begun)
@@ -176,3 +178,9 @@
         own = sum(each.in_flight for each in load_by_target.values())
         slots = sum(each.slots for each in load_by_target.values())
         return in_flight + own > _MAX_SLOTS_SHARE * slots
+
+
+def _forget_old(entries: deque[tuple[float, Any]], now: float) -> None:
+    """Remove the entries that say nothing of the present load."""
+    while entries and entries[0][0] < now - _SLOW_WINDOW_SECONDS:
+        entries.popleft()
--- a/tests/test_hedge_policy.py
+++ b/tests/test_hedge_policy.py
@@ -138,6 +138,12 @@
         self.report(0.0, sent=450)
         self.assertEqual(self.take(0.0), "full")
 
+    def test_reports_of_a_service_that_is_never_hedged_take_no_memory(self):
+        for tenth in range(1000):
+            self.report(tenth / 10, begun=1)
+        (state,) = self.budget._state_by_service.values()
+        self.assertLessEqual(len(state.begun), 16)
+
     def test_unknown_service_or_target_gets_no_permit(self):
         self.budget.record_runs(10_000, 0.0)
         self.assertEqual(self.take(0.0, load={"t0": TargetLoad(6, 0)}), "full")
