Answer a request whose hedge is cancelled by a stopping host

Cause: a host that stops cancels the call by which a request waits for the expectation or a permit. The plan of the second attempt is then cancelled, and reading its result raised the cancellation in the request itself, whose first attempt was still running.

Change: a cancelled plan counts as one without a second attempt.

--- a/cranberryrun/requests/attempts.py
+++ b/cranberryrun/requests/attempts.py
@@ -137,8 +137,10 @@
             self._hedge = None
 
     def _send_hedge(self, hedge: Hedge) -> None:
-        # An unexpected error of the plan was logged by its service.
-        target = hedge.due.result() if hedge.due.exception() is None else None
+        # The plan is cancelled where the service stops before the request ends; an
+        # unexpected error was logged by the service.
+        failed = hedge.due.cancelled() or hedge.due.exception() is not None
+        target = hedge.due.result() if not failed else None
         if target is None or not self._may_hedge():
             self._drop_hedge()
             return
--- a/tests/test_hedged_requests.py
+++ b/tests/test_hedged_requests.py
@@ -225,6 +225,18 @@
         await second_attempts.acquire(ask)
         self.assertEqual(self.deployment.hedge_reports[-1].unused, 1)
 
+    async def test_request_in_flight_ends_when_the_service_stops_before_it(self):
+        """A host that shuts down would otherwise drop the response."""
+        await self.play(1.0)
+        await asyncio.sleep(10.0)
+        host = next(each for each in self.hosts if not each.get(Lease).assigned)
+        self.seconds = []
+        request = asyncio.create_task(self.request(host))
+        await asyncio.sleep(0.001)
+        await host.get(SecondAttempts).stop()
+        await request
+        self.assertAlmostEqual(self.seconds[0], FAST)
+
     async def test_requests_that_may_run_once_or_have_one_attempt_are_not_hedged(self):
         self.slow_target()
         await self.play(20.0)
