Count the first step that a trainer submits after a long pause

Cause: a model's demand needs two steps within 120 s. After a longer pause, in which engines were removed, the first step counted for nothing, so engines were ordered a pace later and the first steps waited for them.

Change: the pace before the pause stands in for the unknown one.

Measured: in the new test a step at 200 s after two at 0 and 4 s gave no demand before and gives one with a pace of 4 s now.

--- a/cranberryrun/scaling/demand.py
+++ b/cranberryrun/scaling/demand.py
@@ -105,6 +105,8 @@
     _step_by_batch: dict[str, _Step] = field(default_factory=dict)
     _open_by_batch: dict[str, BatchState] = field(default_factory=dict)
     _seen_models: set[str] = field(default_factory=set)
+    # Of the last two steps or more that were known of a model, in seconds.
+    _pace_by_model: dict[str, float] = field(default_factory=dict)
     _manifest: Manifest | None = None
 
     def update(
@@ -170,9 +172,16 @@
         for model, steps in steps_by_model.items():
             if model not in self._seen_models:
                 missing.append(model)
-            if len(steps) < 2:
+            steps.sort(key=lambda step: step.submitted_at)
+            if len(steps) >= 2:
+                pace = _pace([step.submitted_at for step in steps])
+                self._pace_by_model[model] = pace
+            elif steps and model in self._pace_by_model:
+                # The trainer goes on after a pause, in which engines were removed.
+                pace = self._pace_by_model[model]
+            else:
                 continue
-            demand = _model_demand(service, steps, factor, now)
+            demand = _model_demand(service, steps, pace, factor, now)
             if demand is not None:
                 demands.append(demand)
         newest_at = max(
@@ -252,11 +261,9 @@
 
 
 def _model_demand(
-    service: str, steps: list[_Step], factor: float, now: float
+    service: str, steps: list[_Step], pace: float, factor: float, now: float
 ) -> ModelDemand | None:
-    """Return the demand of a model with two steps or more; None if it has ended."""
-    steps.sort(key=lambda step: step.submitted_at)
-    pace = _pace([step.submitted_at for step in steps])
+    """Return the demand of a model from its steps in order; None if it has ended."""
     idle_seconds = now - steps[-1].submitted_at
     if idle_seconds > max(_MIN_IDLE_SECONDS, _IDLE_PACES * pace):
         return None
--- a/tests/test_scaling_demand.py
+++ b/tests/test_scaling_demand.py
@@ -59,6 +59,14 @@
         demand = self.demand(50.0)
         self.assertEqual((demand.models, demand.missing_models), ((), ()))
 
+    def test_first_step_after_a_pause_counts_with_the_pace_before(self):
+        """Engines were removed in the pause; a second step would come too late."""
+        self.submit(0.0, 4.0)
+        self.assertEqual(len(self.demand(5.0).models), 1)
+        self.submit(200.0)
+        (model,) = self.demand(200.5).models
+        self.assertEqual((model.steps, model.pace), (1, 4.0))
+
     def test_lengths_are_corrected_by_those_of_finished_outputs(self):
         self.submit(0.0, 4.0)
         for state in self.states:
