--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -234,21 +234,18 @@
 
     def _dispatch(self) -> None:
         scheduled_items = self._scheduled_items.startable()
-        waiting = sum(scheduled.waiting for scheduled in scheduled_items)
-        self.kernel.get(EnginePool).waiting_items = waiting
+        pool = self.kernel.get(EnginePool)
+        pool.waiting_items = waiting = sum(each.waiting for each in scheduled_items)
         if not waiting:
             self._scheduler.record_idle()
             return
-        services = frozenset().union(
-            *(scheduled.services for scheduled in scheduled_items)
-        )
-        engines = self.kernel.get(EnginePool).engines_of(services)
+        services = frozenset().union(*(each.services for each in scheduled_items))
+        engines = pool.engines_of(services)
         self._restart_outputs(scheduled_items, engines)
-        for start in self._scheduler.plan(
-            self._scheduled_items, scheduled_items, engines
-        ):
+        items = self._scheduled_items
+        for start in self._scheduler.plan(items, scheduled_items, engines):
             self._start_run(start.scheduled, start.engine)
-            self.kernel.get(EnginePool).waiting_items -= 1
+            pool.waiting_items -= 1
 
     def _stop_excess_runs(self) -> None:
         """Stop the runs without which no engine exceeds its memory."""
@@ -281,11 +278,12 @@
 
     def _move_slow_runs(self) -> None:
         """Move runs to an engine that would finish them much sooner."""
-        if clock.now() < self._next_move_check_at:
+        now = clock.now()
+        if now < self._next_move_check_at:
             return
-        self._next_move_check_at = clock.now() + _MOVE_CHECK_INTERVAL_SECONDS
+        self._next_move_check_at = now + _MOVE_CHECK_INTERVAL_SECONDS
         engines = list(self.kernel.get(EnginePool).engine_by_id.values())
-        running, now = self._scheduled_items.in_open_batches(), clock.now()
+        running = self._scheduled_items.in_open_batches()
         budgets = self._scheduler.budgets(self._scheduled_items, engines)
         for scheduled, engine in plan_departures(running, engines, now, budgets):
             self._move_run(scheduled, engine, 0.0)
@@ -317,7 +315,7 @@
         )
         self._record_task.add_done_callback(self._clear_record_task)
 
-    def _clear_record_task(self, task: asyncio.Task[None]) -> None:
+    def _clear_record_task(self, _: asyncio.Task[None]) -> None:
         self._record_task = None
 
     def _stop_run(self, scheduled: ScheduledItem) -> None:
