Confirm a renewal of the lease only after all records before it

Cause: a holder that was suspended or cut off until another host took the lease appended a renewal as soon as it could reach the store. The renewal succeeded, so held and may_order were true until the next successful read of the topic, which is up to 0.3 s later, or longer if reads fail while appends succeed. In this time the host made calls under a token lower than one already used.

Change: the answer to the append has the offset of the renewal. It counts if all records before it are known, which is so for each renewal of an undisturbed holder. Otherwise the topic is read at once, and the renewal counts after that.

No more calls to the store at rest.

--- a/cranberryrun/fleet/lease.py
+++ b/cranberryrun/fleet/lease.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -67,6 +68,15 @@
 _RECORD_ADAPTER: TypeAdapter[LeaseRecord] = TypeAdapter(LeaseRecord)
 
 
+@dataclass(frozen=True, slots=True)
+class _Renewal:
+    """A renewal that the store confirmed, requested at ``requested_at``."""
+
+    fence: int
+    offset: int
+    requested_at: float
+
+
 async def _always() -> bool:
     """Return that the lease may be acquired."""
     return True
@@ -104,6 +114,10 @@
         self._now = boot_clock
         self._link_share = min(1.0, link_mbps / _FAST_LINK_MBPS)
         self._next_offset = 0
+        # The end of the records that were read or that this process appended.
+        self._known_end = 0
+        self._unconfirmed_renewal: _Renewal | None = None
+        self._must_read = asyncio.Event()
         self._holder: str | None = None
         self._holder_host: str | None = None
         self._fence = -1
@@ -199,6 +213,7 @@
         store = self.kernel.get(Store)
         while True:
             requested_at = self._now()
+            self._must_read.clear()
             try:
                 page = await store.read(TOPIC, self._next_offset, 0.0)
             except LogGapError as error:
@@ -215,9 +230,14 @@
             for offset, raw in enumerate(page.records, page.start):
                 self._apply_record(offset, raw)
             self._next_offset = page.next
+            self._known_end = max(self._known_end, page.next)
+            if self._unconfirmed_renewal is not None:
+                self._apply_renewal(self._unconfirmed_renewal)
             if page.next >= page.end:
                 await self._acquire_if_free()
-                await asyncio.sleep(self._read_interval())
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(self._read_interval()):
+                        await self._must_read.wait()
 
     def _read_interval(self) -> float:
         """Return the seconds until the next read of the topic."""
@@ -289,6 +309,7 @@
             await asyncio.sleep(_RETRY_DELAY_SECONDS)
             return
         self._renewed_at = requested_at
+        self._known_end = offset + 1
         if offset == 0:
             self._previous_holder_order_at = float("-inf")
         elif not released:
@@ -306,11 +327,9 @@
 
     async def _release_late(self) -> None:
         """Release a lease that was acquired while :meth:`release` was called."""
-        try:
+        # On an error the other hosts wait until the lease expires.
+        with contextlib.suppress(CranberryrunError):
             await self.step_down()
-        except CranberryrunError:
-            # The other hosts wait until the lease expires.
-            return
 
     def _acquire_delay(self) -> float:
         age = self._now() - self._started_at
@@ -329,7 +348,7 @@
             requested_at = self._now()
             fence = self._fence
             try:
-                await store.append(TOPIC, [self._encode_record("renewed")])
+                offset = await store.append(TOPIC, [self._encode_record("renewed")])
             except CranberryrunError as error:
                 # A lost answer has already used up much of the TTL, and the next
                 # call may take another path to the store, so do not wait.
@@ -337,11 +356,25 @@
                 if not self.held:
                     self._log_expiry(error)
                 continue
-            # A renewal after another host's *taken* record has no effect; _follow()
-            # reads that record and changes the holder.
-            if self.assigned and self._fence == fence:
-                self._renewed_at = requested_at
-                self._expiry_logged = False
+            self._apply_renewal(_Renewal(fence, offset, requested_at))
+            if self._unconfirmed_renewal is not None:
+                self._must_read.set()
+
+    def _apply_renewal(self, renewal: _Renewal) -> None:
+        """Extend the lease once all records before the renewal are known.
+
+        A renewal after another host's *taken* record has no effect. A host that was
+        suspended or cut off may append one before it reads that record.
+        """
+        self._unconfirmed_renewal = None
+        if not self.assigned or self._fence != renewal.fence:
+            return
+        if renewal.offset > self._known_end:
+            self._unconfirmed_renewal = renewal
+            return
+        self._known_end = max(self._known_end, renewal.offset + 1)
+        self._renewed_at = max(self._renewed_at, renewal.requested_at)
+        self._expiry_logged = False
 
     def _log_expiry(self, error: CranberryrunError) -> None:
         if self._expiry_logged:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -4,9 +4,14 @@
 import random
 
 from cranberryrun.events import Events
-from cranberryrun.exceptions import AppendUnknownError
+from cranberryrun.exceptions import (
+    AppendUnknownError,
+    LogReadError,
+    LogUnavailableError,
+)
 from cranberryrun.fleet.lease import TOPIC, Lease
 from cranberryrun.kernel import Kernel
+from cranberryrun.store import Store
 from fakes.deployment import shared
 from fakes.store import MemoryStore
 
@@ -15,6 +20,20 @@
 ORDER_HANDOVER_SECONDS = 3.0
 
 
+class UnreadableStore(MemoryStore):
+    """The store of a host whose reads fail."""
+
+    async def read(self, topic, start, wait):
+        raise LogReadError("the read was reset")
+
+
+class CutStore(UnreadableStore):
+    """The store of a host whose calls all fail."""
+
+    async def append(self, topic, records, at=None):
+        raise LogUnavailableError("the host is cut off")
+
+
 class LeaseTestCase(VirtualTimeTestCase):
     async def asyncSetUp(self):
         self.store = MemoryStore()
@@ -252,3 +271,36 @@
                     self.assertTrue(second.held)
                     for kernel in self.kernel_by_name.values():
                         await kernel.stop()
+
+    async def test_former_holder_whose_renewals_work_again_does_not_hold_the_lease(
+        self,
+    ):
+        """Its renewal succeeded before it had read that another host is the holder.
+
+        It then made calls with a fencing token lower than one already used.
+        """
+        first = await self.start("host-1")
+        await asyncio.sleep(1.0)
+        second = await self.start("host-2")
+        await asyncio.sleep(1.0)
+        store = self.kernel_by_name["host-1"].get(Store)
+        store.__class__ = CutStore
+        await self.time_of_first_order(second)
+        store.__class__ = UnreadableStore
+        for _ in range(100):
+            self.assertFalse(first.held)
+            await asyncio.sleep(0.02)
+        store.__class__ = MemoryStore
+        await asyncio.sleep(1.0)
+        self.assertFalse(first.assigned)
+        self.assertTrue(second.may_order)
+
+    async def test_holder_keeps_the_lease_when_some_calls_to_the_store_fail(self):
+        """Renewals count again soon after one whose answer was lost."""
+        first = await self.start("host-1")
+        await asyncio.sleep(1.0)
+        for _ in range(20):
+            self.store.lost_answers = 1
+            for _ in range(10):
+                await asyncio.sleep(0.05)
+                self.assertTrue(first.held)
