Read the manifest after a pause before a caller's key is looked up

Cause: calls that arrive while a host is suspended are served as soon as it wakes, before its first read of the manifest. A key that was revoked in the meantime still ran requests, however long ago it was revoked.

Change: a tick tells the directory that the loop stood still for more than a second. Calls then wait for the end of a read that was requested after the pause, at most 0.5 s; the pause between reads is cut short. A failed read ends the wait, so a partitioned host goes on with its manifest as before. Without workspaces nothing waits.

--- a/cranberryrun/fleet/directory.py
+++ b/cranberryrun/fleet/directory.py
@@ -14,6 +14,7 @@
 from ..kernel import Service
 from ..store import KeyedRecord, Store
 from .manifest import Manifest, Route
+from .topic_reads import TICK_SECONDS, PauseWatch, TopicReads
 
 # Long polls end this often, so that an outage is noticed and a record that a poll
 # missed is found.
@@ -29,9 +30,8 @@
 # The platform's limit for targets to register again after an outage of the store in
 # which their entries expired.
 _REREGISTRATION_SECONDS = 2.0
-# Targets write heartbeats about once a second, so a topic that could not be read for
-# this long counts as in an outage.
-_OUTAGE_SECONDS = 1.0
+# A read takes some milliseconds. A partitioned host goes on with the manifest it has.
+_MAX_WAIT_FOR_MANIFEST_SECONDS = 0.5
 _MS_PER_SECOND = 1000.0
 
 
@@ -83,34 +83,6 @@
         """Return the target that a record registers."""
 
 
-class _OutageDetector:
-    """Detects outages of one topic from the results of reads.
-
-    ``ended_at`` is the end of the last outage, in loop seconds.
-    """
-
-    def __init__(self) -> None:
-        self.last_success_at = clock.now()
-        self.in_outage = False
-        self.ended_at = float("-inf")
-
-    def record_failure(self) -> bool:
-        """Record a failed read; return whether it starts an outage."""
-        if self.in_outage or clock.now() - self.last_success_at < _OUTAGE_SECONDS:
-            return False
-        self.in_outage = True
-        return True
-
-    def record_success(self) -> bool:
-        """Record a successful read; return whether it ends an outage."""
-        self.last_success_at = clock.now()
-        if not self.in_outage:
-            return False
-        self.in_outage = False
-        self.ended_at = clock.now()
-        return True
-
-
 class Directory(Service):
     """Follows the operator's topic and the targets' topic; keeps their current content.
 
@@ -135,7 +107,8 @@
         self._change_count = 0
         self._leaving_since_by_id: dict[str, float] = {}
         self._expiry_timer_by_id: dict[str, asyncio.TimerHandle] = {}
-        self._outage_detector_by_topic: dict[str, _OutageDetector] = {}
+        self._reads_by_topic: dict[str, TopicReads] = {}
+        self._pauses = PauseWatch()
 
     @property
     def ready(self) -> bool:
@@ -144,6 +117,7 @@
 
     async def start(self) -> None:
         """Start following both topics."""
+        self.supervise(self._watch_pauses)
         decoder = self._decoder
         for topic, apply_record, apply_snapshot in (
             (
@@ -157,7 +131,7 @@
                 self._apply_target_snapshot,
             ),
         ):
-            self._outage_detector_by_topic[topic] = _OutageDetector()
+            self._reads_by_topic[topic] = TopicReads()
             self.supervise(partial(self._follow, topic, apply_record, apply_snapshot))
 
     def route_for(self, host: str, path: str) -> Route | None:
@@ -178,11 +152,27 @@
         """Return how long ago the operator's and the targets' topic were last read."""
         now = clock.now()
         operator, targets = (
-            now - self._outage_detector_by_topic[topic].last_success_at
+            now - self._reads_by_topic[topic].last_success_at
             for topic in (self._decoder.operator_topic, self._decoder.target_topic)
         )
         return operator, targets
 
+    async def wait_for_recent_manifest(self) -> None:
+        """After a pause, in which keys may have been removed, wait for a read."""
+        if self.manifest is None or self.manifest.keyring is None:
+            return
+        self._pauses.tick()
+        reads = self._reads_by_topic[self._decoder.operator_topic]
+        if not reads.requested_since(self._pauses.resumed_after):
+            await reads.wait_until_requested_since(
+                self._pauses.resumed_after, _MAX_WAIT_FOR_MANIFEST_SECONDS
+            )
+
+    async def _watch_pauses(self) -> None:
+        while True:
+            self._pauses.tick()
+            await asyncio.sleep(TICK_SECONDS)
+
     def mark_leaving(self, target_id: str) -> None:
         """Give a target no new work for the life of this host's process.
 
@@ -215,20 +205,22 @@
         apply_snapshot: Callable[[list[KeyedRecord]], None],
     ) -> None:
         store = self.kernel.get(Store)
+        reads = self._reads_by_topic[topic]
         offset: int | None = None
         wait = 0.0
         while True:
+            requested_at = clock.now()
             changes_before = self._change_count
             only_heartbeats = False
             try:
                 if offset is None:
                     newest = await store.newest(topic)
-                    self._record_success(topic)
+                    self._record_success(topic, requested_at)
                     apply_snapshot(newest.records)
                     offset = newest.next
                 else:
                     page = await store.read(topic, offset, wait)
-                    self._record_success(topic)
+                    self._record_success(topic, requested_at)
                     self._apply_records(page.records, apply_record)
                     only_heartbeats = (
                         bool(page.records) and self._change_count == changes_before
@@ -238,19 +230,19 @@
                 offset = None
                 continue
             except LogReadError as error:
-                self._record_failure(topic, error)
+                self._record_failure(topic, requested_at, error)
                 await asyncio.sleep(_RETRY_DELAY_SECONDS)
                 # A long poll that the store leaves unanswered would hide the end of
                 # the outage.
                 wait = 0.0
                 continue
-            wait = _POLL_SECONDS
             self._notify_observers()
-            await asyncio.sleep(
+            urgent = await reads.pause(
                 _HEARTBEAT_READ_INTERVAL_SECONDS
                 if only_heartbeats and not self.follow_closely
                 else _READ_INTERVAL_SECONDS
             )
+            wait = 0.0 if urgent else _POLL_SECONDS
 
     def _apply_records(
         self, records: list[bytes], apply_record: Callable[[KeyedRecord], None]
@@ -263,12 +255,12 @@
                 continue
             apply_record(record)
 
-    def _record_success(self, topic: str) -> None:
-        if self._outage_detector_by_topic[topic].record_success():
+    def _record_success(self, topic: str, at: float) -> None:
+        if self._reads_by_topic[topic].record_success(at):
             self.kernel.get(Events).emit("log_back", topic=topic)
 
-    def _record_failure(self, topic: str, error: LogReadError) -> None:
-        if self._outage_detector_by_topic[topic].record_failure():
+    def _record_failure(self, topic: str, at: float, error: LogReadError) -> None:
+        if self._reads_by_topic[topic].record_failure(at):
             self.kernel.get(Events).emit("log_lost", topic=topic, reason=str(error))
 
     def _notify_observers(self) -> None:
@@ -373,7 +365,7 @@
         """
         if target_id not in self.target_by_id or target_id in self._expiry_timer_by_id:
             return
-        ended_at = self._outage_detector_by_topic[self._decoder.target_topic].ended_at
+        ended_at = self._reads_by_topic[self._decoder.target_topic].outage_ended_at
         grace = ended_at + _REREGISTRATION_SECONDS - clock.now()
         if grace <= 0:
             self._remove_target_now(
--- a/cranberryrun/platform/frontend.py
+++ b/cranberryrun/platform/frontend.py
@@ -153,6 +153,8 @@
 
     async def _route_request(self, request: web.BaseRequest) -> web.StreamResponse:
         path = request.rel_url.raw_path
+        directory = self.kernel.get(Directory)
+        await directory.wait_for_recent_manifest()
         manifest = self._manifest()
         if path.startswith(_BATCH_PREFIX):
             return await self._serve_batch(
@@ -166,7 +168,6 @@
                 path.removeprefix(_ITEM_BODY_PREFIX),
                 self._identify(manifest, request),
             )
-        directory = self.kernel.get(Directory)
         require_ready(directory)
         caller = self._identify(manifest, request)
         host = request.headers.get("Host", "")
@@ -174,6 +175,7 @@
         route = find_route(directory, host, path)
         body = await self._read_body(request, manifest)
         # A body may take so long that the key is revoked meanwhile.
+        await directory.wait_for_recent_manifest()
         caller = self._identify(self._manifest(), request)
         caller.check_route(route)
         route = caller.with_priority(route)
--- a/tests/test_workspaces.py
+++ b/tests/test_workspaces.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 
 import aiohttp
 
@@ -218,6 +219,25 @@
         for key, expected in ((RED, 200), ("other", 401), (None, 401)):
             self.assertEqual(await self.status("/status/x", key), expected)
 
+    async def test_key_revoked_while_the_host_was_suspended_runs_nothing(self):
+        """Its first calls came before its first read and used the old manifest."""
+        reader, writer = await asyncio.open_connection(*self.url[7:].split(":"))
+        writer.write(
+            f"POST /status/x HTTP/1.1\r\nHost: {HOST_NAME}\r\n{KEY}: {RED}\r\n"
+            "Content-Length: 2\r\n\r\n".encode()
+        )
+        await asyncio.sleep(0.2)
+        writer.write(b"hi")
+        revoked = keyed_manifest(3, KEYS | {"red": [RED_2]})
+        self.store.put(OPERATOR_TOPIC, "config", revoked)
+        # Stalls the loop of the host as SIGSTOP does.
+        time.sleep(3.5)
+        async with asyncio.timeout(2.0):
+            line = await reader.readline()
+        writer.close()
+        self.assertIn(b"401", line)
+        self.assertEqual(self.portal_requests(), [])
+
     async def test_host_without_a_manifest_rejects_no_key(self):
         self.store.mode = "busy"
         front = free_port()
