Notice a suspended holder within 1.6 s of a long poll for results

Cause: a host on a slow link passed the caller's whole wait on to the holder of the lease. If the holder was suspended, or lost without a reset of the connection, the caller got the results that the store had only after that wait and 0.6 s more.

Change: a wait of more than a second is made of several calls, each to the host that holds the lease by then.

Result: a long poll of 8 s at a host with a suspended holder took 8.6 s, and now less than 2 s (tests.test_remote_results). Waits of up to a second cost the same calls.

--- a/cranberryrun/batches/remote_results.py
+++ b/cranberryrun/batches/remote_results.py
@@ -18,6 +18,9 @@
 _SLOW_LINK_MBPS = 100.0
 # After a call that failed, results are read from the store for this long.
 _COOLDOWN_SECONDS = 1.0
+# A holder that is suspended or lost is noticed only when a call has no answer in time,
+# so a longer wait is made of several calls. The lease passes on after a second.
+_MAX_CALL_WAIT_SECONDS = 1.0
 
 
 class RemoteResults(Service):
@@ -41,6 +44,19 @@
 
         :param wait: how long to wait for the first result, in seconds.
         """
+        deadline = clock.now() + wait
+        while True:
+            call_ends_at = min(deadline, clock.now() + _MAX_CALL_WAIT_SECONDS)
+            page = await self._read_once(batch_id, after, call_ends_at - clock.now())
+            if page is None or page.results:
+                return page
+            # A holder that answers before its time expects no more results.
+            if clock.now() < call_ends_at or clock.now() >= deadline:
+                return page
+
+    async def _read_once(
+        self, batch_id: str, after: int, wait: float
+    ) -> ResultPage | None:
         if not self._link_is_slow or clock.now() < self._ask_again_at:
             return None
         holder = self.kernel.get(Lease).holder_host
--- a/tests/test_remote_results.py
+++ b/tests/test_remote_results.py
@@ -6,8 +6,9 @@
 from cranberryrun import clock
 from cranberryrun.batches.log import BatchLog
 from cranberryrun.batches.remote_results import RemoteResults
+from cranberryrun.batches.result_source import ResultPage, ResultSource
 from cranberryrun.batches.service import Batches
-from cranberryrun.exceptions import NotFoundError
+from cranberryrun.exceptions import NotFoundError, PeerError
 from cranberryrun.fleet.lease import Lease
 from cranberryrun.fleet.neighbours import Neighbours
 from fakes.deployment import Deployment, batch, manifest
@@ -66,6 +67,35 @@
         self.assertEqual(len(results), 4)
         self.assertTrue(self.reads_the_store())
 
+    async def test_suspended_holder_delays_a_long_poll_by_less_than_two_seconds(self):
+        """The whole wait of the caller passed before the store was read."""
+
+        async def read(host, batch_id, after, wait):
+            await asyncio.sleep(wait + 0.6)
+            raise PeerError("no answer")
+
+        await asyncio.sleep(5.0)
+        self.slow.get(ResultSource).read = read
+        asked_at = clock.now()
+        page = await self.slow.get(Batches).results("b1", 0, 8.0)
+        self.assertEqual(len(page.results), 4)
+        self.assertLess(clock.now() - asked_at, 2.0)
+
+    async def test_long_poll_of_several_calls_ends_when_the_caller_wants(self):
+        waits = []
+
+        async def read(host, batch_id, after, wait):
+            waits.append(wait)
+            await asyncio.sleep(wait)
+            return ResultPage(4, after, [])
+
+        self.slow.get(ResultSource).read = read
+        asked_at = clock.now()
+        page = await self.slow.get(Batches).results("b1", 0, 2.5)
+        self.assertEqual((page.next, len(page.results)), (0, 0))
+        self.assertAlmostEqual(clock.now() - asked_at, 2.5, delta=0.1)
+        self.assertEqual([round(wait, 1) for wait in waits[:3]], [1.0, 1.0, 0.5])
+
     async def test_batch_that_no_host_knows_is_not_found(self):
         with self.assertRaises(NotFoundError):
             await self.slow.get(Batches).results("unknown", 0, 0.0)
