Create the watch for pauses when the directory starts

Cause: its clock needs a running event loop, which a host that is only constructed does not have; tests.test_scaling_hosts failed with RuntimeError.

Result: tests.test_scaling_hosts passes, and tests.test_directory and test_workspaces.

--- a/cranberryrun/fleet/directory.py
+++ b/cranberryrun/fleet/directory.py
@@ -108,7 +108,7 @@
         self._leaving_since_by_id: dict[str, float] = {}
         self._expiry_timer_by_id: dict[str, asyncio.TimerHandle] = {}
         self._reads_by_topic: dict[str, TopicReads] = {}
-        self._pauses = PauseWatch()
+        self._pauses: PauseWatch
 
     @property
     def ready(self) -> bool:
@@ -117,6 +117,7 @@
 
     async def start(self) -> None:
         """Start following both topics."""
+        self._pauses = PauseWatch()
         self.supervise(self._watch_pauses)
         decoder = self._decoder
         for topic, apply_record, apply_snapshot in (
