--- a/tests/test_duty_records.py
+++ b/tests/test_duty_records.py
@@ -1,8 +1,8 @@
-"""What follows from the records of duty calls."""
+"""The ledger of duty calls: what follows from the records in the store."""
 
 import unittest
 
-from cranberryrun.duties.records import CallRecord, DutyLedger, encode
+from cranberryrun.duties.records import AnswerRecord, CallRecord, DutyLedger, encode
 from fakes.duties import CountingDuty
 
 
@@ -24,6 +24,25 @@
         ledger.apply(9, encode(CallRecord("scale", "a", 5, {"count": 5})))
         self.assertEqual(ledger.next_to_send(0.0).number, 5)
 
+    def test_copy_of_a_call_is_not_another_call(self):
+        """Also for a host that read neither the answer nor what was trimmed with it."""
+        call, answer = CallRecord("scale", "a", 1, {}), AnswerRecord(
+            "scale", "a", 1, True
+        )
+        for records in (
+            {0: call, 1: answer, 8: call, 9: answer},
+            {0: call, 8: call, 9: answer},
+            {8: call, 9: answer},
+        ):
+            duty = CountingDuty()
+            ledger = DutyLedger((duty,))
+            for offset, record in records.items():
+                ledger.apply(offset, encode(record))
+            self.assertEqual(len(duty.recorded), 1)
+            self.assertEqual(duty.answers, [(1, True)])
+            self.assertEqual(ledger.unanswered_calls(), [])
+            self.assertEqual(ledger.trimmable_before(), 8)
+
     def test_calls_of_a_duty_that_this_host_lacks_are_kept_but_not_made(self):
         ledger = DutyLedger(())
         ledger.apply(0, encode(CallRecord("scale", "a", 1, {"count": 1})))
