Count only the runs that fit into memory as capacity

Cause: where memory allows fewer runs than slots, an overload was seen late.

Change: an engine's slots count up to the runs of the mean expected size that its memory holds.

--- a/cranberryrun/batches/dispatch.py
+++ b/cranberryrun/batches/dispatch.py
@@ -95,8 +95,14 @@
     ranks = rank_by_group(scheduled_items)
     plan = OverloadPlan()
     if policies.overload is not None:
+        unfinished = [each for each in scheduled_items if not each.finished]
         plan = policies.overload.plan(
-            scheduled_items, ranks, engines, fastest_interval, now_wall
+            scheduled_items,
+            ranks,
+            engines,
+            fastest_interval,
+            now_wall,
+            {id: budget.usual_runs(unfinished) for id, budget in budgets.items()},
         )
         policies.plan = plan
 
--- a/cranberryrun/batches/engine_memory.py
+++ b/cranberryrun/batches/engine_memory.py
@@ -111,6 +111,11 @@
         total = self.leaving + self._shared() + new_parts + self._expected + expected
         return self.empty or total + margin <= self.capacity
 
+    def usual_runs(self, scheduled_items: Sequence[ScheduledItem]) -> float:
+        """Return how many runs of the mean expected size of the items fit."""
+        total = sum(self._final(scheduled)[0] for scheduled in scheduled_items)
+        return self.capacity * len(scheduled_items) / total if total else math.inf
+
     def free(self) -> float:
         """Return the expected memory that is left; negative if there is too little."""
         return self.capacity - self.expected()
--- a/cranberryrun/batches/overload.py
+++ b/cranberryrun/batches/overload.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
@@ -141,6 +142,7 @@
         engines: Sequence[Engine],
         fastest_interval: float,
         now_wall: float,
+        most_runs_by_engine: dict[str, float] | None = None,
     ) -> OverloadPlan:
         """Return the order of the items on overloaded engines.
 
@@ -150,7 +152,9 @@
         :param ranks: how much each group is needed, as from :func:`rank_by_group`.
         :param fastest_interval: event interval of the fastest engine, in seconds.
         :param now_wall: the current time, in seconds since 1970.
+        :param most_runs_by_engine: how many runs fit into the memory of an engine.
         """
+        most_runs = most_runs_by_engine or {}
         self.paces.record(
             {each.state.batch.id: each.state.batch for each in scheduled_items}.values()
         )
@@ -160,7 +164,9 @@
         plan = OverloadPlan()
         self._active_pools.intersection_update(items_by_pool)
         for services, pool_items in items_by_pool.items():
-            pool = _Pool(pool_items, engines, services, fastest_interval, now_wall)
+            pool = _Pool(
+                pool_items, engines, services, fastest_interval, now_wall, most_runs
+            )
             steps = self._steps(pool_items, ranks, pool)
             load = pool.load(steps)
             plan.load = max(plan.load, load)
@@ -308,6 +314,7 @@
         services: frozenset[str],
         fastest_interval: float,
         now: float,
+        most_runs: dict[str, float],
     ) -> None:
         self.now = now
         self._interval = fastest_interval
@@ -321,8 +328,9 @@
             self._speed_by_engine[engine.id] = fastest_interval / interval
             if engine.health.usable():
                 speed = self._speed_by_engine[engine.id]
-                self.slots += engine.target.slots * speed
-                unreserved += unreserved_slots(engine.target.slots) * speed
+                slots, most = engine.target.slots, most_runs.get(engine.id, math.inf)
+                self.slots += min(slots, most) * speed
+                unreserved += min(unreserved_slots(slots), most) * speed
         long_items = sum(
             scheduled.remaining_events() * fastest_interval >= LONG_ITEM_SECONDS
             for scheduled in scheduled_items
--- a/tests/test_batch_engine_memory.py
+++ b/tests/test_batch_engine_memory.py
@@ -9,6 +9,7 @@
 from cranberryrun.batches.engine_choice import moves
 from cranberryrun.batches.engine_memory import EngineMemory, MemoryLimits
 from cranberryrun.batches.models import Piece
+from cranberryrun.batches.overload import Overload
 from fakes.deployment import SERVICE
 
 from .test_batch_dispatch import FAST_INTERVAL, DispatchTestCase
@@ -103,6 +104,16 @@
         starts = self.starts(long + short, [engine], 2000.0)
         self.assertIs(starts[0].scheduled, long[0])
 
+    async def test_overload_counts_only_the_runs_that_fit_into_the_memory(self):
+        """By its slots the engine could do the work; by its memory it can't."""
+        engine = self.engine("e0")
+        items = self.scheduled_items(4, 4, events=80, due=1007.5)
+        for capacity, overloaded in ((100_000.0, False), (3000.0, True)):
+            budgets = self.memory(capacity).budgets(items, [engine], clock.now())
+            policies = Policies(Overload(), budgets=budgets)
+            plan_starts(items, [engine], 1000.0, policies)
+            self.assertEqual(policies.plan.overloaded, overloaded)
+
     async def test_no_run_moves_to_an_engine_without_memory_for_it(self):
         slow, fast = self.engine("slow", 0.14), self.engine("fast")
         (moving,) = self.items(1, events=150, pieces=10)
