Calculate what a run needs once per plan

Cause: each plan calculated the memory that each waiting item needs once for each engine, 9.0 ms a plan where 2.1 ms are taken without memory budgets.

Change: the budgets of a plan share these results, and the usual number of runs is calculated once for engines of the same size.

Six test modules pass (77 tests).

--- a/cranberryrun/batches/dispatch.py
+++ b/cranberryrun/batches/dispatch.py
@@ -17,7 +17,7 @@
     may_run,
     unreserved_slots,
 )
-from .engine_memory import EngineBudget, roomiest
+from .engine_memory import EngineBudget, roomiest, usual_runs_by_engine
 from .group_ranks import CARRIED, SPARE, WANTED, rank_by_group
 from .overload import Overload, OverloadPlan
 from .scheduled_item import ScheduledItem, pieces_meet_version
@@ -95,14 +95,13 @@
     ranks = rank_by_group(scheduled_items)
     plan = OverloadPlan()
     if policies.overload is not None:
-        unfinished = [each for each in scheduled_items if not each.finished]
         plan = policies.overload.plan(
             scheduled_items,
             ranks,
             engines,
             fastest_interval,
             now_wall,
-            {id: budget.usual_runs(unfinished) for id, budget in budgets.items()},
+            usual_runs_by_engine(budgets, scheduled_items),
         )
         policies.plan = plan
 
--- a/cranberryrun/batches/engine_memory.py
+++ b/cranberryrun/batches/engine_memory.py
@@ -41,6 +41,20 @@
     tokens_per_event_by_service: dict[str, float] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class _Need:
+    """What one run takes, in tokens; ``prompt`` and ``expected`` without shared parts.
+
+    ``output`` is what it has generated, ``most_output`` what it may generate.
+    """
+
+    prompt: float
+    output: float
+    most_output: float
+    expected: float
+    variance: float
+
+
 @dataclass(slots=True)
 class EngineBudget:
     """The memory of one engine and the runs that hold it. Sizes are in tokens.
@@ -53,11 +67,16 @@
     tokens_per_event: float
     soon_events: float
     leaving: float = 0.0
+    # Shared by the budgets of one plan, in which no item changes.
+    _need_by_item: dict[tuple[ScheduledItem, float], _Need] = field(
+        default_factory=dict
+    )
     _runs: list[ScheduledItem] = field(default_factory=list)
     _tokens_by_part: dict[str, float] = field(default_factory=dict)
     _expected: float = 0.0
     _variance: float = 0.0
     _soon: float = 0.0
+    _shared: float = 0.0
 
     @property
     def empty(self) -> bool:
@@ -66,31 +85,27 @@
 
     def held(self) -> float:
         """Return what the runs have held by the events that were received."""
-        return self._shared() + sum(
-            _own_prompt(run) + len(run.pieces) * self.tokens_per_event
-            for run in self._runs
-        )
+        needs = [self._need(run) for run in self._runs]
+        return self._shared + sum(need.prompt + need.output for need in needs)
 
     def expected(self) -> float:
         """Return the occupancy at the ends of all runs, with the margin for errors."""
         margin = _MARGIN_DEVIATIONS * math.sqrt(self._variance)
-        return self.leaving + self._shared() + self._expected + margin
+        return self.leaving + self._shared + self._expected + margin
 
     def soon(self) -> float:
         """Return the occupancy by the time when a run that is stopped now is gone."""
-        return self.leaving + self._shared() + self._soon
-
-    def _shared(self) -> float:
-        return sum(self._tokens_by_part.values())
+        return self.leaving + self._shared + self._soon
 
     def add(self, scheduled: ScheduledItem) -> None:
         """Add a run."""
+        need = self._need(scheduled)
+        self._shared += self._new_parts(scheduled)
         self._runs.append(scheduled)
         self._tokens_by_part.update(scheduled.item.prompt_parts)
-        expected, deviation = self._final(scheduled)
-        self._expected += expected
-        self._variance += deviation**2
-        self._soon += self._tokens(scheduled, len(scheduled.pieces) + self.soon_events)
+        self._expected += need.expected
+        self._variance += need.variance
+        self._soon += self._soon_of(need)
 
     def fits(self, scheduled: ScheduledItem) -> bool:
         """Return whether a run may start beside the others.
@@ -98,44 +113,60 @@
         An empty engine takes any run whose next events fit: no other engine has more
         room for it.
         """
-        new_parts = sum(
-            tokens
-            for part, tokens in scheduled.item.prompt_parts
-            if part not in self._tokens_by_part
-        )
-        soon = self._tokens(scheduled, len(scheduled.pieces) + self.soon_events)
-        if self.soon() + new_parts + soon > self.capacity:
+        need = self._need(scheduled)
+        base = self.leaving + self._shared + self._new_parts(scheduled)
+        if base + self._soon + self._soon_of(need) > self.capacity:
             return False
-        expected, deviation = self._final(scheduled)
-        margin = _MARGIN_DEVIATIONS * math.sqrt(self._variance + deviation**2)
-        total = self.leaving + self._shared() + new_parts + self._expected + expected
-        return self.empty or total + margin <= self.capacity
+        margin = _MARGIN_DEVIATIONS * math.sqrt(self._variance + need.variance)
+        total = base + self._expected + need.expected + margin
+        return self.empty or total <= self.capacity
 
     def usual_runs(self, scheduled_items: Sequence[ScheduledItem]) -> float:
         """Return how many runs of the mean expected size of the items fit."""
-        total = sum(self._final(scheduled)[0] for scheduled in scheduled_items)
+        total = sum(self._need(scheduled).expected for scheduled in scheduled_items)
         return self.capacity * len(scheduled_items) / total if total else math.inf
 
     def free(self) -> float:
         """Return the expected memory that is left; negative if there is too little."""
         return self.capacity - self.expected()
 
-    def _tokens(self, scheduled: ScheduledItem, events: float) -> float:
-        """Return what a run holds after ``events``, without shared parts."""
-        output = events * self.tokens_per_event
-        if scheduled.item.max_output_tokens is not None:
-            output = min(output, scheduled.item.max_output_tokens)
-        return _own_prompt(scheduled) + output
+    def _new_parts(self, scheduled: ScheduledItem) -> float:
+        """Return the tokens of shared parts that the engine does not hold yet."""
+        return sum(
+            tokens
+            for part, tokens in scheduled.item.prompt_parts
+            if part not in self._tokens_by_part
+        )
 
-    def _final(self, scheduled: ScheduledItem) -> tuple[float, float]:
-        """Return the expected size of a run at its end and its standard deviation."""
+    def _soon_of(self, need: _Need) -> float:
+        growth = self.soon_events * self.tokens_per_event
+        return need.prompt + min(need.most_output, need.output + growth)
+
+    def _need(self, scheduled: ScheduledItem) -> _Need:
+        key = scheduled, self.tokens_per_event
+        need = self._need_by_item.get(key)
+        if need is None:
+            need = self._need_by_item[key] = self._calculate_need(scheduled)
+        return need
+
+    def _calculate_need(self, scheduled: ScheduledItem) -> _Need:
+        most_output = scheduled.item.max_output_tokens
+        if most_output is None:
+            most_output = math.inf
         events = scheduled.total_events()
+        deviation = _LENGTH_DEVIATION * events * self.tokens_per_event
         if events <= scheduled.expected_events:
             events *= MEAN_LENGTH
-        expected = self._tokens(scheduled, events)
-        most = self._tokens(scheduled, math.inf)
-        deviation = _LENGTH_DEVIATION * scheduled.total_events() * self.tokens_per_event
-        return expected, min(deviation, most - expected)
+        expected = min(most_output, events * self.tokens_per_event)
+        deviation = min(deviation, most_output - expected)
+        prompt = _own_prompt(scheduled)
+        return _Need(
+            prompt=prompt,
+            output=len(scheduled.pieces) * self.tokens_per_event,
+            most_output=most_output,
+            expected=prompt + expected,
+            variance=deviation**2,
+        )
 
     def excess_runs(self) -> list[ScheduledItem]:
         """Return the youngest runs, without which the others fit for now.
@@ -155,6 +186,7 @@
                 _expected=0.0,
                 _variance=0.0,
                 _soon=0.0,
+                _shared=0.0,
             )
             for run in runs:
                 kept.add(run)
@@ -191,6 +223,7 @@
         :param now: the current time, in loop seconds.
         """
         budgets = {}
+        need_by_item: dict[tuple[ScheduledItem, float], _Need] = {}
         for engine in engines:
             service = engine.target.service
             capacity = self.limits.capacity_by_service.get(service)
@@ -202,6 +235,7 @@
                 self.limits.tokens_per_event_by_service.get(service, 1.0),
                 _STOP_SECONDS / interval + _UNSEEN_EVENTS,
                 self._leaving_tokens(engine.id, now),
+                need_by_item,
             )
         if not budgets:
             return budgets
@@ -236,6 +270,23 @@
         return sum(tokens for _, tokens in leaving)
 
 
+def usual_runs_by_engine(
+    budgets: dict[str, EngineBudget], scheduled_items: Iterable[ScheduledItem]
+) -> dict[str, float]:
+    """Return how many runs of the items' mean size fit into each engine's memory."""
+    if not budgets:
+        return {}
+    unfinished = [scheduled for scheduled in scheduled_items if not scheduled.finished]
+    runs_by_size: dict[tuple[float, float], float] = {}
+    runs_by_engine = {}
+    for engine_id, budget in budgets.items():
+        size = budget.capacity, budget.tokens_per_event
+        if size not in runs_by_size:
+            runs_by_size[size] = budget.usual_runs(unfinished)
+        runs_by_engine[engine_id] = runs_by_size[size]
+    return runs_by_engine
+
+
 def roomiest(engines: Sequence[Engine], budgets: dict[str, EngineBudget]) -> Engine:
     """Return the engine with the most memory left; all ``engines`` have a budget."""
     return max(engines, key=lambda engine: budgets[engine.id].free())
