--- a/cranberryrun/batches/dispatch.py
+++ b/cranberryrun/batches/dispatch.py
@@ -17,7 +17,7 @@
     may_run,
     unreserved_slots,
 )
-from .engine_memory import EngineBudget, roomiest
+from .engine_memory import EngineBudget, roomiest, usual_runs_by_engine
 from .group_ranks import CARRIED, SPARE, WANTED, rank_by_group
 from .overload import Overload, OverloadPlan
 from .scheduled_item import ScheduledItem, pieces_meet_version
@@ -96,7 +96,12 @@
     plan = OverloadPlan()
     if policies.overload is not None:
         plan = policies.overload.plan(
-            scheduled_items, ranks, engines, fastest_interval, now_wall
+            scheduled_items,
+            ranks,
+            engines,
+            fastest_interval,
+            now_wall,
+            usual_runs_by_engine(budgets, scheduled_items),
         )
         policies.plan = plan
 
--- a/cranberryrun/fleet/directory.py
+++ b/cranberryrun/fleet/directory.py
@@ -14,7 +14,7 @@
 from ..kernel import Service
 from ..store import KeyedRecord, Store
 from .manifest import Manifest, Route
-from .topic_reads import TICK_SECONDS, PauseWatch, TopicReads
+from .topic_reads import IDLE_TICK_SECONDS, TICK_SECONDS, PauseWatch, TopicReads
 
 # Long polls end this often, so that an outage is noticed and a record that a poll
 # missed is found.
@@ -32,8 +32,6 @@
 _REREGISTRATION_SECONDS = 2.0
 # A read takes some milliseconds. A partitioned host goes on with the manifest it has.
 _MAX_WAIT_FOR_MANIFEST_SECONDS = 0.5
-# Without keys, pauses have no consequence here.
-_IDLE_TICK_SECONDS = 2.0
 _MS_PER_SECOND = 1000.0
 
 
@@ -175,7 +173,7 @@
         while True:
             self._pauses.tick()
             has_keys = self.manifest is not None and self.manifest.keyring is not None
-            await asyncio.sleep(TICK_SECONDS if has_keys else _IDLE_TICK_SECONDS)
+            await asyncio.sleep(TICK_SECONDS if has_keys else IDLE_TICK_SECONDS)
 
     def mark_leaving(self, target_id: str) -> None:
         """Give a target no new work for the life of this host's process.
--- a/cranberryrun/fleet/topic_reads.py
+++ b/cranberryrun/fleet/topic_reads.py
@@ -10,6 +10,8 @@
 # this long counts as in an outage.
 _OUTAGE_SECONDS = 1.0
 TICK_SECONDS = 0.25
+# While no manifest has keys, a pause has no consequence.
+IDLE_TICK_SECONDS = 2.0
 # The platform requires a key to be invalid everywhere 3 s after its removal. Reads are
 # at most 2 s apart, which leaves 1 s.
 _MIN_PAUSE_SECONDS = 1.0
