Let steps yield only where several trainers share the engines

Cause: the order under overload applied on every deployment, also on those with one or two trainers, which are to be served as before.

Change: it needs three models or more at a service. The tests of overload state three models; one more shows that two models change nothing.

--- a/cranberryrun/batches/scheduler.py
+++ b/cranberryrun/batches/scheduler.py
@@ -16,6 +16,10 @@
 from .scheduled_item import ScheduledItem
 from .shares import Shares
 
+# With fewer models there is hardly a choice of which trainer yields, and steps go by
+# their due times alone.
+_MIN_COMPETING_MODELS = 3
+
 
 class Scheduler:
     """Plans runs on the holder of the lease. All state is lost with the lease.
@@ -55,12 +59,21 @@
         :param startable: those of them that may be started.
         """
         budgets = self.budgets(scheduled_items, engines)
-        policies = Policies(self._overload, self._shares, budgets)
+        overload = self._overload if self._trainers_compete() else None
+        policies = Policies(overload, self._shares, budgets)
         starts = plan_starts(startable, engines, clock.wall(), policies)
         if policies.plan is not None:
             self._report(policies.plan)
         return starts
 
+    def _trainers_compete(self) -> bool:
+        """Return whether several models share the engines of a service."""
+        manifest = self._kernel.get(Directory).manifest
+        return manifest is not None and any(
+            len(models) >= _MIN_COMPETING_MODELS
+            for models in manifest.models_by_service.values()
+        )
+
     def record_idle(self) -> None:
         """Record that no item waits, so that no engine is overloaded."""
         if self._plan.overloaded:
--- a/tests/test_batch_scarcity.py
+++ b/tests/test_batch_scarcity.py
@@ -5,7 +5,7 @@
 
 from cranberryrun.batches.runner import Runner
 from cranberryrun.metrics import Metrics
-from fakes.deployment import SERVICE, Deployment, batch, manifest
+from fakes.deployment import MODEL, SERVICE, Deployment, batch, manifest
 
 from .virtual import VirtualTimeTestCase
 
@@ -13,11 +13,18 @@
 
 
 class ScarcityTestCase(VirtualTimeTestCase):
+    models = (MODEL, "other-1", "other-2")
+
     async def start(self, *engines, crash_when_full=True):
         self.deployment = Deployment()
         self.addAsyncCleanup(self.deployment.stop)
         self.deployment.put_manifest(
-            replace(manifest(), memory_tokens_by_service={SERVICE: MEMORY_TOKENS})
+            replace(
+                manifest(),
+                memory_tokens_by_service={SERVICE: MEMORY_TOKENS},
+                # Steps yield only where several models share the engines.
+                models_by_service={SERVICE: self.models},
+            )
         )
         self.engines = [
             self.deployment.add_engine(f"e{number}", **state)
@@ -155,3 +162,20 @@
             self.assertTrue(all(result.succeeded for result in results))
         holders = {each.host for each in self.events("overload_began")}
         self.assertEqual(holders, {"host-1", "host-2"})
+
+
+class SingleModelTest(ScarcityTestCase):
+    """Guards deployments with one or two trainers against another order of starts."""
+
+    models = (MODEL, "other-1")
+
+    async def test_no_step_yields_where_no_trainers_compete(self):
+        await self.start({"slots": 4}, crash_when_full=False)
+        self.deployment.register("e0", slots=4)
+        await asyncio.sleep(0.2)
+        for name in ("b1", "b2"):
+            await self.deployment.submit(
+                self.host, self.long_batch(name, groups=4, actual=50)
+            )
+        await asyncio.sleep(2.6)
+        self.assertEqual(self.events("overload_began"), [])
