Count all slots of an engine when engines are ordered

Cause: the policy counted the two thirds of an engine's slots that items of any length may use, although the demand contains the long items, which run in the reserved slots.

Change: all slots count. Items that wait for reserved slots no longer look like another limit of an engine.

--- a/cranberryrun/scaling/capacity.py
+++ b/cranberryrun/scaling/capacity.py
@@ -12,13 +12,11 @@
 from .demand import ServiceDemand
 from .models import EngineGroup
 
-# The slots that are open to items of any length are to be in use for this share of the
-# time. A fifth of the engines may turn too slow for long items; the others are then in
-# use for 0.75 / 0.8 = 0.94 of the time.
+# The slots are to be in use for this share of the time. A fifth of the engines may turn
+# slow; the others are then in use for 0.75 / 0.8 = 0.94 of the time.
 TARGET_UTILIZATION = 0.75
-# Without any spot engine, the on-demand engines are in use all the time, except for the
-# third of their slots that the dispatcher keeps for long items: they have to finish all
-# work before it is due until other engines are there.
+# Without any spot engine, all slots of the on-demand engines are in use all the time:
+# they have to finish all work before it is due until other engines are there.
 ON_DEMAND_UTILIZATION = 1.0
 # A run occupies its slot this long beside its events: prompt, connection, scheduling.
 RUN_OVERHEAD_SECONDS = 0.2
--- a/cranberryrun/scaling/policy.py
+++ b/cranberryrun/scaling/policy.py
@@ -241,7 +241,8 @@
     def _usable_slots(self, inputs: ScalingInputs, now: float) -> float:
         """Return how many runs an engine takes, also if other limits are below."""
         ready = [group for group in inputs.groups if group.ready]
-        slots = unreserved_slots(int(statistics.median(each.slots for each in ready)))
+        # The demand contains the long items, which run in the reserved slots.
+        slots = int(statistics.median(each.slots for each in ready))
         engines = sum(group.ready for group in ready)
         samples = self._runs_per_engine
         while samples and samples[0][0] < now - _CONCURRENCY_SECONDS:
@@ -250,7 +251,9 @@
             samples.append((now, inputs.runs / engines))
         if len(samples) < _MIN_CONCURRENCY_SAMPLES:
             return slots
-        return max(1.0, min(slots, max(runs for _, runs in samples)))
+        most_runs = max(runs for _, runs in samples)
+        # Items that wait for reserved slots show no other limit.
+        return slots if most_runs >= unreserved_slots(slots) else max(1.0, most_runs)
 
     def _increase(
         self,
