Let stand-ins fail for single topics and execute calls late

Cause: a store that is down for a part of its topics, and an API that executes a call after its caller has left, could not be brought about from outside the hosts. Change: PlatformStore.mode_by_topic, PlatformApi.delay. Defaults are as before.

--- a/standins/platform_api.py
+++ b/standins/platform_api.py
@@ -29,6 +29,8 @@
     ``mode`` is ``up``, ``limited`` (429), ``busy`` (503), ``silent`` (no response),
     ``lost`` (carried out, then closed without a response) or ``full`` (no engine
     available, 409). With ``require_fence`` lower tokens than one seen are answered 409.
+    ``delay`` is the time between the arrival of a call and its execution, in seconds; a
+    call is executed also if its caller has left.
 
     :ivar calls: all calls that arrived.
     :ivar carried_out: the calls among them that were carried out.
@@ -37,6 +39,7 @@
     def __init__(self, require_fence: bool = True) -> None:
         self.require_fence = require_fence
         self.mode = "up"
+        self.delay = 0.0
         self.calls: list[RecordedCall] = []
         self.carried_out: list[RecordedCall] = []
         self.address = ""
@@ -75,6 +78,8 @@
             return web.Response(status=503)
         if self.mode == "silent":
             await asyncio.sleep(3600.0)
+        if self.delay:
+            await asyncio.sleep(self.delay)
         subject = (request.path, body.get("service", ""), body.get("zone", ""))
         highest = self._token_by_subject.get(subject, -1)
         if self.require_fence and call.token < highest:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -16,7 +16,8 @@
 class PlatformStore:
     """Implements the platform's protocol as in ``docs/PLATFORM-DEPLOYMENT.md``.
 
-    ``mode`` is ``up``, ``busy`` (503), ``limited`` (429) or ``silent`` (no response);
+    ``mode`` is ``up``, ``busy`` (503), ``limited`` (429) or ``silent`` (no response),
+    and ``mode_by_topic`` that of single topics while ``mode`` is ``up``;
     ``lost_append_responses`` is the number of next appends that are executed and
     whose connection is then closed without a response.
     """
@@ -25,6 +26,7 @@
         self.records_by_topic: dict[str, list[bytes]] = {}
         self.first_by_topic: dict[str, int] = {}
         self.mode = "up"
+        self.mode_by_topic: dict[str, str] = {}
         self.lost_append_responses = 0
         self.address = ""
         self._records_appended = asyncio.Event()
@@ -69,19 +71,22 @@
         records_appended.set()
         return len(stored_records) - len(records)
 
-    async def _injected_fault(self) -> web.Response | None:
-        if self.mode == "silent":
+    async def _injected_fault(self, topic: str) -> web.Response | None:
+        mode = self.mode
+        if mode == "up":
+            mode = self.mode_by_topic.get(topic, "up")
+        if mode == "silent":
             await asyncio.sleep(3600)
-        if self.mode == "busy":
+        if mode == "busy":
             return web.json_response(
                 {"error": "store is overloaded; retry later"}, status=503
             )
-        if self.mode == "limited":
+        if mode == "limited":
             return web.json_response({"error": "rate limit exceeded"}, status=429)
         return None
 
     async def _append(self, request: web.Request) -> web.StreamResponse:
-        fault_response = await self._injected_fault()
+        fault_response = await self._injected_fault(request.query["topic"])
         if fault_response is not None:
             return fault_response
         topic = request.query["topic"]
@@ -103,7 +108,7 @@
         return web.json_response({"offset": offset, "end": offset + len(records)})
 
     async def _read(self, request: web.Request) -> web.StreamResponse:
-        fault_response = await self._injected_fault()
+        fault_response = await self._injected_fault(request.query["topic"])
         if fault_response is not None:
             return fault_response
         topic, start_offset = request.query["topic"], int(request.query["from"])
@@ -126,17 +131,17 @@
         return web.Response(body=_HEADER.pack(len(records), first_offset) + body)
 
     async def _trim(self, request: web.Request) -> web.StreamResponse:
-        fault_response = await self._injected_fault()
-        if fault_response is not None:
-            return fault_response
         call = await request.json()
         topic, before = call["topic"], call["before"]
+        fault_response = await self._injected_fault(topic)
+        if fault_response is not None:
+            return fault_response
         first_offset = self.first_by_topic.get(topic, 0)
         self.first_by_topic[topic] = max(first_offset, before)
         return web.json_response({})
 
     async def _newest(self, request: web.Request) -> web.StreamResponse:
-        fault_response = await self._injected_fault()
+        fault_response = await self._injected_fault(request.query["topic"])
         if fault_response is not None:
             return fault_response
         records = self.records_by_topic.get(request.query["topic"], [])
