Check workspaces and usage duties in the fault soak

Change: three of four seeds have workspaces whose keys change, two of four also usage duties. Checks: keys of no manifest, other workspaces, keys at targets and in records or logs, 401 for keys that every manifest held, batches read or ended by others, reports that differ, tokens that fall or are shared, holders A, B, A within 3 s, and no report after the faults. Faults: single topics of the store, a slow, silent, refusing or forgetful API, changed keys. Every check is shown on a planted violation. A 401 now also counts as a status that says the request was not executed. Seeds that are multiples of 4 have none of this; the others keep their faults and get these in addition.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,6 +11,7 @@
 
 from .history import History, ObservedBatch, score_id
 from .testbed import HOST_NAME, MODEL, ROLLOUT, SAFE, UNSAFE, Testbed
+from .workspaces import KEY, WORKSPACE, Workspaces
 
 _REQUEST_DEADLINE_SECONDS = 2.5
 _REQUEST_INTERVAL_SECONDS = 0.05
@@ -18,6 +19,7 @@
 # Longer than the run deadline of the batch, 7.5 s (``run-deadline-ms``).
 _STEP_TIMEOUT_SECONDS = 12.0
 _POLL_INTERVAL_SECONDS = 0.3
+_FOREIGN_CALL_INTERVAL_SECONDS = 0.2
 
 
 def _reward_call(item: str, group: int) -> dict[str, Any]:
@@ -42,6 +44,7 @@
         self._history = history
         self._rng = rng
         self._stopping = False
+        self._workspaces = testbed.workspaces
         self._session: aiohttp.ClientSession
 
     async def run(self, request_loops: int) -> None:
@@ -51,6 +54,8 @@
                 self._send_requests(number, UNSAFE if number % 3 == 0 else SAFE)
                 for number in range(request_loops)
             ]
+            if self._workspaces is not None:
+                loops.append(self._call_foreign_batches(self._workspaces))
             await asyncio.gather(self._run_steps(), *loops)
 
     def stop(self) -> None:
@@ -74,17 +79,20 @@
     ) -> bool:
         """Send one request; return whether the next one may go to the same host."""
         status: int | None = None
+        key = self._choose_key(attempt_id)
         try:
             async with self._open_request(
                 "POST",
                 front_address,
                 f"/{route}/x",
                 attempt_id,
+                key,
                 data=attempt_id.encode(),
             ) as response:
                 body = await response.read()
                 status = response.status
                 headers = dict(response.headers)
+                self._check_key(attempt_id, key, status)
                 self._history.check_response(attempt_id, status, body, headers)
         except (aiohttp.ClientError, TimeoutError) as error:
             self._history.statuses[type(error).__name__] += 1
@@ -92,12 +100,48 @@
             self._history.unsafe_statuses[attempt_id].append(status)
         return status == 200
 
+    def _choose_key(self, attempt_id: str) -> str | None:
+        """Return the key for a request, which may be unknown; None for no key."""
+        if self._workspaces is None:
+            return None
+        key = self._workspaces.any_key()
+        self._history.key_by_attempt[attempt_id] = key
+        return key
+
+    def _check_key(self, attempt_id: str, key: str | None, status: int) -> None:
+        if self._workspaces is not None and self._workspaces.is_permanent(key):
+            self._history.check_permanent_key(attempt_id, status)
+
+    def _own_key(self, batch: ObservedBatch) -> str | None:
+        if self._workspaces is None or batch.workspace is None:
+            return None
+        return self._workspaces.own_key(batch.workspace)
+
+    async def _call_foreign_batches(self, workspaces: Workspaces) -> None:
+        """Call for batches without a key of their workspace."""
+        while not self._stopping:
+            await asyncio.sleep(_FOREIGN_CALL_INTERVAL_SECONDS)
+            batches = [b for b in self._history.batch_by_id.values() if b.accepted]
+            if not batches:
+                continue
+            batch = workspaces.rng.choice(batches[-3:])
+            method = workspaces.rng.choice(["GET", "DELETE"])
+            path = f"/v1/lots/{batch.id}"
+            if method == "GET" and workspaces.rng.random() < 0.5:
+                path = f"/v1/items/{min(batch.items)}"
+            address = workspaces.rng.choice(self._testbed.hosts).front_address
+            key = workspaces.foreign_key(batch.workspace)
+            status, _ = await self._call_host(method, address, path, batch.id, key)
+            if status is not None:
+                self._history.check_foreign_call(batch, f"{method} {path}", status)
+
     def _open_request(
         self,
         method: str,
         front_address: str,
         path: str,
         attempt_id: str,
+        key: str | None,
         **options: Any,
     ) -> Any:
         headers = {
@@ -105,10 +149,15 @@
             "X-Cranberryrun-Attempt-Id": attempt_id,
             "X-Cranberryrun-Deadline-Ms": str(int(_REQUEST_DEADLINE_SECONDS * 1000)),
         }
+        if key is not None:
+            headers[KEY] = key
+        if self._workspaces is not None:
+            # Hosts must not take over the workspace that a caller names.
+            headers[WORKSPACE] = self._workspaces.rng.choice(self._workspaces.names)
         return self._session.request(
             method,
             f"http://{front_address}{path}",
-            headers=headers | options.pop("headers", {}),
+            headers=headers,
             timeout=aiohttp.ClientTimeout(total=_REQUEST_DEADLINE_SECONDS + 1.0),
             **options,
         )
@@ -138,6 +187,8 @@
         ids = frozenset(item["id"] for item in items)
         scored = frozenset(item["id"] for item in items if "scorer" in item)
         batch = ObservedBatch(batch_id, min_version, ids, scored)
+        if self._workspaces is not None:
+            batch.workspace = self._workspaces.rng.choice(self._workspaces.names)
         self._history.batch_by_id[batch_id] = batch
         body = {
             "step": min_version,
@@ -150,7 +201,7 @@
         deadline = loop.time() + _STEP_TIMEOUT_SECONDS
         while not batch.accepted and loop.time() < deadline:
             status, _ = await self._call_any_host(
-                "POST", f"/{ROLLOUT}/s", batch_id, deadline, json=body
+                "POST", f"/{ROLLOUT}/s", batch, deadline, json=body
             )
             batch.accepted = status == 202
         while len(batch.result_by_position) < len(ids) and loop.time() < deadline:
@@ -168,7 +219,7 @@
     ) -> bool:
         """Read the results after position ``after``; return whether that succeeded."""
         status, page = await self._call_any_host(
-            "GET", f"/v1/lots/{batch.id}?after={after}", batch.id, deadline
+            "GET", f"/v1/lots/{batch.id}?after={after}", batch, deadline
         )
         if status == 404 and batch.accepted:
             self._history.add_violation(
@@ -201,7 +252,9 @@
                 )
                 return
             path = f"/v1/lots/{batch.id}?after={after}"
-            status, page = await self._call_host("GET", front_address, path, batch.id)
+            status, page = await self._call_host(
+                "GET", front_address, path, batch.id, self._own_key(batch)
+            )
             if status != 200 or not page["results"]:
                 await asyncio.sleep(_POLL_INTERVAL_SECONDS)
                 continue
@@ -210,7 +263,7 @@
 
     async def _delete_batch(self, batch: ObservedBatch, deadline: float) -> None:
         status, _ = await self._call_any_host(
-            "DELETE", f"/v1/lots/{batch.id}", batch.id, deadline, retry=True
+            "DELETE", f"/v1/lots/{batch.id}", batch, deadline, retry=True
         )
         if status == 200:
             batch.deleted_at = asyncio.get_running_loop().time()
@@ -219,18 +272,27 @@
         self,
         method: str,
         path: str,
-        attempt_id: str,
+        batch: ObservedBatch,
         deadline: float,
         retry: bool = False,
         **options: Any,
     ) -> tuple[int | None, Any]:
-        """Call one random host; with ``retry``, until one answers without a 5xx."""
+        """Call one random host with a key of the batch's workspace.
+
+        With ``retry``, call until one answers without 5xx, and without 401, which is
+        the answer where the newest manifest is not in force yet.
+        """
         loop = asyncio.get_running_loop()
         while True:
             status, response_body = await self._call_host(
-                method, self._random_front_address(), path, attempt_id, **options
+                method,
+                self._random_front_address(),
+                path,
+                batch.id,
+                self._own_key(batch),
+                **options,
             )
-            succeeded = status is not None and status < 500
+            succeeded = status is not None and status < 500 and status != 401
             if succeeded or not retry or loop.time() > deadline:
                 return status, response_body
             await asyncio.sleep(_POLL_INTERVAL_SECONDS)
@@ -241,12 +303,14 @@
         front_address: str,
         path: str,
         attempt_id: str,
+        key: str | None,
         **options: Any,
     ) -> tuple[int | None, Any]:
         try:
             async with self._open_request(
-                method, front_address, path, attempt_id, **options
+                method, front_address, path, attempt_id, key, **options
             ) as response:
+                self._check_key(attempt_id, key, response.status)
                 self._history.statuses[f"batch {method} {response.status}"] += 1
                 return response.status, await response.json(content_type=None)
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,6 +19,10 @@
 _LINK_DELAY_SECONDS = (0.05, 0.5)
 _LIMIT_PER_SECOND = (0.5, 5.0)
 _LIMIT_SECONDS = (8.0, 14.0)
+# Below the time between the calls of two holders: no call is executed after those of
+# the next holder.
+_API_DELAY_SECONDS = (0.1, 2.5)
+_TOPICS = ("batch-index", "batch-index-spare", "lease", "duty-records", "usage-counts")
 
 
 class Fault(ABC):
@@ -234,6 +238,58 @@
         return f"{target.id} {span.rate}"
 
 
+class TopicOutage(Fault):
+    """Makes the store fail for some topics only."""
+
+    name = "topics_down"
+
+    async def inject(self) -> str:
+        """See :meth:`Fault.inject`."""
+        store = self.testbed.store
+        in_use = sorted(store.records_by_topic)
+        some = self.rng.sample(in_use, min(len(in_use), self.rng.randint(1, 8)))
+        topics = self.rng.choice([[self.rng.choice(_TOPICS)], some])
+        mode = self.rng.choice(["busy", "limited", "silent"])
+        for topic in topics:
+            store.mode_by_topic[topic] = mode
+        await asyncio.sleep(self.duration_seconds)
+        for topic in topics:
+            store.mode_by_topic.pop(topic, None)
+        return f"{mode} {' '.join(topics)}"
+
+
+class DegradeApi(Fault):
+    """Makes the platform's API slow, silent or refuse, or lose its answers."""
+
+    name = "api"
+
+    async def inject(self) -> str:
+        """See :meth:`Fault.inject`."""
+        api = self.testbed.api
+        assert api is not None
+        mode = self.rng.choice(["slow", "silent", "limited", "busy", "lost"])
+        if mode == "slow":
+            api.delay = self.rng.uniform(*_API_DELAY_SECONDS)
+        else:
+            api.mode = mode
+        await asyncio.sleep(self.duration_seconds)
+        api.mode, api.delay = "up", 0.0
+        return mode
+
+
+class ChangeKeys(Fault):
+    """Publishes a manifest in which a key was added or removed."""
+
+    name = "keys"
+
+    async def inject(self) -> str:
+        """See :meth:`Fault.inject`."""
+        assert self.testbed.workspaces is not None
+        change = self.testbed.workspaces.change_keys()
+        self.testbed.apply_manifest(self.testbed.manifest_version + 1)
+        return change
+
+
 FAULT_KINDS: tuple[type[Fault], ...] = (
     KillHost,
     KillAllHosts,
@@ -254,3 +310,13 @@
 KINDS_BESIDE_LIMITS = tuple(
     kind for kind in FAULT_KINDS if kind is not DegradeTargetLink
 )
+
+
+def feature_kinds(testbed: Testbed) -> list[type[Fault]]:
+    """Return the kinds that workspaces and duties add; none without both."""
+    kinds: list[type[Fault]] = []
+    if testbed.workspaces is not None:
+        kinds += [ChangeKeys, TopicOutage]
+    if testbed.api is not None:
+        kinds += [DegradeApi, TopicOutage]
+    return kinds
--- a/soak/history.py
+++ b/soak/history.py
@@ -5,13 +5,15 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
-from .testbed import ITEM_EVENTS, MAX_ATTEMPTS, Testbed
+from . import workspaces
+from .duties import check_holders, check_reports
+from .testbed import ITEM_EVENTS, MAX_ATTEMPTS, OPERATOR_TOPIC, Testbed
 
 # The users' rule on limits counts from this time after a target first named one.
 _LIMIT_GRACE_SECONDS = 3.0
 _LIMIT_WINDOW_SECONDS = 4.0
 # Statuses which guarantee that the request was not executed and never will be.
-NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+NOT_EXECUTED_STATUSES = frozenset({401, 408, 421, 429, 503})
 
 
 @dataclass(slots=True)
@@ -24,6 +26,7 @@
     scored_items: frozenset[str] = frozenset()
     accepted: bool = False
     deleted_at: float | None = None
+    workspace: str | None = None
     result_by_position: dict[int, dict] = field(default_factory=dict)
 
 
@@ -40,6 +43,7 @@
         self.statuses: Counter[str] = Counter()
         self.unsafe_statuses: defaultdict[str, list[int | None]] = defaultdict(list)
         self.batch_by_id: dict[str, ObservedBatch] = {}
+        self.key_by_attempt: dict[str, str | None] = {}
         self.steps_whole = 0
         self.steps_short = 0
 
@@ -80,6 +84,40 @@
             if item not in batch.items:
                 self.add_violation(f"{batch.id}: item {item} belongs to another batch")
 
+    def check_permanent_key(self, attempt_id: str, status: int) -> None:
+        """Check the status of a call with a key that every manifest holds."""
+        if status == 401:
+            self.add_violation(f"{attempt_id}: 401, but every manifest held its key")
+
+    def check_foreign_call(self, batch: ObservedBatch, call: str, status: int) -> None:
+        """Check the status of a call for a batch without a key of its workspace."""
+        if status < 300:
+            self.add_violation(
+                f"{batch.id} of {batch.workspace}: {call} without a key of this"
+                f" workspace got {status}"
+            )
+
+    def check_features(self, testbed: Testbed) -> None:
+        """Check what workspaces and duties guarantee, after all hosts have ended."""
+        if testbed.workspaces is not None:
+            workspace_by_item = {
+                item: batch.workspace
+                for batch in self.batch_by_id.values()
+                for item in batch.items
+            }
+            self.violations += workspaces.check_targets(
+                testbed.workspaces.workspace_by_key,
+                self.key_by_attempt,
+                workspace_by_item,
+                testbed.targets,
+            )
+            self.violations += workspaces.check_stored_text(
+                testbed.store, OPERATOR_TOPIC, testbed.folder
+            )
+        if testbed.api is not None:
+            self.violations += check_reports(testbed.api.carried_out)
+            self.violations += check_holders(testbed.api.calls)
+
     def check_targets(self, testbed: Testbed) -> None:
         """Check the records of the targets after all callers have stopped."""
         executions: Counter[str] = Counter()
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -5,16 +5,22 @@
 import asyncio
 import random
 import tempfile
+import time
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from standins.platform_api import PlatformApi
+
 from .callers import Callers
-from .faults import FAULT_KINDS, KINDS_BESIDE_LIMITS, NameLimit
+from .faults import FAULT_KINDS, KINDS_BESIDE_LIMITS, Fault, NameLimit, feature_kinds
 from .history import History
-from .testbed import Testbed
+from .testbed import PROBE_ID, USAGE_WINDOW_SECONDS, Testbed
+from .workspaces import Workspaces
 
 # Mean time between the starts of faults, short enough that some overlap.
 _MEAN_FAULT_INTERVAL_SECONDS = 1.0
+_POLL_INTERVAL_SECONDS = 0.1
 # The platform requires requests to be served again within this time after a fault.
 _RECOVERY_LIMIT_SECONDS = 12.0
 
@@ -29,11 +35,15 @@
     statuses: dict[str, int] = field(default_factory=dict)
     steps_whole: int = 0
     steps_short: int = 0
+    accepted_reports: int = 0
 
 
 class SoakRun:
     """Run of one seed.
 
+    Three of four seeds have workspaces, and two of these three have usage duties. Both
+    draw from a generator of their own, so that a seed keeps its other faults.
+
     :param seconds: how long faults are injected.
     :param folder: where settings and logs of the hosts go.
     :param limits: whether targets name limits beside the other faults.
@@ -48,8 +58,16 @@
         self._report = Report(seed)
         hosts = self._rng.choice([2, 3, 4])
         engines = self._rng.choice([2, 3])
-        self._testbed = Testbed(folder, hosts=hosts, portals=2, engines=engines)
+        self._feature_rng = random.Random(f"features of {seed}")
+        workspaces = api = None
+        if seed % 4:
+            workspaces = Workspaces(random.Random(self._feature_rng.random()))
+        if seed % 4 >= 2:
+            api = PlatformApi(require_fence=self._feature_rng.random() < 0.5)
+        self._testbed = Testbed(folder, hosts, 2, engines, workspaces, api)
         self._history = History()
+        if workspaces is not None:
+            self._history.key_by_attempt[PROBE_ID] = workspaces.permanent_key()
         caller_rng = random.Random(self._rng.random())
         self._callers = Callers(self._testbed, self._history, caller_rng)
 
@@ -65,7 +83,10 @@
             self._history.check_targets(self._testbed)
         finally:
             await self._testbed.stop()
+        self._history.check_features(self._testbed)
         report = self._report
+        if self._testbed.api is not None:
+            report.accepted_reports = len(self._testbed.api.carried_out)
         report.violations = self._history.violations
         report.statuses = dict(self._history.statuses)
         report.steps_whole = self._history.steps_whole
@@ -73,8 +94,7 @@
         return report
 
     async def _inject_faults(self) -> None:
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + self._fault_seconds
+        deadline = asyncio.get_running_loop().time() + self._fault_seconds
         tasks = set()
         if self._limits:
             kinds = self._rng.sample(KINDS_BESIDE_LIMITS, self._rng.randint(2, 5))
@@ -85,13 +105,25 @@
                 )
         else:
             kinds = self._rng.sample(FAULT_KINDS, self._rng.randint(2, 5))
-        while loop.time() < deadline:
-            await asyncio.sleep(self._rng.expovariate(1 / _MEAN_FAULT_INTERVAL_SECONDS))
-            fault = self._rng.choice(kinds)(self._testbed, self._rng)
+        more_kinds = feature_kinds(self._testbed)
+        await asyncio.gather(
+            self._inject_kinds(kinds, self._rng, deadline),
+            self._inject_kinds(more_kinds, self._feature_rng, deadline),
+            *tasks,
+        )
+
+    async def _inject_kinds(
+        self, kinds: Sequence[type[Fault]], rng: random.Random, deadline: float
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        tasks = set()
+        while kinds and loop.time() < deadline:
+            await asyncio.sleep(rng.expovariate(1 / _MEAN_FAULT_INTERVAL_SECONDS))
+            fault = rng.choice(kinds)(self._testbed, rng)
             tasks.add(asyncio.create_task(self._inject(fault, loop.time() - deadline)))
         await asyncio.gather(*tasks)
 
-    async def _inject(self, fault, offset_from_end: float) -> None:
+    async def _inject(self, fault: Fault, offset_from_end: float) -> None:
         description = await fault.inject()
         self._report.faults.append(
             f"{offset_from_end + self._fault_seconds:.1f} {fault.name} {description}"
@@ -101,6 +133,7 @@
         """Restart stopped hosts; check that requests and steps are served in time."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + _RECOVERY_LIMIT_SECONDS
+        next_window = int(time.time() / USAGE_WINDOW_SECONDS) + 1
         for host in self._testbed.hosts:
             await self._testbed.launch(host)
             try:
@@ -114,8 +147,20 @@
             self._history.add_violation(
                 "a step submitted after the faults did not complete"
             )
+        if self._testbed.api is not None:
+            await self._wait_for_report(self._testbed.api, next_window, deadline)
         await self._callers.read_all_batches(loop.time() + _RECOVERY_LIMIT_SECONDS)
 
+    async def _wait_for_report(
+        self, api: PlatformApi, window: int, deadline: float
+    ) -> None:
+        """Check that usage of ``window`` or a later one is reported in time."""
+        while not any(call.body["window"] >= window for call in api.carried_out):
+            if asyncio.get_running_loop().time() > deadline:
+                self._history.add_violation("no usage reported after the faults")
+                return
+            await asyncio.sleep(_POLL_INTERVAL_SECONDS)
+
 
 async def run_soak(
     seed: int, seconds: float, log_folder: Path | None = None, limits: bool = False
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -14,11 +14,13 @@
 import aiohttp
 
 from standins.deployment import free_port
+from standins.platform_api import PlatformApi
 from standins.platform_store import PlatformStore
 from standins.platform_target import PlatformTarget
 
 from .launch import CLOCK_STEP_VARIABLE
 from .proxy import Proxy
+from .workspaces import KEY, Workspaces
 
 HOST_NAME = "soak.example"
 MODEL = "m"
@@ -30,6 +32,10 @@
 _EVENT_INTERVAL_SECONDS = 0.02
 _RESPONSE_SECONDS = 0.02
 _HEARTBEAT_INTERVAL_SECONDS = 1.0
+PROBE_ID = "probe"
+# Shorter than the platform's, so that a run of some seconds has several windows.
+USAGE_WINDOW_SECONDS = 1.0
+_USAGE_LATE_SECONDS = 5.0
 _READY_TIMEOUT_SECONDS = 20.0
 # Time that the platform grants a process between SIGTERM and SIGKILL.
 GRACE_SECONDS = 8.0
@@ -51,7 +57,9 @@
     }
 
 
-def manifest(version: int, added_routes: int) -> dict[str, Any]:
+def manifest(
+    version: int, added_routes: int, workspaces: Workspaces | None = None
+) -> dict[str, Any]:
     """Return a manifest with ``added_routes`` routes besides the standard ones."""
     added = [_route(f"added{n}", "safe", "portal") for n in range(added_routes)]
     rollout = {"run-deadline-ms": 7500, "queue-ttl-s": 40}
@@ -68,6 +76,7 @@
             {"name": "lm", "engine": {"stride": 1, "models": [{"name": MODEL}]}},
         ],
         "limits": {},
+        **({"tenants": workspaces.tenants()} if workspaces is not None else {}),
     }
 
 
@@ -90,10 +99,24 @@
 
 
 class Testbed:
-    """Starts the host processes, stand-ins and links of one run; stops only those."""
+    """Starts the host processes, stand-ins and links of one run; stops only those.
 
-    def __init__(self, folder: Path, hosts: int, portals: int, engines: int) -> None:
+    :param workspaces: the workspaces of the manifest; None if it has none.
+    :param api: the platform's API, to which usage is reported; None without duties.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        hosts: int,
+        portals: int,
+        engines: int,
+        workspaces: Workspaces | None = None,
+        api: PlatformApi | None = None,
+    ) -> None:
         self.folder = folder
+        self.workspaces = workspaces
+        self.api = api
         self.store = PlatformStore()
         self.hosts = [self._create_host(f"host-{n}") for n in range(hosts)]
         self.targets = [PlatformTarget(f"portal-{n}", "portal") for n in range(portals)]
@@ -117,6 +140,8 @@
     async def start(self) -> None:
         """Start stand-ins, links and hosts; wait until every host serves requests."""
         await self.store.start()
+        if self.api is not None:
+            await self.api.start()
         self.apply_manifest(1)
         for target in self.targets:
             await target.start()
@@ -135,7 +160,7 @@
             await self.wait_until_serving(host, _READY_TIMEOUT_SECONDS)
 
     def _write_settings(self, host: Host) -> None:
-        settings = {
+        settings: dict[str, Any] = {
             "host_id": host.name,
             "zone": "a",
             "ip": "127.0.0.1",
@@ -144,6 +169,16 @@
             "peer_address": f"127.0.0.1:{free_port()}",
             "store": {"address": host.store_link.address},
         }
+        if self.api is not None:
+            settings["platform_api"] = {
+                "address": self.api.address,
+                "duties": ["usage"],
+            }
+            settings["bounds"] = {
+                "usage_window_s": USAGE_WINDOW_SECONDS,
+                "usage_late_s": _USAGE_LATE_SECONDS,
+                "require_fence": self.api.require_fence,
+            }
         host.settings_path.write_text(json.dumps(settings))
 
     async def launch(self, host: Host) -> None:
@@ -198,7 +233,9 @@
 
         :raises TimeoutError: the host served none within ``seconds``.
         """
-        headers = {"Host": HOST_NAME, "X-Cranberryrun-Attempt-Id": "probe"}
+        headers = {"Host": HOST_NAME, "X-Cranberryrun-Attempt-Id": PROBE_ID}
+        if self.workspaces is not None:
+            headers[KEY] = self.workspaces.permanent_key()
         async with asyncio.timeout(seconds), aiohttp.ClientSession() as session:
             while True:
                 try:
@@ -213,7 +250,8 @@
     def apply_manifest(self, version: int) -> None:
         """Write a manifest to the store as the operator does."""
         self.manifest_version = version
-        self.store.put(OPERATOR_TOPIC, "config", manifest(version, self.added_routes))
+        content = manifest(version, self.added_routes, self.workspaces)
+        self.store.put(OPERATOR_TOPIC, "config", content)
 
     def publish_version(self, version: int) -> None:
         """Write the newest weight version to the store as the trainer does."""
@@ -246,4 +284,6 @@
             if target.id in self.link_by_target:
                 await self.link_by_target[target.id].stop()
             await target.stop()
+        if self.api is not None:
+            await self.api.stop()
         await self.store.stop()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,19 +1,30 @@
 """Tests of the soak test: short runs, its checkers and its proxy."""
 
 import asyncio
+import random
+import tempfile
 import unittest
+from pathlib import Path
 from types import SimpleNamespace
 
+import aiohttp
+
+from soak.duties import check_holders, check_reports
 from soak.history import History, ObservedBatch
 from soak.proxy import LinkState, Proxy
 from soak.runner import run_soak
-from soak.testbed import ITEM_EVENTS
+from soak.testbed import ITEM_EVENTS, OPERATOR_TOPIC
+from soak.workspaces import Workspaces, check_stored_text, check_targets
+from standins.platform_api import PlatformApi, RecordedCall
+from standins.platform_store import PlatformStore
 from standins.platform_target import PlatformTarget
 
 # Short for CI; ``python -m soak`` runs for longer.
 SECONDS = 6.0
 # A limit is judged from 3 s after it was named, in windows of 4 s.
 LIMIT_SECONDS = 12.0
+# Seed 3 has workspaces and duties as well, for longer.
+FEATURE_SECONDS = 4.0
 
 
 class SoakTest(unittest.IsolatedAsyncioTestCase):
@@ -30,11 +41,18 @@
     async def test_limits_are_kept_under_faults(self):
         await self.check_seed(5, LIMIT_SECONDS, limits=True)
 
+    async def test_workspaces_and_duties_hold_under_faults(self):
+        # 7 has both; without an accepted report the checks of reports see nothing.
+        report = await self.check_seed(7, FEATURE_SECONDS)
+        self.assertGreater(report.statuses["401"], 0)
+        self.assertGreater(report.accepted_reports, 0)
+
     async def check_seed(self, seed, seconds=SECONDS, **options):
         report = await run_soak(seed, seconds, **options)
         self.assertEqual(report.violations, [])
         self.assertTrue(report.faults)
         self.assertGreater(report.statuses["200"], 0)
+        return report
 
 
 class HistoryTest(unittest.TestCase):
@@ -155,6 +173,183 @@
         self.assertEqual(len(self.violations("p0.7", called_at=0.5)), 1)
 
 
+class WorkspaceHistoryTest(unittest.TestCase):
+    """The checkers of workspaces find each planted violation."""
+
+    def setUp(self):
+        self.workspaces = Workspaces(random.Random(1))
+        self.own_key = self.workspaces.permanent_key("alder")
+        self.history = History()
+        self.batch = ObservedBatch("b1", 1, frozenset({"i1"}), workspace="birch")
+
+    def violations(self, key, workspace, attempt="r1", **headers):
+        target = PlatformTarget("p0", "portal")
+        request = {"X-Cranberryrun-Attempt-Id": attempt, **headers}
+        if workspace is not None:
+            request["X-Cranberryrun-Tenant"] = workspace
+        target.requests.append(request)
+        key_by_attempt, item_owners = {"r1": key}, {"i1": "birch"}
+        return list(
+            check_targets(
+                self.workspaces.workspace_by_key, key_by_attempt, item_owners, [target]
+            )
+        )
+
+    def test_no_violation_when_requests_keep_their_workspace(self):
+        self.assertEqual(self.violations(self.own_key, "alder"), [])
+        self.assertEqual(self.violations(None, "birch", "i1"), [])
+        self.assertEqual(self.violations(None, None, "score-of-i1"), [])
+
+    def test_no_violation_when_a_removed_key_was_in_a_manifest(self):
+        changes = [self.workspaces.change_keys() for _ in range(50)]
+        self.assertTrue(any(change.endswith("removed") for change in changes))
+        for key, workspace in self.workspaces.workspace_by_key.items():
+            self.assertEqual(self.violations(key, workspace), [])
+
+    def test_violation_when_a_key_of_no_manifest_or_no_key_ran(self):
+        for key in (self.workspaces.unknown_key(), None):
+            with self.subTest(key=key):
+                self.assertEqual(len(self.violations(key, None)), 1)
+
+    def test_violation_when_a_request_or_an_item_ran_under_another_workspace(self):
+        for key, workspace, attempt in (
+            (self.own_key, "birch", "r1"),
+            (self.own_key, None, "r1"),
+            (None, "alder", "i1"),
+            (None, None, "i1"),
+        ):
+            with self.subTest(workspace=workspace, attempt=attempt):
+                self.assertEqual(len(self.violations(key, workspace, attempt)), 1)
+
+    def test_violation_when_a_key_reached_a_target(self):
+        for header in ("x-cranberryrun-KEY", "X-Other"):
+            with self.subTest(header=header):
+                found = self.violations(self.own_key, "alder", **{header: self.own_key})
+                self.assertEqual(len(found), 1)
+
+    def test_violation_when_a_permanent_key_gets_401(self):
+        self.history.check_permanent_key("r1", 503)
+        self.assertEqual(self.history.violations, [])
+        self.history.check_permanent_key("r1", 401)
+        self.assertEqual(len(self.history.violations), 1)
+
+    def test_violation_when_another_workspace_reads_or_ends_a_batch(self):
+        for status, violations in ((404, 0), (401, 0), (503, 0), (200, 1)):
+            with self.subTest(status=status):
+                history = History()
+                history.check_foreign_call(self.batch, "GET", status)
+                self.assertEqual(len(history.violations), violations)
+
+    def test_violation_when_a_record_or_a_log_has_a_key(self):
+        with tempfile.TemporaryDirectory() as name:
+            store, folder = PlatformStore(), Path(name)
+            store.put_raw(OPERATOR_TOPIC, self.own_key.encode())
+            (folder / "host-0.json").write_text(self.own_key)
+            self.assertEqual(list(check_stored_text(store, OPERATOR_TOPIC, folder)), [])
+            store.put_raw("batches-00", self.own_key.encode())
+            (folder / "host-0.log").write_text(self.own_key)
+            found = list(check_stored_text(store, OPERATOR_TOPIC, folder))
+            self.assertEqual(len(found), 2)
+
+    def test_the_checks_of_a_run_include_those_of_its_features(self):
+        # A checker that no run calls would find nothing.
+        store, api = PlatformStore(), PlatformApi()
+        target = PlatformTarget("p0", "portal")
+        target.requests.append({"X-Cranberryrun-Attempt-Id": "i1"})
+        store.put_raw("batches-00", self.own_key.encode())
+        api.calls += [usage_call(0.0, "h0", 5), usage_call(4.0, "h1", 4)]
+        api.carried_out += [usage_call(0.0), usage_call(1.0, counts={"alder": 2})]
+        self.history.batch_by_id["b1"] = self.batch
+        with tempfile.TemporaryDirectory() as name:
+            testbed = SimpleNamespace(
+                workspaces=self.workspaces,
+                api=api,
+                store=store,
+                targets=[target],
+                folder=Path(name),
+            )
+            self.history.check_features(testbed)
+        self.assertEqual(len(self.history.violations), 4)
+
+
+def usage_call(time, holder="h0", token=5, window=7, counts=None):
+    body = {"window": window, "counts": counts or {}}
+    return RecordedCall(time, "/usage", body, holder, token)
+
+
+class DutyHistoryTest(unittest.TestCase):
+    """The checkers of duties find each planted violation."""
+
+    def test_no_violation_when_holders_follow_one_another(self):
+        calls = [
+            usage_call(0.0),
+            usage_call(0.5),
+            usage_call(4.0, "h1", 9),
+            usage_call(8.0, "h0", 12, window=8, counts={"alder": 1}),
+        ]
+        self.assertEqual(list(check_holders(calls)), [])
+        self.assertEqual(list(check_reports(calls)), [])
+
+    def test_violation_when_two_reports_of_a_window_differ(self):
+        calls = [usage_call(0.0), usage_call(1.0, counts={"alder": 1})]
+        self.assertEqual(len(list(check_reports(calls))), 1)
+
+    def test_violation_when_a_token_is_lower_than_one_before(self):
+        calls = [usage_call(0.0, "h0", 5), usage_call(4.0, "h1", 4)]
+        self.assertEqual(len(list(check_holders(calls))), 1)
+
+    def test_violation_when_two_holders_have_one_token(self):
+        calls = [usage_call(0.0, "h0", 5), usage_call(4.0, "h1", 5)]
+        self.assertEqual(len(list(check_holders(calls))), 1)
+
+    def test_violation_when_a_holder_acts_again_within_the_lease_time(self):
+        for seconds, violations in ((2.9, 1), (3.1, 0)):
+            with self.subTest(seconds=seconds):
+                calls = [
+                    usage_call(0.0, "h0", 5),
+                    usage_call(1.0, "h1", 6),
+                    usage_call(seconds, "h0", 7),
+                ]
+                self.assertEqual(len(list(check_holders(calls))), violations)
+
+
+class StandinFaultTest(unittest.IsolatedAsyncioTestCase):
+    """The stand-ins bring about the faults of single topics and of the API."""
+
+    async def test_store_fails_for_one_topic_only(self):
+        store = PlatformStore()
+        await store.start()
+        self.addAsyncCleanup(store.stop)
+        store.mode_by_topic["batch-index"] = "busy"
+        async with aiohttp.ClientSession(f"http://{store.address}") as session:
+            for topic, expected in (("batch-index", 503), ("lease", 200)):
+                url = f"/v1/log-append?topic={topic}"
+                trim = {"topic": topic, "before": 0}
+                async with session.post(url, data=b"") as response:
+                    self.assertEqual(response.status, expected)
+                async with session.post("/v1/log-trim", json=trim) as response:
+                    self.assertEqual(response.status, expected)
+
+    async def test_slow_api_executes_a_call_whose_caller_has_left(self):
+        api = PlatformApi()
+        api.delay = 0.1
+        await api.start()
+        self.addAsyncCleanup(api.stop)
+        headers = {
+            "X-Cranberryrun-Duty-Holder": "h0",
+            "X-Cranberryrun-Fencing-Token": "5",
+        }
+        timeout = aiohttp.ClientTimeout(total=0.05)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            with self.assertRaises(TimeoutError):
+                await session.post(
+                    f"http://{api.address}/usage", json={}, headers=headers
+                )
+        self.assertEqual((len(api.calls), len(api.carried_out)), (1, 0))
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(api.carried_out), 1)
+
+
 class ProxyTest(unittest.IsolatedAsyncioTestCase):
     """The proxy injects each kind of link fault."""
 
