Share the code of calls between hosts

Change: platform/host_calls.py makes the call, and asks the holder of the lease for an answer that it validates.

--- a/cranberryrun/platform/permit_calls.py
+++ b/cranberryrun/platform/permit_calls.py
@@ -2,13 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
-
-import aiohttp
 from aiohttp import web
 from pydantic import ValidationError
 
-from ..exceptions import PeerError
 from ..fleet.neighbours import Neighbours
 from ..fleet.permit_client import (
     NotHolderError,
@@ -17,12 +13,9 @@
     PermitRequest,
 )
 from ..fleet.send_permits import SendPermits
-from ..http import HttpClients
+from .host_calls import NOT_HOLDER_STATUS, ask_holder
 
 PERMITS_PATH = "/permits"
-# An answer takes some milliseconds. A caller waits for it, so a later one is no use.
-_TIMEOUT_SECONDS = 0.25
-_NOT_HOLDER_STATUS = 409
 
 
 class HttpPermitClient(PermitClient):
@@ -32,28 +25,8 @@
 
     async def ask(self, host: str, request: PermitRequest) -> PermitGrant:
         """See :meth:`PermitClient.ask`."""
-        address = self.kernel.get(Neighbours).address_of(host)
-        if address is None:
-            raise PeerError(f"the address of host {host} is not known")
-        try:
-            async with self.kernel.get(HttpClients).shared.post(
-                f"http://{address}{PERMITS_PATH}",
-                data=request.model_dump_json(),
-                timeout=aiohttp.ClientTimeout(total=_TIMEOUT_SECONDS),
-            ) as response:
-                body = await response.read()
-        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
-            raise PeerError(f"host {host} granted no permits: {error!r}") from None
-        if response.status == _NOT_HOLDER_STATUS:
-            raise NotHolderError(f"host {host} does not hold the lease")
-        if response.status != 200:
-            raise PeerError(
-                f"host {host} answered {response.status} to a request for permits"
-            )
-        try:
-            return PermitGrant.model_validate_json(body)
-        except ValidationError as error:
-            raise PeerError(f"the grant of host {host} is malformed: {error}") from None
+        question = request.model_dump_json()
+        return await ask_holder(self.kernel, host, PERMITS_PATH, question, PermitGrant)
 
     def host_count(self) -> int:
         """See :meth:`PermitClient.host_count`."""
@@ -69,5 +42,5 @@
     try:
         grant = permits.grant(wanted)
     except NotHolderError as error:
-        return web.Response(status=_NOT_HOLDER_STATUS, text=error.detail)
+        return web.Response(status=NOT_HOLDER_STATUS, text=error.detail)
     return web.Response(text=grant.model_dump_json(), content_type="application/json")
--- a/cranberryrun/platform/result_calls.py
+++ b/cranberryrun/platform/result_calls.py
@@ -2,23 +2,18 @@
 
 from __future__ import annotations
 
-import asyncio
-
-import aiohttp
 from aiohttp import web
 from pydantic import TypeAdapter, ValidationError
 
 from ..batches.result_source import ResultPage, ResultSource
 from ..batches.service import Batches
 from ..exceptions import CranberryrunError, PeerError
-from ..fleet.neighbours import Neighbours
-from ..http import HttpClients
+from .host_calls import call_host
 
 RESULTS_PATH = "/batch-results"
 # The largest page takes 0.3 s over the slowest link; reading the store instead takes
 # longer still.
 _TIMEOUT_SECONDS = 0.6
-_CONNECT_TIMEOUT_SECONDS = 0.2
 _UNKNOWN_STATUS = 404
 # Larger pages are read from the store. The holder serves all trainers, and its memory
 # and link are no larger than those of the host that asks.
@@ -36,30 +31,21 @@
         self, host: str, batch_id: str, after: int | None, wait: float
     ) -> ResultPage | None:
         """See :meth:`ResultSource.read`."""
-        address = self.kernel.get(Neighbours).address_of(host)
-        if address is None:
-            raise PeerError(f"the address of host {host} is not known")
         params = {"batch": batch_id, "wait": f"{wait:g}"}
         if after is not None:
             params["after"] = str(after)
-        try:
-            async with self.kernel.get(HttpClients).shared.get(
-                f"http://{address}{RESULTS_PATH}",
-                params=params,
-                timeout=aiohttp.ClientTimeout(
-                    total=wait + _TIMEOUT_SECONDS,
-                    sock_connect=_CONNECT_TIMEOUT_SECONDS,
-                ),
-            ) as response:
-                body = await response.read()
-        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
-            raise PeerError(f"host {host} sent no results: {error!r}") from None
-        if response.status == _UNKNOWN_STATUS:
+        status, body = await call_host(
+            self.kernel,
+            host,
+            "GET",
+            RESULTS_PATH,
+            wait + _TIMEOUT_SECONDS,
+            params=params,
+        )
+        if status == _UNKNOWN_STATUS:
             return None
-        if response.status != 200:
-            raise PeerError(
-                f"host {host} answered {response.status} to a read of results"
-            )
+        if status != 200:
+            raise PeerError(f"host {host} answered {status} to a read of results")
         try:
             return _PAGE_ADAPTER.validate_json(body)
         except ValidationError as error:
