Do not take engines that load weights for engines with fewer slots

Cause: where items waited while the engines had few runs in the mean, the scaling policy took that for a limit of the engines and ordered more. Items also wait for a weight version while other engines load it.

Change: the most runs of a single engine count beside the mean.

--- a/cranberryrun/scaling/inputs.py
+++ b/cranberryrun/scaling/inputs.py
@@ -76,6 +76,7 @@
                 groups=group_engines(own_engines),
                 runs=sum(engine.in_flight for engine in own_engines),
                 waiting_items=pool.waiting_items,
+                most_runs=max((each.in_flight for each in own_engines), default=0),
                 plain_requests=_serves_plain_requests(manifest, service),
             )
         return inputs
--- a/cranberryrun/scaling/models.py
+++ b/cranberryrun/scaling/models.py
@@ -28,8 +28,9 @@
 class ScalingInputs:
     """What the policy knows of a service.
 
-    ``runs`` are those in flight on its engines, ``waiting_items`` those that found no
-    engine; ``plain_requests`` tells whether callers' requests run on them too.
+    ``runs`` are those in flight on its engines, ``most_runs`` the most of one engine,
+    and ``waiting_items`` the items that found no engine; ``plain_requests`` tells
+    whether callers' requests run on them too.
     """
 
     autoscale: Autoscale
@@ -37,6 +38,7 @@
     groups: tuple[EngineGroup, ...]
     runs: int
     waiting_items: int = 0
+    most_runs: int = 0
     plain_requests: bool = False
 
 
--- a/cranberryrun/scaling/policy.py
+++ b/cranberryrun/scaling/policy.py
@@ -248,7 +248,8 @@
         while samples and samples[0][0] < now - _CONCURRENCY_SECONDS:
             samples.popleft()
         if inputs.waiting_items >= engines and inputs.runs:
-            samples.append((now, inputs.runs / engines))
+            # Engines that load weights have few runs for another reason.
+            samples.append((now, max(inputs.runs / engines, inputs.most_runs)))
         if len(samples) < _MIN_CONCURRENCY_SAMPLES:
             return slots
         most_runs = max(runs for _, runs in samples)
--- a/tests/test_scaling_policy.py
+++ b/tests/test_scaling_policy.py
@@ -97,14 +97,14 @@
         self.orders = []
         self.now = 0.0
 
-    def inputs(self, each, runs=0, waiting=0, autoscale=ON_DEMAND_ONLY):
+    def inputs(self, each, runs=0, waiting=0, autoscale=ON_DEMAND_ONLY, most_runs=0):
         groups = tuple(
             EngineGroup(
                 *kind, ready, self.draining.get(kind, 0), ENGINE_SLOTS, INTERVAL
             )
             for kind, ready in self.ready.items()
         )
-        return ScalingInputs(autoscale, each, groups, runs, waiting)
+        return ScalingInputs(autoscale, each, groups, runs, waiting, most_runs)
 
     def play(self, seconds, each, obey=True, **options):
         """Ask for orders twice a second and carry them out at once."""
@@ -360,6 +360,14 @@
             self.play(3.0, demand(2500.0), runs=runs, waiting=400)
         self.assertEqual(self.orders, [])
 
+    def test_engines_that_load_weights_do_not_look_limited(self):
+        """Items wait for the version, while other engines use all their slots.
+
+        On a deployment with 24 engines, 46% more engine time was ordered for this.
+        """
+        self.play(8.0, demand(2500.0), runs=24 * 3, waiting=100, most_runs=8)
+        self.assertEqual(self.orders, [])
+
 
 class SpotTest(PolicyTestCase):
     def test_dear_engines_are_removed_only_after_the_cheap_ones_serve(self):
