Do not wait for a hanging connection to learn whether a target ended

A request whose deadline passes while its connection hangs leaves its target suspected of a crash. The next request that can't reach this target then waited up to 0.6 s for a connection that was to show the crash, although this host had lost all targets.

Ruled out: load as the cause.

Change: a host that has lost all targets asks none whether it ended, and otherwise the question takes at most 0.1 s, many times a round trip.

--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -65,6 +65,8 @@
 )
 # Reports and orders take some milliseconds. An answer that takes longer counts as lost.
 _CONTROL_TIMEOUT_SECONDS = 0.6
+# A refusal takes one round trip, and a caller waits for it.
+_REFUSAL_TIMEOUT_SECONDS = 0.1
 _KEEPALIVE_TIMEOUT_PATTERN = re.compile(r"timeout=(\d+)")
 _EVENT_STREAM = "text/event-stream"
 # A page of results holds at most 1 MB of text, so no result can be longer.
@@ -274,9 +276,12 @@
 
     async def refuses_connections(self, target: Target) -> bool:
         """See :meth:`TargetClient.refuses_connections`."""
+        if self.kernel.get(TargetPaths).lost:
+            # Nothing that this host sees now shows whether a target ended.
+            return False
         host, port = split_address(target.address)
         try:
-            async with asyncio.timeout(_CONTROL_TIMEOUT_SECONDS):
+            async with asyncio.timeout(_REFUSAL_TIMEOUT_SECONDS):
                 _, writer = await asyncio.open_connection(host, port)
         except ConnectionRefusedError:
             # A host that is cut from all targets may find connections refused, too.
--- a/tests/test_cut_host.py
+++ b/tests/test_cut_host.py
@@ -202,6 +202,19 @@
                     self.assertLess(loop.time() - started_at, 0.3)
                 self.assertEqual(self.portal_requests(), [])
 
+    async def test_request_given_up_while_connecting_delays_no_later_one(self):
+        # Its target was suspected of a crash, and the next request waited for the
+        # connection that was to show it.
+        self.cut(Cut.HANG, "host-1", "host-2")
+        await self.request("POST", "/status/x", "w", headers={DEADLINE_MS: "100"})
+        for host in (self.host, self.other):
+            await self.wait_until(lambda: "targets_lost" in self.event_names(host))
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        status, _, _ = await self.request("POST", "/hold/x", "h", headers=DEADLINE)
+        self.assertEqual(status, 503)
+        self.assertLess(loop.time() - started_at, 0.3)
+
     async def test_host_reaches_targets_by_itself_after_the_cut(self):
         self.cut(Cut.HANG)
         await self.send_all("/status/x", "c")
