--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -18,8 +18,6 @@
 from ..batches.results import ResultWriter
 from ..batches.runner import Runner
 from ..batches.service import Batches
-from ..duties.duty import Duty
-from ..duties.service import Duties
 from ..events import Events
 from ..exceptions import CranberryrunError, SettingsError
 from ..fleet.directory import Directory
@@ -39,13 +37,8 @@
 from ..requests.stream_origins import StreamOrigins
 from ..requests.streams import Streams
 from ..rewards.caller import RewardCaller
-from ..scaling.inputs import Scaling
 from ..second_attempts.service import SecondAttempts
 from ..usage_counts.counter import UsageCounter
-from ..usage_counts.report_duty import ReportDuty
-from ..usage_counts.service import UsageCounts
-from ..usage_counts.totals import UsageTotals
-from .duty_client import HttpDutyClient
 from .frontend import Frontend
 from .hedge_calls import HttpHedgeClient
 from .neighbour_server import NeighbourServer
@@ -164,30 +157,12 @@
     def _create_duty_services(
         self, incarnation: int, usage: UsageCounter | None
     ) -> list[Service]:
-        """Create the services of the duties that the settings name, if any."""
-        settings = self._settings
-        bounds = settings.bounds
-        duties: list[Duty] = []
-        services: list[Service] = []
-        if usage is not None:
-            totals = UsageTotals()
-            services.append(UsageCounts(settings.host_id, incarnation, usage, totals))
-            duties.append(
-                ReportDuty(
-                    totals, bounds.usage_window_s, bounds.usage_late_s, clock.wall()
-                )
-            )
-        if self._has_duty("scale"):
-            scaling = Scaling()
-            services.append(scaling)
-            duties.append(scaling.duty)
-        if settings.platform_api is None or not duties:
+        if self._settings.platform_api is None:
             return []
-        api = settings.platform_api
-        return services + [
-            HttpDutyClient(api.address),
-            Duties(settings.host_id, tuple(duties), api.calls_per_s),
-        ]
+        # Importing them costs a noticeable part of a start.
+        from .duty_services import create_duty_services
+
+        return create_duty_services(self._settings, incarnation, usage)
 
     def _own_entry(self) -> Neighbour:
         settings = self._settings
@@ -232,6 +207,8 @@
                 break
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
         if self._has_duty("usage"):
+            from ..usage_counts.service import UsageCounts
+
             await self.kernel.get(UsageCounts).finish(deadline)
         self.kernel.get(Events).emit("host_stopped")
         await self.kernel.stop()
--- a/cranberryrun/platform/explain_endpoint.py
+++ b/cranberryrun/platform/explain_endpoint.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from dataclasses import asdict
+from typing import TYPE_CHECKING
 
 from aiohttp import web
 
-from ..batches.explanation import explain_model
 from ..exceptions import CranberryrunError, InvalidInputError
 from ..kernel import Kernel
-from ..requests.explanation import Explanation, explain_request
+
+if TYPE_CHECKING:
+    from ..requests.explanation import Explanation
 
 EXPLAIN_PATH = "/explain"
 
@@ -24,6 +26,10 @@
 
 
 def _explain(kernel: Kernel, request: web.BaseRequest) -> Explanation:
+    # Imported here because few hosts are ever asked for an explanation.
+    from ..batches.explanation import explain_model
+    from ..requests.explanation import explain_request
+
     query = request.query
     if "model" in query:
         return explain_model(kernel, query["model"])
