Let a host that just started add nothing to the limit of a target

Cause: test_named_limits with three hosts sometimes counted 18 requests in a window of 17. A host reads where the others are after up to 5 s. Until then it can't ask the holder for permits ("the address of host host-1 is not known") and takes itself for the only host, so it sent half of the limit: all runs had about twice the limit in their first 3 s, and exactly the limit after that.

Ruled out: requests that are under way while the limit becomes known. They are 3 at a target; and delays between permit and arrival, which the steady part does not show.

Change: a missing address makes the host read the entries at once, at most once for each missing host between two regular reads, and a host that has not read them yet sends nothing to a limited target that the holder did not permit.

--- a/cranberryrun/fleet/neighbours.py
+++ b/cranberryrun/fleet/neighbours.py
@@ -15,6 +15,8 @@
 
 _REFRESH_SECONDS = 5.0
 _RETRY_DELAY_SECONDS = 0.5
+# The time between two reads if the address of a host is missing meanwhile.
+_MIN_REFRESH_SECONDS = 0.5
 # A neighbour that failed to relay a call is not chosen again for this long.
 _COOLDOWN_SECONDS = 3.0
 
@@ -46,6 +48,9 @@
         self._rng = rng
         self._neighbour_by_host: dict[str, Neighbour] = {}
         self._cooldown_until_by_host: dict[str, float] = {}
+        self._read = False
+        self._sought: set[str] = set()
+        self._missing = asyncio.Event()
 
     async def start(self) -> None:
         """Register this host and start reading the other entries regularly."""
@@ -66,14 +71,26 @@
         return available[:count]
 
     def address_of(self, host: str) -> str | None:
-        """Return the address at which ``host`` accepts calls; None if not known."""
+        """Return the address at which ``host`` accepts calls; None if not known.
+
+        The entries are read again soon if there is none of ``host``; this is done once
+        between two regular reads, as the host may be gone.
+        """
         neighbour = self._neighbour_by_host.get(host)
-        return neighbour.address if neighbour is not None else None
+        if neighbour is not None:
+            return neighbour.address
+        if host not in self._sought:
+            self._sought.add(host)
+            self._missing.set()
+        return None
 
     @property
-    def host_count(self) -> int:
-        """How many hosts have registered, this one included; some may be gone."""
-        return 1 + len(self._neighbour_by_host)
+    def host_count(self) -> int | None:
+        """How many hosts have registered, this one included; some may be gone.
+
+        None until the entries of the others are read for the first time.
+        """
+        return 1 + len(self._neighbour_by_host) if self._read else None
 
     def record_failure(self, neighbour: Neighbour) -> None:
         """Start the cooldown of a neighbour that failed to relay a call."""
@@ -91,14 +108,26 @@
 
     async def _refresh(self) -> None:
         while True:
-            await asyncio.sleep(self._rng.uniform(0, _REFRESH_SECONDS))
+            await self._pause(self._rng.uniform(0, _REFRESH_SECONDS))
             try:
                 newest = await self.kernel.get(Store).newest(self._topic)
             except CranberryrunError:
                 # The neighbours read last stay in use until the store answers again.
+                await asyncio.sleep(_RETRY_DELAY_SECONDS)
                 continue
             self._replace_neighbours(newest.records)
-            await asyncio.sleep(_REFRESH_SECONDS)
+            self._read = True
+            await asyncio.sleep(_MIN_REFRESH_SECONDS)
+            await self._pause(_REFRESH_SECONDS - _MIN_REFRESH_SECONDS)
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait, but not longer than until an address is missing."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._missing.wait()
+        except TimeoutError:
+            self._sought.clear()
+        self._missing.clear()
 
     def _replace_neighbours(self, records: list[KeyedRecord]) -> None:
         neighbour_by_host: dict[str, Neighbour] = {}
--- a/cranberryrun/fleet/permit_client.py
+++ b/cranberryrun/fleet/permit_client.py
@@ -54,5 +54,5 @@
         """
 
     @abstractmethod
-    def host_count(self) -> int:
-        """Return how many hosts there may be, this one included."""
+    def host_count(self) -> int | None:
+        """Return how many hosts there may be, this one included; None if not known."""
--- a/cranberryrun/fleet/send_permits.py
+++ b/cranberryrun/fleet/send_permits.py
@@ -231,6 +231,10 @@
         bucket = self._fallback_by_target.get(target_id)
         if bucket is None:
             hosts = self.kernel.get(PermitClient).host_count()
+            if hosts is None:
+                # A host that just started does not know how many share the limit.
+                self._exhausted_until_by_target[target_id] = now + _ASK_COOLDOWN_SECONDS
+                return 0
             share = max(rate, 0.01) * _UNSURE_SHARE / hosts
             bucket = TokenBucket(share, 1.0, self._rng.random(), now)
             self._fallback_by_target[target_id] = bucket
--- a/cranberryrun/platform/permit_calls.py
+++ b/cranberryrun/platform/permit_calls.py
@@ -28,7 +28,7 @@
         question = request.model_dump_json()
         return await ask_holder(self.kernel, host, PERMITS_PATH, question, PermitGrant)
 
-    def host_count(self) -> int:
+    def host_count(self) -> int | None:
         """See :meth:`PermitClient.host_count`."""
         return self.kernel.get(Neighbours).host_count
 
--- a/tests/test_send_permits.py
+++ b/tests/test_send_permits.py
@@ -1,6 +1,7 @@
 """Hosts keep the limits of targets together: starts, takeovers, lost stores."""
 
 import asyncio
+from unittest.mock import patch
 
 from cranberryrun import clock
 from cranberryrun.exceptions import CranberryrunError, RefusedError
@@ -14,6 +15,7 @@
 from cranberryrun.requests.streams import Streams
 from fakes.deployment import (
     Deployment,
+    FakePermitClient,
     batch,
     batch_route,
     manifest,
@@ -119,6 +121,17 @@
         await asyncio.gather(*(self.send_all_the_time(host, 20.0) for host in others))
         self.assert_kept(least=8)
 
+    async def test_hosts_that_just_started_add_nothing_to_the_limit(self):
+        # Each took itself for the only host, and sent half of the limit.
+        hosts = await self.start_hosts(8)
+        self.name_limit(*hosts)
+        self.deployment.unreachable_hosts = set(self.deployment.kernel_by_host)
+        with patch.object(FakePermitClient, "host_count", return_value=None):
+            await asyncio.gather(
+                *(self.send_all_the_time(host, 10.0) for host in hosts)
+            )
+        self.assert_kept(least=10)
+
     async def test_outage_of_the_store_does_not_free_the_limit(self):
         hosts = await self.start_hosts(3)
         self.name_limit(*hosts)
