Reserve the ports of tests for one process at a time

Cause: free_port looks for a port that nothing listens on, and a program listens on it some time later. It may also be behind the listed failure of test_processes ("host-1 ended" at its start), which is not proved.

--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -13,10 +13,10 @@
 
 import aiohttp
 
-from standins.deployment import free_port
 from standins.platform_api import PlatformApi
 from standins.platform_store import PlatformStore
 from standins.platform_target import PlatformTarget
+from standins.ports import free_port
 
 from .launch import CLOCK_STEP_VARIABLE
 from .proxy import Proxy
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import json
-import random
 import signal
-import socket
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -13,8 +11,8 @@
 import aiohttp
 
 from ._program import StandinError, wall_time
+from .ports import IP, free_port
 
-IP = "127.0.0.1"
 READY_TIMEOUT_SECONDS = 15.0
 STOP_TIMEOUT_SECONDS = 20.0
 POLL_INTERVAL_SECONDS = 0.05
@@ -29,10 +27,6 @@
     """A request of the deployment got a response other than 2xx."""
 
 
-_LISTENING_PORTS = range(12_000, 32_000)
-_PORT_ATTEMPTS = 100
-# Prevents two programs from getting the same port before either listens on it.
-_assigned_ports: set[int] = set()
 # The error for a program that exits during its start contains its last output.
 _OUTPUT_TAIL_BYTES = 2000
 
@@ -52,28 +46,6 @@
         return f"http://{IP}:{self.port}"
 
 
-def free_port() -> int:
-    """Return a TCP port that is currently free.
-
-    The port is below the kernel's range for outgoing connections, so that none of
-    those can take it before the program listens.
-
-    :raises StandinError: none of the tried ports is free.
-    """
-    ports = random.sample(_LISTENING_PORTS, _PORT_ATTEMPTS)
-    for port in ports:
-        if port in _assigned_ports:
-            continue
-        with socket.socket() as probe:
-            try:
-                probe.bind((IP, port))
-            except OSError:
-                continue
-            _assigned_ports.add(port)
-            return port
-    raise StandinError(f"none of the {len(ports)} tried ports is free")
-
-
 class Deployment:
     """Starts processes, keeps them by name and stops only those.
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -14,9 +14,9 @@
 from cranberryrun.membership import Membership
 from cranberryrun.settings import parse_settings
 from standins._program import Program
-from standins.deployment import free_port
 from standins.hosts import HostEntry, HostsProgram, HostsStandin
 from standins.log import LogProgram, LogStandin
+from standins.ports import free_port
 
 _IP = "127.0.0.1"
 _CALL_TIMEOUT_SECONDS = 30
--- a/tests/test_api_calls.py
+++ b/tests/test_api_calls.py
@@ -11,7 +11,7 @@
 from cranberryrun.configuration import Configuration
 from cranberryrun.host import Host
 from cranberryrun.membership import Membership
-from standins.deployment import free_port
+from standins.ports import free_port
 
 from .doubles import MemoryLog, RawTarget, answer, cut, drop, head, refuse, settings
 from .test_drain import UnreadableHostList, declare
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -20,8 +20,8 @@
 from cranberryrun.keyed_calls import KeyedCalls
 from cranberryrun.membership import HostEntry, HostList, Membership
 from cranberryrun.models import Change
-from standins.deployment import free_port
 from standins.log import LogProgram, LogStandin
+from standins.ports import free_port
 
 from .doubles import MemoryLog, RawTarget, answer, settings
 
--- a/tests/test_duty_client.py
+++ b/tests/test_duty_client.py
@@ -26,8 +26,8 @@
 from cranberryrun.platform.settings import HostSettings
 from cranberryrun.requests.forwarder import Forwarder
 from cranberryrun.usage_counts.totals import TOPIC
-from standins.deployment import free_port
 from standins.platform_api import PlatformApi
+from standins.ports import free_port
 
 from .test_platform_host import PlatformTestCase
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -17,7 +17,7 @@
 from cranberryrun.keyed_calls import KeyedCalls
 from cranberryrun.membership import Membership
 from cranberryrun.metrics import METRIC_BY_KEY, Metrics
-from standins.deployment import free_port
+from standins.ports import free_port
 
 from .doubles import MemoryLog, RawTarget, answer, call, drop, refuse, settings
 from .test_drain import UnreadableHostList, declare
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -16,9 +16,9 @@
 from cranberryrun.fleet.store_paths import StorePaths
 from cranberryrun.platform.__main__ import PlatformHost
 from cranberryrun.platform.settings import HostSettings
-from standins.deployment import free_port
 from standins.platform_store import PlatformStore
 from standins.platform_target import PlatformTarget
+from standins.ports import free_port
 
 HOST_NAME = "site.example"
 ATTEMPT_ID = "X-Cranberryrun-Attempt-Id"
--- a/tests/test_route_explanation.py
+++ b/tests/test_route_explanation.py
@@ -17,7 +17,7 @@
 from cranberryrun.requests.crashes import Crashes
 from cranberryrun.requests.fingerprint import fingerprint_of
 from cranberryrun.requests.forwarder import Forwarder
-from standins.deployment import free_port
+from standins.ports import free_port
 
 from .test_platform_host import HOST_NAME, TARGET_TOPIC, PlatformTestCase
 
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -30,7 +30,7 @@
 from cranberryrun.security import ANONYMOUS, Tokens, server_context
 from cranberryrun.services import Answer
 from cranberryrun.settings import TlsSettings, TokenSettings
-from standins.deployment import free_port
+from standins.ports import free_port
 
 from .doubles import MemoryLog, RawTarget, StubMembership, answer, call, settings
 from .test_drain import UnreadableHostList, declare
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -25,7 +25,7 @@
 from cranberryrun.settings import LogSettings, Settings
 from cranberryrun.usage import Usage
 from cranberryrun.usage_ledger import UsageLedger
-from standins.deployment import free_port
+from standins.ports import free_port
 
 from .doubles import MemoryLog as SharedLog, settings
 from .test_drain import UnreadableHostList
--- a/tests/test_workspaces.py
+++ b/tests/test_workspaces.py
@@ -11,8 +11,8 @@
 from cranberryrun.metrics import Metrics
 from cranberryrun.platform.__main__ import PlatformHost
 from cranberryrun.platform.settings import HostSettings
-from standins.deployment import free_port
 from standins.platform_target import PlatformTarget
+from standins.ports import free_port
 from standins.target_link import Cut
 
 from .test_cut_host import CutHostTestCase
