Run two builds side by side in the fault soak

Cause: in an upgrade, hosts of the build before and of this one run at once and read each other's records; tests covered single records only.

Workspaces and duties, which an older build may not know, are left out then.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,11 @@
 @click.option("--jobs", default=1, show_default=True, help="Seeds to run in parallel.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Folder for host logs.")
 @click.option("--limits", is_flag=True, help="Targets name limits, too.")
+@click.option(
+    "--other-build",
+    type=click.Path(path_type=Path, exists=True, resolve_path=True),
+    help="Checkout of another build, which every second start of a host runs.",
+)
 def main(
     first: int,
     seeds: int,
@@ -27,10 +32,11 @@
     jobs: int,
     keep: Path | None,
     limits: bool,
+    other_build: Path | None,
 ) -> None:
     """Run seeds; exit with status 1 if any seed violated a guarantee."""
     reports = asyncio.run(
-        _run_all(range(first, first + seeds), seconds, jobs, keep, limits)
+        _run_all(range(first, first + seeds), seconds, jobs, keep, limits, other_build)
     )
     broken = [report for report in reports if report.violations]
     click.echo(f"{len(reports)} seeds, {len(broken)} with violated guarantees")
@@ -38,14 +44,19 @@
 
 
 async def _run_all(
-    seeds: range, seconds: float, jobs: int, keep: Path | None, limits: bool
+    seeds: range,
+    seconds: float,
+    jobs: int,
+    keep: Path | None,
+    limits: bool,
+    other_build: Path | None,
 ) -> list[Report]:
     semaphore = asyncio.Semaphore(jobs)
 
     async def run(seed: int) -> Report:
         async with semaphore:
             try:
-                report = await run_soak(seed, seconds, keep, limits)
+                report = await run_soak(seed, seconds, keep, limits, other_build)
             except Exception as error:
                 # An error of the soak test itself counts as a violation, so that the
                 # other seeds still run.
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -47,10 +47,17 @@
     :param seconds: how long faults are injected.
     :param folder: where settings and logs of the hosts go.
     :param limits: whether targets name limits beside the other faults.
+    :param other_build: the checkout of another build that runs beside this one. There
+        are no workspaces and duties then, which that build may not know.
     """
 
     def __init__(
-        self, seed: int, seconds: float, folder: Path, limits: bool = False
+        self,
+        seed: int,
+        seconds: float,
+        folder: Path,
+        limits: bool = False,
+        other_build: Path | None = None,
     ) -> None:
         self._rng = random.Random(seed)
         self._fault_seconds = seconds
@@ -60,11 +67,11 @@
         engines = self._rng.choice([2, 3])
         self._feature_rng = random.Random(f"features of {seed}")
         workspaces = api = None
-        if seed % 4:
+        if seed % 4 and other_build is None:
             workspaces = Workspaces(random.Random(self._feature_rng.random()))
-        if seed % 4 >= 2:
+        if seed % 4 >= 2 and other_build is None:
             api = PlatformApi(require_fence=self._feature_rng.random() < 0.5)
-        self._testbed = Testbed(folder, hosts, 2, engines, workspaces, api)
+        self._testbed = Testbed(folder, hosts, 2, engines, workspaces, api, other_build)
         self._history = History()
         if workspaces is not None:
             self._history.key_by_attempt[PROBE_ID] = workspaces.permanent_key()
@@ -163,12 +170,16 @@
 
 
 async def run_soak(
-    seed: int, seconds: float, log_folder: Path | None = None, limits: bool = False
+    seed: int,
+    seconds: float,
+    log_folder: Path | None = None,
+    limits: bool = False,
+    other_build: Path | None = None,
 ) -> Report:
     """Run one seed; keep the logs of the hosts if ``log_folder`` is given."""
-    if log_folder is not None:
-        folder = log_folder / f"seed-{seed}"
-        folder.mkdir(parents=True, exist_ok=True)
-        return await SoakRun(seed, seconds, folder, limits).run()
-    with tempfile.TemporaryDirectory() as folder:
-        return await SoakRun(seed, seconds, Path(folder), limits).run()
+    with tempfile.TemporaryDirectory() as temporary_folder:
+        folder = Path(temporary_folder)
+        if log_folder is not None:
+            folder = log_folder / f"seed-{seed}"
+            folder.mkdir(parents=True, exist_ok=True)
+        return await SoakRun(seed, seconds, folder, limits, other_build).run()
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -103,6 +103,8 @@
 
     :param workspaces: the workspaces of the manifest; None if it has none.
     :param api: the platform's API, to which usage is reported; None without duties.
+    :param other_build: the checkout of another build, which every second start of a
+        host runs, as in an upgrade; None if all run this one.
     """
 
     def __init__(
@@ -113,8 +115,11 @@
         engines: int,
         workspaces: Workspaces | None = None,
         api: PlatformApi | None = None,
+        other_build: Path | None = None,
     ) -> None:
         self.folder = folder
+        self._other_build = other_build
+        self._starts = 0
         self.workspaces = workspaces
         self.api = api
         self.store = PlatformStore()
@@ -192,6 +197,8 @@
             "CRANBERRYRUN_SETTINGS": str(host.settings_path),
             CLOCK_STEP_VARIABLE: str(host.clock_step),
         }
+        self._starts += 1
+        build = self._other_build if self._starts % 2 else None
         with (self.folder / f"{host.name}.log").open("ab") as output:
             host.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -200,6 +207,7 @@
                 stdout=output,
                 stderr=output,
                 env=environment,
+                cwd=build,
             )
 
     def signal(self, host: Host, number: signal.Signals) -> None:
