--- a/cranberryrun/batches/item_run.py
+++ b/cranberryrun/batches/item_run.py
@@ -84,6 +84,7 @@
     received = len(scheduled.pieces)
     window_start = 0.0
     window_events = 0
+    previous_at: float | None = None
     async with asyncio.timeout(_FIRST_EVENT_TIMEOUT_SECONDS) as event_timeout:
         async for piece in client.run(
             engine.target,
@@ -98,6 +99,8 @@
             if scheduled.origin is None:
                 scheduled.origin = Origin.of(engine.target)
             scheduled.pieces.append(piece)
+            engine.speed.record_event(now, previous_at)
+            previous_at = now
             window_events += 1
             if window_events == 1:
                 window_start = now
--- a/cranberryrun/batches/overload.py
+++ b/cranberryrun/batches/overload.py
@@ -17,15 +17,10 @@
 from .engine_choice import LONG_ITEM_SECONDS, unreserved_slots
 from .group_ranks import SPARE
 from .models import Batch
-from .pace import TrainerPaces
+from .pace import LISTING_SECONDS, TrainerPaces
 from .scheduled_item import MEAN_LENGTH, ScheduledItem
 from .shares import batch_priority
 
-# A group that is complete this long after its due time still counts in full.
-_GRACE_SECONDS = 0.7
-# From the end of an item's text until the trainer reads its result: a reward call
-# takes 0.1 s, the append to the store and the trainer's next read as long again.
-_LISTING_SECONDS = 0.3
 # Overload ends when the work fits with this share of the capacity to spare, so that
 # the order does not change with each event that is received.
 _END_LOAD = 0.9
@@ -201,17 +196,13 @@
             batch = scheduled.state.batch
             step = step_by_batch.get(batch.id)
             if step is None:
-                deadline = scheduled.due + _GRACE_SECONDS - _LISTING_SECONDS
-                behind = self.paces.behind(batch.model, pool.now)
-                pace_seconds = self.paces.step_seconds(
-                    batch.model, scheduled.due - batch.submitted_at, pool.now
-                )
+                times = self.paces.step_times(batch, scheduled.due, pool.now)
                 step = step_by_batch[batch.id] = _Step(
                     batch,
-                    batch.submitted_at + pace_seconds - behind - _LISTING_SECONDS,
-                    deadline,
-                    scheduled.limit - _LISTING_SECONDS,
-                    behind,
+                    times.pace_deadline,
+                    times.deadline,
+                    scheduled.limit - LISTING_SECONDS,
+                    times.behind,
                 )
             group = step.groups.setdefault(key, _Group(key))
             pool.add_item(group, scheduled)
--- a/cranberryrun/batches/pace.py
+++ b/cranberryrun/batches/pace.py
@@ -10,10 +10,16 @@
 import math
 from collections import Counter
 from collections.abc import Iterable
+from dataclasses import dataclass
 from statistics import median
 
 from .models import Batch
 
+# A group that is complete this long after its due time still counts in full.
+_GRACE_SECONDS = 0.7
+# From the end of an item's text until the trainer reads its result: a reward call
+# takes 0.1 s, the append to the store and the trainer's next read as long again.
+LISTING_SECONDS = 0.3
 # The median of this many intervals is not moved by a trainer that is late once, which
 # makes one interval longer and the next one shorter.
 _INTERVALS = 5
@@ -28,6 +34,24 @@
 _HELD_UP_SECONDS = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class StepTimes:
+    """When the texts of a step should be complete, in seconds since 1970.
+
+    The trainer, which is ``behind`` by some seconds, keeps its pace if they are by
+    ``pace_deadline``; its groups count in full until ``deadline``.
+    """
+
+    behind: float
+    pace_deadline: float
+    deadline: float
+
+    @property
+    def desired_end(self) -> float:
+        """When the texts should be complete, for the trainer and for the groups."""
+        return min(self.pace_deadline, self.deadline)
+
+
 class TrainerPaces:
     """Learns the pace of each model's trainer from the times of its submissions.
 
@@ -114,3 +138,19 @@
         if self.behind(model, now_wall) > _HELD_UP_SECONDS:
             steps_in_flight = min(steps_in_flight, self._most_open_by_model[model])
         return max(0.0, steps_in_flight * pace - _TRAINING_SECONDS)
+
+    def step_times(self, batch: Batch, due: float, now_wall: float) -> StepTimes:
+        """Return when the texts of a step should be complete.
+
+        :param due: when the step is due, in seconds since 1970.
+        :param now_wall: the current time, in seconds since 1970.
+        """
+        behind = self.behind(batch.model, now_wall)
+        pace_seconds = self.step_seconds(
+            batch.model, due - batch.submitted_at, now_wall
+        )
+        return StepTimes(
+            behind,
+            batch.submitted_at + pace_seconds - behind - LISTING_SECONDS,
+            due + _GRACE_SECONDS - LISTING_SECONDS,
+        )
--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -14,11 +14,10 @@
 from ..kernel import Service
 from .continuation import outputs_to_restart
 from .dispatch import ScheduledItem
-from .engine_choice import moves
 from .item_run import Outcome, run_item
-from .leaving import plan_departures
 from .log import BatchLog
 from .models import Result
+from .mover import Mover
 from .results import ResultWriter
 from .scheduled_items import ScheduledItems
 from .scheduler import Scheduler
@@ -33,9 +32,6 @@
 _RECOVERY_WINDOW_SECONDS = 60.0
 # The next holder resumes runs from progress that is at most this old.
 _RECORD_INTERVAL_SECONDS = 0.4
-# Event intervals are means over a few tenths of a second, so more frequent checks would
-# use the same measurements.
-_MOVE_CHECK_INTERVAL_SECONDS = 0.2
 
 
 class Runner(Service):
@@ -68,9 +64,9 @@
         self._engines_crash_when_full = engines_crash_when_full
         self._scheduler: Scheduler
         self._scheduled_items: ScheduledItems
+        self._mover: Mover
         self._scoring: Scoring
         self._next_record_at = 0.0
-        self._next_move_check_at = 0.0
         self._record_task: asyncio.Task[None] | None = None
         self._wake = asyncio.Event()
         self._stopping = False
@@ -83,6 +79,9 @@
             self.kernel, table, self._stop_run, self._finish
         )
         self._scheduler = Scheduler(self.kernel, self._engines_crash_when_full)
+        self._mover = Mover(
+            self.kernel, self._scheduler, self._scheduled_items, self._move_run
+        )
         self._scoring = Scoring(self.kernel, self.spawn, self._finish, self._wake.set)
         self.kernel.get(Lease).observers.append(self._on_lease_change)
         self.kernel.get(EnginePool).observers.append(self._wake.set)
@@ -150,6 +149,7 @@
         await self._recover(lease, log)
         wake_task = self.spawn(self._wake_on_change(log))
         spare_task = self.spawn(log.follow_spare_index())
+        move_task = self.spawn(self._mover.follow_slow_spans())
         try:
             while lease.assigned and not self._stopping:
                 self._load_opened(log)
@@ -157,13 +157,14 @@
                 self._stop_excess_runs()
                 self._dispatch()
                 self._scoring.start_calls(self._scheduled_items.in_open_batches())
-                self._move_slow_runs()
+                self._mover.check()
                 self._record_progress()
                 await asyncio.sleep(_MIN_CYCLE_PAUSE_SECONDS)
                 await self._pause(_TICK_SECONDS)
         finally:
             wake_task.cancel()
             spare_task.cancel()
+            move_task.cancel()
 
     async def _recover(self, lease: Lease, log: BatchLog) -> None:
         """Read the open batches and the progress that the previous holder recorded."""
@@ -273,25 +274,17 @@
         scheduled.run_version = engine.version(scheduled.state.batch.model) or 0
         scheduled.started_at = clock.now()
         self._scheduler.record_start(scheduled)
+        self._mover.record_start()
         engine.in_flight += 1
+        engine.speed.record_start(scheduled.started_at)
         scheduled.task = self.spawn(self._run(scheduled, engine))
 
-    def _move_slow_runs(self) -> None:
-        """Move runs to an engine that would finish them much sooner."""
-        now = clock.now()
-        if now < self._next_move_check_at:
-            return
-        self._next_move_check_at = now + _MOVE_CHECK_INTERVAL_SECONDS
-        engines = list(self.kernel.get(EnginePool).engine_by_id.values())
-        running = self._scheduled_items.in_open_batches()
-        budgets = self._scheduler.budgets(self._scheduled_items, engines)
-        for scheduled, engine in plan_departures(running, engines, now, budgets):
-            self._move_run(scheduled, engine, 0.0)
-        for move in moves(running, engines, now, budgets):
-            self._move_run(move.scheduled, move.engine, move.saved_seconds)
-
     def _move_run(
-        self, scheduled: ScheduledItem, engine: Engine, saved_seconds: float
+        self,
+        scheduled: ScheduledItem,
+        engine: Engine,
+        saved_seconds: float,
+        reason: str,
     ) -> None:
         assert scheduled.engine is not None
         self._emit(
@@ -300,6 +293,7 @@
             scheduled.engine,
             to=engine.id,
             saves=round(saved_seconds, 2),
+            reason=reason,
         )
         self._stop_run(scheduled)
         self._start_run(scheduled, engine)
@@ -346,6 +340,7 @@
                 self._end_output(scheduled, outcome.result, outcome.reason)
         finally:
             engine.in_flight -= 1
+            engine.speed.record_end()
             if scheduled.task is own_task:
                 scheduled.task = None
             if scheduled.task is None:
--- a/cranberryrun/batches/scheduled_item.py
+++ b/cranberryrun/batches/scheduled_item.py
@@ -43,6 +43,7 @@
     that its batch no longer needs and that runs for the next batch. ``unscored`` is the
     result of a complete output whose ``reward_call`` has no answer yet;
     ``completion_recorded`` tells whether the store knows that the output is complete.
+    ``slow_span_moves`` counts its moves away from engines that were slow for a moment.
     """
 
     item: Item
@@ -64,6 +65,7 @@
     task: asyncio.Task[None] | None = None
     run_version: int = 0
     started_at: float = 0.0
+    slow_span_moves: int = 0
     waiting_since: float = 0.0
     result: Result | None = None
     unscored: Result | None = None
--- a/cranberryrun/batches/scheduler.py
+++ b/cranberryrun/batches/scheduler.py
@@ -59,14 +59,14 @@
         :param startable: those of them that may be started.
         """
         budgets = self.budgets(scheduled_items, engines)
-        overload = self._overload if self._trainers_compete() else None
+        overload = self._overload if self.trainers_compete() else None
         policies = Policies(overload, self._shares, budgets)
         starts = plan_starts(startable, engines, clock.wall(), policies)
         if policies.plan is not None:
             self._report(policies.plan)
         return starts
 
-    def _trainers_compete(self) -> bool:
+    def trainers_compete(self) -> bool:
         """Return whether several models share the engines of a service."""
         manifest = self._kernel.get(Directory).manifest
         return manifest is not None and any(
@@ -74,6 +74,15 @@
             for models in manifest.models_by_service.values()
         )
 
+    def desired_end(self, scheduled: ScheduledItem) -> float:
+        """Return when the texts of an item's step should be complete.
+
+        :return: in seconds since 1970.
+        """
+        batch = scheduled.state.batch
+        paces = self._overload.paces
+        return paces.step_times(batch, scheduled.due, clock.wall()).desired_end
+
     def record_idle(self) -> None:
         """Record that no item waits, so that no engine is overloaded."""
         if self._plan.overloaded:
--- a/cranberryrun/fleet/engine_pool.py
+++ b/cranberryrun/fleet/engine_pool.py
@@ -10,6 +10,7 @@
 from ..health import Health
 from ..kernel import Service
 from .directory import Directory, Target
+from .engine_speed import EngineSpeed
 from .send_permits import SendPermits
 
 # Engines send events in bursts, so an interval is averaged over this many events.
@@ -50,6 +51,7 @@
     loaded_version_by_model: dict[str, int] = field(default_factory=dict)
     permits: Callable[[], int | None] = _unlimited
     leaves_at: float | None = None
+    speed: EngineSpeed = field(default_factory=EngineSpeed)
 
     @property
     def id(self) -> str:
