Tell lasting slowness of engines from noise, and pass it on

Cause: the moving average of event intervals rises to twice the usual value in each slow span of 0.6 s, and a new holder of the lease knows no speeds.

Change: where three models or more share engines, Engine.event_interval is the interval in the fastest 0.3 s of the last 2.2 s, weighted by the time that events cover. Every 2 s a progress record, which is written anyway, also has the usual interval of each service and the factors of slower engines; a new holder takes them over with their age. Runs at engines that are slow for long, and outputs longer than estimated, are watched earlier.

--- a/cranberryrun/batches/item_run.py
+++ b/cranberryrun/batches/item_run.py
@@ -82,6 +82,8 @@
     client = kernel.get(TargetClient)
     deadline = clock.now() + seconds_left(kernel, scheduled)
     received = len(scheduled.pieces)
+    manifest = kernel.get(Directory).manifest
+    models_compete = manifest is not None and manifest.models_compete()
     window_start = 0.0
     window_events = 0
     previous_at: float | None = None
@@ -105,9 +107,12 @@
             if window_events == 1:
                 window_start = now
             elif window_events > INTERVAL_WINDOW_EVENTS:
-                engine.record_event_interval(
-                    (now - window_start) / INTERVAL_WINDOW_EVENTS
-                )
+                if models_compete:
+                    engine.record_lasting_interval()
+                else:
+                    engine.record_event_interval(
+                        (now - window_start) / INTERVAL_WINDOW_EVENTS
+                    )
                 window_events, window_start = 1, now
             event_timeout.reschedule(now + _silence_timeout(engine))
 
--- a/cranberryrun/batches/records.py
+++ b/cranberryrun/batches/records.py
@@ -17,6 +17,7 @@
 
 from ..exceptions import RecordInvalidError
 from ..fleet.origin import Origin
+from ..fleet.speed_record import SpeedRecord
 from .models import Batch, Result
 
 _COMPLETE_MARK = b"w"
@@ -52,7 +53,8 @@
     appended to an output. When an item is restarted or another holder resumes it, a
     new output begins, which is recorded from position 0 on. ``complete`` marks the
     last pieces of an output, which then lacks only its score. ``origin`` is None in
-    records of hosts that did not know it. ``workspace`` is that of the batch.
+    records of hosts that did not know it. ``workspace`` is that of the batch. Some
+    records also have the ``speeds`` of all engines.
     """
 
     batch: str
@@ -64,6 +66,7 @@
     complete: bool = False
     origin: Origin | None = None
     workspace: str | None = None
+    speeds: SpeedRecord | None = None
     kind: Literal["progressed"] = "progressed"
 
 
--- a/cranberryrun/batches/results.py
+++ b/cranberryrun/batches/results.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from .. import clock
 from ..events import Events
 from ..exceptions import CranberryrunError
+from ..fleet.directory import Directory
+from ..fleet.engine_pool import EnginePool
+from ..fleet.speed_record import record_speeds
 from ..kernel import Service
 from .log import BatchLog
 from .models import Result
@@ -26,6 +29,8 @@
 _MIN_TRIM_RECORDS = 200
 # Runs with fewer new pieces than this are repeated rather than resumed.
 _MIN_NEW_PIECES = 8
+# How often the speeds of the engines are recorded, in a record of progress.
+_SPEED_INTERVAL_SECONDS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +55,7 @@
     """
 
     name = "result_writer"
-    requires = ("events", "batch_log")
+    requires = ("events", "batch_log", "directory", "engine_pool")
 
     def __init__(self) -> None:
         super().__init__()
@@ -58,6 +63,7 @@
         self._batches_being_written: set[str] = set()
         self._wake = asyncio.Event()
         self._trimmed_before = 0
+        self._next_speeds_at = 0.0
 
     async def start(self) -> None:
         """Start writing results in the background."""
@@ -114,6 +120,7 @@
             )
         if not messages:
             return True
+        messages[0] = self._with_speeds(messages[0])
         log = self.kernel.get(BatchLog)
         try:
             offset = await log.append_progress(
@@ -136,6 +143,17 @@
         await self._trim_finished(scheduled_items, offset)
         return True
 
+    def _with_speeds(self, message: Progressed) -> Progressed:
+        """Add the speeds of the engines to a message, if it is time for that."""
+        manifest = self.kernel.get(Directory).manifest
+        if manifest is None or not manifest.models_compete():
+            return message
+        if clock.now() < self._next_speeds_at:
+            return message
+        self._next_speeds_at = clock.now() + _SPEED_INTERVAL_SECONDS
+        engines = self.kernel.get(EnginePool).engine_by_id.values()
+        return replace(message, speeds=record_speeds(engines, clock.wall()))
+
     async def _trim_finished(
         self, scheduled_items: list[ScheduledItem], offset: int
     ) -> None:
--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -190,6 +190,7 @@
                 "batches_recalled",
                 batches=len(recent_ids),
                 open=len(open_ids),
+                slow_engines=self._mover.restore_speeds(log.table.speeds),
                 seconds=round(clock.now() - started_at, 3),
             )
             self.spawn(self._load_ended(log, recent_ids))
--- a/cranberryrun/batches/scheduler.py
+++ b/cranberryrun/batches/scheduler.py
@@ -16,10 +16,6 @@
 from .scheduled_item import ScheduledItem
 from .shares import Shares
 
-# With fewer models there is hardly a choice of which trainer yields, and steps go by
-# their due times alone.
-_MIN_COMPETING_MODELS = 3
-
 
 class Scheduler:
     """Plans runs on the holder of the lease. All state is lost with the lease.
@@ -69,10 +65,7 @@
     def trainers_compete(self) -> bool:
         """Return whether several models share the engines of a service."""
         manifest = self._kernel.get(Directory).manifest
-        return manifest is not None and any(
-            len(models) >= _MIN_COMPETING_MODELS
-            for models in manifest.models_by_service.values()
-        )
+        return manifest is not None and manifest.models_compete()
 
     def desired_end(self, scheduled: ScheduledItem) -> float:
         """Return when the texts of an item's step should be complete.
--- a/cranberryrun/batches/slow_spans.py
+++ b/cranberryrun/batches/slow_spans.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from ..fleet.engine_pool import Engine
+from ..fleet.speed_record import usual_intervals
 from .engine_choice import Move, may_run
 from .engine_memory import EngineBudget
 from .group_ranks import SPARE, rank_by_group
@@ -34,9 +36,9 @@
 # Moves as a share of all runs started, and how many may be made at once.
 _MOVES_PER_RUN = 0.1
 _MAX_UNUSED_MOVES = 40.0
-# Engines with a longer mean interval than this multiple of the fastest one's are chosen
-# only if there is no other.
-_MAX_INTERVAL_FACTOR = 1.5
+# Engines that are slower for long by more than this factor are chosen only if there is
+# no other.
+_MAX_FACTOR = 1.5
 # If more of the busy engines than this seem slow, the cause is more likely on this host
 # or its link.
 _MAX_SLOW_SHARE = 0.6
@@ -50,7 +52,7 @@
     """
 
     unused_moves: float = _MAX_UNUSED_MOVES / 2
-    refused: int = 0
+    _counts: Counter[str] = field(default_factory=Counter)
     _watched: list[ScheduledItem] = field(default_factory=list)
     _interval_by_service: dict[str, float] = field(default_factory=dict)
 
@@ -63,10 +65,19 @@
         """Whether any run determines when its step ends."""
         return bool(self._watched)
 
+    def take_counts(self) -> Counter[str]:
+        """Return and forget how often runs moved, or stayed and for which reason."""
+        counts, self._counts = self._counts, Counter()
+        return counts
+
+    def stop_watching(self) -> None:
+        """Move no runs until the next call of :meth:`watch`."""
+        self._watched = []
+
     def watch(
         self,
         scheduled_items: Sequence[ScheduledItem],
-        engines: Iterable[Engine],
+        engines: Sequence[Engine],
         desired_end: Callable[[ScheduledItem], float],
         now_wall: float,
     ) -> None:
@@ -80,29 +91,30 @@
             since 1970.
         :param now_wall: the current time, in seconds since 1970.
         """
-        self._interval_by_service = _usual_intervals(engines)
+        self._interval_by_service = usual_intervals(engines)
         self._watched = []
-        running = [
-            scheduled
-            for scheduled in scheduled_items
-            if scheduled.engine is not None and not scheduled.ahead
-        ]
-        if not running:
-            return
-        ranks = rank_by_group(scheduled_items)
+        late: list[ScheduledItem] = []
         end_by_batch: dict[str, float] = {}
-        for scheduled in running:
-            assert scheduled.engine is not None
-            interval = self._interval_by_service.get(scheduled.engine.target.service)
-            if interval is None:
+        for scheduled in scheduled_items:
+            if scheduled.engine is None or scheduled.ahead:
                 continue
-            if ranks[scheduled.state.batch.id, scheduled.item.group] == SPARE:
+            usual = self._interval_by_service.get(scheduled.engine.target.service)
+            if usual is None:
                 continue
             batch_id = scheduled.state.batch.id
             if batch_id not in end_by_batch:
                 end_by_batch[batch_id] = desired_end(scheduled)
-            seconds = scheduled.remaining_events() * interval * _NOISE_FACTOR
+            interval = max(
+                _NOISE_FACTOR * usual, scheduled.engine.expected_event_interval(usual)
+            )
+            seconds = _most_remaining_events(scheduled) * interval
             if now_wall + seconds + _ROOM_SECONDS >= end_by_batch[batch_id]:
+                late.append(scheduled)
+        if not late:
+            return
+        ranks = rank_by_group(scheduled_items)
+        for scheduled in late:
+            if ranks[scheduled.state.batch.id, scheduled.item.group] != SPARE:
                 self._watched.append(scheduled)
         self._watched.sort(key=ScheduledItem.remaining_events, reverse=True)
 
@@ -131,14 +143,16 @@
             return
         for scheduled in leaving:
             if self.unused_moves < 1.0:
-                self.refused += 1
+                self._counts["no_budget"] += 1
                 return
             engine = self._destination(
                 scheduled, engines, slow_by_engine, budget_by_id, now
             )
             if engine is None:
+                self._counts["no_engine"] += 1
                 continue
             self.unused_moves -= 1.0
+            self._counts["moved"] += 1
             scheduled.slow_span_moves += 1
             if engine.id in budget_by_id:
                 budget_by_id[engine.id].add(scheduled)
@@ -204,9 +218,8 @@
             usual = self._interval_by_service.get(engine.target.service)
             if usual is None:
                 continue
-            interval = engine.expected_event_interval(usual)
             cost = (
-                float(interval > _MAX_INTERVAL_FACTOR * usual),
+                float(engine.lasting_factor(usual) > _MAX_FACTOR),
                 float(not engine.speed.full_speed_now(now, usual)),
                 engine.in_flight / engine.target.slots,
             )
@@ -215,13 +228,12 @@
         return best
 
 
-def _usual_intervals(engines: Iterable[Engine]) -> dict[str, float]:
-    """Return the interval of the fastest engine of each service, in seconds."""
-    interval_by_service: dict[str, float] = {}
-    for engine in engines:
-        if not engine.event_interval:
-            continue
-        service = engine.target.service
-        interval = interval_by_service.get(service, engine.event_interval)
-        interval_by_service[service] = min(interval, engine.event_interval)
-    return interval_by_service
+def _most_remaining_events(scheduled: ScheduledItem) -> float:
+    """Return how many more events an output may well have.
+
+    One that is longer than estimated is among the few that are several times as long
+    as others, so it is taken to grow to twice its length.
+    """
+    remaining = scheduled.remaining_events()
+    done = len(scheduled.pieces)
+    return max(remaining, done) if done > scheduled.expected_events else remaining
--- a/cranberryrun/batches/table.py
+++ b/cranberryrun/batches/table.py
@@ -6,6 +6,7 @@
 
 from .. import clock
 from ..fleet.origin import Origin
+from ..fleet.speed_record import SpeedRecord
 from .models import Batch, BatchState, Item, ItemKey, Piece, Result, item_key
 from .records import Accepted, Ended, Message, Opened, Progressed
 
@@ -36,6 +37,7 @@
         self.state_by_id: dict[str, BatchState] = {}
         self.text_bytes = 0
         self.output_by_item: dict[ItemKey, RecordedOutput] = {}
+        self.speeds: SpeedRecord | None = None
         self._submitted_at_by_opened_batch: dict[str, float] = {}
         self._submitted_at_by_ended_batch: dict[str, float] = {}
         self._latest_batch_by_item: dict[ItemKey, str] = {}
@@ -173,6 +175,8 @@
                 self.output_by_item.pop(key, None)
 
     def _apply_progress(self, message: Progressed) -> None:
+        if message.speeds is not None:
+            self.speeds = message.speeds
         state = self.state_by_id.get(message.batch)
         if state is not None and message.item in state.result_by_item:
             return
--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -163,7 +163,7 @@
     (326, "batches_recalled", INFO, "The new lease holder loaded the open batches."),
     (327, "results_read", INFO, "A caller read results of a batch."),
     (330, "item_run", INFO, "A run of an item ended, with any outcome."),
-    (331, "item_moved", INFO, "A run is moved to a faster engine."),
+    (331, "item_moved", INFO, "A run is moved to another engine; the reason is given."),
     (332, "item_finished", INFO, "An item is complete, or was given up."),
     (
         338,
@@ -185,6 +185,8 @@
         INFO,
         "A run was stopped because its engine's memory was about to be full.",
     ),
+    (344, "engine_slow", INFO, "An engine is much slower than others for seconds."),
+    (345, "engine_normal", INFO, "An engine is about as fast as others again."),
     (333, "results_held", WARNING, "Results wait until the store can be written."),
     (334, "progress_unrecorded", WARNING, "The progress of runs was not recorded."),
     (335, "progress_kept", INFO, "Old progress records could not be deleted yet."),
--- a/cranberryrun/fleet/engine_pool.py
+++ b/cranberryrun/fleet/engine_pool.py
@@ -102,6 +102,26 @@
         self.event_interval += weight * (event_interval - self.event_interval)
         self.interval_recorded_at = clock.now()
 
+    def record_lasting_interval(self) -> None:
+        """Take over the interval that :class:`EngineSpeed` measured, if there is one.
+
+        This replaces :meth:`record_event_interval`, which slow spans change.
+        """
+        interval = self.speed.lasting_interval()
+        if interval:
+            self.event_interval = interval
+            self.interval_recorded_at = clock.now()
+
+    def restore_event_interval(self, event_interval: float, age: float) -> None:
+        """Take over an interval that another host measured.
+
+        :param event_interval: in seconds.
+        :param age: how long ago it was measured, in seconds.
+        """
+        self.speed.restore(event_interval)
+        self.event_interval = event_interval
+        self.interval_recorded_at = clock.now() - age
+
     def expected_event_interval(self, fastest: float) -> float:
         """Return the event interval to expect, in seconds.
 
@@ -116,6 +136,13 @@
         )
         return fastest + weight * (self.event_interval - fastest)
 
+    def lasting_factor(self, usual: float) -> float:
+        """Return how many times as long as usual the engine takes for an event.
+
+        :param usual: the interval of the fastest engine, in seconds.
+        """
+        return self.expected_event_interval(usual) / usual
+
 
 class EnginePool(Service):
     """Keeps one :class:`Engine` for each target that serves models.
--- a/cranberryrun/fleet/engine_speed.py
+++ b/cranberryrun/fleet/engine_speed.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 # An engine is slow now if its events take longer than this multiple of the usual
-# interval. Single gaps of an engine at full speed reach 1.5 times, slow spans begin at
-# 2.5 times.
+# interval. Single gaps at full speed reach 1.5 times, those of slow spans 2.5 times.
 _SLOW_NOW_FACTOR = 1.8
 # An engine is at full speed now if its last event took at most this multiple.
 _FULL_SPEED_FACTOR = 1.4
@@ -19,6 +20,19 @@
 # An engine that gave no events since a slow one counts as slow for this long, which is
 # the length of a slow span.
 _SLOW_SPAN_SECONDS = 0.6
+# The lasting interval is that of the fastest _FASTEST_SECONDS in _WINDOW_SECONDS. Three
+# slow spans of 0.6 s in a row do not change it, and slowness shows after 1.9 s.
+_WINDOW_SECONDS = 2.2
+_FASTEST_SECONDS = 0.3
+# Intervals that differ from it by less than this factor are averaged.
+_SAME_SPEED_FACTOR = 1.5
+# The engine's runs must cover this much of the window before it becomes slower, because
+# it may have been fast in the time without events; and this much before it is measured
+# at all, which is more than one slow span.
+_MIN_COVERED_SECONDS = 1.6
+_MIN_FIRST_COVERED_SECONDS = 0.7
+# Events of runs that advance together come within this time and say the same.
+_SAME_EVENT_SECONDS = 0.002
 
 
 class EngineSpeed:
@@ -27,13 +41,24 @@
     All times are in loop seconds. Without measurements the engine counts as normal.
     """
 
-    __slots__ = ("_last_event_at", "_last_interval", "_runs", "_silent_since")
+    __slots__ = (
+        "_last_event_at",
+        "_last_interval",
+        "_lasting_interval",
+        "_runs",
+        "_samples",
+        "_silent_since",
+    )
 
     def __init__(self) -> None:
         self._runs = 0
         self._last_event_at = float("-inf")
         self._last_interval = 0.0
         self._silent_since = float("-inf")
+        # When each interval ended, how long it was, and how much of it no earlier
+        # event of another run covers.
+        self._samples: deque[tuple[float, float, float]] = deque()
+        self._lasting_interval = 0.0
 
     def record_start(self, now: float) -> None:
         """Record that a run was sent to the engine."""
@@ -51,9 +76,50 @@
         :param previous_at: when the run had its previous event; None for its first
             one, which also waited for the prompt and says little about the speed.
         """
-        self._silent_since = self._last_event_at = now
         if previous_at is not None:
             self._last_interval = now - previous_at
+            covered = now - max(previous_at, self._last_event_at)
+            if covered > _SAME_EVENT_SECONDS:
+                self._samples.append((now, now - previous_at, covered))
+        self._silent_since = self._last_event_at = now
+        while self._samples and self._samples[0][0] <= now - _WINDOW_SECONDS:
+            self._samples.popleft()
+
+    def restore(self, interval: float) -> None:
+        """Take over the lasting interval, in seconds, that another host measured."""
+        if not self._lasting_interval:
+            self._lasting_interval = interval
+
+    def lasting_interval(self) -> float:
+        """Return the seconds between events without slow spans; 0 if not known.
+
+        The result is that of the last measurement, however long ago it was.
+        """
+        covered = sum(sample[2] for sample in self._samples)
+        known = self._lasting_interval
+        if covered < (_FASTEST_SECONDS if known else _MIN_FIRST_COVERED_SECONDS):
+            return known
+        fastest = self._fastest_interval()
+        seconds = events = 0.0
+        for _, interval, covered_seconds in self._samples:
+            if fastest / _SAME_SPEED_FACTOR <= interval <= fastest * _SAME_SPEED_FACTOR:
+                seconds += covered_seconds
+                events += covered_seconds / interval
+        measured = seconds / events
+        if measured > _SAME_SPEED_FACTOR * known > 0.0:
+            if covered < _MIN_COVERED_SECONDS:
+                return known
+        self._lasting_interval = measured
+        return measured
+
+    def _fastest_interval(self) -> float:
+        """Return the longest interval in the fastest part of the window."""
+        fast_seconds = interval = 0.0
+        for interval, seconds in sorted(sample[1:] for sample in self._samples):
+            fast_seconds += seconds
+            if fast_seconds >= _FASTEST_SECONDS:
+                break
+        return interval
 
     def slow_now(self, now: float, usual_interval: float) -> bool:
         """Return whether the engine is in a slow span.
--- a/cranberryrun/fleet/manifest.py
+++ b/cranberryrun/fleet/manifest.py
@@ -7,6 +7,10 @@
 
 from ..workspaces.keyring import Keyring
 
+# With fewer models there is hardly a choice of which trainer yields, and steps go by
+# their due times alone.
+_MIN_COMPETING_MODELS = 3
+
 
 class RouteKind(enum.Enum):
     """The kind of a route's requests.
@@ -120,6 +124,16 @@
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
         object.__setattr__(self, "_by_host", by_host)
 
+    def models_compete(self) -> bool:
+        """Return whether several models share the engines of a service.
+
+        Engine speeds, slow spans and overload are considered only then.
+        """
+        return any(
+            len(models) >= _MIN_COMPETING_MODELS
+            for models in self.models_by_service.values()
+        )
+
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest prefix of ``path``, if any."""
         for route in self._by_host.get(host, ()):
--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -182,6 +182,18 @@
         (),
         "Work of open steps as a share of what the engines can do; above 1: overload.",
     ),
+    "slow_spans": MetricKind(
+        "cranberryrun_slow_spans",
+        "counter",
+        ("outcome",),
+        "Checks of late runs at engines in a slow span: moved, no_engine or no_budget.",
+    ),
+    "engine_factor": MetricKind(
+        "cranberryrun_engine_factor",
+        "gauge",
+        ("engine",),
+        "Seconds for an event as a multiple of the fastest engine's, without noise.",
+    ),
     "trainer_behind_seconds": MetricKind(
         "cranberryrun_trainer_behind_seconds",
         "gauge",
@@ -355,6 +367,10 @@
         """Count a run that was stopped because of its engine's memory."""
         self._add("runs_stopped")
 
+    def slow_span_check(self, outcome: str, count: int) -> None:
+        """Count checks of runs at engines in a slow span by outcome."""
+        self._counter_by_key["slow_spans"].add(count, {"outcome": outcome})
+
     def register_gauge(
         self, key: str, read: Callable[[], float | Mapping[str, float]]
     ) -> None:
--- a/fakes/trainers.py
+++ b/fakes/trainers.py
@@ -82,6 +82,9 @@
         seconds; infinity while the engine is gone.
     """
 
+    tick_seconds = _TICK_SECONDS
+    full_value_seconds = _FULL_VALUE_SECONDS
+
     def __init__(
         self,
         trainers: Sequence[FakeTrainer],
@@ -122,7 +125,7 @@
                 measured_at = now + _MEASURE_SECONDS
             self._advance(now, wall)
             self._start_runs(wall + now)
-            await asyncio.sleep(_TICK_SECONDS)
+            await asyncio.sleep(self.tick_seconds)
         return self._value(seconds - _LIMIT_SECONDS)
 
     def _value(self, seconds: float) -> float:
@@ -201,6 +204,9 @@
             if len(scheduled.pieces) >= self._events_by_item[scheduled.item.id]:
                 self._stop(scheduled)
                 scheduled.result = Result(scheduled.item.id, True)
+        self._end_steps(now, wall)
+
+    def _end_steps(self, now: float, wall: float) -> None:
         for trainer in self.trainers:
             for step in range(trainer.step):
                 if step not in trainer.ended_at_by_step:
@@ -219,7 +225,7 @@
         age = wall + now - state.batch.submitted_at
         share = min(1.0, len(complete) / state.batch.wanted_groups)
         earned = trainer.value_by_step.get(step, 0.0)
-        full = age <= _FULL_VALUE_SECONDS
+        full = age <= self.full_value_seconds
         value = share if full else earned
         if full or age <= _LIMIT_SECONDS:
             trainer.value_by_step[step] = value
@@ -248,6 +254,9 @@
             for start in self._plan(scheduled_items, self.engines, now_wall):
                 self._start(start.scheduled, start.engine)
                 self.started.append(start)
+        self._move_runs(scheduled_items, now_wall)
+
+    def _move_runs(self, scheduled_items: list[ScheduledItem], now_wall: float) -> None:
         for move in moves(scheduled_items, self.engines, clock.now()):
             self._stop(move.scheduled)
             self._start(move.scheduled, move.engine)
--- a/tests/test_slow_spans.py
+++ b/tests/test_slow_spans.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from cranberryrun import clock
+from cranberryrun.batches.models import Piece
 from cranberryrun.batches.slow_spans import SlowSpans
 from cranberryrun.fleet.origin import Origin
 from fakes.deployment import (
@@ -63,6 +64,15 @@
         run = self.run_on(engines[0])
         self.assertEqual(self.moves([run], engines, desired_end=9.0), [])
 
+    async def test_output_longer_than_estimated_is_watched_before_it_is_late(self):
+        """Few outputs are several times as long as others, which no estimate says."""
+        engines = self.fleet()
+        self.show_full_speed(*engines[1:])
+        run = self.run_on(engines[0], events=19)
+        run.pieces = [Piece("", 1)] * 60
+        self.assertEqual(self.moves([run], engines), [(run, "e1")])
+        self.assertEqual(self.moves([run], engines, desired_end=9.0), [])
+
     async def test_run_near_its_end_stays(self):
         engines = self.fleet()
         self.show_full_speed(*engines[1:])
