Reject batches that certainly can't be served

Cause: a batch whose route has no engine, or whose work is several times what all slots can do before it is due, was stored, and its trainer waited for results that never came.

Change: batches/admission.py decides from what the host knows (manifest, registered targets, the shortest event interval that it measured); batches/service.py asks it before the append. The answer is 503 with Retry-After of 1 to 5 s, and nothing is stored. A batch that may be in the store is accepted: before a rejection the host reads the topic of the batch, for at most a quarter of the route's latency goal. A host whose list of targets is new or old accepts. Active only with bounds.seed_lag_s in the settings.

--- a/cranberryrun/batches/service.py
+++ b/cranberryrun/batches/service.py
@@ -13,8 +13,12 @@
     NotFoundError,
     NotReadyError,
 )
+from ..fleet.directory import Directory
+from ..fleet.engine_pool import EnginePool
 from ..kernel import Service
+from ..metrics import Metrics
 from ..workspaces.access import Caller, KeyState
+from .admission import Admission, Rejection
 from .log import BatchLog
 from .models import Batch, BatchState, Result
 from .remote_results import RemoteResults
@@ -34,6 +38,9 @@
 # megabytes takes longer over the slowest links; a trainer that is told of a failure
 # would submit again, although the store has the batch.
 _OWNER_CHECK_SECONDS = 0.5
+# The same check before a rejection. One that comes later than a quarter of the route's
+# latency goal costs the trainer more than a batch that can't be served.
+_MAX_REJECTION_SHARE = 0.25
 # Much longer than the few milliseconds that the store needs for a read.
 _REFRESH_TIMEOUT_SECONDS = 0.1
 
@@ -45,10 +52,28 @@
     the batch. Calls without a caller, which this package makes itself, may use all. To
     callers of other workspaces an operation behaves as for a batch that does not exist,
     also while the store fails.
+
+    :param admission: rejects batches that can't be served; None rejects none.
     """
 
     name = "batches"
-    requires = ("events", "batch_log", "remote_results")
+    requires = (
+        "events",
+        "metrics",
+        "directory",
+        "engine_pool",
+        "batch_log",
+        "remote_results",
+    )
+
+    def __init__(self, admission: Admission | None = None) -> None:
+        super().__init__()
+        self._admission = admission
+
+    async def start(self) -> None:
+        """Start following the targets if batches may be rejected."""
+        if self._admission is not None:
+            self.kernel.get(Directory).observers.append(self._record_targets)
 
     async def submit(
         self, batch: Batch, deadline: float, caller: Caller | None = None
@@ -59,9 +84,13 @@
         :raises LogUnavailableError: the batch was certainly not accepted.
         :raises AppendUnknownError: the batch may have been accepted.
         :raises OtherWorkspaceError: a batch of another workspace has the same id.
+        :raises RefusedError: the batch can't be served; none of it was stored.
         """
         if caller is not None:
             await self._check_known_owner(batch, caller)
+        if self._admission is not None:
+            await self._check_admission(self._admission, batch, deadline)
+            self._admission.record_submission(batch.id)
         append_deadline = min(deadline, clock.now() + _APPEND_TIMEOUT_SECONDS)
         try:
             await self.kernel.get(BatchLog).accept(batch, append_deadline)
@@ -79,6 +108,72 @@
                 reason += "; whether its id was in use is not known"
         self._emit("batch_accepted", batch, reason)
 
+    async def _check_admission(
+        self, admission: Admission, batch: Batch, deadline: float
+    ) -> None:
+        """Raise if the batch can't be served and the store does not have it."""
+        if self._rejection(admission, batch) is None:
+            return
+        if await self._may_be_stored(admission, batch, deadline):
+            return
+        # An engine may have registered since.
+        rejection = self._rejection(admission, batch)
+        if rejection is None:
+            return
+        self.kernel.get(Metrics).rejected_batch(rejection.cause)
+        self._emit(
+            "batch_rejected",
+            batch,
+            rejection.reason,
+            cause=rejection.cause,
+            retry_after=round(rejection.retry_after, 1),
+        )
+        raise rejection.error()
+
+    def _rejection(self, admission: Admission, batch: Batch) -> Rejection | None:
+        manifest = self.kernel.get(Directory).manifest
+        if manifest is None:
+            return None
+        self._record_targets()
+        pool = self.kernel.get(EnginePool)
+        admission.record_intervals(
+            engine.event_interval for engine in pool.engine_by_id.values()
+        )
+        table = self.kernel.get(BatchLog).table
+        return admission.rejection(
+            batch, manifest, clock.now(), lambda item: table.known(batch, item)
+        )
+
+    def _record_targets(self) -> None:
+        directory = self.kernel.get(Directory)
+        if self._admission is not None and directory.targets_loaded:
+            now = clock.now()
+            self._admission.record_targets(
+                directory.target_by_id.values(),
+                now - max(directory.seconds_since_read()),
+                now,
+            )
+
+    async def _may_be_stored(
+        self, admission: Admission, batch: Batch, deadline: float
+    ) -> bool:
+        """Return whether an earlier submission may have stored the batch."""
+        log = self.kernel.get(BatchLog)
+        if admission.submitted(batch.id) or log.table.opened(batch.id):
+            return True
+        manifest = self.kernel.get(Directory).manifest
+        route = manifest and manifest.route_for(batch.host, batch.items[0].path)
+        if not route:
+            return True
+        try:
+            async with asyncio.timeout_at(
+                min(deadline, clock.now() + _MAX_REJECTION_SHARE * route.latency_goal)
+            ):
+                await log.load([batch.id])
+        except (LogReadError, TimeoutError):
+            return True
+        return batch.id in log.table.state_by_id
+
     async def _check_known_owner(self, batch: Batch, caller: Caller) -> None:
         """Raise if this host knows a batch of the same id that others own."""
         state = self.kernel.get(BatchLog).table.state_by_id.get(batch.id)
@@ -111,7 +206,7 @@
             caller.check_submission(batch.id, state.batch.workspace)
         return state is not None
 
-    def _emit(self, name: str, batch: Batch, reason: str) -> None:
+    def _emit(self, name: str, batch: Batch, reason: str, **fields: object) -> None:
         self.kernel.get(Events).emit(
             name,
             step=batch.id,
@@ -123,6 +218,7 @@
             wanted_groups=batch.wanted_groups,
             workspace=batch.workspace,
             reason=reason,
+            **fields,
         )
 
     async def results(
--- a/cranberryrun/batches/table.py
+++ b/cranberryrun/batches/table.py
@@ -98,6 +98,10 @@
             and key in self._earlier_batch_by_item
         )
 
+    def known(self, batch: Batch, item: Item) -> bool:
+        """Return whether a batch of its workspace that was read has the item."""
+        return item_key(batch.workspace, item.id) in self._latest_batch_by_item
+
     def earlier_state(self, batch: Batch, item: Item) -> BatchState | None:
         """Return the earlier batch that ``batch`` carries the item over from.
 
--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -185,6 +185,12 @@
         INFO,
         "A run was stopped because its engine's memory was about to be full.",
     ),
+    (
+        344,
+        "batch_rejected",
+        WARNING,
+        "A batch can't be served and was rejected; none of it was stored.",
+    ),
     (333, "results_held", WARNING, "Results wait until the store can be written."),
     (334, "progress_unrecorded", WARNING, "The progress of runs was not recorded."),
     (335, "progress_kept", INFO, "Old progress records could not be deleted yet."),
--- a/cranberryrun/ctl_explain.py
+++ b/cranberryrun/ctl_explain.py
@@ -126,7 +126,11 @@
     else:
         outcome = "No host accepted the batch."
     lines = [outcome]
-    refused = by_event.get("batch_refused", []) + by_event.get("batch_unknown", [])
+    refused = [
+        row
+        for name in ("batch_refused", "batch_rejected", "batch_unknown")
+        for row in by_event.get(name, [])
+    ]
     if refused:
         lines.append(
             f"Attempts that were refused or had an unknown outcome: {len(refused)}."
--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -163,6 +163,12 @@
         ("reason",),
         "Calls rejected by their key: missing, unknown, revoked or other_workspace.",
     ),
+    "rejected_batches": MetricKind(
+        "cranberryrun_rejected_batches",
+        "counter",
+        ("cause",),
+        "Batches that can't be served, by cause: no_engine or too_much_work.",
+    ),
     "duty_calls": MetricKind(
         "cranberryrun_duty_calls",
         "counter",
@@ -342,6 +348,10 @@
         """Count a call that was rejected because of its key."""
         self._add("rejected_keys", reason=reason)
 
+    def rejected_batch(self, cause: str) -> None:
+        """Count a batch that was rejected because it can't be served."""
+        self._add("rejected_batches", cause=cause)
+
     def duty_call(self, duty: str, outcome: str, count: int = 1) -> None:
         """Count calls of a duty to the platform's API by outcome."""
         labels = {"duty": duty, "outcome": outcome}
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -12,6 +12,7 @@
 import click
 
 from .. import clock, logging_setup
+from ..batches.admission import Admission
 from ..batches.handover import Handover
 from ..batches.log import BatchLog
 from ..batches.remote_results import RemoteResults
@@ -101,6 +102,7 @@
     def _create_services(self, incarnation: int, rng: random.Random) -> list[Service]:
         settings = self._settings
         bounds = settings.bounds
+        lag = bounds.seed_lag_s
         unknown_names = UnknownNames()
         usage = UsageCounter(bounds.usage_window_s) if self._has_duty("usage") else None
         return [
@@ -142,7 +144,7 @@
             Handover(),
             HttpResultSource(),
             RemoteResults(settings.host_id, settings.link_mbps),
-            Batches(),
+            Batches(Admission(lag) if lag is not None else None),
             Crashes(),
             HttpHedgeClient(),
             SecondAttempts(settings.host_id, settings.second_attempts.max_extra_share),
--- a/cranberryrun/platform/settings.py
+++ b/cranberryrun/platform/settings.py
@@ -48,6 +48,12 @@
     require_fence: bool = Field(
         False, description="Whether the platform's API checks fencing tokens."
     )
+    seed_lag_s: float | None = Field(
+        None,
+        ge=0,
+        description="Time that the entry of a running target may be missing, in s. "
+        "Without it no batch is rejected for lack of engines.",
+    )
 
 
 class PlatformApiSettings(_Section):
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from cranberryrun import clock
+from cranberryrun.batches.admission import Admission
 from cranberryrun.batches.log import BatchLog
 from cranberryrun.batches.models import Batch, Item
 from cranberryrun.batches.remote_results import RemoteResults
@@ -305,6 +306,7 @@
         link_mbps: float = 1000.0,
         more_services: Sequence[Service] = (),
         engines_crash_when_full: bool = False,
+        seed_lag: float | None = None,
     ) -> Kernel:
         """Start the services of one host and return its kernel, which stops them.
 
@@ -336,7 +338,7 @@
             FakeResultSource(self),
             RemoteResults(name, link_mbps),
             Runner(engines_crash_when_full),
-            Batches(),
+            Batches(Admission(seed_lag) if seed_lag is not None else None),
             *more_services,
         ):
             kernel.register(service)
