Let requests of workspaces wait while all targets are full

Cause: with workspaces, a plain request that found all targets full or limited was refused at once, although a slot is often free again within milliseconds, and the workspace that asked most often got most of the slots.

Change: requests/waiting.py orders waiting requests by priority, then by the workspace with the fewest requests started (weighted fair queuing), then by arrival; requests/queued_attempts.py waits at most a quarter of the route's latency goal and sends the first one again when a slot of this host is free, when a request arrives, and five times in between. At most 64 wait at a host. A request waits only if it certainly did not run; it leaves the queue when its caller leaves, at its deadline and when the host stops. Shares hold at each host only. Without workspaces the attempts are those of before. Streams do not wait.

In the test of a flood (30 requests of one workspace, two slots of 0.1 s), another workspace's request is among the first five that start.

--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -266,6 +266,7 @@
         WARNING,
         "The lease holder takes no report; this host hedges no requests for now.",
     ),
+    (434, "request_waited", INFO, "A request waited while all targets were full."),
     (500, "version_announced", INFO, "A trainer announced a weight version."),
     (501, "version_known", INFO, "This host learned of a newer weight version."),
     (502, "order_sent", INFO, "An engine was ordered to load a version."),
--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -79,10 +79,7 @@
         "Seconds from a request's arrival in the admission queue to its answer's end.",
     ),
     "retries": MetricKind(
-        "cranberryrun_retries",
-        "counter",
-        ("service",),
-        "Retries of requests.",
+        "cranberryrun_retries", "counter", ("service",), "Retries of requests."
     ),
     "calls": MetricKind(
         "cranberryrun_keyed_calls",
@@ -169,6 +166,12 @@
         ("cause",),
         "Batches that can't be served, by cause: no_engine or too_much_work.",
     ),
+    "waits": MetricKind(
+        "cranberryrun_request_waits",
+        "counter",
+        ("service", "outcome"),
+        "Requests that waited for a full target: sent, refused, dropped or gone.",
+    ),
     "duty_calls": MetricKind(
         "cranberryrun_duty_calls",
         "counter",
@@ -213,10 +216,7 @@
         "Requests in the admission queue.",
     ),
     "in_flight": MetricKind(
-        "cranberryrun_in_flight",
-        "gauge",
-        (),
-        "HTTP requests in flight.",
+        "cranberryrun_in_flight", "gauge", (), "HTTP requests in flight."
     ),
     "peers": MetricKind(
         "cranberryrun_peers", "gauge", (), "Live entry hosts other than this one."
@@ -352,6 +352,10 @@
         """Count a batch that was rejected because it can't be served."""
         self._add("rejected_batches", cause=cause)
 
+    def wait(self, service: str, outcome: str) -> None:
+        """Count a request that waited while all targets were full."""
+        self._add("waits", service=service, outcome=outcome)
+
     def duty_call(self, duty: str, outcome: str, count: int = 1) -> None:
         """Count calls of a duty to the platform's API by outcome."""
         labels = {"duty": duty, "outcome": outcome}
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -220,6 +220,7 @@
         )
         self.kernel.get(Events).emit("host_draining", in_flight=frontend.in_flight)
         frontend.stopping = True
+        self.kernel.get(Forwarder).waiting.close()
         hand_over_task = asyncio.create_task(
             self.kernel.get(Runner).hand_over(deadline)
         )
--- a/cranberryrun/requests/attempts.py
+++ b/cranberryrun/requests/attempts.py
@@ -10,10 +10,11 @@
     DeadlineError,
     OutcomeUnknownError,
     RefusedError,
+    TargetRefusedError,
     TargetTimeoutError,
     TargetUnreachableError,
 )
-from ..fleet.client import Answer, Request
+from ..fleet.client import Answer, Request, WrongVersionError
 from ..fleet.directory import Target
 from ..fleet.manifest import Route
 from ..fleet.rate_limits import TargetLimitedError
@@ -30,10 +31,21 @@
 
 
 class Attempts:
-    """The attempts at one request, each of which sends it to another target."""
+    """The attempts at one request, each of which sends it to another target.
+
+    ``found_full`` tells whether a target refused it as full or for its limit.
+
+    :param repeated: whether the targets refused the request a moment ago. Further
+        refusals then say nothing about the health of the targets.
+    """
 
     def __init__(
-        self, forwarder: Forwarder, route: Route, service: str, request: Request
+        self,
+        forwarder: Forwarder,
+        route: Route,
+        service: str,
+        request: Request,
+        repeated: bool = False,
     ) -> None:
         self._forwarder = forwarder
         self._route = route
@@ -42,6 +54,8 @@
         self._usage = RequestUsage(forwarder.usage, request)
         self._tried: set[str] = set()
         self._unsent_count = 0
+        self._repeated = repeated
+        self.found_full = False
         self._running: set[asyncio.Task[Answer]] = set()
         self._error_to_raise: CranberryrunError | None = None
         self._error_answer: Answer | None = None
@@ -159,6 +173,7 @@
             may_have_run = isinstance(error, OutcomeUnknownError)
             if self._error_to_raise is None or may_have_run:
                 self._error_to_raise = error
+            self.found_full = self.found_full or _says_full(error)
             if isinstance(error, (TargetLimitedError, TargetUnreachableError)):
                 # Nothing was sent, so another target may still be tried instead.
                 self._unsent_count += 1
@@ -189,7 +204,7 @@
     def _send(self, target: Target) -> asyncio.Task[Answer]:
         self._tried.add(target.id)
         attempt = asyncio.get_running_loop().create_task(
-            self._forwarder.send(target, self._request, self._usage)
+            self._forwarder.send(target, self._request, self._usage, self._repeated)
         )
         self._running.add(attempt)
         return attempt
@@ -205,12 +220,21 @@
         if self._error_to_raise is None or isinstance(
             self._error_to_raise, TargetLimitedError
         ):
-            return self._forwarder.no_target_error(self._service)
+            no_target = self._forwarder.no_target_error(self._service)
+            self.found_full = self.found_full or _says_full(no_target)
+            return no_target
         if isinstance(self._error_to_raise, RefusedError):
             self._error_to_raise.retry_after = RETRY_AFTER_SECONDS
         return self._error_to_raise
 
 
+def _says_full(error: CranberryrunError) -> bool:
+    """Return whether a target may take the request as soon as it has room."""
+    if isinstance(error, WrongVersionError):
+        return False
+    return isinstance(error, (TargetRefusedError, TargetLimitedError))
+
+
 def _discard_outcome(task: asyncio.Task[Answer]) -> None:
     """Retrieve the exception of an abandoned attempt.
 
--- a/cranberryrun/requests/forwarder.py
+++ b/cranberryrun/requests/forwarder.py
@@ -28,7 +28,9 @@
 from ..usage_counts.counter import RequestUsage, UsageCounter
 from .attempts import RETRY_AFTER_SECONDS, SERVER_ERROR_STATUS, Attempts
 from .crashes import Crashes
+from .queued_attempts import QueuedAttempts
 from .target_state import TargetState
+from .waiting import Waiting
 
 # A hedged request is sent when an answer takes this many times the mean.
 _HEDGE_FACTOR = 3.0
@@ -63,6 +65,7 @@
         super().__init__()
         self.usage = usage
         self.zone = zone
+        self.waiting = Waiting()
         self._rng = rng
         self._policy = LeastLoaded(rng)
         self._state_by_target: dict[str, TargetState] = {}
@@ -71,6 +74,12 @@
     async def start(self) -> None:
         """Let the budget of second attempts see the calls that are in flight."""
         self.kernel.get(SecondAttempts).in_flight_at = self.in_flight_at
+        self.kernel.get(Metrics).register_gauge("queue", self.waiting.count_by_service)
+
+    async def stop(self) -> None:
+        """Refuse the requests that wait."""
+        self.waiting.close()
+        await super().stop()
 
     async def forward(self, route: Route, request: Request) -> Answer:
         """Return the complete answer of a target.
@@ -84,7 +93,7 @@
             await self.kernel.get(Crashes).admit(request)
             if route.kind.repeatable:
                 self.kernel.get(SecondAttempts).begin(service)
-            answer = await Attempts(self, route, service, request).answer()
+            answer = await self._attempts(route, service, request).answer()
         except CranberryrunError as error:
             outcome = "refused" if isinstance(error, RefusedError) else "unknown"
             self.record_outcome(
@@ -101,6 +110,15 @@
         )
         return answer
 
+    def _attempts(
+        self, route: Route, service: str, request: Request
+    ) -> Attempts | QueuedAttempts:
+        """Return the attempts at a request, which may wait only with workspaces."""
+        manifest = self.kernel.get(Directory).manifest
+        if manifest is None or manifest.keyring is None:
+            return Attempts(self, route, service, request)
+        return QueuedAttempts(self, route, service, request)
+
     def record_outcome(
         self,
         route: Route,
@@ -279,21 +297,29 @@
         )
 
     async def send(
-        self, target: Target, request: Request, usage: RequestUsage
+        self,
+        target: Target,
+        request: Request,
+        usage: RequestUsage,
+        repeated: bool = False,
     ) -> Answer:
         """Send ``request`` to ``target`` once and record the result.
 
+        :param repeated: whether targets refused the request a moment ago.
         :raises TargetLimitedError: the target's limit allows no request; none was sent.
         """
         await self.kernel.get(SendPermits).acquire(target)
         state = self.state_of(target.id)
         state.in_flight += 1
         started_at = clock.now()
+        freed = True
         try:
             with usage.attempt():
                 answer = await self.kernel.get(TargetClient).send(target, request)
         except RefusedError as error:
-            state.health.record_refusal()
+            freed = False
+            if not repeated:
+                state.health.record_refusal()
             self.record_failed_attempt(request, target, started_at, error)
             await self.kernel.get(Crashes).examine(target, request, error)
             raise
@@ -310,6 +336,8 @@
         finally:
             state.in_flight -= 1
             state.last_result_at = clock.now()
+            if freed:
+                self.waiting.open_turn(target.service)
         if answer.status >= SERVER_ERROR_STATUS:
             state.health.record_failure()
             reason = TargetFailedError(
