Use many free slots before waiting requests are refused

Cause: a waiting request was sent only at fixed intervals, when a request of this host ended or when one arrived. If many slots became free at once through other hosts, most of the waiting requests were refused with slots free.

--- a/cranberryrun/requests/queued_attempts.py
+++ b/cranberryrun/requests/queued_attempts.py
@@ -136,6 +136,13 @@
         )
         started_at = clock.now()
         self._waiting.begin(self._workspace)
+        # A target refuses within a round trip. If none has, one had a free slot, and
+        # others may have some, too.
+        accepted = asyncio.get_running_loop().call_later(
+            max(_MIN_INTERVAL_SECONDS, self._round_seconds),
+            self._waiting.open_turn,
+            self._service,
+        )
         try:
             return await attempts.answer()
         except RefusedError as error:
@@ -145,6 +152,8 @@
             self._error = error
             self._round_seconds = clock.now() - started_at
             return None
+        finally:
+            accepted.cancel()
 
     def _refusal(self) -> RefusedError:
         return self._error or self._forwarder.no_target_error(self._service)
--- a/tests/test_request_waiting.py
+++ b/tests/test_request_waiting.py
@@ -200,6 +200,17 @@
         await asyncio.gather(*(self.forward(f"r{number}") for number in range(4)))
         self.assertLess(self.now() - started_at, 2 * (0.13 + 3 * ROUND_TRIP))
 
+    async def test_many_free_slots_are_used_before_the_wait_ends(self):
+        """Turns at fixed intervals would refuse most of these with slots free."""
+        self.slots, self.seconds = 8, 3.0
+        self.occupy()
+        tasks = [asyncio.create_task(self.forward(f"r{n}")) for n in range(12)]
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.in_queue(), 12)
+        self.release()
+        await asyncio.gather(*tasks)
+        self.assertEqual(len(self.started), 12)
+
     async def test_a_flood_does_not_keep_another_workspace_out(self):
         """Slots are free every 0.05 s; in order of arrival, b would be refused."""
         flood = [
