Add workspaces to the declared resources

Cause: the own API has no way to declare who may call; only manifests of the platform have workspaces.

A record has what the operator sent; each host completes it from the state before the record, so repeats keep their content and the first of two changes that share a key wins everywhere. Specs are shown without digests.

--- a/cranberryrun/configuration.py
+++ b/cranberryrun/configuration.py
@@ -31,7 +31,14 @@
 from .models import Change, SnapshotRecord
 from .peers import Peers, facts_from_wire, facts_to_wire, wire
 from .settings import Settings
-from .state import ConfigState, Outcome, Resource, digest_of
+from .state import (
+    ConfigState,
+    Outcome,
+    Resource,
+    digest_of,
+    has_workspaces,
+    newest_snapshot,
+)
 from .views import Fact, FactKind
 
 STREAM = "config"
@@ -301,7 +308,7 @@
             if not more.records:
                 break
             records += more.records
-        snapshot = _newest_snapshot(records, page.first - 1)
+        snapshot = newest_snapshot(records, page.first - 1)
         if snapshot is None or snapshot.covers <= self.state.offset:
             raise LogGapError(
                 f"the log starts at offset {page.first} and holds no snapshot that "
@@ -313,7 +320,10 @@
     async def _install_snapshot(self, snapshot: SnapshotRecord, source: str) -> None:
         if snapshot.covers <= self.state.offset:
             return
-        self.state = ConfigState.load(snapshot)
+        state = ConfigState.load(snapshot)
+        if not has_workspaces(snapshot):
+            state.keep_workspaces(self.state)
+        self.state = state
         self._recent_records.clear()
         self.kernel.get(Events).emit(
             "snapshot_loaded", offset=snapshot.covers, source=source
@@ -445,19 +455,3 @@
             self.kernel.get(Events).emit(
                 "snapshot_differs", offset=record.offset, writer=value.get("host")
             )
-
-
-def _newest_snapshot(records: list[Record], min_offset: int) -> SnapshotRecord | None:
-    """Return the newest valid snapshot in ``records`` covering ``min_offset``."""
-    for record in reversed(records):
-        value = record.value
-        if not isinstance(value, dict) or value.get("record") != "snapshot":
-            continue
-        try:
-            snapshot = SnapshotRecord.model_validate(value)
-            ConfigState.load(snapshot)
-        except (ValidationError, InvalidInputError):
-            continue
-        if min_offset <= snapshot.covers < record.offset:
-            return snapshot
-    return None
--- a/cranberryrun/models.py
+++ b/cranberryrun/models.py
@@ -16,8 +16,8 @@
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$")]
 Url = Annotated[str, Field(pattern=r"^https?://[^/\s]+$")]
-Kind = Literal["workloads", "engines", "services"]
-KINDS: tuple[Kind, ...] = ("workloads", "engines", "services")
+Kind = Literal["workloads", "engines", "services", "workspaces"]
+KINDS: tuple[Kind, ...] = ("workloads", "engines", "services", "workspaces")
 ModelT = TypeVar("ModelT", bound=BaseModel)
 
 
@@ -26,6 +26,10 @@
 
     model_config = ConfigDict(extra="forbid", allow_inf_nan=False)
 
+    def shown(self) -> dict[str, Any]:
+        """Return the fields that operators are shown."""
+        return self.model_dump(mode="json")
+
 
 class WorkloadSpec(Model):
     """The declaration of a trainer's workload.
@@ -165,10 +169,47 @@
         return self
 
 
+class WorkspaceKey(Model):
+    """A key of a workspace: its digest, never the key itself."""
+
+    model_config = ConfigDict(hide_input_in_errors=True)
+
+    id: Name = Field(description="Names the key within its workspace.")
+    sha256: Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")] | None = Field(
+        default=None,
+        description="SHA-256 digest of the key, in hex; never shown. May be left out "
+        "of a key that the workspace has.",
+    )
+    created_at: float | None = Field(
+        default=None,
+        description="When the key was added, in seconds since 1970; set by the system.",
+    )
+
+
+class WorkspaceSpec(Model):
+    """The declaration of a workspace; stored specs have all fields of their keys."""
+
+    model_config = ConfigDict(hide_input_in_errors=True)
+
+    priority: int | None = Field(
+        default=None, ge=0, description="0 goes first; kept, but nothing uses it yet."
+    )
+    keys: list[WorkspaceKey] | None = Field(
+        default=None,
+        max_length=1000,
+        description="All keys of the workspace; left out, it keeps those it has.",
+    )
+
+    def shown(self) -> dict[str, Any]:
+        """See :meth:`Model.shown`; digests of keys are left out."""
+        return self.model_dump(mode="json", exclude={"keys": {"__all__": {"sha256"}}})
+
+
 SPEC_BY_KIND: dict[str, type[Model]] = {
     "workloads": WorkloadSpec,
     "engines": EngineSpec,
     "services": ServiceSpec,
+    "workspaces": WorkspaceSpec,
 }
 
 
--- a/cranberryrun/pages.py
+++ b/cranberryrun/pages.py
@@ -12,7 +12,14 @@
 from pydantic.fields import FieldInfo
 
 from .catalogue import EVENT_BY_NAME
-from .models import EngineSpec, ServiceSpec, ServiceTarget, WorkloadSpec
+from .models import (
+    EngineSpec,
+    ServiceSpec,
+    ServiceTarget,
+    WorkloadSpec,
+    WorkspaceKey,
+    WorkspaceSpec,
+)
 from .platform.settings import (
     BoundSettings,
     HostSettings,
@@ -72,6 +79,8 @@
     ("Engines", "The `spec` of `/v1/engines/{name}`.", EngineSpec),
     ("Services", "The `spec` of `/v1/services/{name}`.", ServiceSpec),
     ("A service's targets", "A list of these.", ServiceTarget),
+    ("Workspaces", "The `spec` of `/v1/workspaces/{name}`.", WorkspaceSpec),
+    ("A workspace's keys", "A list of these.", WorkspaceKey),
 )
 _PLATFORM_HEAD = """
 # On the users' platform
--- a/cranberryrun/resources.py
+++ b/cranberryrun/resources.py
@@ -114,8 +114,14 @@
         if operation == "put":
             check(SPEC_BY_KIND[kind], spec, "spec")
         configuration = self.kernel.get(Configuration)
+        state = configuration.state
+        generation = state.generation(kind, name)
         if expected is None:
-            expected = configuration.state.generation(kind, name)
+            expected = generation
+        is_repeat = change_id in state.outcome_by_change
+        if operation == "put" and expected == generation and not is_repeat:
+            # The log decides again; this refusal names the field and costs no record.
+            state.complete_spec(kind, name, spec, 0.0)
         change = _parse_change(
             {
                 "change_id": uuid.uuid4().hex if change_id is None else change_id,
@@ -158,7 +164,7 @@
                 "changed_at": resource.changed_at,
                 "change_id": resource.change_id,
             },
-            "spec": resource.spec.model_dump(mode="json"),
+            "spec": resource.spec.shown(),
             "status": self.status(resource),
         }
 
--- a/cranberryrun/state.py
+++ b/cranberryrun/state.py
@@ -4,8 +4,9 @@
 
 import json
 from collections import OrderedDict
+from collections.abc import Sequence
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import xxhash
 from pydantic import ValidationError
@@ -18,10 +19,16 @@
     NotFoundError,
 )
 from .models import SPEC_BY_KIND, Change, Model, SnapshotRecord, VersionRecord, check
+from .workspaces.declared import check_unshared, complete_spec, keyring_of
+from .workspaces.keyring import Keyring
+
+if TYPE_CHECKING:
+    from .log import Record
 
 Key = tuple[str, str]
 _MAX_OUTCOMES = 4_000
 _MAX_DELETED_RESOURCES = 10_000
+_WORKSPACES = "workspaces"
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +83,21 @@
     by_key: dict[Key, Resource] = field(default_factory=dict)
     version_by_workload: dict[str, int] = field(default_factory=dict)
     outcome_by_change: OrderedDict[str, Outcome] = field(default_factory=OrderedDict)
+    _keyring: Keyring | None = field(default=None, repr=False, compare=False)
+    _keyring_outdated: bool = field(default=True, repr=False, compare=False)
+
+    @property
+    def keyring(self) -> Keyring | None:
+        """The keys of the declared workspaces; None if there are no workspaces."""
+        if self._keyring_outdated:
+            earlier = self._keyring
+            self._keyring = keyring_of(
+                {resource.name: resource.spec for resource in self.list(_WORKSPACES)}
+            )
+            if self._keyring is not None and earlier is not None:
+                self._keyring.follow(earlier)
+            self._keyring_outdated = False
+        return self._keyring
 
     def get(self, kind: str, name: str) -> Resource | None:
         """Return the resource, or None if it was never declared or is deleted."""
@@ -135,7 +157,7 @@
         key = (change.kind, change.name)
         generation = self.generation(*key)
         digest = digest_of(change)
-        error = self._find_rejection(change, generation)
+        error = self._find_rejection(change, generation, time)
         if error is not None:
             outcome = Outcome(offset, generation, error.code, digest)
             self._record_outcome(change.change_id, outcome)
@@ -144,13 +166,15 @@
             kind=change.kind,
             name=change.name,
             generation=generation + 1,
-            spec=self._parse_spec(change),
+            spec=self._parse_spec(change, time),
             offset=offset,
             changed_at=time,
             change_id=change.change_id,
             deleted=change.operation == "delete",
         )
         self.by_key[key] = resource
+        if change.kind == _WORKSPACES:
+            self._keyring_outdated = True
         outcome = Outcome(offset, generation + 1, None, digest)
         self._record_outcome(change.change_id, outcome)
         if resource.deleted:
@@ -165,7 +189,7 @@
         del self.by_key[min(deleted, key=lambda key: self.by_key[key].offset)]
 
     def _find_rejection(
-        self, change: Change, generation: int
+        self, change: Change, generation: int, time: float
     ) -> CranberryrunError | None:
         if change.expected_generation != generation:
             return ConflictError(
@@ -178,15 +202,29 @@
                 return NotFoundError(f"there is no {change.kind}/{change.name}")
             return None
         try:
-            check(SPEC_BY_KIND[change.kind], change.spec, "spec")
+            self.complete_spec(change.kind, change.name, change.spec, time)
         except InvalidInputError as error:
             return error
         return None
 
-    def _parse_spec(self, change: Change) -> Model | None:
+    def _parse_spec(self, change: Change, time: float) -> Model | None:
         if change.operation == "delete":
             return None
-        return SPEC_BY_KIND[change.kind].model_validate(change.spec)
+        return self.complete_spec(change.kind, change.name, change.spec, time)
+
+    def complete_spec(self, kind: str, name: str, spec: Any, time: float) -> Model:
+        """Return the spec that a put at ``time`` would store.
+
+        :param time: in seconds since 1970.
+        :raises InvalidInputError: a field is not valid; names the field.
+        """
+        parsed = check(SPEC_BY_KIND[kind], spec, "spec")
+        if kind != _WORKSPACES:
+            return parsed
+        current = self.get(kind, name)
+        completed = complete_spec(parsed, current.spec if current else None, time)
+        check_unshared(name, completed, self.keyring)
+        return completed
 
     def _record_outcome(self, change_id: str, outcome: Outcome) -> None:
         self.outcome_by_change[change_id] = outcome
@@ -194,20 +232,17 @@
             self.outcome_by_change.popitem(last=False)
 
     def dump(self) -> dict[str, Any]:
-        """Return the state as a JSON object, except its offset."""
-        resources = [
-            [
-                resource.kind,
-                resource.name,
-                resource.generation,
-                resource.spec.model_dump(mode="json") if resource.spec else None,
-                resource.offset,
-                resource.changed_at,
-                resource.change_id,
-                resource.deleted,
-            ]
-            for _, resource in sorted(self.by_key.items())
-        ]
+        """Return the state as a JSON object, except its offset.
+
+        Workspaces have a field of their own, which is left out if none was ever
+        declared: builds before them refuse a snapshot with an unknown kind among the
+        resources, and ignore other fields.
+        """
+        resources: list[list[Any]] = []
+        workspaces: list[list[Any]] = []
+        for _, resource in sorted(self.by_key.items()):
+            row = _resource_row(resource)
+            (workspaces if resource.kind == _WORKSPACES else resources).append(row)
         outcomes = [
             [
                 change_id,
@@ -218,12 +253,13 @@
             ]
             for change_id, outcome in self.outcome_by_change.items()
         ]
-        return {
+        state = {
             "resources": resources,
             "versions": dict(sorted(self.version_by_workload.items())),
             "outcomes": outcomes,
             "snapshot_time": self.snapshot_time,
         }
+        return state | ({_WORKSPACES: workspaces} if workspaces else {})
 
     def snapshot(self, host: str) -> SnapshotRecord:
         """Return the state as a snapshot record, written by ``host``."""
@@ -239,6 +275,8 @@
         try:
             for row in snapshot.state["resources"]:
                 state._load_resource(row)
+            for row in snapshot.state.get(_WORKSPACES, ()):
+                state._load_resource(row)
             for workload, version in snapshot.state["versions"].items():
                 state.version_by_workload[workload] = int(version)
             for change_id, *row in snapshot.state["outcomes"]:
@@ -261,3 +299,59 @@
             change_id,
             deleted,
         )
+
+    def keep_workspaces(self, earlier: ConfigState) -> None:
+        """Take over the workspaces of ``earlier`` that this state does not have.
+
+        For a state that was loaded from the snapshot of a build without workspaces:
+        without them, calls would need no key.
+        """
+        for key, resource in earlier.by_key.items():
+            if resource.kind == _WORKSPACES:
+                self.by_key.setdefault(key, resource)
+
+
+def _resource_row(resource: Resource) -> list[Any]:
+    return [
+        resource.kind,
+        resource.name,
+        resource.generation,
+        resource.spec.model_dump(mode="json") if resource.spec else None,
+        resource.offset,
+        resource.changed_at,
+        resource.change_id,
+        resource.deleted,
+    ]
+
+
+def has_workspaces(snapshot: SnapshotRecord) -> bool:
+    """Return whether a host that knows of workspaces wrote ``snapshot`` with some."""
+    return _WORKSPACES in snapshot.state
+
+
+def newest_snapshot(
+    records: Sequence[Record], min_offset: int
+) -> SnapshotRecord | None:
+    """Return the newest valid snapshot in ``records`` covering ``min_offset``.
+
+    If one has workspaces, those without are passed over: hosts of an earlier build
+    wrote them, and without the workspaces calls would need no key.
+    """
+    newest: SnapshotRecord | None = None
+    for record in reversed(records):
+        value = record.value
+        if not isinstance(value, dict) or value.get("record") != "snapshot":
+            continue
+        try:
+            snapshot = SnapshotRecord.model_validate(value)
+            if newest is not None and not has_workspaces(snapshot):
+                continue
+            ConfigState.load(snapshot)
+        except (ValidationError, InvalidInputError):
+            continue
+        if not min_offset <= snapshot.covers < record.offset:
+            continue
+        if has_workspaces(snapshot):
+            return snapshot
+        newest = snapshot
+    return newest
--- a/cranberryrun/workspaces/keyring.py
+++ b/cranberryrun/workspaces/keyring.py
@@ -1,4 +1,4 @@
-"""The workspaces of a manifest and the digests of their keys. Does no I/O."""
+"""Workspaces by the digests of their keys. Does no I/O."""
 
 from __future__ import annotations
 
@@ -36,16 +36,24 @@
         self._workspace_by_name: dict[str, Workspace] = {}
         self._workspace_by_digest: dict[bytes, Workspace] = {}
         self._workspace_by_revoked_digest: dict[bytes, Workspace] = {}
-        keyless = []
-        for workspace, keys in entries:
-            self._add_workspace(workspace)
-            digests = {_digest(key) for key in keys if key}
-            for digest in digests:
-                self._add_digest(digest, workspace)
-            if not digests:
-                keyless.append(workspace.name)
-        self.keyless = tuple(keyless)
+        self.keyless: tuple[str, ...] = ()
         """The names of the workspaces that have no key, as all were revoked."""
+        self._fill(
+            (workspace, {_digest(key) for key in keys if key})
+            for workspace, keys in entries
+        )
+
+    @classmethod
+    def from_digests(
+        cls, entries: Iterable[tuple[Workspace, Iterable[bytes]]]
+    ) -> Keyring:
+        """Return the keyring of workspaces whose keys are known by digest only.
+
+        :raises RecordInvalidError: see :class:`Keyring`.
+        """
+        keyring = cls(())
+        keyring._fill((workspace, set(digests)) for workspace, digests in entries)
+        return keyring
 
     def __len__(self) -> int:
         """Return the number of workspaces."""
@@ -69,6 +77,20 @@
         """Return the workspace that a key led to before it was revoked, if known."""
         return self._workspace_by_revoked_digest.get(_digest(key))
 
+    def find_digest(self, digest: bytes) -> Workspace | None:
+        """Return the workspace that has the key of a digest; None if none has it."""
+        return self._workspace_by_digest.get(digest)
+
+    def _fill(self, entries: Iterable[tuple[Workspace, set[bytes]]]) -> None:
+        keyless = []
+        for workspace, digests in entries:
+            self._add_workspace(workspace)
+            for digest in digests:
+                self._add_digest(digest, workspace)
+            if not digests:
+                keyless.append(workspace.name)
+        self.keyless = tuple(keyless)
+
     def _add_workspace(self, workspace: Workspace) -> None:
         # The name is sent in a header.
         if not workspace.name or not workspace.name.isprintable():
