Check keys of workspaces for calls and steps

Cause: with workspaces declared, requests to services and trainers' steps need a key, and targets are to be told the workspace.

Change: the key in Cranberryrun-Key is looked up in the configuration applied now, before and after the body is read: 401 without a known key, 503 at a host without a configuration. Targets and engines get the workspace in Cranberryrun-Workspace. The key, and what a caller sends as its workspace, are dropped with and without workspaces, as a host may not have read the first one yet. Idempotency keys belong to workspace and token, so that no workspace gets the recorded answer of another.

--- a/cranberryrun/api_calls.py
+++ b/cranberryrun/api_calls.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from aiohttp import web
 
 from .api_handlers import Handlers
+from .api_workspaces import identify_workspace
 from .caller_http import ResponseSink, buffered_response, problem_answer, read_call
 from .exceptions import CranberryrunError
 from .keyed_calls import KeyedCalls
@@ -22,8 +25,10 @@
 
     async def _call(self, request: web.Request) -> web.StreamResponse:
         caller = self.authorize(request, "caller")
+        identify = partial(identify_workspace, self.kernel, request)
+        identify()
         resource = self.kernel.get(RequestRouter).service(request.match_info["service"])
-        call = await read_call(request, caller, resource.spec.timeout)
+        call = await read_call(request, caller, resource.spec.timeout, identify)
         self.api.record_deadline(call.deadline)
         sink = ResponseSink(request, call.request)
         try:
--- a/cranberryrun/api_trainers.py
+++ b/cranberryrun/api_trainers.py
@@ -6,6 +6,7 @@
 
 from .api_handlers import Handlers
 from .api_messages import NDJSON
+from .api_workspaces import identify_workspace
 from .caller_http import parse_integer
 from .models import StepRequest, VersionAnnouncement, check_json
 from .resources import Resources
@@ -43,16 +44,19 @@
 
     async def _step(self, request: web.Request) -> web.StreamResponse:
         self.authorize(request, "trainer")
+        identify_workspace(self.kernel, request)
         steps = self.kernel.get(Steps)
         workload = steps.resolve_workload(request.match_info["name"])
         step = parse_integer(request.match_info["step"], "step")
         body = check_json(StepRequest, await request.read())
+        workspace = identify_workspace(self.kernel, request)
         response = web.StreamResponse(headers={"Content-Type": NDJSON})
         await response.prepare(request)
 
         async def send(event) -> None:
             await response.write(event.model_dump_json().encode() + b"\n")
 
-        await steps.run(workload, step, body, send)
+        name = None if workspace is None else workspace.name
+        await steps.run(workload, step, body, send, name)
         await response.write_eof()
         return response
--- a/cranberryrun/caller_http.py
+++ b/cranberryrun/caller_http.py
@@ -4,38 +4,66 @@
 
 import json
 import uuid
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from aiohttp import web
 from multidict import CIMultiDict
 
 from . import clock
 from .exceptions import CallerGoneError, CranberryrunError, InvalidInputError
-from .services import Answer, Call, Sink, end_to_end_headers
+from .services import WORKSPACE_HEADER, Answer, Call, Sink, end_to_end_headers
+from .workspaces.keyring import Workspace
 
 _MAX_ID_CHARACTERS = 200
 _MAX_INTEGER = 2**53
 
 
-async def read_call(request: web.Request, caller: str, timeout: float) -> Call:
+async def read_call(
+    request: web.Request,
+    caller: str,
+    timeout: float,
+    identify: Callable[[], Workspace | None],
+) -> Call:
     """Return the call of a ``request`` to ``/call/{service}/{path}``.
 
     :param timeout: longest time until the deadline, in seconds.
+    :param identify: returns the workspace of the request; asked once the body is read.
     :raises InvalidInputError: a header is invalid; the error names the header.
     """
+    request_id = _request_id(request)
+    deadline = clock.now() + _seconds_left(request, timeout)
+    body = await request.read()
+    workspace = identify()
+    headers = end_to_end_headers(request.headers)
+    _set_workspace(headers, workspace)
     return Call(
         service=request.match_info["service"],
         method=request.method,
         path=_path_after_service(request),
-        request=_request_id(request),
-        caller=caller,
-        deadline=clock.now() + _seconds_left(request, timeout),
-        headers=end_to_end_headers(request.headers),
-        body=await request.read(),
+        request=request_id,
+        caller=_caller_in(caller, workspace),
+        deadline=deadline,
+        headers=headers,
+        body=body,
         key=_idempotency_key(request),
     )
 
 
+def _set_workspace(headers: CIMultiDict[str], workspace: Workspace | None) -> None:
+    """Replace what the caller sent as its workspace by the name of ``workspace``."""
+    headers.popall(WORKSPACE_HEADER, None)
+    if workspace is not None:
+        headers[WORKSPACE_HEADER] = workspace.name
+
+
+def _caller_in(caller: str, workspace: Workspace | None) -> str:
+    """Return the name to which a caller's idempotency keys are scoped.
+
+    Two workspaces that use the same token, or none, do not get each other's answers.
+    """
+    return caller if workspace is None else f"{workspace.name}\n{caller}"
+
+
 def _path_after_service(request: web.Request) -> str:
     """Return the path after the service's name, percent-encoded as received."""
     return request.rel_url.raw_path_qs.split("/", 3)[3]
--- a/cranberryrun/dispatch.py
+++ b/cranberryrun/dispatch.py
@@ -47,15 +47,22 @@
 
     :param started_ms: start time of the run, in ms since 1970; it is a part of
         the stream names.
+    :param workspace: the workspace that engines are told, if any is declared.
     :ivar wake_run: wakes the :class:`~.step_run.StepRun` that hands samples over.
     :ivar placements_changed: whether the placements differ from those of the last
         checkpoint.
     """
 
     def __init__(
-        self, steps: Steps, workload: Resource, step: int, started_ms: int
+        self,
+        steps: Steps,
+        workload: Resource,
+        step: int,
+        started_ms: int,
+        workspace: str | None = None,
     ) -> None:
         self._steps = steps
+        self._workspace = workspace
         self._kernel = steps.kernel
         self._workload = workload
         self.name = f"{workload.name}/{step}"
@@ -311,6 +318,7 @@
             priority=spec.priority,
             min_version=oldest if oldest > 0 else None,
             piece_tokens=self._steps.piece_tokens,
+            workspace=self._workspace,
         )
 
     async def _run_attempt(self, attempt: Attempt) -> None:
--- a/cranberryrun/engine_client.py
+++ b/cranberryrun/engine_client.py
@@ -24,6 +24,7 @@
 from .http import HttpClients
 
 NOT_RUN_HEADER = "X-Not-Run"
+WORKSPACE_HEADER = "Cranberryrun-Workspace"
 _CONTROL_TIMEOUT_SECONDS = 2.0
 
 
@@ -49,6 +50,7 @@
     :ivar min_version: an engine that can't reach this version refuses the order.
     :ivar piece_tokens: minimum tokens per piece, except where the version changes
         or the stream ends; None leaves the size to the engine.
+    :ivar workspace: the workspace that the engine is told, if any is declared.
     """
 
     stream: str
@@ -59,6 +61,7 @@
     priority: int
     min_version: int | None = None
     piece_tokens: int | None = None
+    workspace: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,7 +200,10 @@
         if order.piece_tokens is not None:
             body["piece_tokens"] = order.piece_tokens
         request_context = self._clients.no_retry.post(
-            f"{self._url}/v1/generate", json=body, timeout=self._stream_timeout
+            f"{self._url}/v1/generate",
+            json=body,
+            headers={WORKSPACE_HEADER: order.workspace} if order.workspace else None,
+            timeout=self._stream_timeout,
         )
         async for piece in self._read_pieces(request_context, 0):
             yield piece
--- a/cranberryrun/engine_requests.py
+++ b/cranberryrun/engine_requests.py
@@ -36,6 +36,7 @@
         max_tokens=request.max_tokens,
         seed=request.seed,
         priority=spec.priority,
+        workspace=call.workspace,
     )
 
 
--- a/cranberryrun/engines.py
+++ b/cranberryrun/engines.py
@@ -14,6 +14,7 @@
 from .configuration import Configuration
 from .engine_client import (
     NOT_RUN_HEADER,
+    WORKSPACE_HEADER,
     EngineClient,
     EngineState,
     HttpEngineClient,
@@ -41,6 +42,7 @@
 
 __all__ = [
     "NOT_RUN_HEADER",
+    "WORKSPACE_HEADER",
     "Engine",
     "EngineClient",
     "EngineState",
--- a/cranberryrun/exceptions.py
+++ b/cranberryrun/exceptions.py
@@ -102,7 +102,7 @@
 
 
 class UnauthorizedError(RequestError):
-    """The token is missing or unknown."""
+    """The token, or the key of a workspace, is missing or unknown."""
 
     code = "unauthorized"
     status = 401
--- a/cranberryrun/services.py
+++ b/cranberryrun/services.py
@@ -13,7 +13,7 @@
 from yarl import URL
 
 from . import clock
-from .engines import NOT_RUN_HEADER
+from .engines import NOT_RUN_HEADER, WORKSPACE_HEADER
 from .exceptions import (
     TargetFailedError,
     TargetRefusedError,
@@ -24,11 +24,14 @@
 from .http import HOP_HEADERS, HttpClients
 from .models import ServiceTarget
 
+KEY_HEADER = "Cranberryrun-Key"
 _RETRY_AFTER_SECONDS = 1.0
 _STREAM_THRESHOLD_BYTES = 256 * 1024
 _MAX_ANSWER_BYTES = 32 * 1024 * 1024
 _HOP_HEADERS = HOP_HEADERS | {
     "authorization",
+    # Dropped without workspaces too: a host may not have read the first one yet.
+    KEY_HEADER.lower(),
     "expect",
     "host",
     "x-deadline-ms",
@@ -54,6 +57,11 @@
     body: bytes = b""
     key: str | None = None
 
+    @property
+    def workspace(self) -> str | None:
+        """The name of the workspace that sent the call; None without workspaces."""
+        return self.headers.get(WORKSPACE_HEADER)
+
     def digest(self) -> str:
         """Return a hash by which requests with the same key are compared."""
         head = f"{self.method} {self.path}\n".encode()
--- a/cranberryrun/step_run.py
+++ b/cranberryrun/step_run.py
@@ -58,6 +58,7 @@
         step: int,
         request: StepRequest,
         send: SendEvent,
+        workspace: str | None = None,
     ) -> None:
         self._steps = steps
         self._kernel = steps.kernel
@@ -70,7 +71,9 @@
         self._started_ms = self._new_start_ms()
         self._deadline = clock.now() + request.deadline_seconds
         self._slots = StepSlots(request)
-        self._dispatcher = Dispatcher(steps, workload, step, self._started_ms)
+        self._dispatcher = Dispatcher(
+            steps, workload, step, self._started_ms, workspace
+        )
         self._move_requested = False
         self._withheld_groups: set[str] = set()
         self._checkpointed_streams: set[str] = set()
--- a/cranberryrun/steps.py
+++ b/cranberryrun/steps.py
@@ -155,10 +155,18 @@
         return resource
 
     async def run(
-        self, workload: Resource, step: int, request: StepRequest, send: SendEvent
+        self,
+        workload: Resource,
+        step: int,
+        request: StepRequest,
+        send: SendEvent,
+        workspace: str | None = None,
     ) -> None:
-        """Run one call of a step and write its events with ``send``."""
-        run = StepRun(self, workload, step, request, send)
+        """Run one call of a step and write its events with ``send``.
+
+        :param workspace: the workspace of the trainer's key, if one was needed.
+        """
+        run = StepRun(self, workload, step, request, send, workspace)
         self._runs.add(run)
         if self._draining:
             run.move()
--- a/tests/test_steps.py
+++ b/tests/test_steps.py
@@ -78,6 +78,17 @@
         self.assertLess(placements, 128 * (trainer.at[-1] - trainer.at[0]) + 1024)
 
 
+class WorkspaceTest(StepTestCase):
+    async def test_engines_get_the_workspace_of_a_step(self):
+        # Engines that account by workspace would count the step to none.
+        rollouts = await self.start_rollouts()
+        workload = rollouts.configuration.state.get("workloads", WORKLOAD)
+        await rollouts.steps.run(workload, 1, request(), Trainer().send, "red")
+        await self.start_step(rollouts, Trainer(), number=2)
+        told = {order.workspace for order in rollouts.generated()}
+        self.assertEqual(told, {"red", None})
+
+
 class TrainerTest(StepTestCase):
     async def test_generation_continues_when_the_trainer_reads_slowly(self):
         rollouts = await self.start_rollouts()
