Add cranberryctl workspace-key and the table of workspaces

Cause: operators need to make and revoke keys without handling digests.

Change: `workspace-key create NAME` makes a key of 256 random bits, sends its digest and shows the key once; `workspace-key revoke NAME ID` revokes one. Both change the resource under its generation and repeat after a conflict. If the outcome of a create is unknown, its key is not shown and the message says what to do. `get workspaces` shows ids and times; `diff` and `apply` compare keys by id.

--- a/cranberryrun/ctl.py
+++ b/cranberryrun/ctl.py
@@ -5,7 +5,7 @@
 import click
 from click.shell_completion import get_completion_class
 
-from . import ctl_duties, ctl_fleet, ctl_resources, ctl_route
+from . import ctl_duties, ctl_fleet, ctl_keys, ctl_resources, ctl_route
 from .ctl_control import Control
 
 _PROGRAM = "cranberryctl"
@@ -65,6 +65,7 @@
     *ctl_fleet.COMMANDS,
     *ctl_route.COMMANDS,
     ctl_duties.duties,
+    ctl_keys.workspace_key,
 ):
     main.add_command(_command)
 
--- a/cranberryrun/ctl_apply.py
+++ b/cranberryrun/ctl_apply.py
@@ -15,10 +15,16 @@
 from .ctl_client import ControlClient, Request
 from .ctl_errors import NotInForceError, ProblemAnswerError, UsageError
 from .ctl_output import find_condition
+from .ctl_workspaces import comparable_workspace
 from .models import SPEC_BY_KIND, Model
 
 _POLL_INTERVAL_SECONDS = 0.3
-_PLURAL_BY_KIND = {"workload": "workloads", "engine": "engines", "service": "services"}
+_PLURAL_BY_KIND = {
+    "workload": "workloads",
+    "engine": "engines",
+    "service": "services",
+    "workspace": "workspaces",
+}
 ProgressReporter = Callable[[str], None]
 
 
@@ -107,7 +113,10 @@
 def spec_diff(declared: DeclaredResource, current: dict[str, Any] | None) -> str:
     """Return a unified diff from the current to the declared spec; empty if equal."""
     current_lines = _spec_lines(current["spec"]) if current else []
-    declared_lines = _spec_lines(with_defaults(declared.kind, declared.spec))
+    spec = with_defaults(declared.kind, declared.spec)
+    if declared.kind == "workspaces":
+        spec = comparable_workspace(spec, current["spec"] if current else {})
+    declared_lines = _spec_lines(spec)
     name = f"{declared.kind}/{declared.name}"
     return "\n".join(
         difflib.unified_diff(
--- a/cranberryrun/ctl_resources.py
+++ b/cranberryrun/ctl_resources.py
@@ -19,6 +19,7 @@
 from .ctl_client import ControlClient, Request
 from .ctl_control import Control, pass_control
 from .ctl_output import ExitCode, description, resource_table
+from .ctl_workspaces import workspace_table
 from .models import KINDS
 
 _DEFAULT_WAIT_SECONDS = 30.0
@@ -99,10 +100,12 @@
     async def show_resources(client: ControlClient) -> None:
         if name is not None:
             item = await client.get(resource_path(kind, name))
-            control.show(item, resource_table([item]))
+            control.show(item, format_items([item]))
             return
         listed = await client.get(f"/v1/{plural(kind)}")
-        control.show(listed, resource_table(listed["items"]))
+        control.show(listed, format_items(listed["items"]))
+
+    format_items = workspace_table if plural(kind) == "workspaces" else resource_table
 
     control.run(show_resources)
 
