Keep the last moves for runs that would be late without noise

Change: with fewer than 20 unused moves, the margins for noise and for low estimates shrink with their number.

--- a/cranberryrun/batches/slow_spans.py
+++ b/cranberryrun/batches/slow_spans.py
@@ -34,6 +34,9 @@
 # Moves as a share of all runs started, and how many may be made at once.
 _MOVES_PER_RUN = 0.1
 _MAX_UNUSED_MOVES = 40.0
+# With fewer unused moves, runs need to be closer to being late: without any left, only
+# those count that would be late without noise.
+_PLENTY_OF_MOVES = 20.0
 # Engines that are slower for long by more than this factor are chosen only if there is
 # no other.
 _MAX_FACTOR = 1.5
@@ -92,6 +95,8 @@
         self._interval_by_service = usual_intervals(engines)
         self._watched = []
         late: list[ScheduledItem] = []
+        share = min(1.0, self.unused_moves / _PLENTY_OF_MOVES)
+        noise, room = 1.0 + share * (_NOISE_FACTOR - 1.0), share * _ROOM_SECONDS
         end_by_batch: dict[str, float] = {}
         for scheduled in scheduled_items:
             if scheduled.engine is None or scheduled.ahead:
@@ -103,10 +108,10 @@
             if batch_id not in end_by_batch:
                 end_by_batch[batch_id] = desired_end(scheduled)
             interval = max(
-                _NOISE_FACTOR * usual, scheduled.engine.expected_event_interval(usual)
+                noise * usual, scheduled.engine.expected_event_interval(usual)
             )
             seconds = _most_remaining_events(scheduled) * interval
-            if now_wall + seconds + _ROOM_SECONDS >= end_by_batch[batch_id]:
+            if now_wall + seconds + room >= end_by_batch[batch_id]:
                 late.append(scheduled)
         if not late:
             return
--- a/tests/test_slow_spans.py
+++ b/tests/test_slow_spans.py
@@ -115,6 +115,16 @@
             spans.record_start()
         self.assertEqual(len(self.moves(runs, engines, spans)), 1)
 
+    async def test_few_moves_that_are_left_are_for_runs_that_are_late_anyhow(self):
+        """Runs with some room used up the moves of those that had none."""
+        engines = self.fleet()
+        self.show_full_speed(*engines[1:])
+        run = self.run_on(engines[0], events=100)
+        self.assertEqual(len(self.moves([run], engines, desired_end=5.4)), 1)
+        few = SlowSpans(unused_moves=2.0)
+        self.assertEqual(self.moves([run], engines, few, desired_end=5.4), [])
+        self.assertEqual(len(self.moves([run], engines, few, desired_end=4.9)), 1)
+
     async def test_no_run_moves_where_it_may_not_go_on(self):
         """Not to another software version, a full, leaving or limited engine."""
         engines = self.fleet(6)
