Take over recorded engine speeds that are newer than the own ones

Cause: a host that held the lease before kept its old measurements, because only engines without any took a speed from the record; and its gauge of engine factors kept the last values after it lost the lease.

Change: the newer of the measurement and the record counts; the moves' state is forgotten with the lease.

--- a/cranberryrun/batches/mover.py
+++ b/cranberryrun/batches/mover.py
@@ -49,12 +49,16 @@
         self._scheduler = scheduler
         self._scheduled_items = scheduled_items
         self._move = move
+        self.reset()
+        metrics = kernel.get(Metrics)
+        metrics.register_gauge("engine_factor", lambda: self._factor_by_engine)
+
+    def reset(self) -> None:
+        """Forget everything, as a host does that lost the lease."""
         self._slow_spans = SlowSpans()
         self._next_check_at = 0.0
         self._slow_engines: set[str] = set()
         self._factor_by_engine: dict[str, float] = {}
-        metrics = kernel.get(Metrics)
-        metrics.register_gauge("engine_factor", lambda: self._factor_by_engine)
 
     def restore_speeds(self, record: SpeedRecord | None) -> int:
         """Take over the engine speeds of the previous holder, if it recorded any.
--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -144,6 +144,7 @@
                 await self._stop_all()
                 self._scheduled_items.clear()
                 self._scheduler.reset()
+                self._mover.reset()
 
     async def _run_as_holder(self, lease: Lease, log: BatchLog) -> None:
         await self._recover(lease, log)
--- a/cranberryrun/fleet/engine_speed.py
+++ b/cranberryrun/fleet/engine_speed.py
@@ -87,8 +87,7 @@
 
     def restore(self, interval: float) -> None:
         """Take over the lasting interval, in seconds, that another host measured."""
-        if not self._lasting_interval:
-            self._lasting_interval = interval
+        self._lasting_interval = interval
 
     def lasting_interval(self) -> float:
         """Return the seconds between events without slow spans; 0 if not known.
--- a/cranberryrun/fleet/speed_record.py
+++ b/cranberryrun/fleet/speed_record.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
+from .. import clock
 from .engine_pool import Engine
 
 # Engines whose factor is smaller are not listed. Measured factors of equal engines
@@ -71,7 +72,7 @@
 def restore_speeds(
     record: SpeedRecord, engines: Collection[Engine], now_wall: float
 ) -> int:
-    """Take over the speeds of engines that this host has not measured.
+    """Take over the speeds of engines that this host has not measured since then.
 
     The older the record, the less slow its engines are taken to be.
 
@@ -84,7 +85,9 @@
     restored = 0
     for engine in engines:
         usual = record.interval_by_service.get(engine.target.service)
-        if usual is None or engine.event_interval:
+        if usual is None:
+            continue
+        if engine.event_interval and engine.interval_recorded_at >= clock.now() - age:
             continue
         factor = record.factor_by_engine.get(engine.id, 1.0)
         engine.restore_event_interval(factor * usual, age)
--- a/tests/test_speed_record.py
+++ b/tests/test_speed_record.py
@@ -40,10 +40,14 @@
         engine = self.unmeasured("e0")
         self.assertEqual(restore_speeds(self.record(), [engine], NOW + 60.0), 0)
 
-    async def test_measured_speed_is_kept(self):
+    async def test_newer_measurement_is_kept_and_older_one_is_not(self):
+        """A host that held the lease before has old measurements."""
         engine = self.engine("e0", 0.05)
-        restore_speeds(self.record(), [engine], NOW)
+        restore_speeds(self.record(), [engine], NOW + 1.0)
         self.assertAlmostEqual(engine.event_interval, 0.05)
+        await asyncio.sleep(5.0)
+        restore_speeds(self.record(), [engine], NOW + 1.0)
+        self.assertAlmostEqual(engine.event_interval, 0.15)
 
     async def test_record_of_600_engines_fits_beside_the_progress(self):
         engines = [self.engine(f"engine-{n:04d}", 0.05) for n in range(480)]
