--- a/cranberryrun/batches/slow_spans.py
+++ b/cranberryrun/batches/slow_spans.py
@@ -13,15 +13,13 @@
 
 from ..fleet.engine_pool import Engine
 from ..fleet.speed_record import usual_intervals
-from .engine_choice import Move, may_run
+from .engine_choice import SLOW_SPAN_COST_SECONDS, Move, may_run
 from .engine_memory import EngineBudget
 from .group_ranks import SPARE, rank_by_group
 from .scheduled_item import ScheduledItem
 
 # Runs with fewer events to come end before a move would pay.
 _MIN_REMAINING_EVENTS = 4.0
-# What a slow span of average length costs if the run stays.
-_SLOW_SPAN_COST_SECONDS = 0.3
 # Noise makes an output take this much longer in the mean: 15% of the time, 2.5 times.
 _NOISE_FACTOR = 1.25
 # Estimates of lengths are often too low. A run that would end this long before its step
@@ -36,6 +34,9 @@
 # Moves as a share of all runs started, and how many may be made at once.
 _MOVES_PER_RUN = 0.1
 _MAX_UNUSED_MOVES = 40.0
+# With fewer unused moves, runs need to be closer to being late: without any left, only
+# those count that would be late without noise.
+_PLENTY_OF_MOVES = 20.0
 # Engines that are slower for long by more than this factor are chosen only if there is
 # no other.
 _MAX_FACTOR = 1.5
@@ -94,6 +95,8 @@
         self._interval_by_service = usual_intervals(engines)
         self._watched = []
         late: list[ScheduledItem] = []
+        share = min(1.0, self.unused_moves / _PLENTY_OF_MOVES)
+        noise, room = 1.0 + share * (_NOISE_FACTOR - 1.0), share * _ROOM_SECONDS
         end_by_batch: dict[str, float] = {}
         for scheduled in scheduled_items:
             if scheduled.engine is None or scheduled.ahead:
@@ -105,10 +108,10 @@
             if batch_id not in end_by_batch:
                 end_by_batch[batch_id] = desired_end(scheduled)
             interval = max(
-                _NOISE_FACTOR * usual, scheduled.engine.expected_event_interval(usual)
+                noise * usual, scheduled.engine.expected_event_interval(usual)
             )
             seconds = _most_remaining_events(scheduled) * interval
-            if now_wall + seconds + _ROOM_SECONDS >= end_by_batch[batch_id]:
+            if now_wall + seconds + room >= end_by_batch[batch_id]:
                 late.append(scheduled)
         if not late:
             return
@@ -156,7 +159,7 @@
             scheduled.slow_span_moves += 1
             if engine.id in budget_by_id:
                 budget_by_id[engine.id].add(scheduled)
-            yield Move(scheduled, engine, _SLOW_SPAN_COST_SECONDS)
+            yield Move(scheduled, engine, SLOW_SPAN_COST_SECONDS)
 
     def _may_leave(self, scheduled: ScheduledItem, now: float) -> bool:
         return (
@@ -228,6 +231,20 @@
         return best
 
 
+def slow_engines(engines: Sequence[Engine], now: float) -> frozenset[str]:
+    """Return the ids of the engines that are in a slow span.
+
+    :param now: the current time, in loop seconds.
+    """
+    interval_by_service = usual_intervals(engines)
+    return frozenset(
+        engine.id
+        for engine in engines
+        if (usual := interval_by_service.get(engine.target.service)) is not None
+        and engine.speed.slow_now(now, usual)
+    )
+
+
 def _most_remaining_events(scheduled: ScheduledItem) -> float:
     """Return how many more events an output may well have.
 
