Keep engines that are there instead of exchanging them for small savings

Cause: engines were exchanged as soon as others were 8% cheaper, and more were ordered above 75% of the slots even while all steps were on time. On deployment L the loads of weights and new connections of ordered engines cost several times the price of all engine seconds.

Change: while all steps are on time, lost engines are replaced and more are ordered only above 100% of the slots, added to those that are there, with few new ones preferred. Fewer engines are ordered for 1.2 times the need, and removals and exchanges only once the saving exceeds their cost (scaling/retention.py).

--- a/cranberryrun/scaling/capacity.py
+++ b/cranberryrun/scaling/capacity.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
@@ -29,6 +30,9 @@
 # An engine that is not there yet is preferred to one that is only if it costs less by
 # this factor, since each exchange of engines interrupts runs.
 _EXCHANGE_FACTOR = 1.15
+# Where engines lack, each one that is added counts as this many on-demand engines more.
+# Its weights and connections cost as much within the time after which exchanges pay.
+_ADDED_ENGINE_FACTOR = 1.0
 # Speeds of zones between these shares of the fastest zone's speed are believed.
 _MIN_ZONE_SPEED = 0.4
 
@@ -166,12 +170,40 @@
     )
 
 
+def open_work_fits(
+    demand: ServiceDemand, slots: float, event_interval: float, now: float
+) -> bool:
+    """Return whether this many slots do the work of all open steps before it is due.
+
+    :param event_interval: seconds for one event on the reference engine.
+    :param now: in seconds since 1970.
+    """
+    work = 0.0
+    for step in sorted(demand.open_steps, key=lambda step: step.due):
+        work += step.events * event_interval
+        if not math.isfinite(step.due):
+            continue
+        if work > slots * (step.due - now):
+            return False
+    return True
+
+
 class _Choice:
-    """Adds engines one by one, the cheapest for its slots first."""
+    """Adds engines one by one, the cheapest for its slots first.
 
-    def __init__(self, zones: Sequence[ZoneState], autoscale: Autoscale) -> None:
+    :param added_factor: what each engine that is not there yet costs more, in on-demand
+        engines of its zone.
+    """
+
+    def __init__(
+        self,
+        zones: Sequence[ZoneState],
+        autoscale: Autoscale,
+        added_factor: float = 0.0,
+    ) -> None:
         self._zones = zones
         self._autoscale = autoscale
+        self._added_factor = added_factor
         self.slots_by_zone = {zone.zone: zone.slots for zone in zones}
         self.count_by_kind: dict[EngineKind, int] = {}
         for zone in zones:
@@ -179,7 +211,7 @@
             self.count_by_kind[zone.zone, True] = 0
 
     def copy(self) -> _Choice:
-        twin = _Choice(self._zones, self._autoscale)
+        twin = _Choice(self._zones, self._autoscale, self._added_factor)
         twin.count_by_kind = dict(self.count_by_kind)
         return twin
 
@@ -205,6 +237,9 @@
                 added = max(0, count - zone.held_by_spot.get(spot, 0))
                 price = self._autoscale.price(zone.zone, spot)
                 total += price * (count + (_EXCHANGE_FACTOR - 1.0) * added)
+                total += (
+                    self._autoscale.price(zone.zone, False) * self._added_factor * added
+                )
         return total
 
     def _rank(self, zone: ZoneState, spot: bool) -> tuple[float, float]:
@@ -231,7 +266,25 @@
 
     If the bounds do not allow enough, as many as they allow.
     """
-    base = _Choice(zones, autoscale)
+    return _cheapest(_Choice(zones, autoscale), need)
+
+
+def add_engines(
+    need: Need, zones: Sequence[ZoneState], autoscale: Autoscale
+) -> dict[EngineKind, int]:
+    """Return the engines that are there with the cheapest ones that ``need`` lacks."""
+    base = _Choice(zones, autoscale, _ADDED_ENGINE_FACTOR)
+    for zone in zones:
+        for spot, count in zone.held_by_spot.items():
+            base.count_by_kind[zone.zone, spot] = count
+        # Bounds hold for both kinds together.
+        missing = autoscale.minimum - sum(zone.held_by_spot.values())
+        base.count_by_kind[zone.zone, False] += max(0, missing)
+    return _cheapest(base, need)
+
+
+def _cheapest(base: _Choice, need: Need) -> dict[EngineKind, int]:
+    """Return the cheapest engines that include ``base`` and cover ``need``."""
     slots_by_zone = base.slots_by_zone
     while capacity_slots(
         base.count_by_kind, slots_by_zone
--- a/cranberryrun/scaling/policy.py
+++ b/cranberryrun/scaling/policy.py
@@ -1,14 +1,13 @@
 """When which number of engines is ordered. Does no I/O.
 
 Responds to a demand that rises and falls within minutes, to engines that are lost, and
-to zones without engines. More engines are ordered at once, fewer only after the lower
-number has been enough for some time: an idle engine costs its price, a late step far
-more.
+to zones without engines. More engines are ordered at once where steps would be late,
+fewer only after the lower number was enough for some time: an idle engine costs its
+price, a new engine much more, and a late step far more.
 """
 
 from __future__ import annotations
 
-import math
 import statistics
 from collections import deque
 from collections.abc import Collection, Mapping
@@ -20,25 +19,23 @@
     EngineKind,
     Need,
     ZoneState,
+    add_engines,
     capacity_slots,
-    choose_engines,
     covers,
     needed_slots,
+    open_work_fits,
     reference_interval,
-    total_price,
     zone_speed,
 )
 from .demand import ServiceDemand
 from .kind_state import KindState, remember
 from .models import Order, ScalingInputs
+from .retention import CheaperEngines, Retention, need_after_reduction
 
 # A lower number must have been enough for this many paces of the slowest trainer, and
 # at least for this time, before fewer engines are ordered.
 _HOLD_PACES = 3.0
 _MIN_HOLD_SECONDS = 10.0
-# Engines are exchanged or removed only if that saves this share of their price: the
-# sizes of steps vary, and each removal interrupts runs.
-_MIN_SAVING_SHARE = 0.08
 # The time between two orders for fewer engines, in paces of the slowest trainer and at
 # least, so that a step has run on the engines that are left before more are removed.
 _REDUCTION_PACES = 2.0
@@ -69,6 +66,8 @@
     def __init__(self) -> None:
         self._state_by_kind: dict[EngineKind, KindState] = {}
         self._reduced_at = float("-inf")
+        self._retention = Retention()
+        self._cheaper_engines = CheaperEngines()
         self._needs: deque[tuple[float, Need]] = deque()
         self._runs_per_engine: deque[tuple[float, float]] = deque()
         self.wanted_by_kind: dict[EngineKind, int] = {}
@@ -132,13 +131,26 @@
         zones = self._zone_states(inputs, expected, interval, now)
         slots_by_zone = {zone.zone: zone.slots for zone in zones}
         may_reduce, largest = self._largest_need(inputs.demand, need, now)
-        self.wanted_by_kind = choose_engines(largest, zones, inputs.autoscale)
-        if covers(expected, slots_by_zone, need):
-            if not may_reduce or not self._saves_enough(inputs.autoscale, expected):
-                self.wanted_by_kind = _raised_to_minimum(expected, inputs.autoscale)
-                may_reduce = False
+        slots = capacity_slots(expected, slots_by_zone)
+        required = self._retention.required(
+            need,
+            expected,
+            slots_by_zone,
+            open_work_fits(inputs.demand, slots, interval, now),
+            now,
+        )
+        if not covers(expected, slots_by_zone, required):
+            self._cheaper_engines.clear()
+            self.wanted_by_kind = add_engines(required, zones, inputs.autoscale)
+            return self._increase(inputs, present, expected, need, now)
+        cheaper, largest = None, need_after_reduction(largest)
+        if may_reduce:
+            cheaper = self._cheaper_engines.choose(
+                largest, zones, inputs.autoscale, now, _MAX_GAP_SECONDS
+            )
+        self.wanted_by_kind = cheaper or _raised_to_minimum(expected, inputs.autoscale)
         order = self._increase(inputs, present, expected, need, now)
-        if order is not None or not may_reduce:
+        if order is not None or cheaper is None:
             return order
         return self._decrease(inputs, slots_by_zone, present, expected, largest, now)
 
@@ -162,13 +174,6 @@
         remember(self._needs, now, need, hold_seconds)
         return now - self._needs[0][0] >= hold_seconds, _largest(self._needs)
 
-    def _saves_enough(
-        self, autoscale: Autoscale, expected: Mapping[EngineKind, int]
-    ) -> bool:
-        """Return whether the wanted engines are clearly cheaper than these."""
-        limit = (1.0 - _MIN_SAVING_SHARE) * total_price(expected, autoscale)
-        return total_price(self.wanted_by_kind, autoscale) <= limit
-
     def _state(self, zone: str, spot: bool) -> KindState:
         return self._state_by_kind.setdefault((zone, spot), KindState())
 
@@ -390,11 +395,4 @@
     if inputs.runs > usable_slots:
         return False
     interval = reference_interval(inputs.groups)
-    work = 0.0
-    for step in sorted(inputs.demand.open_steps, key=lambda step: step.due):
-        work += step.events * interval
-        if not math.isfinite(step.due):
-            continue
-        if work > usable_slots * (step.due - now):
-            return False
-    return True
+    return open_work_fits(inputs.demand, usable_slots, interval, now)
