Show the orders for engines and their reasons with cranberryctl scale

Cause: the events 521 to 523 have the inputs of an order, but not why it was made, and reading which order was refused, given up or superseded needed a query by hand over the logs of several hosts.

The event of an order has its reason: lost engines, late steps, work above all slots, cheaper engines, or a zone below its minimum.

--- a/cranberryrun/ctl.py
+++ b/cranberryrun/ctl.py
@@ -5,7 +5,7 @@
 import click
 from click.shell_completion import get_completion_class
 
-from . import ctl_duties, ctl_fleet, ctl_resources, ctl_route
+from . import ctl_duties, ctl_fleet, ctl_resources, ctl_route, ctl_scale
 from .ctl_control import Control
 
 _PROGRAM = "cranberryctl"
@@ -24,6 +24,7 @@
 )
 @click.option("--token", help="Bearer token with the operator role.")
 @click.option(
+    "-o",
     "--output",
     type=click.Choice(["table", "json"]),
     default="table",
@@ -65,6 +66,7 @@
     *ctl_fleet.COMMANDS,
     *ctl_route.COMMANDS,
     ctl_duties.duties,
+    ctl_scale.scale,
 ):
     main.add_command(_command)
 
--- a/cranberryrun/scaling/duty.py
+++ b/cranberryrun/scaling/duty.py
@@ -217,7 +217,8 @@
             if order is not None:
                 return (
                     self._call(service, order, inputs, now),
-                    _event_fields(service, order, inputs, now),
+                    _event_fields(service, order, inputs, now)
+                    | {"reason": policy.order_reason},
                 )
         return None
 
--- a/cranberryrun/scaling/policy.py
+++ b/cranberryrun/scaling/policy.py
@@ -13,7 +13,6 @@
 from collections.abc import Collection, Mapping
 
 from ..batches.engine_choice import unreserved_slots
-from ..fleet.manifest import Autoscale
 from .capacity import (
     TARGET_UTILIZATION,
     EngineKind,
@@ -30,7 +29,14 @@
 from .demand import ServiceDemand
 from .kind_state import KindState, remember
 from .models import Order, ScalingInputs
-from .retention import CheaperEngines, Retention, need_after_reduction
+from .retention import (
+    BELOW_MINIMUM,
+    CHEAPER,
+    CheaperEngines,
+    Retention,
+    need_after_reduction,
+    raised_to_minimum,
+)
 
 # A lower number must have been enough for this many paces of the slowest trainer, and
 # at least for this time, before fewer engines are ordered.
@@ -74,6 +80,8 @@
         self.present_by_kind: dict[EngineKind, int] = {}
         # Why nothing is ordered; None if orders are possible.
         self.held_reason: str | None = None
+        # Why the last order was decided.
+        self.order_reason = ""
 
     def record_order(
         self, zone: str, spot: bool, count: int, present: int, at: float
@@ -141,6 +149,7 @@
         )
         if not covers(expected, slots_by_zone, required):
             self._cheaper_engines.clear()
+            self.order_reason = self._retention.reason
             self.wanted_by_kind = add_engines(required, zones, inputs.autoscale)
             return self._increase(inputs, present, expected, need, now)
         cheaper, largest = None, need_after_reduction(largest)
@@ -148,7 +157,8 @@
             cheaper = self._cheaper_engines.choose(
                 largest, zones, inputs.autoscale, now, _MAX_GAP_SECONDS
             )
-        self.wanted_by_kind = cheaper or _raised_to_minimum(expected, inputs.autoscale)
+        self.order_reason = CHEAPER if cheaper else BELOW_MINIMUM
+        self.wanted_by_kind = cheaper or raised_to_minimum(expected, inputs.autoscale)
         order = self._increase(inputs, present, expected, need, now)
         if order is not None or cheaper is None:
             return order
@@ -366,17 +376,6 @@
     )
 
 
-def _raised_to_minimum(
-    count_by_kind: Mapping[EngineKind, int], autoscale: Autoscale
-) -> dict[EngineKind, int]:
-    """Return the numbers with on-demand engines added where a zone has too few."""
-    raised = dict(count_by_kind)
-    for zone in {zone for zone, _ in count_by_kind}:
-        missing = autoscale.minimum - raised[zone, False] - raised[zone, True]
-        raised[zone, False] += max(0, missing)
-    return raised
-
-
 def _longest_pace(demand: ServiceDemand) -> float:
     return max((model.pace for model in demand.models), default=0.0)
 
--- a/cranberryrun/scaling/retention.py
+++ b/cranberryrun/scaling/retention.py
@@ -40,6 +40,12 @@
 # After a step was late or engines lacked, engines are ordered for the target
 # utilization for this long: two boot times and 2 s, in which the new ones take effect.
 _SHORT_SECONDS = 10.0
+# Why engines are ordered.
+STEPS_LATE = "a step is late or cannot be on time"
+SLOTS_EXCEEDED = "the work exceeds all slots"
+ENGINES_LOST = "engines were lost"
+CHEAPER = "fewer or cheaper engines suffice"
+BELOW_MINIMUM = "the zone is below its minimum"
 
 
 class Retention:
@@ -53,6 +59,8 @@
     def __init__(self) -> None:
         self._kept_by_kind: dict[EngineKind, int] = {}
         self._short_at = float("-inf")
+        # Why the engines do not cover the required need, if they do not.
+        self.reason = ENGINES_LOST
 
     def required(
         self,
@@ -74,8 +82,10 @@
             # The largest of the newest steps counts, so demand that rises grows step by
             # step. Ordering for the target utilization leaves room for the next one.
             self._short_at = now
+            self.reason = SLOTS_EXCEEDED if on_time else STEPS_LATE
         required = need
         if now >= self._short_at + _SHORT_SECONDS:
+            self.reason = ENGINES_LOST
             kept_slots = self._kept_slots(slots_by_zone)
             required = replace(
                 need, total=max(need.on_demand, min(need.total, kept_slots))
@@ -203,3 +213,14 @@
         autoscale.price(kind[0], False) * max(0, count - smaller.get(kind, 0))
         for kind, count in larger.items()
     )
+
+
+def raised_to_minimum(
+    count_by_kind: Mapping[EngineKind, int], autoscale: Autoscale
+) -> dict[EngineKind, int]:
+    """Return the numbers with on-demand engines added where a zone has too few."""
+    raised = dict(count_by_kind)
+    for zone in {zone for zone, _ in count_by_kind}:
+        missing = autoscale.minimum - raised[zone, False] - raised[zone, True]
+        raised[zone, False] += max(0, missing)
+    return raised
--- a/tests/test_scale_duty.py
+++ b/tests/test_scale_duty.py
@@ -7,6 +7,7 @@
 from cranberryrun.duties.client import EngineOrder
 from cranberryrun.scaling.duty import ScaleDuty
 from cranberryrun.scaling.models import EngineGroup, ScalingInputs
+from cranberryrun.scaling.retention import SLOTS_EXCEEDED
 
 from .test_scaling_policy import AUTOSCALE, ENGINE_SLOTS, INTERVAL, demand
 
@@ -53,6 +54,7 @@
         self.assertEqual(self.event_names(), ["engines_wanted"])
         fields = self.events[0][1]
         self.assertEqual((fields["demand_age"], fields["present"]), (100.0, 8))
+        self.assertEqual(fields["reason"], SLOTS_EXCEEDED)
         self.assertNotEqual(self.duty.next_call(100.1), call)
 
     def test_call_is_sent_as_recorded_and_its_acceptance_is_logged_with_its_age(self):
--- a/tests/test_scaling_retention.py
+++ b/tests/test_scaling_retention.py
@@ -5,6 +5,7 @@
 
 from cranberryrun.scaling.capacity import covers, needed_slots
 from cranberryrun.scaling.demand import OpenStep
+from cranberryrun.scaling.retention import ENGINES_LOST, STEPS_LATE
 
 from .test_scaling_policy import (
     AUTOSCALE,
@@ -37,6 +38,7 @@
         self.assertEqual(self.orders, [])
         late = replace(_BUSY, open_steps=(OpenStep(due=self.now - 0.1, events=1.0),))
         self.play_spot(0.5, late)
+        self.assertEqual(self.policy.order_reason, STEPS_LATE)
         # The step ends; the rest of the engines is ordered all the same.
         self.play_spot(5.0, _BUSY)
         need = needed_slots(_BUSY, INTERVAL, plain_requests=False)
@@ -51,7 +53,11 @@
     def test_lost_engines_are_replaced_and_all_others_stay(self):
         self.play_spot(20.0, _BUSY)
         self.ready["b", False] = 5
-        self.play_spot(9.0, _BUSY)
+        while not self.orders:
+            self.play_spot(0.5, _BUSY)
+        reason = self.policy.order_reason
+        self.play_spot(6.0, _BUSY)
+        self.assertEqual(reason, ENGINES_LOST)
         # As many new ones as were lost, of whatever kind.
         self.assertEqual(sum(self.ready.values()), 24)
         self.assertEqual((self.ready["a", False], self.ready["c", False]), (8, 8))
