--- a/cranberryrun/scaling/retention.py
+++ b/cranberryrun/scaling/retention.py
@@ -22,8 +22,8 @@
     total_price,
 )
 
-# Engines are exchanged once the others would have saved the price of so many seconds of
-# an on-demand engine for each new one: 20 steps of a trainer that submits one every 4 s.
+# Engines are exchanged once the others would have saved the price of so many seconds
+# of an on-demand engine for each new one: 20 steps of a trainer at a pace of 4 s.
 # Until then the demand may still change, and an exchange interrupts runs and loads the
 # weights of all models, which slows the loads of the engines that serve.
 _NEW_ENGINE_SECONDS = 80.0
