Judge engines of a slower zone by their own interval

Cause: in a zone that is 1.3 times slower for good, single gaps at full speed reach 97 ms and passed for slow spans of 90 ms, and a long run that moved to such a zone for a moment lost more than the span costs.

Change: up to a lasting factor of 1.4, an engine's own interval counts. No run moves where its remaining events would take 0.4 s longer. Runs at an engine are counted where their end is, so that one that is cancelled before it begins leaves no count behind.

--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -278,7 +278,6 @@
         self._scheduler.record_start(scheduled)
         self._mover.record_start()
         engine.in_flight += 1
-        engine.speed.record_start(scheduled.started_at)
         scheduled.task = self.spawn(self._run(scheduled, engine))
 
     def _move_run(
@@ -336,6 +335,7 @@
         started_at = clock.now()
         pieces_before = len(scheduled.pieces)
         outcome = Outcome("cancelled")
+        engine.speed.record_start(started_at)
         try:
             outcome = await run_item(self.kernel, scheduled, engine)
             if outcome.result is not None:
--- a/cranberryrun/batches/slow_spans.py
+++ b/cranberryrun/batches/slow_spans.py
@@ -37,9 +37,11 @@
 # With fewer unused moves, runs need to be closer to being late: without any left, only
 # those count that would be late without noise.
 _PLENTY_OF_MOVES = 20.0
-# Engines that are slower for long by more than this factor are chosen only if there is
-# no other.
-_MAX_FACTOR = 1.5
+# A slow span costs at most this. No run moves to an engine whose lasting slowness would
+# cost it more.
+_MAX_EXTRA_SECONDS = 0.4
+# Engines whose lasting factors differ by less than about this count as equally fast.
+_FACTOR_STEP = 0.2
 # If more of the busy engines than this seem slow, the cause is more likely on this host
 # or its link.
 _MAX_SLOW_SHARE = 0.6
@@ -183,8 +185,10 @@
     ) -> bool:
         slow = slow_by_engine.get(engine.id)
         if slow is None:
-            interval = self._interval_by_service.get(engine.target.service)
-            slow = interval is not None and engine.speed.slow_now(now, interval)
+            usual = self._interval_by_service.get(engine.target.service)
+            slow = usual is not None and engine.speed.slow_now(
+                now, engine.normal_interval(usual)
+            )
             slow_by_engine[engine.id] = slow
         return slow
 
@@ -198,9 +202,13 @@
     ) -> Engine | None:
         """Return the engine that goes on with a run.
 
-        Engines whose runs show full speed are preferred to those without runs, and
-        then those with the most free slots.
+        Engines that are slower for long come last. Of the others, those whose runs show
+        full speed are preferred, and then those with the most free slots.
         """
+        assert scheduled.engine is not None
+        own_usual = self._interval_by_service[scheduled.engine.target.service]
+        own_interval = scheduled.engine.expected_event_interval(own_usual)
+        remaining = scheduled.remaining_events()
         best: Engine | None = None
         best_cost: tuple[float, ...] = ()
         for engine in engines:
@@ -221,9 +229,13 @@
             usual = self._interval_by_service.get(engine.target.service)
             if usual is None:
                 continue
+            interval = engine.expected_event_interval(usual)
+            if (interval - own_interval) * remaining > _MAX_EXTRA_SECONDS:
+                continue
+            normal = engine.normal_interval(usual)
             cost = (
-                float(engine.lasting_factor(usual) > _MAX_FACTOR),
-                float(not engine.speed.full_speed_now(now, usual)),
+                float(round(engine.lasting_factor(usual) / _FACTOR_STEP)),
+                float(not engine.speed.full_speed_now(now, normal)),
                 engine.in_flight / engine.target.slots,
             )
             if best is None or cost < best_cost:
@@ -241,7 +253,7 @@
         engine.id
         for engine in engines
         if (usual := interval_by_service.get(engine.target.service)) is not None
-        and engine.speed.slow_now(now, usual)
+        and engine.speed.slow_now(now, engine.normal_interval(usual))
     )
 
 
--- a/cranberryrun/fleet/engine_pool.py
+++ b/cranberryrun/fleet/engine_pool.py
@@ -23,6 +23,8 @@
 # A measured interval loses half its weight in this time, because the slowness of an
 # engine may have ended since.
 _INTERVAL_HALF_LIFE_SECONDS = 4.0
+# A zone may be 1.3 times slower than others for good, and its single gaps are longer.
+_MAX_NORMAL_FACTOR = 1.4
 
 
 def _unlimited() -> None:
@@ -143,6 +145,16 @@
         """
         return self.expected_event_interval(usual) / usual
 
+    def normal_interval(self, usual: float) -> float:
+        """Return the seconds between this engine's events outside of slow spans.
+
+        An engine that is much slower than others for long is never normal.
+
+        :param usual: the interval of the fastest engine, in seconds.
+        """
+        factor = self.lasting_factor(usual)
+        return usual * factor if factor <= _MAX_NORMAL_FACTOR else usual
+
 
 class EnginePool(Service):
     """Keeps one :class:`Engine` for each target that serves models.
--- a/tests/test_slow_spans.py
+++ b/tests/test_slow_spans.py
@@ -90,6 +90,23 @@
         run = self.run_on(engines[0])
         self.assertEqual(self.moves([run], engines), [(run, "e2")])
 
+    async def test_run_does_not_move_to_a_slower_zone_for_a_moment(self):
+        """A zone that is 1.3 times slower costs a long run more than a slow span."""
+        engines = self.fleet()
+        self.show_full_speed(*engines[1:])
+        for engine in engines[1:]:
+            engine.event_interval = 1.3 * INTERVAL
+        run = self.run_on(engines[0])
+        self.assertEqual(self.moves([run], engines), [])
+        engines[3].event_interval = INTERVAL
+        self.assertEqual(self.moves([run], engines), [(run, "e3")])
+
+    async def test_single_long_gap_in_a_slower_zone_is_no_slow_span(self):
+        engines = self.fleet()
+        self.show_full_speed(*engines[1:])
+        engines[0].event_interval = 1.3 * INTERVAL
+        self.assertEqual(self.moves([self.run_on(engines[0])], engines), [])
+
     async def test_no_run_moves_while_most_engines_are_silent(self):
         """A pause of the holder or its link looks like a slow span of all engines."""
         engines = self.fleet()
