Bound the bytes that a host holds for slow readers

Cause: nothing bounded them together. Decoding a batch takes up to 5.4 times its body.

Change: BufferBudget counts what is held, by path, against 0.15 of memory_mb. Beyond it bodies are refused with 503 before they are read, and the largest answers with slow readers are given up. Streams hold one event and 32 KB of their target's connection. Connections that are not read for the route's timeout are closed, as are heads that take longer than 10 s. A target that resets an unread stream is not at fault, and the stream goes on where the route allows it.

--- a/cranberryrun/batches/result_source.py
+++ b/cranberryrun/batches/result_source.py
@@ -22,6 +22,11 @@
     results: list[Result]
     workspace: str | None = None
 
+    @property
+    def text_size(self) -> int:
+        """The number of characters of all results."""
+        return sum(len(result.text) for result in self.results)
+
 
 class ResultSource(Service):
     """Reads from other hosts what they have in memory."""
--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -200,6 +200,18 @@
         (),
         "Runs that were stopped because their engine's memory was about to be full.",
     ),
+    "buffered_bytes": MetricKind(
+        "cranberryrun_buffered_bytes",
+        "gauge",
+        ("path",),
+        "Bytes that the host holds for slow connections, by what they are for.",
+    ),
+    "buffers_full": MetricKind(
+        "cranberryrun_buffers_full",
+        "counter",
+        ("path",),
+        "Calls refused as the bytes held for slow connections were at their limit.",
+    ),
     "queue": MetricKind(
         "cranberryrun_queue",
         "gauge",
@@ -338,6 +350,10 @@
         """Count a request that was refused because targets ended under it."""
         self._add("crashing_requests")
 
+    def buffers_full(self, path: str) -> None:
+        """Count a call that was refused for lack of memory."""
+        self._add("buffers_full", path=path)
+
     def rejected_key(self, reason: str) -> None:
         """Count a call that was rejected because of its key."""
         self._add("rejected_keys", reason=reason)
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -45,6 +45,7 @@
 from ..usage_counts.report_duty import ReportDuty
 from ..usage_counts.service import UsageCounts
 from ..usage_counts.totals import UsageTotals
+from .buffers import Buffers
 from .duty_client import HttpDutyClient
 from .frontend import Frontend
 from .hedge_calls import HttpHedgeClient
@@ -71,6 +72,9 @@
 _RESULT_CACHE_MEMORY_SHARE = 0.2
 # The share of the host's memory that answers may take while they are being read.
 _ANSWER_MEMORY_SHARE = 0.1
+# The share of the host's memory that is held for slow readers, beside the two above.
+# 22 MB on the smallest host, of whose 152 MB an idle process takes 55.
+_BUFFER_MEMORY_SHARE = 0.15
 # The platform's load balancer checks readiness once a second and stops sending requests
 # after two failed checks.
 _READINESS_LAG_SECONDS = 2.5
@@ -106,6 +110,7 @@
         return [
             Events(settings.host_id, incarnation, _EVENT_RING_SIZE),
             Metrics(settings.host_id),
+            Buffers(int(_BUFFER_MEMORY_SHARE * settings.memory_mb * 1_000_000)),
             HttpClients(
                 _CONNECT_TIMEOUT_SECONDS,
                 idle=_TARGET_KEEPALIVE_SECONDS,
--- /dev/null
+++ b/cranberryrun/platform/buffers.py
@@ -0,0 +1,223 @@
+"""The buffer budget of a host: its transfers, metric and events."""
+
+from __future__ import annotations
+
+import asyncio
+from types import TracebackType
+
+from aiohttp import web
+
+from .. import clock
+from ..buffer_budget import BufferBudget, BufferPath, BuffersFullError, Hold
+from ..events import Events
+from ..exceptions import RequestError, TooLargeError
+from ..kernel import Service
+from ..metrics import Metrics
+from .http_server import Connection
+
+# The buffer for the answer of a target that is passed on as it arrives. Small, because
+# there is one for each stream; reading stops at twice this size.
+STREAM_READ_BYTES = 16_384
+# Decoding a batch takes up to 5.4 times the size of its body at the peak, measured for
+# 128 and 1024 items with bodies of 200 bytes.
+_SUBMISSION_FACTOR = 6
+
+
+class BodyTimeoutError(RequestError):
+    """The caller stopped sending the body of its request; nothing was sent on."""
+
+    code = "body_timeout"
+    status = 408
+
+
+class Buffers(Service):
+    """Holds the budget of this host.
+
+    :param limit_bytes: limit of the bytes that are held on all paths together.
+    """
+
+    name = "buffers"
+    requires = ("events", "metrics")
+
+    def __init__(self, limit_bytes: int) -> None:
+        super().__init__()
+        self.budget = BufferBudget(limit_bytes)
+        self._connection_by_hold: dict[Hold, Connection] = {}
+
+    async def start(self) -> None:
+        """Register the metric."""
+        metrics = self.kernel.get(Metrics)
+        metrics.register_gauge("buffered_bytes", self.budget.used_by_path)
+
+    def transfer(self, request: web.BaseRequest) -> Transfer:
+        """Return the transfer of a request that has just arrived."""
+        return Transfer(self, request)
+
+    def check(self, path: BufferPath, size: int, hold: Hold | None = None) -> None:
+        """Return if ``size`` more bytes fit, perhaps because slow answers are given up.
+
+        :raises BuffersFullError: they do not.
+        """
+        self._give_up_slow_answers(size)
+        if self.budget.fits(size, hold):
+            return
+        used = self.budget.used_bytes
+        self.kernel.get(Metrics).buffers_full(path.value)
+        self.kernel.get(Events).emit(
+            "buffers_full",
+            path=path.value,
+            size=size,
+            used=used,
+            limit=self.budget.limit_bytes,
+        )
+        raise BuffersFullError(f"this host holds {used} bytes for slow connections")
+
+    def hold(self, path: BufferPath, size: int, connection: Connection) -> Hold:
+        """Count bytes that are held for a connection, whether they fit or not."""
+        self._give_up_slow_answers(size)
+        hold = self.budget.hold(path, size, clock.now())
+        self._connection_by_hold[hold] = connection
+        return hold
+
+    def release(self, hold: Hold) -> None:
+        """Stop counting ``hold``."""
+        self.budget.release(hold)
+        self._connection_by_hold.pop(hold, None)
+
+    def _give_up_slow_answers(self, size: int) -> None:
+        for hold in self.budget.slow_answers(size, clock.now()):
+            connection = self._connection_by_hold[hold]
+            self.kernel.get(Events).emit(
+                "answer_abandoned",
+                path=hold.path.value,
+                size=hold.size,
+                seconds=round(clock.now() - hold.started_at, 3),
+            )
+            connection.abort()
+            self.release(hold)
+
+
+class Transfer:
+    """One request of a caller or another host: its body, and the answer to it."""
+
+    def __init__(self, buffers: Buffers, request: web.BaseRequest) -> None:
+        self._buffers = buffers
+        self._request = request
+        self._body: Hold | None = None
+        self._answer: Hold | None = None
+        assert isinstance(request.protocol, Connection)
+        self._connection = request.protocol
+
+    def __enter__(self) -> Transfer:
+        self._connection.on_stall = self._record_stall
+        return self
+
+    def __exit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._connection.limit_stall(None)
+        for hold in (self._body, self._answer):
+            if hold is not None:
+                self._buffers.release(hold)
+
+    def limit_stall(self, seconds: float) -> None:
+        """Close the connection when nothing is read for ``seconds``."""
+        self._connection.limit_stall(seconds)
+
+    async def read_body(
+        self, path: BufferPath, limit: int | None, max_silence: float
+    ) -> bytes:
+        """Return the body of the request.
+
+        It is counted as it arrives, so that a sender that stops holds no more memory
+        than what it sent.
+
+        :param limit: the maximum size in bytes.
+        :param max_silence: how long the sender may send nothing, in seconds.
+        :raises TooLargeError: the body exceeds ``limit``.
+        :raises BuffersFullError: the host has no memory for it.
+        :raises BodyTimeoutError: the sender stopped.
+        """
+        factor = _SUBMISSION_FACTOR if path is BufferPath.SUBMISSION else 1
+        declared = self._request.content_length or 0
+        if limit is not None and declared > limit:
+            raise TooLargeError(f"the request body exceeds {limit} bytes")
+        self._buffers.check(path, declared * factor)
+        self._body = self._buffers.hold(path, 0, self._connection)
+        chunks = []
+        size = 0
+        while chunk := await self._read_chunk(max_silence):
+            size += len(chunk)
+            if limit is not None and size > limit:
+                raise TooLargeError(f"the request body exceeds {limit} bytes")
+            self._buffers.check(path, len(chunk) * factor, self._body)
+            self._buffers.budget.resize(self._body, size * factor)
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+    async def _read_chunk(self, max_silence: float) -> bytes:
+        try:
+            async with asyncio.timeout(max_silence):
+                return await self._request.content.readany()
+        except TimeoutError:
+            raise BodyTimeoutError(
+                f"nothing of the request body arrived for {max_silence:g} s"
+            ) from None
+
+    def reserve_answer(self, path: BufferPath, size: int) -> None:
+        """Count an answer that is yet to be built and may be refused.
+
+        :raises BuffersFullError: the host has no memory for it.
+        """
+        self._buffers.check(path, size)
+        self._answer = self._buffers.hold(path, size, self._connection)
+
+    async def send(
+        self, response: web.StreamResponse, path: BufferPath = BufferPath.ANSWER
+    ) -> None:
+        """Write the answer; return once the caller's socket has all of it."""
+        if self._body is not None:
+            self._buffers.release(self._body)
+        if isinstance(response, web.Response) and isinstance(response.body, bytes):
+            if self._answer is None:
+                self._answer = self._buffers.hold(path, 0, self._connection)
+            self._buffers.budget.resize(self._answer, len(response.body))
+        try:
+            await response.prepare(self._request)
+            await response.write_eof()
+        except ConnectionError:
+            # aiohttp ends the connection when it writes to it again.
+            return
+
+    async def write_part(
+        self,
+        response: web.StreamResponse,
+        data: bytes,
+        path: BufferPath = BufferPath.STREAM,
+    ) -> None:
+        """Write a part of a stream; return once the caller's socket has all of it.
+
+        Meanwhile the stream is not read from its target, whose connection holds twice
+        ``STREAM_READ_BYTES`` at most before the transport stops reading.
+        """
+        await response.write(data)
+        if not self._connection.writing_paused:
+            return
+        hold = self._buffers.hold(
+            path, len(data) + 2 * STREAM_READ_BYTES, self._connection
+        )
+        try:
+            await self._request.writer.drain()
+        finally:
+            self._buffers.release(hold)
+
+    def _record_stall(self, seconds: float, unsent: int) -> None:
+        self._buffers.kernel.get(Events).emit(
+            "caller_stalled",
+            path=self._request.path,
+            seconds=round(seconds, 3),
+            unsent=unsent,
+        )
--- a/cranberryrun/platform/frontend.py
+++ b/cranberryrun/platform/frontend.py
@@ -9,12 +9,12 @@
 
 from .. import clock
 from ..batches.service import Batches
+from ..buffer_budget import BufferPath
 from ..events import Events
 from ..exceptions import (
     CranberryrunError,
     RequestError,
     TargetFailedError,
-    TooLargeError,
 )
 from ..fleet.client import Answer, Request, StreamedEvent
 from ..fleet.directory import Directory
@@ -26,6 +26,7 @@
 from ..requests.streams import Streams
 from ..workspaces.access import Caller, KeyRejectedError, OtherWorkspaceError
 from . import batch_wire, header_names
+from .buffers import Buffers, Transfer
 from .explain_endpoint import EXPLAIN_PATH, serve_explanation
 from .http_server import Handler, listen
 from .settings import HostSettings
@@ -39,6 +40,8 @@
 # How long an idle connection of a caller stays open; longer than the idle timeout of
 # any manifest.
 _KEEPALIVE_SECONDS = 75.0
+# How long a caller may read nothing of an answer that belongs to no route.
+_STALL_SECONDS = 10.0
 
 
 class Frontend(Service):
@@ -53,6 +56,7 @@
         "streams",
         "batches",
         "unknown_names",
+        "buffers",
     )
 
     def __init__(self, settings: HostSettings) -> None:
@@ -107,13 +111,22 @@
             "request", request.headers, header_names.KNOWN_IN_REQUESTS
         )
         try:
-            response = await self._route_request(request)
-        except CranberryrunError as error:
-            response = self._error_response(request, error)
+            with self.kernel.get(Buffers).transfer(request) as transfer:
+                return await self._answer(request, transfer)
         finally:
             self.in_flight -= 1
+
+    async def _answer(
+        self, request: web.BaseRequest, transfer: Transfer
+    ) -> web.StreamResponse:
+        transfer.limit_stall(_STALL_SECONDS)
+        try:
+            response = await self._route_request(request, transfer)
+        except CranberryrunError as error:
+            response = self._error_response(request, error)
         if self.stopping:
             response.force_close()
+        await transfer.send(response)
         return response
 
     def _error_response(
@@ -151,7 +164,9 @@
             reason=reason,
         )
 
-    async def _route_request(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _route_request(
+        self, request: web.BaseRequest, transfer: Transfer
+    ) -> web.StreamResponse:
         path = request.rel_url.raw_path
         directory = self.kernel.get(Directory)
         await directory.wait_for_recent_manifest()
@@ -161,27 +176,35 @@
                 request,
                 path.removeprefix(_BATCH_PREFIX),
                 self._identify(manifest, request),
+                transfer,
             )
         if path.startswith(_ITEM_BODY_PREFIX):
             return await self._serve_item_body(
                 request,
                 path.removeprefix(_ITEM_BODY_PREFIX),
                 self._identify(manifest, request),
+                transfer,
             )
         require_ready(directory)
         caller = self._identify(manifest, request)
         host = request.headers.get("Host", "")
         caller.check_route(directory.route_for(host, path))
         route = find_route(directory, host, path)
-        body = await self._read_body(request, manifest)
+        transfer.limit_stall(route.timeout)
+        is_batch = route.kind is RouteKind.ROLLOUT
+        body = await transfer.read_body(
+            BufferPath.SUBMISSION if is_batch else BufferPath.REQUEST_BODY,
+            manifest.limits.body_bytes,
+            max(route.timeout, _STALL_SECONDS),
+        )
         # A body may take so long that the key is revoked meanwhile.
         await directory.wait_for_recent_manifest()
         caller = self._identify(self._manifest(), request)
         caller.check_route(route)
         route = caller.with_priority(route)
-        if route.kind is RouteKind.ROLLOUT:
+        if is_batch:
             return await self._submit_batch(request, route, body, caller)
-        return await self._forward(request, route, body, caller)
+        return await self._forward(request, route, body, caller, transfer)
 
     def _manifest(self) -> Manifest:
         """Return the manifest in force.
@@ -196,21 +219,13 @@
     def _identify(self, manifest: Manifest, request: web.BaseRequest) -> Caller:
         return Caller.identify(manifest, request.headers.get(header_names.KEY))
 
-    async def _read_body(self, request: web.BaseRequest, manifest: Manifest) -> bytes:
-        limit = manifest.limits.body_bytes
-        if (request.content_length or 0) > limit:
-            raise TooLargeError(f"the request body exceeds {limit} bytes")
-        chunks = []
-        size = 0
-        async for chunk in request.content.iter_any():
-            size += len(chunk)
-            if size > limit:
-                raise TooLargeError(f"the request body exceeds {limit} bytes")
-            chunks.append(chunk)
-        return b"".join(chunks)
-
     async def _forward(
-        self, request: web.BaseRequest, route: Route, body: bytes, caller: Caller
+        self,
+        request: web.BaseRequest,
+        route: Route,
+        body: bytes,
+        caller: Caller,
+        transfer: Transfer,
     ) -> web.StreamResponse:
         forwarded = Request(
             id=request.headers.get(header_names.ATTEMPT_ID, ""),
@@ -226,12 +241,16 @@
             workspace=caller.workspace_name,
         )
         if route.kind is RouteKind.STREAMING:
-            return await self._forward_stream(request, route, forwarded)
+            return await self._forward_stream(request, route, forwarded, transfer)
         answer = await self.kernel.get(Forwarder).forward(route, forwarded)
         return _response(answer)
 
     async def _forward_stream(
-        self, request: web.BaseRequest, route: Route, forwarded: Request
+        self,
+        request: web.BaseRequest,
+        route: Route,
+        forwarded: Request,
+        transfer: Transfer,
     ) -> web.StreamResponse:
         last_event_id = request.headers.get(header_names.LAST_EVENT_ID)
         last_event = (
@@ -245,7 +264,7 @@
             async for part in parts:
                 if isinstance(part, StreamedEvent):
                     assert response is not None
-                    await response.write(part.raw)
+                    await transfer.write_part(response, part.raw)
                 elif part.body or part.status != 200:
                     return _response(part)
                 else:
@@ -280,7 +299,11 @@
         return web.json_response({}, status=202)
 
     async def _serve_batch(
-        self, request: web.BaseRequest, batch_id: str, caller: Caller
+        self,
+        request: web.BaseRequest,
+        batch_id: str,
+        caller: Caller,
+        transfer: Transfer,
     ) -> web.Response:
         batches = self.kernel.get(Batches)
         if request.method == "DELETE":
@@ -291,13 +314,19 @@
             _parse_number(request.headers.get(header_names.WAIT_MS), 0) / 1000
         )
         page = await batches.results(batch_id, after, wait_seconds, caller)
+        transfer.reserve_answer(BufferPath.PAGE, page.text_size)
         return web.json_response(batch_wire.encode_results(page))
 
     async def _serve_item_body(
-        self, request: web.BaseRequest, batch_id: str, caller: Caller
+        self,
+        request: web.BaseRequest,
+        batch_id: str,
+        caller: Caller,
+        transfer: Transfer,
     ) -> web.Response:
         item_id = _query_parameter(request, "id") or ""
         body = await self.kernel.get(Batches).body(batch_id, item_id, caller)
+        transfer.reserve_answer(BufferPath.ITEM_BODY, len(body))
         return web.Response(body=body)
 
 
--- a/cranberryrun/platform/http_server.py
+++ b/cranberryrun/platform/http_server.py
@@ -13,16 +13,123 @@
 
 _LISTEN_BACKLOG = 512
 _NOT_HTTP = "the request is not valid HTTP"
+# A caller needs some milliseconds to send the head of a request. The time begins with
+# the first byte, so that idle connections stay open.
+_HEAD_TIMEOUT_SECONDS = 10.0
+# Reading a body stops at twice this size until its handler reads it. The default of
+# aiohttp would let 200 connections hold 100 MB.
+_READ_BUFFER_BYTES = 65_536
+# How often in its time limit an unread connection is looked at.
+_STALL_CHECKS = 4
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-class _Connection(web.RequestHandler):
-    """A connection whose errors repeat nothing that the caller sent.
+class Connection(web.RequestHandler):
+    """A connection with limits, whose errors repeat nothing that the caller sent.
+
+    It is closed if the head of a request takes too long, or if the caller does not read
+    for a time that the handler of its request sets. Writing pauses as soon as the
+    kernel takes no more bytes, so that the unsent rest is known.
 
     An error of the parser quotes the line that it rejects, which may have a key.
+
+    ``on_stall`` is called before a connection is closed because it is not read, with
+    the time in seconds and the number of unsent bytes.
     """
 
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.on_stall: Callable[[float, int], None] | None = None
+        self._head_timer: asyncio.TimerHandle | None = None
+        self._stall_timer: asyncio.TimerHandle | None = None
+        self._stall_seconds: float | None = None
+        self._progress_at = 0.0
+        self._unsent = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See :meth:`asyncio.Protocol.connection_made`."""
+        assert isinstance(transport, asyncio.WriteTransport)
+        transport.set_write_buffer_limits(high=0)
+        super().connection_made(transport)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """See :meth:`asyncio.Protocol.connection_lost`."""
+        self._cancel_head_timer()
+        self._cancel_stall_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """See :meth:`asyncio.Protocol.data_received`."""
+        count = self._request_count
+        # Without a request in progress these bytes belong to the head of the next one.
+        idle = self._waiter is not None and not self._waiter.done()
+        super().data_received(data)
+        if self._request_count != count:
+            self._cancel_head_timer()
+        elif idle and data and self._head_timer is None:
+            self._head_timer = self._loop.call_later(_HEAD_TIMEOUT_SECONDS, self.abort)
+
+    def pause_writing(self) -> None:
+        """See :meth:`asyncio.Protocol.pause_writing`."""
+        super().pause_writing()
+        self._watch_stall()
+
+    def resume_writing(self) -> None:
+        """See :meth:`asyncio.Protocol.resume_writing`."""
+        super().resume_writing()
+        self._cancel_stall_timer()
+
+    def limit_stall(self, seconds: float | None) -> None:
+        """Close the connection when it is not read for ``seconds``; None: never."""
+        self._stall_seconds = seconds
+        self._cancel_stall_timer()
+        if self.writing_paused:
+            self._watch_stall()
+
+    def abort(self) -> None:
+        """Close the connection without sending what is unsent."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _watch_stall(self) -> None:
+        if self._stall_seconds is None or self.transport is None:
+            return
+        self._progress_at = self._loop.time()
+        self._unsent = self.transport.get_write_buffer_size()
+        self._plan_stall_check(self._stall_seconds)
+
+    def _plan_stall_check(self, stall_seconds: float) -> None:
+        self._stall_timer = self._loop.call_later(
+            stall_seconds / _STALL_CHECKS, self._check_stall
+        )
+
+    def _check_stall(self) -> None:
+        if self._stall_seconds is None or self.transport is None:
+            return
+        now = self._loop.time()
+        unsent = self.transport.get_write_buffer_size()
+        if unsent != self._unsent:
+            self._unsent = unsent
+            self._progress_at = now
+        seconds = now - self._progress_at
+        if seconds < self._stall_seconds:
+            self._plan_stall_check(self._stall_seconds)
+            return
+        if self.on_stall is not None:
+            self.on_stall(seconds, unsent)
+        self.abort()
+
+    def _cancel_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _cancel_stall_timer(self) -> None:
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+            self._stall_timer = None
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -45,7 +152,7 @@
 
     def __call__(self) -> web.RequestHandler:
         loop = asyncio.get_running_loop()
-        return _Connection(self, loop=loop, **self._options)
+        return Connection(self, loop=loop, **self._options)
 
 
 async def listen(
@@ -61,6 +168,7 @@
         keepalive_timeout=keepalive,
         access_log=None,
         lingering_time=1.0,
+        read_bufsize=_READ_BUFFER_BYTES,
     )
     runner = web.ServerRunner(server)
     await runner.setup()
--- a/cranberryrun/platform/neighbour_server.py
+++ b/cranberryrun/platform/neighbour_server.py
@@ -5,12 +5,19 @@
 from aiohttp import web
 
 from ..batches.service import Batches
-from ..exceptions import AppendUnknownError, LogReadError, LogUnavailableError
+from ..buffer_budget import BufferPath, BuffersFullError
+from ..exceptions import (
+    AppendUnknownError,
+    LogReadError,
+    LogUnavailableError,
+    RequestError,
+)
 from ..fleet.send_permits import SendPermits
 from ..fleet.store_paths import StorePaths
 from ..fleet.target_paths import TargetPaths
 from ..kernel import Service
 from ..second_attempts.service import SecondAttempts
+from .buffers import Buffers, Transfer
 from .hedge_calls import HEDGE_QUERY, serve_report
 from .http_server import listen
 from .permit_calls import PERMITS_PATH, serve_permits
@@ -22,6 +29,8 @@
 from .target_requests import RELAY_PREFIX
 
 _KEEPALIVE_SECONDS = 30.0
+# How long another host may read nothing of an answer.
+_STALL_SECONDS = 10.0
 
 
 class NeighbourServer(Service):
@@ -40,6 +49,7 @@
         "send_permits",
         "target_paths",
         "batches",
+        "buffers",
     )
 
     def __init__(self, settings: HostSettings) -> None:
@@ -61,24 +71,38 @@
         await super().stop()
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        with self.kernel.get(Buffers).transfer(request) as transfer:
+            transfer.limit_stall(_STALL_SECONDS)
+            response = await self._answer(request, transfer)
+            await transfer.send(response, BufferPath.RELAY_ANSWER)
+            return response
+
+    async def _answer(
+        self, request: web.BaseRequest, transfer: Transfer
+    ) -> web.StreamResponse:
         if request.path == PERMITS_PATH and HEDGE_QUERY in request.query:
             return await serve_report(self.kernel.get(SecondAttempts), request)
         if request.path == PERMITS_PATH:
             return await serve_permits(self.kernel.get(SendPermits), request)
         if request.path == RESULTS_PATH:
-            return await serve_results(self.kernel.get(Batches), request)
+            return await serve_results(self.kernel.get(Batches), request, transfer)
         if request.path == REACH_PATH:
             return await serve_reach(self.kernel.get(TargetPaths))
         if request.path.startswith(RELAY_PREFIX):
-            return await relay_call(self.kernel, request)
-        return await self._relay_store_call(request)
+            return await relay_call(self.kernel, request, transfer)
+        return await self._relay_store_call(request, transfer)
 
-    async def _relay_store_call(self, request: web.BaseRequest) -> web.Response:
+    async def _relay_store_call(
+        self, request: web.BaseRequest, transfer: Transfer
+    ) -> web.Response:
         paths = self.kernel.get(StorePaths)
         if paths.direct_path_failed:
             return web.Response(status=503)
         store = self.kernel.get(StoreClient)
-        body = await request.read()
+        try:
+            body = await transfer.read_body(BufferPath.RELAY_BODY, None, _STALL_SECONDS)
+        except (BuffersFullError, RequestError) as error:
+            return web.Response(status=error.status, text=error.detail)
         try:
             status, answer = await store.send_call(
                 paths.direct,
--- a/cranberryrun/platform/result_calls.py
+++ b/cranberryrun/platform/result_calls.py
@@ -7,7 +7,9 @@
 
 from ..batches.result_source import ResultPage, ResultSource
 from ..batches.service import Batches
+from ..buffer_budget import BufferPath
 from ..exceptions import CranberryrunError, PeerError
+from .buffers import Transfer
 from .host_calls import call_host
 
 RESULTS_PATH = "/batch-results"
@@ -52,7 +54,9 @@
             raise PeerError(f"the page of host {host} is malformed: {error}") from None
 
 
-async def serve_results(batches: Batches, request: web.BaseRequest) -> web.Response:
+async def serve_results(
+    batches: Batches, request: web.BaseRequest, transfer: Transfer
+) -> web.Response:
     """Answer another host's read of results."""
     query = request.query
     try:
@@ -65,10 +69,11 @@
         return web.Response(status=400, text="after or wait is out of range")
     try:
         page = await batches.results_in_memory(batch_id, after, wait)
+        if page is None or page.text_size > _MAX_PAGE_BYTES:
+            return web.Response(status=_UNKNOWN_STATUS)
+        transfer.reserve_answer(BufferPath.PAGE, page.text_size)
     except CranberryrunError as error:
         return web.json_response(error.problem(), status=503)
-    if page is None or sum(len(each.text) for each in page.results) > _MAX_PAGE_BYTES:
-        return web.Response(status=_UNKNOWN_STATUS)
     return web.Response(
         body=_PAGE_ADAPTER.dump_json(page), content_type="application/json"
     )
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -45,6 +45,7 @@
     raise_if_run_failed,
     says_it_has_no_limit,
 )
+from .buffers import STREAM_READ_BYTES
 from .event_parser import EventParser
 from .settings import split_address
 from .target_requests import OpenedCall, TargetRequests
@@ -96,7 +97,11 @@
             return Answer(response.status, forwardable(response.headers), body)
 
     def _send_forwarded(
-        self, target: Target, request: Request, last_event: int | None = None
+        self,
+        target: Target,
+        request: Request,
+        last_event: int | None = None,
+        **options: Any,
     ) -> AbstractAsyncContextManager[OpenedCall]:
         remaining = request.deadline - clock.now()
         headers = CIMultiDict(
@@ -118,13 +123,16 @@
             headers=headers,
             data=request.body or None,
             seconds=remaining,
+            **options,
         )
 
     async def stream(
         self, target: Target, request: Request, last_event: int | None
     ) -> AsyncIterator[Answer | StreamedEvent]:
         """See :meth:`TargetClient.stream`."""
-        async with self._send_forwarded(target, request, last_event) as call:
+        async with self._send_forwarded(
+            target, request, last_event, read_bufsize=STREAM_READ_BYTES
+        ) as call:
             response = call.response
             check_signature(response, request.id)
             headers = forwardable(response.headers)
--- a/cranberryrun/platform/target_relay.py
+++ b/cranberryrun/platform/target_relay.py
@@ -7,13 +7,19 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from ..exceptions import CranberryrunError, TargetFailedError, TargetUnreachableError
+from ..buffer_budget import BufferPath, BuffersFullError
+from ..exceptions import (
+    CranberryrunError,
+    TargetFailedError,
+    TargetUnreachableError,
+)
 from ..fleet.directory import Directory
 from ..fleet.target_paths import TargetPaths
 from ..http import HttpClients, forwardable
 from ..kernel import Kernel
 from . import header_names
 from .answer_checks import is_framed
+from .buffers import STREAM_READ_BYTES, BodyTimeoutError, Transfer
 from .target_requests import (
     RELAY_OUTCOME,
     RELAY_PREFIX,
@@ -25,9 +31,12 @@
 # Applies to calls without a deadline header.
 _DEFAULT_SECONDS = 60.0
 _EVENT_STREAM = "text/event-stream"
+_MIN_STALL_SECONDS = 1.0
 
 
-async def relay_call(kernel: Kernel, request: web.BaseRequest) -> web.StreamResponse:
+async def relay_call(
+    kernel: Kernel, request: web.BaseRequest, transfer: Transfer
+) -> web.StreamResponse:
     """Make one attempt at a call of another host to a registered target."""
     target_id, _, path = request.raw_path.removeprefix(RELAY_PREFIX).partition("/")
     directory = kernel.get(Directory)
@@ -39,18 +48,26 @@
     headers = CIMultiDict(forwardable(request.headers))
     # A host of an earlier build passes all headers of its callers on.
     headers.popall(header_names.KEY, None)
-    body = b"".join([chunk async for chunk in request.content.iter_any()])
+    seconds = _seconds(request)
+    # The other host closes its caller's connection, which is slower than this one's.
+    transfer.limit_stall(max(seconds, _MIN_STALL_SECONDS))
+    try:
+        body = await transfer.read_body(BufferPath.RELAY_BODY, None, seconds)
+    except (BuffersFullError, BodyTimeoutError):
+        # Tells the other host that nothing was sent, so that it asks the next one.
+        return _failure(RelayOutcome.UNKNOWN)
     try:
         async with TargetRequests(kernel).open(
             request.method,
             target,
             f"/{path}",
-            _seconds(request),
+            seconds,
             relayable=False,
             headers=headers,
             data=body or None,
+            read_bufsize=STREAM_READ_BYTES,
         ) as call:
-            return await _pass_on(kernel, request, call)
+            return await _pass_on(kernel, request, call, transfer)
     except TargetUnreachableError:
         return _failure(RelayOutcome.UNREACHABLE)
     except TargetFailedError:
@@ -58,7 +75,7 @@
 
 
 async def _pass_on(
-    kernel: Kernel, request: web.BaseRequest, call: OpenedCall
+    kernel: Kernel, request: web.BaseRequest, call: OpenedCall, transfer: Transfer
 ) -> web.StreamResponse:
     response = call.response
     headers = CIMultiDict(forwardable(response.headers))
@@ -75,7 +92,7 @@
     await answer.prepare(request)
     try:
         async for chunk in call.chunks():
-            await answer.write(chunk)
+            await transfer.write_part(answer, chunk, BufferPath.RELAY_STREAM)
     except CranberryrunError:
         _abort(request)
         return answer
--- a/cranberryrun/requests/streams.py
+++ b/cranberryrun/requests/streams.py
@@ -19,8 +19,15 @@
     TargetFailedError,
     TargetTimeoutError,
     TargetUnreachableError,
+    TruncatedAnswerError,
+)
+from ..fleet.client import (
+    Answer,
+    ConnectionLostError,
+    Request,
+    StreamedEvent,
+    TargetClient,
 )
-from ..fleet.client import Answer, Request, StreamedEvent, TargetClient
 from ..fleet.directory import Directory, Target
 from ..fleet.manifest import Route
 from ..fleet.origin import Origin
@@ -30,6 +37,7 @@
 from ..usage_counts.counter import RequestUsage
 from .crashes import Crashes
 from .forwarder import Forwarder
+from .read_pace import ReadPace
 from .software_history import SoftwareHistory
 from .stream_origins import StreamOrigins
 
@@ -46,6 +54,7 @@
     parts: AsyncIterator[Answer | StreamedEvent],
     target: Target,
     max_silence: Callable[[], float | None],
+    pace: ReadPace,
 ) -> AsyncIterator[Answer | StreamedEvent]:
     """Yield the parts; end when no whole one arrives for ``max_silence()`` seconds.
 
@@ -56,6 +65,7 @@
     """
     while True:
         seconds = max_silence()
+        pace.begin_read(clock.now())
         try:
             async with asyncio.timeout(seconds):
                 part = await anext(parts)
@@ -65,9 +75,16 @@
             raise TargetTimeoutError(
                 f"{target.id} sent no event for {seconds:g} s"
             ) from None
+        pace.end_read(clock.now())
         yield part
 
 
+class UnreadStreamError(TargetFailedError):
+    """The target ended a stream that was not read because its caller was slow."""
+
+    code = "stream_unread"
+
+
 class Streams(Service):
     """Forwards streams; resumes an interrupted one at another target if allowed.
 
@@ -205,6 +222,12 @@
                     # Nothing was sent, so another target may still be tried instead.
                     tried.discard(target.id)
                     unsent.add(target.id)
+                if isinstance(error, UnreadStreamError):
+                    if clock.now() >= request.deadline:
+                        raise
+                    # The same target may go on, and the attempt does not count: each
+                    # one takes a second at least, so the deadline limits them.
+                    tried.discard(target.id)
                 may_have_run |= not isinstance(error, RefusedError)
                 may_retry = isinstance(error, RefusedError) or (
                     route.resumable and forwarder.may_repeat(request)
@@ -303,11 +326,12 @@
         state.in_flight += 1
         started_at = clock.now()
         head: Answer | None = None
+        pace = ReadPace()
         try:
             client = self.kernel.get(TargetClient)
             parts = client.stream(target, request, last_event)
             with usage.attempt(streamed=True):
-                async for part in _end_when_silent(parts, target, max_silence):
+                async for part in _end_when_silent(parts, target, max_silence, pace):
                     if isinstance(part, Answer) and last_event and part.status != 200:
                         raise TargetFailedError(
                             f"{target.id} answered the resumption with status "
@@ -325,6 +349,9 @@
             if head is not None:
                 yield head
         except CranberryrunError as error:
+            if await self._ended_unread(target, request, error, pace):
+                self._emit("stream_unread", request, target, reason=error.detail)
+                raise UnreadStreamError(error.detail) from None
             if isinstance(error, RefusedError):
                 state.health.record_refusal()
             else:
@@ -340,6 +367,24 @@
         state.health.record_answer()
         self.kernel.get(Crashes).record_answer(request)
 
+    async def _ended_unread(
+        self,
+        target: Target,
+        request: Request,
+        error: CranberryrunError,
+        pace: ReadPace,
+    ) -> bool:
+        """Return whether a stream ended because its caller had not read it.
+
+        A target that refuses new connections has ended itself and is judged as usual.
+        """
+        ends = isinstance(error, (ConnectionLostError, TruncatedAnswerError))
+        if not ends and clock.now() < request.deadline:
+            return False
+        if not pace.ended_unread(clock.now()):
+            return False
+        return not await self.kernel.get(TargetClient).refuses_connections(target)
+
 
 def _begins_stream(part: Answer | StreamedEvent) -> bool:
     """Return whether the part is the head of a stream, not a complete answer."""
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -52,7 +52,10 @@
     every answer carries. While ``limit`` is set, every answer names it as the requests
     a second that the target takes, and ``limit_spans`` may list when; ``arrivals`` has
     the time of each request, in loop seconds. ``software`` is the version of the
-    target's software in its entry.
+    target's software in its entry. Each event has ``padding`` more bytes, and a stream
+    of which nothing is read for ``unread_seconds`` is reset and counted in
+    ``unread_cuts``. ``body_bytes_a_second``
+    is how fast bodies of requests are read; None is as fast as they come.
     """
 
     def __init__(self, target_id: str, service: str, model: str | None = None) -> None:
@@ -76,11 +79,15 @@
         self.event_seconds = 0.002
         self.answer_seconds = 0.0
         self.open_requests = 0
+        self.unread_cuts = 0
         self.leaving = False
         self.limit: float | None = None
         self.limit_spans: list[LimitSpan] = []
         self.arrivals: list[float] = []
         self.answers_carry_id = ""
+        self.padding = 0
+        self.unread_seconds: float | None = None
+        self.body_bytes_a_second: int | None = None
         self.born = 1
         self.address = ""
         self._runner: web.AppRunner | None = None
@@ -160,7 +167,7 @@
 
     async def _handle_request(self, request: web.Request) -> web.StreamResponse:
         self.arrivals.append(asyncio.get_running_loop().time())
-        body = await request.read()
+        body = await self._read_body(request)
         self.requests.append(
             {
                 **request.headers,
@@ -178,6 +185,15 @@
         finally:
             self.open_requests -= 1
 
+    async def _read_body(self, request: web.Request) -> bytes:
+        if self.body_bytes_a_second is None:
+            return await request.read()
+        body = b""
+        while chunk := await request.content.read(self.body_bytes_a_second // 10):
+            body += chunk
+            await asyncio.sleep(0.1)
+        return body
+
     async def _respond(self, request: web.Request, body: bytes) -> web.StreamResponse:
         expected = request.headers.get(_EXPECT_INSTANCE, self.id)
         version = request.headers.get(_EXPECT_VERSION, str(self.version))
@@ -248,7 +264,7 @@
         for number in range(last_event_number + 1, self.events + 1):
             await asyncio.sleep(self.event_seconds)
             item = request.headers[_ATTEMPT_ID]
-            event = f"id: {number}\ndata: {item}/{number}\n\n"
+            event = f"id: {number}\ndata: {item}/{number}{'.' * self.padding}\n\n"
             if self.version != version:
                 version = self.version
                 event = f"x-cranberryrun-weight-versions: {version}\n{event}"
@@ -267,5 +283,12 @@
                 assert request.transport is not None
                 request.transport.close()
                 return response
-            await response.write(event.encode())
+            try:
+                async with asyncio.timeout(self.unread_seconds):
+                    await response.write(event.encode())
+            except TimeoutError:
+                self.unread_cuts += 1
+                assert request.transport is not None
+                request.transport.abort()
+                return response
         return response
--- a/tests/test_cut_host.py
+++ b/tests/test_cut_host.py
@@ -166,7 +166,7 @@
         self.cut(Cut.REFUSE)
         await self.send_all("/status/x", "w")
 
-        async def answer(kernel, request):
+        async def answer(kernel, request, transfer):
             return web.Response(status=400)
 
         with patch.object(neighbour_server, "relay_call", answer):
