--- a/cranberryrun/platform/buffers.py
+++ b/cranberryrun/platform/buffers.py
@@ -119,6 +119,7 @@
         traceback: TracebackType | None,
     ) -> None:
         self._connection.limit_stall(None)
+        self._connection.on_stall = None
         for hold in (self._body, self._answer):
             if hold is not None:
                 self._buffers.release(hold)
--- a/cranberryrun/platform/settings.py
+++ b/cranberryrun/platform/settings.py
@@ -91,7 +91,13 @@
         600.0, gt=0, description="Bandwidth of the host's link, in Mbit/s."
     )
     memory_mb: float = Field(
-        512.0, gt=0, description="Memory that the process may use, in MB."
+        512.0,
+        gt=0,
+        description=(
+            "Memory that the process may use, in MB. Cached results take a fifth of it "
+            "at most, answers being read a tenth, and bytes held for slow callers and "
+            "targets 0.15."
+        ),
     )
     metrics_port: int | None = Field(
         None, description="Port for /metrics; not served if unset."
