Ignore a caller's socket that is closed before its options are set

Cause: an option set on the socket of a connection that ended at once may fail, which would leave the connection half set up.

Change: the failure is ignored, as aiohttp does for its own options.

--- a/cranberryrun/platform/http_server.py
+++ b/cranberryrun/platform/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import fcntl
 import socket
 import struct
@@ -62,9 +63,11 @@
         transport = cast(asyncio.Transport, transport)
         transport.set_write_buffer_limits(high=0)
         connection = transport.get_extra_info("socket")
-        connection.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _KERNEL_UNSENT_BYTES
-        )
+        # The caller may have closed the connection already.
+        with contextlib.suppress(OSError):
+            connection.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _KERNEL_UNSENT_BYTES
+            )
         super().connection_made(transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
