--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -16,7 +16,8 @@
 from cranberryrun.kernel import Kernel
 from cranberryrun.keyed_calls import KeyedCalls
 from cranberryrun.membership import Membership
-from cranberryrun.metrics import METRIC_BY_KEY, Metrics
+from cranberryrun.metric_catalogue import METRIC_BY_KEY
+from cranberryrun.metrics import Metrics
 from standins.ports import free_port
 
 from .doubles import MemoryLog, RawTarget, answer, call, drop, refuse, settings
