Keep a caller's connection where the kernel does not tell what is unsent

Cause: a kernel without TIOCOUTQ, or a socket that was closed meanwhile, would have raised an error in the callback that pauses writing.

Change: the transport's own buffer counts then; setting the linger time may fail, too.

--- a/cranberryrun/platform/http_server.py
+++ b/cranberryrun/platform/http_server.py
@@ -113,7 +113,9 @@
             return
         connection = self.transport.get_extra_info("socket")
         if connection is not None:
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+            # The caller may have closed the connection already.
+            with contextlib.suppress(OSError):
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
         self.transport.abort()
 
     def _watch_stall(self) -> None:
@@ -151,8 +153,15 @@
         that reads 10 KB/s needs longer than some time limits.
         """
         connection = transport.get_extra_info("socket")
-        answer = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
-        return transport.get_write_buffer_size() + _INT.unpack(answer)[0]
+        unsent = transport.get_write_buffer_size()
+        try:
+            answer = fcntl.ioctl(
+                connection.fileno(), termios.TIOCOUTQ, bytes(_INT.size)
+            )
+        except OSError:
+            # Not every kernel tells; the socket may also be closed already.
+            return unsent
+        return unsent + _INT.unpack(answer)[0]
 
     def _cancel_head_timer(self) -> None:
         if self._head_timer is not None:
