Count engines that are there as free at once when a batch is checked

Cause: the targets are recorded some microseconds before the decision, and an engine counted as there only if it was recorded at the time of the decision. In virtual time both are the same, so tests did not show it; with a real clock an engine that was there counted as back after the lag (15 s with the usual settings). A step whose queue-ttl-s, or twice its run-deadline-ms, is shorter was rejected with no_engine although its engines were there.

Change: an engine is there if the last look at the targets had it.

Measured: the new test fails before (no_engine) and passes after; 20 tests of tests.test_batch_admission pass.

--- a/cranberryrun/batches/admission.py
+++ b/cranberryrun/batches/admission.py
@@ -82,6 +82,7 @@
         self.lag = lag
         self._seen_by_id: dict[str, _SeenTarget] = {}
         self._read_at = -math.inf
+        self._recorded_at = -math.inf
         self._known_since = math.inf
         self._fastest_interval = math.inf
         self._submitted: OrderedDict[str, None] = OrderedDict()
@@ -96,6 +97,7 @@
         if read_at - self._read_at > _MAX_READ_AGE_SECONDS:
             self._known_since = now
         self._read_at = read_at
+        self._recorded_at = now
         for target in targets:
             seen = self._seen_by_id.get(target.id)
             usable_at = seen.usable_at if seen is not None else -math.inf
@@ -186,8 +188,10 @@
 
         One that is gone may be back in the directory within the lag.
         """
+        # The targets were recorded a little before ``now``.
+        recorded_at = self._recorded_at
         waits = [
-            0.0 if seen.usable_at >= now else seen.usable_at + self.lag - now
+            0.0 if seen.usable_at >= recorded_at else seen.usable_at + self.lag - now
             for seen in self._seen_by_id.values()
             if seen.service in services and seen.usable_at >= now - self.lag
         ]
--- a/tests/test_batch_admission.py
+++ b/tests/test_batch_admission.py
@@ -71,6 +71,12 @@
         self.observe(0, 10, target(draining=True), target("e1"))
         self.assertIsNone(self.cause(10.0))
 
+    def test_an_engine_that_is_there_takes_runs_at_once(self):
+        """The clock goes on between the look at the targets and the decision."""
+        self.observe(0, 10, target())
+        short = manifest(1, batch_route(run_deadline=1.0, queue_ttl=1.0))
+        self.assertIsNone(self.cause(10.00001, served_by=short))
+
     def test_a_lost_engine_may_come_back_within_the_lag(self):
         self.observe(0, 10, target())
         self.observe(11, 12)
