Look again for own submissions after the read before a rejection

Cause: a repetition of a batch that arrives at the same host while the topic is read may be accepted, if an engine is there for a moment, and be in the course of being stored. The first submission was then rejected as not stored, because only the table was looked at after the read.

Change: the ids that this host tried to store are looked at again, too.

Measured: the new test fails before (NoTargetError) and passes after; 21 tests of tests.test_batch_admission pass.

--- a/cranberryrun/batches/service.py
+++ b/cranberryrun/batches/service.py
@@ -172,7 +172,8 @@
                 await log.load([batch.id])
         except (LogReadError, TimeoutError):
             return True
-        return batch.id in log.table.state_by_id
+        # A repetition that arrived during the read may be in the course of being stored.
+        return admission.submitted(batch.id) or batch.id in log.table.state_by_id
 
     async def _check_known_owner(self, batch: Batch, caller: Caller) -> None:
         """Raise if this host knows a batch of the same id that others own."""
--- a/tests/test_batch_admission.py
+++ b/tests/test_batch_admission.py
@@ -220,6 +220,21 @@
         with self.assertRaises(NoTargetError):
             await self.deployment.submit(self.host, batch("b2"))
 
+    async def test_a_batch_whose_repetition_is_being_stored_is_not_rejected(self):
+        """Engines were there for a moment while the topic was read."""
+        await self.start()
+        service = self.host.get(Batches)
+        log = self.host.get(BatchLog)
+        load = log.load
+
+        async def load_beside_a_repetition(batch_ids):
+            await load(batch_ids)
+            service._admission.record_submission("b1")
+
+        with patch.object(log, "load", load_beside_a_repetition):
+            await self.deployment.submit(self.host, batch())
+        self.assertNotEqual(self.records(), [])
+
     async def test_a_host_that_can_not_read_the_store_does_not_judge(self):
         """The submission fails as it did before, for lack of the store."""
         await self.start()
