Move no run away from a slow span after the lease was lost

Cause: the check of each 25 ms ran on until the scheduling cycle noticed that the lease was lost, which its pause of 10 ms delays. In this time it could move a run whose item the next holder starts.

Change: the check looks at the lease itself.

--- a/cranberryrun/batches/mover.py
+++ b/cranberryrun/batches/mover.py
@@ -8,6 +8,7 @@
 from .. import clock
 from ..events import Events
 from ..fleet.engine_pool import Engine, EnginePool
+from ..fleet.lease import Lease
 from ..fleet.speed_record import SpeedRecord, lasting_factors, restore_speeds
 from ..kernel import Kernel
 from ..metrics import Metrics
@@ -96,14 +97,18 @@
             self._slow_spans.stop_watching()
 
     async def follow_slow_spans(self) -> None:
-        """Move watched runs away from engines that are in a slow span, without end."""
+        """Move watched runs away from engines that are in a slow span, without end.
+
+        Nothing moves once this host lost the lease, also before the runner ends this.
+        """
+        lease = self._kernel.get(Lease)
         while True:
             expected_at = clock.now() + _WATCH_INTERVAL_SECONDS
             await asyncio.sleep(_WATCH_INTERVAL_SECONDS)
             now = clock.now()
             if now > expected_at + _MAX_WATCH_DELAY_SECONDS:
                 continue
-            if not self._slow_spans.watching:
+            if not self._slow_spans.watching or not lease.assigned:
                 continue
             engines = self._engines()
             for move in self._slow_spans.moves(
--- a/tests/test_slow_spans.py
+++ b/tests/test_slow_spans.py
@@ -2,12 +2,15 @@
 
 import asyncio
 from dataclasses import replace
+from unittest.mock import patch
 
 from cranberryrun import clock
 from cranberryrun.batches.dispatch import Policies, plan_starts
 from cranberryrun.batches.engine_choice import unreserved_slots
 from cranberryrun.batches.models import Piece
+from cranberryrun.batches.runner import Runner
 from cranberryrun.batches.slow_spans import SlowSpans, slow_engines
+from cranberryrun.fleet.lease import Lease
 from cranberryrun.fleet.origin import Origin
 from cranberryrun.metrics import Metrics
 from fakes.deployment import (
@@ -157,8 +160,12 @@
 
 
 class SlowSpanHostTest(VirtualTimeTestCase):
-    async def moved(self, *models):
-        """Return the runs at the other engine after 0.25 s of a slow span."""
+    async def moved(self, *models, lose_lease=False):
+        """Return the runs at the other engine after 0.25 s of a slow span.
+
+        :param lose_lease: whether the host loses the lease at the start of the span
+            and its scheduling cycle sees that only later.
+        """
         deployment = Deployment()
         self.addAsyncCleanup(deployment.stop)
         value = manifest(1, batch_route(run_deadline=3.5))
@@ -173,6 +180,12 @@
         await asyncio.sleep(1.0)
         other = deployment.add_engine("e1", gap=INTERVAL)
         await asyncio.sleep(0.8)
+        if lose_lease:
+            host.get(Runner)._pause = lambda seconds: asyncio.sleep(10 * seconds)
+            await asyncio.sleep(0.2)
+            assigned = patch.object(Lease, "assigned", False)
+            assigned.start()
+            self.addCleanup(assigned.stop)
         first.gap = 2.5 * INTERVAL
         await asyncio.sleep(0.25)
         runs = list(other.runs)
@@ -187,5 +200,9 @@
         self.assertIn('slow_spans_total{outcome="moved"} 1.0', self.scrape)
         self.assertGreater(done, 30)
 
+    async def test_no_run_moves_after_the_lease_was_lost(self):
+        """The next holder may have started the item, which then ran twice."""
+        self.assertEqual(await self.moved("m2", "m3", lose_lease=True), [])
+
     async def test_run_stays_where_fewer_than_three_models_share_the_engines(self):
         self.assertEqual(await self.moved("m2"), [])
