Free the slot of a run that is stopped before its task begins

Cause: a task that is cancelled before its first step runs no code. A run that was moved away from a slow span and stopped in the same iteration of the loop (its batch ended, its memory was needed, the lease was lost) kept its slot at the engine for good, the engine counted as silent, and the item was never run again, as it still had an engine.

Change: such a task is not cancelled. It sees at its first step that it is no longer the task of its item, and ends.

--- a/cranberryrun/batches/item_run.py
+++ b/cranberryrun/batches/item_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import inspect
 from dataclasses import dataclass
 
 from .. import clock
@@ -43,6 +44,16 @@
     result: Result | None = None
 
 
+def cancel_run(task: asyncio.Task[None]) -> None:
+    """Cancel the task of a run, unless it has not begun.
+
+    A task that is cancelled before its first step runs no code, so it would not free
+    its slot. It sees when it begins that it is no longer the task of its item.
+    """
+    if inspect.getcoroutinestate(task.get_coro()) != inspect.CORO_CREATED:
+        task.cancel()
+
+
 async def run_item(kernel: Kernel, scheduled: ScheduledItem, engine: Engine) -> Outcome:
     """Run ``scheduled`` on ``engine``; update the engine's health from the outcome."""
     failed_result = Result(scheduled.item.id, False)
--- a/cranberryrun/batches/runner.py
+++ b/cranberryrun/batches/runner.py
@@ -14,7 +14,7 @@
 from ..kernel import Service
 from .continuation import outputs_to_restart
 from .dispatch import ScheduledItem
-from .item_run import Outcome, run_item
+from .item_run import Outcome, cancel_run, run_item
 from .log import BatchLog
 from .models import Result
 from .mover import Mover
@@ -317,7 +317,7 @@
     def _stop_run(self, scheduled: ScheduledItem) -> None:
         if scheduled.task is not None:
             self._scheduler.record_stop(scheduled)
-            scheduled.task.cancel()
+            cancel_run(scheduled.task)
             scheduled.task = None
 
     async def _stop_all(self) -> None:
@@ -337,7 +337,8 @@
         pieces_before = len(scheduled.pieces)
         outcome = Outcome("cancelled")
         try:
-            outcome = await run_item(self.kernel, scheduled, engine)
+            if scheduled.task is own_task:
+                outcome = await run_item(self.kernel, scheduled, engine)
             if outcome.result is not None:
                 self._end_output(scheduled, outcome.result, outcome.reason)
         finally:
--- a/tests/test_batch_runner.py
+++ b/tests/test_batch_runner.py
@@ -9,6 +9,7 @@
 from cranberryrun.batches.runner import Runner
 from cranberryrun.batches.service import Batches
 from cranberryrun.exceptions import LogUnavailableError
+from cranberryrun.fleet.engine_pool import EnginePool
 from cranberryrun.fleet.lease import Lease
 from cranberryrun.fleet.manifest import Backend
 from fakes.deployment import Deployment, batch, batch_route, manifest
@@ -84,6 +85,46 @@
         self.assertEqual(self.engines[0].running, 0)
 
 
+class StoppedRunTest(RunnerTestCase):
+    async def test_item_runs_again_when_its_run_is_stopped_before_it_begins(self):
+        """Its engine kept the slot for good, and the item had no run any more."""
+        await self.start({})
+        runner = self.host.get(Runner)
+        (engine,) = self.host.get(EnginePool).engine_by_id.values()
+        start_run = runner._start_run
+
+        def start_and_stop(scheduled, engine):
+            runner._start_run = start_run
+            start_run(scheduled, engine)
+            runner._stop_run(scheduled)
+
+        runner._start_run = start_and_stop
+        await self.deployment.submit(self.host, batch(groups=1, size=1, events=10))
+        results = await self.deployment.results(self.host, "b1", 5.0)
+        self.assertEqual(len(results), 1)
+        self.assertEqual(engine.in_flight, 0)
+        self.assertEqual(len(self.engines[0].runs), 1)
+
+    async def test_item_has_one_run_when_it_moves_before_its_run_begins(self):
+        await self.start({}, {})
+        runner = self.host.get(Runner)
+        engines = list(self.host.get(EnginePool).engine_by_id.values())
+        start_run = runner._start_run
+
+        def start_and_move(scheduled, engine):
+            runner._start_run = start_run
+            start_run(scheduled, engine)
+            other = engines[engine is engines[0]]
+            runner._move_run(scheduled, other, 0.0, "slow span")
+
+        runner._start_run = start_and_move
+        await self.deployment.submit(self.host, batch(groups=1, size=1, events=10))
+        results = await self.deployment.results(self.host, "b1", 5.0)
+        self.assertEqual(len(results), 1)
+        self.assertEqual([engine.in_flight for engine in engines], [0, 0])
+        self.assertEqual(sum(len(engine.runs) for engine in self.engines), 1)
+
+
 class CarriedGroupTest(RunnerTestCase):
     """A group that its ended batch left unfinished is submitted in the next batch."""
 
