--- a/tests/test_batch_admission.py
+++ b/tests/test_batch_admission.py
@@ -71,6 +71,12 @@
         self.observe(0, 10, target(draining=True), target("e1"))
         self.assertIsNone(self.cause(10.0))
 
+    def test_an_engine_that_is_there_takes_runs_at_once(self):
+        """The clock goes on between the look at the targets and the decision."""
+        self.observe(0, 10, target())
+        short = manifest(1, batch_route(run_deadline=1.0, queue_ttl=1.0))
+        self.assertIsNone(self.cause(10.00001, served_by=short))
+
     def test_a_lost_engine_may_come_back_within_the_lag(self):
         self.observe(0, 10, target())
         self.observe(11, 12)
@@ -214,6 +220,21 @@
         with self.assertRaises(NoTargetError):
             await self.deployment.submit(self.host, batch("b2"))
 
+    async def test_a_batch_whose_repetition_is_being_stored_is_not_rejected(self):
+        """Engines were there for a moment while the topic was read."""
+        await self.start()
+        service = self.host.get(Batches)
+        log = self.host.get(BatchLog)
+        load = log.load
+
+        async def load_beside_a_repetition(batch_ids):
+            await load(batch_ids)
+            service._admission.record_submission("b1")
+
+        with patch.object(log, "load", load_beside_a_repetition):
+            await self.deployment.submit(self.host, batch())
+        self.assertNotEqual(self.records(), [])
+
     async def test_a_host_that_can_not_read_the_store_does_not_judge(self):
         """The submission fails as it did before, for lack of the store."""
         await self.start()
