--- a/cranberryrun/batches/slow_spans.py
+++ b/cranberryrun/batches/slow_spans.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
-from ..fleet.engine_pool import Engine
+from ..fleet.engine_pool import SAME_SPEED_FACTOR, Engine
 from ..fleet.speed_record import usual_intervals
 from .engine_choice import SLOW_SPAN_COST_SECONDS, Move, may_run
 from .engine_memory import EngineBudget
@@ -41,7 +41,7 @@
 # cost it more.
 _MAX_EXTRA_SECONDS = 0.4
 # Engines whose lasting factors differ by less than about this count as equally fast.
-_FACTOR_STEP = 0.2
+_FACTOR_STEP = 0.25
 # If more of the busy engines than this seem slow, the cause is more likely on this host
 # or its link.
 _MAX_SLOW_SHARE = 0.6
@@ -230,11 +230,14 @@
             if usual is None:
                 continue
             interval = engine.expected_event_interval(usual)
-            if (interval - own_interval) * remaining > _MAX_EXTRA_SECONDS:
+            if (
+                interval > SAME_SPEED_FACTOR * own_interval
+                and (interval - own_interval) * remaining > _MAX_EXTRA_SECONDS
+            ):
                 continue
             normal = engine.normal_interval(usual)
             cost = (
-                float(round(engine.lasting_factor(usual) / _FACTOR_STEP)),
+                engine.lasting_factor(usual) // _FACTOR_STEP,
                 float(not engine.speed.full_speed_now(now, normal)),
                 engine.in_flight / engine.target.slots,
             )
--- a/cranberryrun/fleet/engine_pool.py
+++ b/cranberryrun/fleet/engine_pool.py
@@ -23,6 +23,8 @@
 # A measured interval loses half its weight in this time, because the slowness of an
 # engine may have ended since.
 _INTERVAL_HALF_LIFE_SECONDS = 4.0
+# Measured intervals of equal engines differ by less than this factor.
+SAME_SPEED_FACTOR = 1.15
 # A zone may be 1.3 times slower than others for good, and its single gaps are longer.
 _MAX_NORMAL_FACTOR = 1.4
 
@@ -153,7 +155,9 @@
         :param usual: the interval of the fastest engine, in seconds.
         """
         factor = self.lasting_factor(usual)
-        return usual * factor if factor <= _MAX_NORMAL_FACTOR else usual
+        if not SAME_SPEED_FACTOR <= factor <= _MAX_NORMAL_FACTOR:
+            return usual
+        return usual * factor
 
 
 class EnginePool(Service):
