--- a/cranberryrun/batches/service.py
+++ b/cranberryrun/batches/service.py
@@ -172,7 +172,7 @@
                 await log.load([batch.id])
         except (LogReadError, TimeoutError):
             return True
-        # A repetition that arrived during the read may be in the course of being stored.
+        # A repetition that arrived during the read may be about to be stored.
         return admission.submitted(batch.id) or batch.id in log.table.state_by_id
 
     async def _check_known_owner(self, batch: Batch, caller: Caller) -> None:
