Read the lasting interval of an engine five times a second at most

The holder sorted up to 308 intervals of an engine for every six events of each of its runs.

Change: at least 0.2 s pass between two readings; slowness shows after 1.9 s anyway.

--- a/cranberryrun/fleet/engine_pool.py
+++ b/cranberryrun/fleet/engine_pool.py
@@ -27,6 +27,9 @@
 SAME_SPEED_FACTOR = 1.15
 # A zone may be 1.3 times slower than others for good, and its single gaps are longer.
 _MAX_NORMAL_FACTOR = 1.4
+# The time between two readings of an engine's lasting interval, which changes within
+# two seconds.
+_MIN_RECORD_SECONDS = 0.2
 
 
 def _unlimited() -> None:
@@ -109,8 +112,12 @@
     def record_lasting_interval(self) -> None:
         """Take over the interval that :class:`EngineSpeed` measured, if there is one.
 
-        This replaces :meth:`record_event_interval`, which slow spans change.
+        This replaces :meth:`record_event_interval`, which slow spans change. It sorts
+        the measurements of two seconds, so it does that a few times a second only,
+        however many runs the engine has.
         """
+        if clock.now() < self.interval_recorded_at + _MIN_RECORD_SECONDS:
+            return
         interval = self.speed.lasting_interval()
         if interval:
             self.event_interval = interval
