Close connections whose peer sends heads without end

Cause: libuv reads a socket that still has bytes up to 32 times before it returns to the event loop, and aiohttp queues each interim head without a limit. The task that reads them, and every time limit, run only afterwards: 8.4 MB of heads become 327,680 messages and 149 MB. Ruled out: that one read is enough, as the claim supposes (256 KB of heads take 5.4 MB and 0.04 s), and bytes waiting in buffers (memory follows the queue). A wrapper around data_received told the three apart.

Change: connections count the heads of a request where they are parsed, 64 KB at a time, and close after 16. All clients use such connections, those for the platform's API and of cranberryctl included. The limit holds because it is applied from within the read, where nothing can come between.

New connections: none, 40 requests still share one (test).

Related paths: answers of engines, of the store and of neighbours, reports, orders and reward calls share HttpClients; each fault of ENDLESS_ANSWERS and, for callers and neighbours that call, of ENDLESS_REQUESTS now comes from a process of its own under uvloop with a bound of memory. Only interim heads exceeded it. Calls of thriftpy2 are read through asyncio.StreamReader, which stops the transport; probes that only connect read nothing.

--- a/cranberryrun/ctl_client.py
+++ b/cranberryrun/ctl_client.py
@@ -12,6 +12,7 @@
 import aiohttp
 
 from . import clock
+from .answer_protocol import Connector
 from .ctl_errors import (
     ChangeUnknownError,
     ControlError,
@@ -77,7 +78,7 @@
 
     async def __aenter__(self) -> ControlClient:
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(ssl=self._ssl),
+            connector=Connector(ssl=self._ssl),
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=_CONNECT_TIMEOUT_SECONDS
             ),
--- a/cranberryrun/http.py
+++ b/cranberryrun/http.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from .answer_memory import AnswerMemory
+from .answer_protocol import Connector
 from .kernel import Service
 
 _KEEPALIVE_SECONDS = 15.0
@@ -43,7 +44,7 @@
     )
 
 
-class _Connector(aiohttp.TCPConnector):
+class _Connector(Connector):
     """A connector whose keep-alive timeout can be changed while it is in use."""
 
     def set_keepalive_timeout(self, seconds: float) -> None:
--- a/cranberryrun/platform/duty_client.py
+++ b/cranberryrun/platform/duty_client.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 
+from ..answer_protocol import Connector
 from ..duties.client import (
     DutyClient,
     DutyConflictError,
@@ -68,9 +69,7 @@
         trace = aiohttp.TraceConfig()
         trace.on_request_headers_sent.append(self._check_lease)
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                force_close=True, socket_factory=_open_socket
-            ),
+            connector=Connector(force_close=True, socket_factory=_open_socket),
             cookie_jar=aiohttp.DummyCookieJar(),
             trace_configs=[trace],
             timeout=aiohttp.ClientTimeout(
--- a/standins/endless_target.py
+++ b/standins/endless_target.py
@@ -1,10 +1,17 @@
-"""Stand-in for a target in trouble that sends bytes without end."""
+"""Stand-in for a target in trouble that sends bytes without end.
+
+``python -m standins.endless_target FAULT`` runs it as a process, which prints its
+address. With ``--to ADDRESS`` it is a caller that sends requests without end.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Iterator
 
+import click
+
 _CHUNK = b"x" * 16_384
 _HEAD = (
     b"HTTP/1.1 200 OK\r\n"
@@ -20,16 +27,35 @@
     "header line": (_HEAD + b"X-Long: ", _CHUNK),
     "header lines": (_HEAD, b"X-Again: 1\r\n" * 1000),
     "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 500),
+    "interim answers with headers": (
+        b"",
+        (b"HTTP/1.1 103 Early Hints\r\n" + b"X-Again: 1\r\n" * 100 + b"\r\n") * 20,
+    ),
+    "answers": (b"", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" * 500),
     "garbage": (b"", b"\x00\xff\x13" * 5000),
     "body without length": (_HEAD + b"\r\n", _CHUNK),
     "chunked body": (_HEAD + _CHUNKED, b"4000\r\n" + _CHUNK + b"\r\n"),
     "chunk size": (_HEAD + _CHUNKED, b"0" * 16_384),
+    "small chunks": (_HEAD + _CHUNKED, b"1\r\nx\r\n" * 3000),
     "long body": (_HEAD + b"Content-Length: 99999999999\r\n\r\n", _CHUNK),
     "event": (_STREAM + b"\r\ndata: ", _CHUNK),
     "chunked event": (_STREAM + _CHUNKED, b"4000\r\n" + _CHUNK + b"\r\n"),
     "event lines": (_STREAM + b"\r\n", b"data: x\n" * 2000),
 }
 
+_REQUEST = b"POST /x HTTP/1.1\r\nHost: a\r\n"
+
+# The same for callers, by the name of the fault.
+ENDLESS_REQUESTS: dict[str, tuple[bytes, bytes]] = {
+    "requests": (b"", b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n" * 500),
+    "empty lines": (b"", b"\r\n" * 5000),
+    "header line": (_REQUEST + b"X-Long: ", _CHUNK),
+    "header lines": (_REQUEST, b"X-Again: 1\r\n" * 1000),
+    "chunked body": (_REQUEST + _CHUNKED, b"4000\r\n" + _CHUNK + b"\r\n"),
+    "small chunks": (_REQUEST + _CHUNKED, b"1\r\nx\r\n" * 3000),
+    "trailers": (_REQUEST + _CHUNKED + b"0\r\n", b"X-Again: 1\r\n" * 1000),
+}
+
 
 class EndlessTarget:
     """Answers every request with bytes that end only when the caller closes.
@@ -85,3 +111,33 @@
         while True:
             for byte in self._repeated:
                 yield bytes([byte])
+
+
+async def _send_requests(address: str, fault: str) -> None:
+    host, port = address.split(":")
+    _, writer = await asyncio.open_connection(host, int(port))
+    first, repeated = ENDLESS_REQUESTS[fault]
+    writer.write(first)
+    with contextlib.suppress(ConnectionError):
+        while True:
+            writer.write(repeated)
+            await writer.drain()
+
+
+async def _serve(fault: str) -> None:
+    target = EndlessTarget(fault)
+    await target.start()
+    click.echo(target.address)
+    await asyncio.Event().wait()
+
+
+@click.command()
+@click.argument("fault")
+@click.option("--to", "address", help="Where a caller sends its requests.")
+def main(fault: str, address: str | None) -> None:
+    """Send bytes without end until the process is killed."""
+    asyncio.run(_send_requests(address, fault) if address else _serve(fault))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -32,6 +32,7 @@
     "header line",
     "header lines",
     "interim answers",
+    "interim answers with headers",
     "garbage",
 }
 # A tenth of the memory of the smallest host.
