Leave repeats of requests to the retries of their route

Cause: aiohttp repeats requests with idempotent methods by itself when a kept connection breaks, and the session for callers' requests left this on. After a crash the second connect is refused, which counts as "nothing was sent", so Attempts chose another target. Where the target lives, it ran the request twice. Ruled out: Attempts by itself and the way through neighbours, both of which would repeat POST as well.

Change: HttpClients.shared repeats nothing; a second session over the same connections, reads, is left to repeat reads of the project's own protocols. No client follows redirects, which repeat requests as well.

Related paths, with a peer that breaks a kept connection, crashes or redirects: callers' requests by method, streams, items, reward calls, orders, calls through a neighbour, appends, questions to hosts, services of the own API, changes by cranberryctl (which read a second refused connect as "could not connect", and a 307 as done). Ruled out: calls to the platform's API, generate and appends of the own API (POST, a connection of their own), and thriftpy2 (does not reconnect; only a refused connect counts as refused).

Cost: kept connections stay one pool; a read of the store on a connection that was closed meanwhile is repeated as before (test). A request that may run once gets 502 there, with GET and PUT as with POST before. no_retry is called single_use, since that is what sets its connections apart.

--- a/cranberryrun/ctl_client.py
+++ b/cranberryrun/ctl_client.py
@@ -84,6 +84,8 @@
             ),
             read_bufsize=_READ_BUFFER_BYTES,
         )
+        # aiohttp would repeat changes by itself; see HttpClients.
+        self._session._retry_connection = False
         return self
 
     async def __aexit__(self, *error: object) -> None:
@@ -157,6 +159,7 @@
                     json=request.body,
                     params=request.params,
                     headers=request.all_headers(self._token),
+                    allow_redirects=False,
                 ) as response,
             ):
                 body = _parse_json(await response.read())
@@ -209,6 +212,7 @@
             host + path,
             params={"watch": "" if offset is None else str(offset)},
             headers=request.all_headers(self._token),
+            allow_redirects=False,
         ) as response:
             if response.status != 200:
                 problem = _parse_json(await response.read())
--- a/cranberryrun/engine_client.py
+++ b/cranberryrun/engine_client.py
@@ -199,21 +199,23 @@
         }
         if order.piece_tokens is not None:
             body["piece_tokens"] = order.piece_tokens
-        request_context = self._clients.no_retry.post(
+        request_context = self._clients.single_use.post(
             f"{self._url}/v1/generate",
             json=body,
             headers={WORKSPACE_HEADER: order.workspace} if order.workspace else None,
             timeout=self._stream_timeout,
+            allow_redirects=False,
         )
         async for piece in self._read_pieces(request_context, 0):
             yield piece
 
     async def resume(self, stream: str, start: int) -> AsyncIterator[Piece]:
         """See :meth:`EngineClient.resume`."""
-        request_context = self._clients.shared.get(
+        request_context = self._clients.reads.get(
             f"{self._url}/v1/streams/{stream}",
             params={"from": str(start)},
             timeout=self._stream_timeout,
+            allow_redirects=False,
         )
         async for piece in self._read_pieces(request_context, start):
             yield piece
@@ -247,7 +249,9 @@
         """See :meth:`EngineClient.cancel`."""
         try:
             async with self._clients.shared.delete(
-                f"{self._url}/v1/streams/{stream}", timeout=self._timeout
+                f"{self._url}/v1/streams/{stream}",
+                timeout=self._timeout,
+                allow_redirects=False,
             ):
                 return
         except (aiohttp.ClientError, asyncio.TimeoutError):
@@ -281,8 +285,8 @@
 
     async def _get(self, path: str) -> Any:
         try:
-            async with self._clients.shared.get(
-                self._url + path, timeout=self._timeout
+            async with self._clients.reads.get(
+                self._url + path, timeout=self._timeout, allow_redirects=False
             ) as response:
                 if response.status != 200:
                     raise EngineError(f"GET {path} returned status {response.status}")
@@ -317,7 +321,10 @@
     async def _send_order(self, body: dict[str, Any]) -> None:
         try:
             async with self._clients.shared.post(
-                f"{self._url}/v1/orders", json=body, timeout=self._timeout
+                f"{self._url}/v1/orders",
+                json=body,
+                timeout=self._timeout,
+                allow_redirects=False,
             ) as response:
                 if response.status == 409:
                     raise StaleFenceError(
--- a/cranberryrun/http.py
+++ b/cranberryrun/http.py
@@ -4,6 +4,7 @@
 
 import ssl
 from collections.abc import Mapping
+from typing import Any
 
 import aiohttp
 
@@ -54,12 +55,15 @@
 
 
 class HttpClients(Service):
-    """Holds two sessions; neither keeps cookies.
+    """Holds three sessions; none keeps cookies.
 
-    ``shared`` reuses connections. ``no_retry`` opens a new connection for each
-    request and never sends a request twice. aiohttp by itself repeats requests with
-    idempotent methods when a connection breaks, which would run a request twice
-    that must not be repeated.
+    ``shared`` reuses connections. ``single_use`` opens a new connection for each
+    request. Neither ever sends a request twice, so a request that could not connect
+    was not sent. aiohttp by itself repeats requests with idempotent methods when a
+    kept connection breaks. ``reads``, which shares the connections of ``shared``,
+    leaves it to do so; it is for reads of the project's own protocols.
+
+    Callers pass ``allow_redirects=False``, as a redirect would repeat the request.
 
     :param connect_timeout: in seconds.
     :param tls: the context that verifies the certificates of targets.
@@ -88,24 +92,32 @@
         self._connect_timeout = connect_timeout
         self._tls = tls
         self.shared: aiohttp.ClientSession
-        self.no_retry: aiohttp.ClientSession
+        self.single_use: aiohttp.ClientSession
+        self.reads: aiohttp.ClientSession
 
     async def start(self) -> None:
         """Open the sessions."""
-        self.shared = self._session(reuse_connections=True)
-        self.no_retry = self._session(reuse_connections=False)
-        # aiohttp has no public switch for this; a test counts the requests.
-        self.no_retry._retry_connection = False
-
-    def _session(self, reuse_connections: bool) -> aiohttp.ClientSession:
-        connector = _Connector(
-            limit=0,
-            force_close=not reuse_connections,
-            ssl=self._tls or True,
-            **({"keepalive_timeout": self._idle} if reuse_connections else {}),
-        )
+        connector = self._connector(keepalive_timeout=self._idle)
+        self.shared = self._session(connector)
+        self.single_use = self._session(self._connector(force_close=True))
+        self.reads = self._session(connector, owns_connector=False)
+        for session in (self.shared, self.single_use):
+            # aiohttp has no public switch for this; a test counts the requests.
+            session._retry_connection = False
+
+    def session_for(self, method: str) -> aiohttp.ClientSession:
+        """Return the session for a call of the project's own protocols."""
+        return self.reads if method == "GET" else self.shared
+
+    def _connector(self, **options: Any) -> _Connector:
+        return _Connector(limit=0, ssl=self._tls or True, **options)
+
+    def _session(
+        self, connector: _Connector, owns_connector: bool = True
+    ) -> aiohttp.ClientSession:
         return aiohttp.ClientSession(
             connector=connector,
+            connector_owner=owns_connector,
             auto_decompress=self._decode,
             # Callers share the sessions, so a cookie of one would reach another.
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -141,5 +153,5 @@
 
     async def stop(self) -> None:
         """Close the sessions."""
-        await self.shared.close()
-        await self.no_retry.close()
+        for session in (self.reads, self.shared, self.single_use):
+            await session.close()
--- a/cranberryrun/log.py
+++ b/cranberryrun/log.py
@@ -101,11 +101,14 @@
 
     async def append(self, stream: str, values: list[Any]) -> int:
         """See :meth:`Log.append`."""
-        session = self.kernel.get(HttpClients).no_retry
+        session = self.kernel.get(HttpClients).single_use
         timeout = aiohttp.ClientTimeout(total=self._timeout, sock_connect=1)
         try:
             async with session.post(
-                self._records_url(stream), json={"records": values}, timeout=timeout
+                self._records_url(stream),
+                json={"records": values},
+                timeout=timeout,
+                allow_redirects=False,
             ) as answer:
                 body = await self.kernel.get(HttpClients).read(answer)
                 return _parse_append_answer(answer.status, body)
@@ -118,12 +121,15 @@
 
     async def read(self, stream: str, start: int, limit: int, wait: float) -> LogPage:
         """See :meth:`Log.read`."""
-        session = self.kernel.get(HttpClients).shared
+        session = self.kernel.get(HttpClients).reads
         timeout = aiohttp.ClientTimeout(total=self._timeout + wait, sock_connect=1)
         params = {"from": str(start), "limit": str(limit), "wait": str(wait)}
         try:
             async with session.get(
-                self._records_url(stream), params=params, timeout=timeout
+                self._records_url(stream),
+                params=params,
+                timeout=timeout,
+                allow_redirects=False,
             ) as answer:
                 if answer.status != 200:
                     raise LogReadError(
--- a/cranberryrun/membership.py
+++ b/cranberryrun/membership.py
@@ -60,8 +60,8 @@
     async def read(self) -> list[HostEntry]:
         """See :meth:`HostList.read`."""
         try:
-            async with self._clients.shared.get(
-                self._url, timeout=self._timeout
+            async with self._clients.reads.get(
+                self._url, timeout=self._timeout, allow_redirects=False
             ) as answer:
                 if answer.status != 200:
                     raise HostListError(
--- a/cranberryrun/platform/host_calls.py
+++ b/cranberryrun/platform/host_calls.py
@@ -35,10 +35,12 @@
     address = kernel.get(Neighbours).address_of(host)
     if address is None:
         raise PeerError(f"the address of host {host} is not known")
+    session = kernel.get(HttpClients).session_for(method)
     try:
-        async with kernel.get(HttpClients).shared.request(
+        async with session.request(
             method,
             f"http://{address}{path}",
+            allow_redirects=False,
             timeout=aiohttp.ClientTimeout(
                 total=seconds, sock_connect=min(seconds, _CONNECT_TIMEOUT_SECONDS)
             ),
--- a/cranberryrun/platform/reach_calls.py
+++ b/cranberryrun/platform/reach_calls.py
@@ -42,8 +42,9 @@
         if address is None:
             return False
         try:
-            async with self.kernel.get(HttpClients).shared.get(
+            async with self.kernel.get(HttpClients).reads.get(
                 f"http://{address}{REACH_PATH}",
+                allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(total=_ASK_TIMEOUT_SECONDS),
             ) as response:
                 return response.status == 200
--- a/cranberryrun/platform/store_client.py
+++ b/cranberryrun/platform/store_client.py
@@ -222,9 +222,10 @@
         """
         clients = self.kernel.get(HttpClients)
         try:
-            async with clients.shared.request(
+            async with clients.session_for(method).request(
                 method,
                 URL(f"http://{address}{target}", encoded=True),
+                allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(
                     total=_CALL_TIMEOUT_SECONDS + wait,
                     sock_read=_READ_TIMEOUT_SECONDS + wait,
--- a/cranberryrun/services.py
+++ b/cranberryrun/services.py
@@ -140,7 +140,7 @@
         sink: Sink | None = None,
     ) -> Answer:
         """See :meth:`ServiceClient.send`."""
-        session = self._clients.shared if repeatable else self._clients.no_retry
+        session = self._clients.shared if repeatable else self._clients.single_use
         seconds_left = max(0.001, call.deadline - clock.now())
         headers = end_to_end_headers(call.headers)
         headers["X-Request-Id"] = call.request
--- a/tests/test_answer_protocol.py
+++ b/tests/test_answer_protocol.py
@@ -151,7 +151,7 @@
             await clients.start()
             await duties.start()
             async with ControlClient(["http://127.0.0.1:1"]) as control:
-                sessions = (clients.shared, clients.no_retry)
+                sessions = (clients.shared, clients.single_use)
                 sessions += (duties._session, control._session)
                 connectors = [session.connector for session in sessions]
             await clients.stop()
