Log each call to the store that a neighbour did not relay

The logs could not tell a host that waits for neighbours from one whose probe or long poll hangs: nothing was said of calls through neighbours. The event neighbour_failed has the neighbour, how long the call took and the error.

--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -94,6 +94,7 @@
         WARNING,
         "A manifest took effect in which some workspaces have no keys.",
     ),
+    (215, "neighbour_failed", INFO, "A neighbour did not relay a call to the store."),
     (
         220,
         "lease_taken",
--- a/cranberryrun/fleet/store_paths.py
+++ b/cranberryrun/fleet/store_paths.py
@@ -14,7 +14,7 @@
 from ..events import Events
 from ..exceptions import AppendUnknownError, LogReadError, LogUnavailableError
 from ..kernel import Service
-from .neighbours import Neighbours
+from .neighbours import Neighbour, Neighbours
 
 # Interval of the probes of the direct path after it has failed.
 _PROBE_SECONDS = 0.3
@@ -75,18 +75,30 @@
         if clock.now() >= self._relay_cooldown_until:
             neighbours = self.kernel.get(Neighbours)
             for neighbour in neighbours.choose(_MAX_NEIGHBOURS):
+                called_at = clock.now()
                 try:
                     return await send(neighbour.address)
-                except AppendUnknownError:
-                    neighbours.record_failure(neighbour)
+                except AppendUnknownError as error:
+                    self._record_failure(neighbour, called_at, error)
                     raise
-                except (LogReadError, LogUnavailableError):
-                    neighbours.record_failure(neighbour)
+                except (LogReadError, LogUnavailableError) as error:
+                    self._record_failure(neighbour, called_at, error)
             self._relay_cooldown_until = clock.now() + _RELAY_COOLDOWN_SECONDS
         if direct_error is not None:
             raise direct_error
         return await send(self.direct)
 
+    def _record_failure(
+        self, neighbour: Neighbour, called_at: float, error: Exception
+    ) -> None:
+        self.kernel.get(Neighbours).record_failure(neighbour)
+        self.kernel.get(Events).emit(
+            "neighbour_failed",
+            neighbour=neighbour.host,
+            seconds=round(clock.now() - called_at, 3),
+            reason=str(error),
+        )
+
     def _start_probing(
         self, error: Exception, probe: Callable[[], Awaitable[object]]
     ) -> None:
