Leave neighbours that are gone as soon as the store serves again

Cause: a call that the store does not serve goes through up to four neighbours. Connecting to one that is gone had no limit but that of the whole call, as the time limits of a call replace those of the session: 3 s, with a long poll 3.5 s and more. The read stayed there although the store served this host again, and the loop that reads the manifest does nothing else. Entries of machines that are gone were kept for good. Ruled out: a late probe (4.51 s for an outage of 4.50 s) and a long poll into the outage (2.6 s at the most, and without replaced machines too).

Change: connecting takes 0.4 s at the most, and a call that could not connect counts as not sent. A read at a neighbour ends when the probe succeeds and is sent directly; after a second no further neighbour is tried. NeighbourChecks connects to one neighbour every 5 s, has unreachable ones chosen last, and removes the entry of one that is gone; a host that was taken for gone registers again.

Related paths: each ClientTimeout of the product was read; all others limit connecting or have a total of 2.5 s at the most. All loops that call the store go through StorePaths. The number of hosts, by which limits of targets are divided, no longer counts machines that are gone.

Cost: each host opens one connection to another host in 5 s, two while one is unreachable, and none to engines.

--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -95,6 +95,7 @@
         "A manifest took effect in which some workspaces have no keys.",
     ),
     (215, "neighbour_failed", INFO, "A neighbour did not relay a call to the store."),
+    (216, "neighbour_removed", INFO, "The entry of a host that is gone was removed."),
     (
         220,
         "lease_taken",
--- a/cranberryrun/fleet/neighbours.py
+++ b/cranberryrun/fleet/neighbours.py
@@ -34,6 +34,10 @@
 class Neighbours(Service):
     """Registers this host in a keyed topic and reads the entries of the others.
 
+    The entry of a host that is gone is removed by another one, see
+    :class:`~.neighbour_checks.NeighbourChecks`. A host whose own entry was removed
+    registers again. ``unreachable`` has the hosts to which no connection can be made.
+
     :param topic: the keyed topic with one entry for each host.
     :param own: this host's own entry.
     """
@@ -48,7 +52,11 @@
         self._rng = rng
         self._neighbour_by_host: dict[str, Neighbour] = {}
         self._cooldown_until_by_host: dict[str, float] = {}
+        self.unreachable: frozenset[str] = frozenset()
+        # The offset after the newest record when the entries were read.
+        self._end = 0
         self._read = False
+        self._registered = False
         self._sought: set[str] = set()
         self._missing = asyncio.Event()
 
@@ -58,7 +66,10 @@
         self.supervise(self._refresh)
 
     def choose(self, count: int) -> list[Neighbour]:
-        """Return at most ``count`` neighbours in random order, the own zone first."""
+        """Return at most ``count`` neighbours in random order, the own zone first.
+
+        Those that are unreachable come last.
+        """
         now = clock.now()
         available = [
             neighbour
@@ -67,9 +78,31 @@
             and self._cooldown_until_by_host.get(host, 0.0) <= now
         ]
         self._rng.shuffle(available)
-        available.sort(key=lambda neighbour: neighbour.zone != self._own.zone)
+        available.sort(
+            key=lambda neighbour: (
+                neighbour.host in self.unreachable,
+                neighbour.zone != self._own.zone,
+            )
+        )
         return available[:count]
 
+    @property
+    def all(self) -> list[Neighbour]:
+        """All neighbours that relay calls; some may be gone."""
+        return [
+            neighbour
+            for neighbour in self._neighbour_by_host.values()
+            if neighbour.address is not None
+        ]
+
+    async def remove(self, host: str) -> None:
+        """Remove the entry of a host, unless any entry changed since the last read.
+
+        :raises CranberryrunError: the entry was not removed, or perhaps not.
+        """
+        await self.kernel.get(Store).put(self._topic, host, b"", self._end)
+        self._neighbour_by_host.pop(host, None)
+
     def address_of(self, host: str) -> str | None:
         """Return the address at which ``host`` accepts calls; None if not known.
 
@@ -86,7 +119,7 @@
 
     @property
     def host_count(self) -> int | None:
-        """How many hosts have registered, this one included; some may be gone.
+        """How many hosts have registered, this one included; some are gone lately.
 
         None until the entries of the others are read for the first time.
         """
@@ -98,10 +131,11 @@
 
     async def _register(self) -> None:
         value = self._own.model_dump_json().encode()
-        while True:
+        self._registered = False
+        while not self._registered:
             try:
                 await self.kernel.get(Store).put(self._topic, self._own.host, value)
-                return
+                self._registered = True
             except CranberryrunError:
                 # Not logged here: the directory logs outages of the store.
                 await asyncio.sleep(_RETRY_DELAY_SECONDS)
@@ -109,6 +143,7 @@
     async def _refresh(self) -> None:
         while True:
             await self._pause(self._rng.uniform(0, _REFRESH_SECONDS))
+            registered = self._registered
             try:
                 newest = await self.kernel.get(Store).newest(self._topic)
             except CranberryrunError:
@@ -116,7 +151,13 @@
                 await asyncio.sleep(_RETRY_DELAY_SECONDS)
                 continue
             self._replace_neighbours(newest.records)
+            self._end = newest.next
             self._read = True
+            if registered and not any(
+                record.key == self._own.host and record.value is not None
+                for record in newest.records
+            ):
+                self.supervise(self._register)
             await asyncio.sleep(_MIN_REFRESH_SECONDS)
             await self._pause(_REFRESH_SECONDS - _MIN_REFRESH_SECONDS)
 
@@ -143,3 +184,8 @@
                     "record_invalid", key=record.key, reason=str(error)
                 )
         self._neighbour_by_host = neighbour_by_host
+        self._cooldown_until_by_host = {
+            host: until
+            for host, until in self._cooldown_until_by_host.items()
+            if host in neighbour_by_host
+        }
--- a/cranberryrun/fleet/reach_client.py
+++ b/cranberryrun/fleet/reach_client.py
@@ -17,6 +17,10 @@
     async def connects(self, target: Target) -> bool:
         """Return whether a new connection to the target can be made."""
 
+    @abstractmethod
+    async def connects_to(self, address: str) -> bool:
+        """Return whether a new connection to a host's address can be made."""
+
     @abstractmethod
     async def reaches_targets(self, host: str) -> bool:
         """Return whether a neighbour says that it reaches targets."""
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -25,6 +25,7 @@
 from ..fleet.engine_pool import EnginePool
 from ..fleet.lease import Lease
 from ..fleet.loads import Loads
+from ..fleet.neighbour_checks import NeighbourChecks
 from ..fleet.neighbours import Neighbour, Neighbours
 from ..fleet.send_permits import SendPermits
 from ..fleet.store_paths import StorePaths
@@ -154,6 +155,7 @@
             Streams(),
             RewardCaller(),
             Neighbours(HOST_TOPIC, self._own_entry(), rng),
+            NeighbourChecks(rng),
             NeighbourServer(settings),
             Frontend(settings),
             *self._create_duty_services(incarnation, usage),
--- a/cranberryrun/platform/reach_calls.py
+++ b/cranberryrun/platform/reach_calls.py
@@ -21,13 +21,17 @@
 
 
 class HttpReachClient(ReachClient):
-    """Connects to targets over TCP and asks neighbours over HTTP."""
+    """Connects over TCP, and asks neighbours over HTTP."""
 
     requires = ("http", "neighbours")
 
     async def connects(self, target: Target) -> bool:
         """See :meth:`ReachClient.connects`."""
-        host, port = split_address(target.address)
+        return await self.connects_to(target.address)
+
+    async def connects_to(self, address: str) -> bool:
+        """See :meth:`ReachClient.connects_to`."""
+        host, port = split_address(address)
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_SECONDS):
                 _, writer = await asyncio.open_connection(host, port)
--- a/cranberryrun/platform/store_client.py
+++ b/cranberryrun/platform/store_client.py
@@ -30,6 +30,9 @@
 _READ_TIMEOUT_SECONDS = 0.6
 # A page of this size takes 0.05 s on the slowest link of a host, 60 Mbit/s.
 _PAGE_MAX_KB = 256
+# Connecting takes some milliseconds even over the longest link, but hangs where the
+# neighbour is gone.
+_CONNECT_TIMEOUT_SECONDS = 0.4
 # Ends a call whose answer arrives in small pieces and so never hits the read timeout.
 _CALL_TIMEOUT_SECONDS = 3.0
 # The probe tests only whether the store answers this host; its topic does not matter.
@@ -203,7 +206,9 @@
         async def send(address: str) -> tuple[int, bytes]:
             return await self.send_call(address, method, target, body, wait)
 
-        return await self.kernel.get(StorePaths).call(send, self._probe)
+        return await self.kernel.get(StorePaths).call(
+            send, self._probe, repeatable=method == "GET"
+        )
 
     async def _probe(self) -> tuple[int, bytes]:
         direct = self.kernel.get(StorePaths).direct
@@ -228,13 +233,14 @@
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(
                     total=_CALL_TIMEOUT_SECONDS + wait,
+                    sock_connect=_CONNECT_TIMEOUT_SECONDS,
                     sock_read=_READ_TIMEOUT_SECONDS + wait,
                 ),
                 data=body or None,
             ) as response:
                 status = response.status
                 answer = await clients.read(response)
-        except aiohttp.ClientConnectorError as error:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise _not_applied_error(method, f"can't connect to {address}: {error}")
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
             reason = f"no complete answer from {address}: {error!r}"
--- a/tests/test_store_paths.py
+++ b/tests/test_store_paths.py
@@ -18,6 +18,7 @@
 from .virtual import VirtualTimeTestCase
 
 DIRECT = "store"
+HANG_SECONDS = 2.6
 
 
 class StorePathsTest(VirtualTimeTestCase):
@@ -35,6 +36,8 @@
         await self.kernel.start()
         self.failure_by_address = {}
         self.called_addresses = []
+        self.hanging_addresses = set()
+        self.repeatable = True
 
     def add_neighbours(self, **zone_by_host):
         self.neighbours._replace_neighbours(
@@ -52,6 +55,10 @@
     async def send(self, address):
         self.called_addresses.append(address)
         await asyncio.sleep(0.004)
+        if address in self.hanging_addresses:
+            await asyncio.sleep(HANG_SECONDS)
+            error = LogReadError if self.repeatable else AppendUnknownError
+            raise error("silent")
         failure = self.failure_by_address.get(address)
         if failure is not None:
             raise type(failure)(*failure.args)
@@ -61,7 +68,7 @@
         return await self.send(DIRECT)
 
     async def call(self):
-        return await self.paths.call(self.send, self.probe)
+        return await self.paths.call(self.send, self.probe, repeatable=self.repeatable)
 
     async def test_calls_go_to_the_store_directly_while_it_serves_this_host(self):
         self.add_neighbours(n1="a")
@@ -122,3 +129,36 @@
             await self.call()
         del self.failure_by_address[DIRECT]
         self.assertEqual(await self.call(), "answer of store")
+
+    async def test_read_does_not_wait_for_a_neighbour_once_the_store_serves_again(self):
+        # Guards against CONFIG: a read that hung at a neighbour went on for seconds
+        # after the end of an outage.
+        self.add_neighbours(n1="a")
+        self.hanging_addresses = {"n1"}
+        self.failure_by_address[DIRECT] = LogReadError("silent")
+        task = asyncio.create_task(self.call())
+        await asyncio.sleep(1.0)
+        del self.failure_by_address[DIRECT]
+        await asyncio.sleep(0.5)
+        self.assertTrue(task.done())
+        self.assertEqual(task.result(), "answer of store")
+
+    async def test_write_at_a_neighbour_is_not_made_again_directly(self):
+        self.add_neighbours(n1="a")
+        self.hanging_addresses = {"n1"}
+        self.repeatable = False
+        self.failure_by_address[DIRECT] = LogUnavailableError("503")
+        task = asyncio.create_task(self.call())
+        await asyncio.sleep(1.0)
+        del self.failure_by_address[DIRECT]
+        await asyncio.sleep(HANG_SECONDS)
+        with self.assertRaises(AppendUnknownError):
+            await task
+
+    async def test_call_tries_no_more_neighbours_after_a_second(self):
+        self.add_neighbours(n1="a", n2="a", n3="a", n4="a")
+        self.hanging_addresses = {"n1", "n2", "n3", "n4"}
+        self.failure_by_address[DIRECT] = LogReadError("silent")
+        with self.assertRaises(LogReadError):
+            await self.call()
+        self.assertLess(self.now(), 2 * HANG_SECONDS)
