Forget targets and processes that were replaced long ago

The lists are the states of targets, the marks of leaving ones, the answer times of reward calls, the times for further orders, and the last usage record of each process.

Test before the fix (test_absent_ids), after 6,000 targets and processes: AssertionError: 6001 not less than 5000 After it, it passes; the target that stays keeps its state.

Cost: one comparison where a target is seen for the first time.

--- a/cranberryrun/fleet/directory.py
+++ b/cranberryrun/fleet/directory.py
@@ -13,6 +13,7 @@
 from ..exceptions import LogGapError, LogReadError, RecordInvalidError
 from ..kernel import Service
 from ..store import KeyedRecord, Store
+from .leaving_marks import LeavingMarks
 from .manifest import Manifest, Route
 from .topic_reads import IDLE_TICK_SECONDS, TICK_SECONDS, PauseWatch, TopicReads
 
@@ -32,7 +33,6 @@
 _REREGISTRATION_SECONDS = 2.0
 # A read takes some milliseconds. A partitioned host goes on with the manifest it has.
 _MAX_WAIT_FOR_MANIFEST_SECONDS = 0.5
-_MS_PER_SECOND = 1000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +105,7 @@
         self.targets_loaded = False
         self.follow_closely = False
         self._change_count = 0
-        self._leaving_since_by_id: dict[str, float] = {}
+        self._leaving = LeavingMarks()
         self._expiry_timer_by_id: dict[str, asyncio.TimerHandle] = {}
         self._reads_by_topic: dict[str, TopicReads] = {}
         self._pauses: PauseWatch
@@ -178,13 +178,10 @@
     def mark_leaving(self, target_id: str) -> None:
         """Give a target no new work for the life of this host's process.
 
-        Called when an answer of the target says that it is leaving. The target's entry
-        may say so only later, and a snapshot of the topic may be older, so no entry of
-        the same process of the target takes the mark back.
+        Called when an answer of the target says that it is leaving.
         """
-        if target_id in self._leaving_since_by_id:
+        if not self._leaving.add(target_id, clock.wall(), self.target_by_id):
             return
-        self._leaving_since_by_id[target_id] = clock.wall()
         target = self.target_by_id.get(target_id)
         if target is None or target.draining:
             return
@@ -192,14 +189,6 @@
         self.kernel.get(Events).emit("target_leaving", target=target_id)
         self._notify_observers()
 
-    def _said_leaving(self, target: Target) -> bool:
-        """Return whether an answer of this process of the target said so.
-
-        A process that started after the answer is a later one with the same id.
-        """
-        since = self._leaving_since_by_id.get(target.id)
-        return since is not None and target.born <= since * _MS_PER_SECOND
-
     async def _follow(
         self,
         topic: str,
@@ -341,7 +330,7 @@
         registered = self.target_by_id.get(target.id)
         if registered is not None and _entry_order(target) < _entry_order(registered):
             return
-        if self._said_leaving(target):
+        if self._leaving.holds(target.id, target.born):
             target = replace(target, draining=True)
         timer = self._expiry_timer_by_id.pop(target.id, None)
         if timer is not None:
--- a/cranberryrun/fleet/loads.py
+++ b/cranberryrun/fleet/loads.py
@@ -8,6 +8,7 @@
 from ..events import Events
 from ..exceptions import CranberryrunError, StaleFenceError
 from ..kernel import Service
+from .absent_ids import drop_absent
 from .client import LoadOrder, OrderRefusedError, TargetClient
 from .directory import Directory
 from .engine_pool import Engine, EnginePool
@@ -194,6 +195,7 @@
     def _record_failure(
         self, engine: Engine, model: str, version: int, error: Exception
     ) -> None:
+        drop_absent(self._retry_at_by_engine, self.kernel.get(EnginePool).engine_by_id)
         self._retry_at_by_engine[engine.id] = clock.now() + _RETRY_DELAY_SECONDS
         self.kernel.get(Events).emit(
             "order_refused",
--- a/cranberryrun/requests/forwarder.py
+++ b/cranberryrun/requests/forwarder.py
@@ -14,6 +14,7 @@
     RefusedError,
     TargetFailedError,
 )
+from ..fleet.absent_ids import drop_absent
 from ..fleet.client import Answer, Request, TargetClient
 from ..fleet.directory import Directory, Target
 from ..fleet.manifest import Route
@@ -270,7 +271,12 @@
 
     def state_of(self, target_id: str) -> TargetState:
         """Return the state of a target; a new one at its first use."""
-        return self._state_by_target.setdefault(target_id, TargetState())
+        state = self._state_by_target.get(target_id)
+        if state is None:
+            target_by_id = self.kernel.get(Directory).target_by_id
+            drop_absent(self._state_by_target, target_by_id)
+            state = self._state_by_target[target_id] = TargetState()
+        return state
 
     def in_flight_at(self, target_id: str) -> int:
         """Return how many calls of this host a target runs now."""
--- a/cranberryrun/rewards/caller.py
+++ b/cranberryrun/rewards/caller.py
@@ -12,6 +12,7 @@
     TargetFailedError,
     TargetUnreachableError,
 )
+from ..fleet.absent_ids import drop_absent
 from ..fleet.client import RunFailedError, TargetClient
 from ..fleet.directory import Directory, Target
 from ..fleet.send_permits import SendPermits
@@ -200,7 +201,11 @@
             load.mean_seconds = time.expected(fastest)
 
     def _answer_time(self, target_id: str) -> _AnswerTime:
-        return self._answer_time_by_target.setdefault(target_id, _AnswerTime())
+        if target_id not in self._answer_time_by_target:
+            target_by_id = self.kernel.get(Directory).target_by_id
+            drop_absent(self._answer_time_by_target, target_by_id)
+            self._answer_time_by_target[target_id] = _AnswerTime()
+        return self._answer_time_by_target[target_id]
 
     def _start_attempt(self, attempt: Attempt) -> None:
         pending = attempt.pending
--- a/cranberryrun/usage_counts/totals.py
+++ b/cranberryrun/usage_counts/totals.py
@@ -14,6 +14,8 @@
 # After an outage of the store the hosts append their counts again within this time: a
 # call in flight is lost after 0.6 s, and the next one follows 0.5 s later.
 _SETTLE_SECONDS = 1.3
+# A process that reported before so many others is gone.
+_MAX_PROCESSES = 4096
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +67,12 @@
         process = (record.host, record.incarnation)
         if record.sequence <= self._last_sequence_by_process.get(process, -1):
             return
+        # The processes that reported last are at the end.
+        self._last_sequence_by_process.pop(process, None)
         self._last_sequence_by_process[process] = record.sequence
+        if len(self._last_sequence_by_process) > _MAX_PROCESSES:
+            oldest = next(iter(self._last_sequence_by_process))
+            del self._last_sequence_by_process[oldest]
         if record.window <= self._reported_window:
             self.late_requests += sum(record.counts.values())
             return
