Teach the soak broken answers, replaced machines and methods

Change: each run has two more kinds of faults, from a generator of their own: a target that resets connections or answers with interim heads without end, and a machine that is replaced by another one while connects to its address hang. Callers send POST, PUT and DELETE on all routes. A host that once takes over 190 MB is a violation. The last pause before a fault ends with the time for faults, so that none comes after the checks have begun (seen: 25 s later).

The time in which a manifest is applied is not checked by the soak: callers do not know when the host is in touch again. test_gone_neighbours does.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,6 +20,8 @@
 _STEP_TIMEOUT_SECONDS = 12.0
 _POLL_INTERVAL_SECONDS = 0.3
 _FOREIGN_CALL_INTERVAL_SECONDS = 0.2
+# What may be repeated follows from the route, not from the method.
+_METHODS = ("POST", "PUT", "DELETE")
 
 
 def _reward_call(item: str, group: int) -> dict[str, Any]:
@@ -70,19 +72,20 @@
         while not self._stopping:
             count += 1
             attempt_id = f"{route}-{number}-{count}"
-            if not await self._send_request(front_address, route, attempt_id):
+            method = _METHODS[count % len(_METHODS)]
+            if not await self._send_request(front_address, method, route, attempt_id):
                 front_address = self._random_front_address()
             await asyncio.sleep(self._rng.uniform(0.5, 1.5) * _REQUEST_INTERVAL_SECONDS)
 
     async def _send_request(
-        self, front_address: str, route: str, attempt_id: str
+        self, front_address: str, method: str, route: str, attempt_id: str
     ) -> bool:
         """Send one request; return whether the next one may go to the same host."""
         status: int | None = None
         key = self._choose_key(attempt_id)
         try:
             async with self._open_request(
-                "POST",
+                method,
                 front_address,
                 f"/{route}/x",
                 attempt_id,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -277,6 +277,31 @@
         return mode
 
 
+class BreakAnswers(Fault):
+    """Makes one target reset connections or send interim heads without end."""
+
+    name = "broken_answers"
+
+    async def inject(self) -> str:
+        """See :meth:`Fault.inject`."""
+        target = self.random_target()
+        kind = self.rng.choice(["reset", "endless"])
+        target.script.extend([kind] * self.rng.randint(1, 3))
+        return f"{target.id} {kind}"
+
+
+class ReplaceHost(Fault):
+    """Removes a machine for good and adds another one in its place."""
+
+    name = "replace"
+
+    async def inject(self) -> str:
+        """See :meth:`Fault.inject`."""
+        host = self.random_host()
+        added = await self.testbed.replace(host)
+        return f"{host.name} by {added.name}"
+
+
 class ChangeKeys(Fault):
     """Publishes a manifest in which a key was added or removed."""
 
@@ -305,6 +330,9 @@
     ChangeManifest,
 )
 
+# Kinds that each run has as well.
+STANDING_KINDS: tuple[type[Fault], ...] = (BreakAnswers, ReplaceHost)
+
 # Kinds beside which limits are named: a link that held requests back would deliver them
 # all at once, which is no fault of the hosts.
 KINDS_BESIDE_LIMITS = tuple(
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -13,13 +13,22 @@
 from standins.platform_api import PlatformApi
 
 from .callers import Callers
-from .faults import FAULT_KINDS, KINDS_BESIDE_LIMITS, Fault, NameLimit, feature_kinds
+from .faults import (
+    FAULT_KINDS,
+    KINDS_BESIDE_LIMITS,
+    STANDING_KINDS,
+    Fault,
+    NameLimit,
+    feature_kinds,
+)
 from .history import History
 from .testbed import PROBE_ID, USAGE_WINDOW_SECONDS, Testbed
 from .workspaces import Workspaces
 
 # Mean time between the starts of faults, short enough that some overlap.
 _MEAN_FAULT_INTERVAL_SECONDS = 1.0
+# Machines are replaced less often than they fail.
+_STANDING_INTERVAL_SECONDS = 3.0
 _POLL_INTERVAL_SECONDS = 0.1
 # The platform requires requests to be served again within this time after a fault.
 _RECOVERY_LIMIT_SECONDS = 12.0
@@ -41,8 +50,9 @@
 class SoakRun:
     """Run of one seed.
 
-    Three of four seeds have workspaces, and two of these three have usage duties. Both
-    draw from a generator of their own, so that a seed keeps its other faults.
+    Three of four seeds have workspaces, and two of these three have usage duties. Both,
+    and the standing kinds of faults, draw from generators of their own, so that a seed
+    keeps its other faults.
 
     :param seconds: how long faults are injected.
     :param folder: where settings and logs of the hosts go.
@@ -66,6 +76,7 @@
         hosts = self._rng.choice([2, 3, 4])
         engines = self._rng.choice([2, 3])
         self._feature_rng = random.Random(f"features of {seed}")
+        self._standing_rng = random.Random(f"standing faults of {seed}")
         workspaces = api = None
         if seed % 4 and other_build is None:
             workspaces = Workspaces(random.Random(self._feature_rng.random()))
@@ -83,10 +94,14 @@
         try:
             await self._testbed.start()
             callers_task = asyncio.create_task(self._callers.run(request_loops=6))
+            memory_task = asyncio.create_task(
+                self._testbed.watch_memory(self._history.add_violation)
+            )
             await self._inject_faults()
             await self._check_recovery()
             self._callers.stop()
             await callers_task
+            memory_task.cancel()
             self._history.check_targets(self._testbed)
         finally:
             await self._testbed.stop()
@@ -116,16 +131,27 @@
         await asyncio.gather(
             self._inject_kinds(kinds, self._rng, deadline),
             self._inject_kinds(more_kinds, self._feature_rng, deadline),
+            self._inject_kinds(
+                STANDING_KINDS,
+                self._standing_rng,
+                deadline,
+                _STANDING_INTERVAL_SECONDS,
+            ),
             *tasks,
         )
 
     async def _inject_kinds(
-        self, kinds: Sequence[type[Fault]], rng: random.Random, deadline: float
+        self,
+        kinds: Sequence[type[Fault]],
+        rng: random.Random,
+        deadline: float,
+        interval: float = _MEAN_FAULT_INTERVAL_SECONDS,
     ) -> None:
         loop = asyncio.get_running_loop()
         tasks = set()
         while kinds and loop.time() < deadline:
-            await asyncio.sleep(rng.expovariate(1 / _MEAN_FAULT_INTERVAL_SECONDS))
+            pause = rng.expovariate(1 / interval)
+            await asyncio.sleep(min(pause, deadline - loop.time()))
             fault = rng.choice(kinds)(self._testbed, rng)
             tasks.add(asyncio.create_task(self._inject(fault, loop.time() - deadline)))
         await asyncio.gather(*tasks)
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -7,12 +7,15 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import aiohttp
+import psutil
 
+from standins.gone_machine import GoneMachine
 from standins.platform_api import PlatformApi
 from standins.platform_store import PlatformStore
 from standins.platform_target import PlatformTarget
@@ -40,6 +43,9 @@
 # Time that the platform grants a process between SIGTERM and SIGKILL.
 GRACE_SECONDS = 8.0
 _KILL_MARGIN_SECONDS = 1.0
+# The memory that the platform grants a process.
+MEMORY_MB = 190
+_MEMORY_SAMPLE_SECONDS = 0.02
 
 
 def _route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
@@ -82,7 +88,10 @@
 
 @dataclass(slots=True)
 class Host:
-    """Process of one host; ``clock_step`` offsets its wall clock, in seconds."""
+    """Process of one host; ``clock_step`` offsets its wall clock, in seconds.
+
+    A ``removed`` one is not started any more.
+    """
 
     name: str
     settings_path: Path
@@ -90,6 +99,7 @@
     store_link: Proxy
     process: asyncio.subprocess.Process | None = None
     clock_step: float = 0.0
+    removed: bool = False
     launch_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     @property
@@ -98,6 +108,17 @@
         return self.process is not None and self.process.returncode is None
 
 
+def _used_mb(host: Host) -> float:
+    """Return the memory of a host's process; 0 if there is none."""
+    if not host.is_running:
+        return 0.0
+    assert host.process is not None
+    try:
+        return psutil.Process(host.process.pid).memory_info().rss / 1_000_000
+    except psutil.NoSuchProcess:
+        return 0.0
+
+
 class Testbed:
     """Starts the host processes, stand-ins and links of one run; stops only those.
 
@@ -137,6 +158,8 @@
         self.manifest_version = 1
         self.added_routes = 0
         self._heartbeat_task: asyncio.Task[None] | None = None
+        self._links: list[Proxy] = []
+        self._gone_machines: list[GoneMachine] = []
 
     def _create_host(self, name: str) -> Host:
         front_address = f"127.0.0.1:{free_port()}"
@@ -157,13 +180,17 @@
             self._write_heartbeats()
         )
         for host in self.hosts:
-            host.store_link.target = self.store.address
-            await host.store_link.start()
-            self._write_settings(host)
-            await self.launch(host)
+            await self._start_host(host)
         for host in self.hosts:
             await self.wait_until_serving(host, _READY_TIMEOUT_SECONDS)
 
+    async def _start_host(self, host: Host) -> None:
+        host.store_link.target = self.store.address
+        await host.store_link.start()
+        self._links.append(host.store_link)
+        self._write_settings(host)
+        await self.launch(host)
+
     def _write_settings(self, host: Host) -> None:
         settings: dict[str, Any] = {
             "host_id": host.name,
@@ -189,9 +216,39 @@
     async def launch(self, host: Host) -> None:
         """Start the process of a host unless an overlapping fault already did."""
         async with host.launch_lock:
-            if not host.is_running:
+            if not host.is_running and not host.removed:
                 await self._launch(host)
 
+    async def replace(self, host: Host) -> Host:
+        """Remove a machine for good, and return the one that takes its place.
+
+        Nothing answers at its address any more.
+        """
+        async with host.launch_lock:
+            if host.removed:
+                return host
+            host.removed = True
+            self.signal(host, signal.SIGCONT)
+            await self.kill(host)
+        settings = json.loads(host.settings_path.read_text())
+        port = int(settings["peer_address"].rpartition(":")[2])
+        self._gone_machines.append(GoneMachine(port))
+        added = self._create_host(f"{host.name}-{len(self._gone_machines)}")
+        self.hosts[self.hosts.index(host)] = added
+        await self._start_host(added)
+        return added
+
+    async def watch_memory(self, report: Callable[[str], None]) -> None:
+        """Report each host that once takes more memory than the platform grants."""
+        reported: set[str] = set()
+        while True:
+            await asyncio.sleep(_MEMORY_SAMPLE_SECONDS)
+            for host in self.hosts:
+                used = _used_mb(host)
+                if used > MEMORY_MB and host.name not in reported:
+                    reported.add(host.name)
+                    report(f"{host.name} takes {used:.0f} MB of {MEMORY_MB} MB")
+
     async def _launch(self, host: Host) -> None:
         environment = os.environ | {
             "CRANBERRYRUN_SETTINGS": str(host.settings_path),
@@ -287,7 +344,10 @@
         for host in self.hosts:
             self.signal(host, signal.SIGCONT)
             await self.kill(host)
-            await host.store_link.stop()
+        for link in self._links:
+            await link.stop()
+        for machine in self._gone_machines:
+            machine.close()
         for target in self.targets:
             if target.id in self.link_by_target:
                 await self.link_by_target[target.id].stop()
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -20,6 +20,7 @@
 _CUT_DELAY_SECONDS = 0.05
 _STALL_BYTE_SECONDS = 0.1
 _UNSENT_BYTES = 16_384
+_INTERIM_HEADS = b"HTTP/1.1 100 Continue\r\n\r\n" * 4000
 
 
 @dataclass(slots=True)
@@ -39,7 +40,8 @@
     (the refusal of another request; the request itself is executed), ``unsigned`` (no
     server signature), ``short`` (fewer bytes than ``Content-Length``), ``reset``
     (connection reset), ``crash`` (connection reset, no new ones accepted; ``start``
-    begins a new process), ``silent`` (no response), ``cut`` (the stream ends in the
+    begins a new process), ``silent`` (no response), ``endless`` (interim heads without
+    end), ``cut`` (the stream ends in the
     middle of an event), ``stall`` (the stream goes on with single bytes of no event,
     without end), ``impossible`` (422) or an empty string (success, as with an
     empty script). ``event_seconds`` is the time between events, ``answer_seconds``
@@ -228,6 +230,8 @@
             del headers[_SERVER_SIGNATURE]
         if behaviour == "silent":
             await asyncio.sleep(3600)
+        if behaviour == "endless":
+            await self._send_interim_heads(request)
         if behaviour == "crash":
             self._crash()
         if behaviour in ("reset", "crash"):
@@ -252,6 +256,13 @@
             signatures.add(headers[_SERVER_SIGNATURE])
         return web.Response(headers=headers, body=b"answer to " + body)
 
+    async def _send_interim_heads(self, request: web.Request) -> None:
+        """Send heads until the caller closes its connection, which cancels this."""
+        while request.transport is not None:
+            if request.transport.get_write_buffer_size() < len(_INTERIM_HEADS):
+                request.transport.write(_INTERIM_HEADS)
+            await asyncio.sleep(0)
+
     async def _stream(
         self, request: web.Request, headers: dict[str, str], behaviour: str
     ) -> web.StreamResponse:
