Parse nothing after a request that is not valid

Cause: after a request that is not valid, aiohttp goes on parsing until the error is answered. libuv reads a busy socket up to 32 times before any task runs, and each read becomes one more error in the queue, which quotes what was read: 0.5 MB a read, 16 MB a caller, more with bytes that are quoted as escapes. Ruled out by a trace of each read: the bytes that wait after an upgrade (370 KB, then reading pauses). The test for callers had one caller, whose 16 MB were within the bound of 25.6 MB.

Change: RequestProtocol drops what follows a request that is not valid. It reads 1 MB of it, so that a caller which sent a long head still gets its 400, and then stops. The listeners on the platform, for callers and for neighbours, and that of the own API have it.

Connections are kept as before; none to engines is concerned.

--- a/cranberryrun/api.py
+++ b/cranberryrun/api.py
@@ -23,6 +23,7 @@
     TooLargeError,
 )
 from .metrics import Metrics
+from .request_protocol import AppRunner
 from .resources import Resources
 from .security import Tokens, server_context
 from .settings import Settings
@@ -48,7 +49,7 @@
         super().__init__()
         self._settings = settings
         self._tokens = Tokens(settings.tokens)
-        self._runner: web.AppRunner | None = None
+        self._runner: AppRunner | None = None
         self._site: web.TCPSite | None = None
         self._in_flight = 0
         self._latest_deadline = 0.0
@@ -89,7 +90,7 @@
         app.add_routes(self._routes())
         app.on_response_prepare.append(self._close_connection_when_stopping)
         # Cancel the handler of a disconnected caller to free its capacity.
-        self._runner = web.AppRunner(
+        self._runner = AppRunner(
             app, access_log=None, shutdown_timeout=1, handler_cancellation=True
         )
         await self._runner.setup()
--- a/cranberryrun/platform/http_server.py
+++ b/cranberryrun/platform/http_server.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 from aiohttp.http_exceptions import BadHttpMessage, BadHttpMethod, HttpProcessingError
 
+from ..request_protocol import RequestProtocol, Server
 from .settings import split_address
 
 _LISTEN_BACKLOG = 512
@@ -35,7 +36,7 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-class Connection(web.RequestHandler):
+class Connection(RequestProtocol):
     """A connection with limits, whose errors repeat nothing that the caller sent.
 
     It is closed if the head of a request takes too long, or if the caller does not read
@@ -188,16 +189,6 @@
         return super().handle_error(request, status, exc, message)
 
 
-class _Server(web.Server):
-    def __init__(self, handler: Handler, **options: Any) -> None:
-        super().__init__(handler, handler_cancellation=True, **options)
-        self._options = options
-
-    def __call__(self) -> web.RequestHandler:
-        loop = asyncio.get_running_loop()
-        return Connection(self, loop=loop, **self._options)
-
-
 async def listen(
     address: str, handler: Handler, keepalive: float
 ) -> tuple[web.ServerRunner, web.TCPSite]:
@@ -206,8 +197,10 @@
     :param keepalive: how long an idle connection stays open, in seconds.
     """
     host, port = split_address(address)
-    server = _Server(
+    server = Server(
         handler,
+        Connection,
+        handler_cancellation=True,
         keepalive_timeout=keepalive,
         access_log=None,
         lingering_time=1.0,
--- a/standins/endless_target.py
+++ b/standins/endless_target.py
@@ -54,6 +54,13 @@
     "chunked body": (_REQUEST + _CHUNKED, b"4000\r\n" + _CHUNK + b"\r\n"),
     "small chunks": (_REQUEST + _CHUNKED, b"1\r\nx\r\n" * 3000),
     "trailers": (_REQUEST + _CHUNKED + b"0\r\n", b"X-Again: 1\r\n" * 1000),
+    "garbage": (b"", b"\x00\xff\x13" * 5000),
+    "upgrade": (
+        b"GET /x HTTP/1.1\r\nHost: a\r\n"
+        b"Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n",
+        _CHUNK,
+    ),
+    "tunnel": (b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", _CHUNK),
 }
 
 
--- /dev/null
+++ b/tests/test_request_protocol.py
@@ -0,0 +1,99 @@
+"""Callers in processes of their own that send bytes without end, under uvloop."""
+
+import asyncio
+import re
+import tracemalloc
+import unittest
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import uvloop
+from aiohttp import web
+
+from cranberryrun.platform.http_server import listen
+from cranberryrun.request_protocol import AppRunner
+from standins.endless_target import ENDLESS_REQUESTS
+from standins.ports import free_port
+
+from .test_answer_protocol import ANSWER_BYTES, endless_peer
+
+CALLERS = 4
+CALL_SECONDS = 0.3
+# The callers need this long to start and to send for longer than a call takes.
+SENDING_SECONDS = 0.8
+
+
+async def handle(request):
+    await asyncio.sleep(CALL_SECONDS)
+    return web.Response(text="ok")
+
+
+@asynccontextmanager
+async def platform_listener():
+    """Serve as on the platform; the block gets the address."""
+    address = f"127.0.0.1:{free_port()}"
+    runner, _ = await listen(address, handle, keepalive=5.0)
+    yield address
+    await runner.cleanup()
+
+
+@asynccontextmanager
+async def api_listener():
+    """Serve as the own API does; the block gets the address."""
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", handle)
+    runner = AppRunner(app, access_log=None, handler_cancellation=True)
+    await runner.setup()
+    port = free_port()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    yield f"127.0.0.1:{port}"
+    await runner.cleanup()
+
+
+class SeveralCallersTest(unittest.TestCase):
+    def test_invalid_requests_without_end_take_bounded_memory(self):
+        # Guards against hosts killed for their memory by a queue of parser errors.
+        for listener in (platform_listener, api_listener):
+            for fault in ENDLESS_REQUESTS:
+                with self.subTest(listener=listener.__name__, fault=fault):
+                    growth = uvloop.run(self.serve(listener, fault))
+                    self.assertLess(growth, 2 * ANSWER_BYTES)
+
+    async def serve(self, listener, fault):
+        """Return the growth of memory, in bytes."""
+        async with AsyncExitStack() as stack:
+            address = await stack.enter_async_context(listener())
+            tracemalloc.start()
+            stack.callback(tracemalloc.stop)
+            start, _ = tracemalloc.get_traced_memory()
+            callers = (endless_peer("--to", address, fault) for _ in range(CALLERS))
+            await asyncio.gather(*map(stack.enter_async_context, callers))
+            await asyncio.sleep(SENDING_SECONDS)
+            _, peak = tracemalloc.get_traced_memory()
+            return peak - start
+
+
+class InvalidRequestTest(unittest.TestCase):
+    """The request before it is answered, and the caller learns what is wrong."""
+
+    def test_request_before_an_invalid_one_is_answered(self):
+        statuses = uvloop.run(
+            self.statuses(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n", b"not HTTP\r\n\r\n")
+        )
+        self.assertEqual(statuses, [b"200", b"400"])
+
+    def test_caller_that_sends_a_long_invalid_head_gets_the_answer(self):
+        head = b"GET /x HTTP/1.1\r\nHost: a\r\nX-Long: " + b"x" * 700_000
+        self.assertEqual(uvloop.run(self.statuses(head)), [b"400"])
+
+    async def statuses(self, *parts):
+        """Send the parts one after the other; return the statuses of the answers."""
+        async with platform_listener() as address:
+            host, port = address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            for part in parts:
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(CALL_SECONDS / 3)
+            answers = await reader.read()
+            writer.close()
+        return re.findall(rb"HTTP/1\.[01] (\d+)", answers)
