Leave time for another way by the deadline, not by a fixed limit

Cause: gave a second connect 0.05 s. While the loop is busy, each turn takes some ten milliseconds, and a connect takes several turns, so a target that lives was taken for unreachable.

Change: a second connect has 0.2 s like the first one, unless less than 0.7 s is left until the deadline; then it leaves 0.5 s for a question to neighbours, and has 0.05 s at least.

--- a/cranberryrun/platform/target_requests.py
+++ b/cranberryrun/platform/target_requests.py
@@ -34,8 +34,10 @@
 # Connecting takes some milliseconds even over the longest link. Where it takes longer
 # the request was not sent, and another way has to be left time for it.
 _CONNECT_TIMEOUT_SECONDS = 0.2
-# What is left for a connection that may have been made while the event loop stalled.
-_SECOND_CONNECT_TIMEOUT_SECONDS = 0.05
+# Another way takes this long: a question to neighbours, and the connect of one of them.
+_OTHER_WAY_SECONDS = 0.5
+# A second connect may always take this long.
+_MIN_CONNECT_TIMEOUT_SECONDS = 0.05
 _MIN_SECONDS = 0.001
 _CONNECTION_ENDED = (
     aiohttp.ServerDisconnectedError,
@@ -197,8 +199,8 @@
         """Return the response, whose connection is released with the stack.
 
         Connecting is tried again where it timed out while this host's event loop
-        stalled: the connection may have been made long before the loop noticed. It is
-        then made as fast again, so that time is left for another way.
+        stalled: the connection may have been made long before the loop noticed. Where
+        the deadline is near, it leaves time for another way.
         """
         url = URL(f"http://{location}", encoded=True)
         connect_seconds = _CONNECT_TIMEOUT_SECONDS
@@ -210,7 +212,11 @@
                 except aiohttp.ConnectionTimeoutError:
                     if not stalls.stalled or clock.now() >= self._deadline:
                         raise
-            connect_seconds = _SECOND_CONNECT_TIMEOUT_SECONDS
+            spare_seconds = self._deadline - clock.now() - _OTHER_WAY_SECONDS
+            connect_seconds = min(
+                _CONNECT_TIMEOUT_SECONDS,
+                max(_MIN_CONNECT_TIMEOUT_SECONDS, spare_seconds),
+            )
 
     async def _send_once(
         self, url: URL, connect_seconds: float
--- a/tests/test_stall_watch.py
+++ b/tests/test_stall_watch.py
@@ -43,8 +43,11 @@
 class StalledConnectTest(PlatformTestCase):
     """Guards against sound targets that are taken out because the loop stalled."""
 
-    def stall_connects(self, count):
-        """Block the loop while each of the next ``count`` connections is made."""
+    def stall_connects(self, count, later_seconds=0.0):
+        """Block the loop while each of the next ``count`` connections is made.
+
+        Later ones take ``later_seconds``.
+        """
         happy_eyeballs = aiohttp.connector.aiohappyeyeballs
         connect = happy_eyeballs.start_connection
         self.connects = 0
@@ -53,6 +56,8 @@
             self.connects += 1
             if self.connects <= count:
                 time.sleep(STALL_SECONDS)
+            else:
+                await asyncio.sleep(later_seconds)
             return await connect(*args, **options)
 
         patch = unittest.mock.patch.object(
@@ -73,6 +78,15 @@
         self.assertEqual(answer.status, 200)
         self.assertFalse(self.host.kernel.get(TargetPaths).doubtful)
 
+    async def test_target_that_connects_slowly_after_a_stall_is_reached(self):
+        # Guards against targets taken for unreachable while the loop is busy, because
+        # a second connect had less time than the first one.
+        self.stall_connects(1, later_seconds=0.12)
+        target = self.host.kernel.get(Directory).target_by_id["p0"]
+        client = self.host.kernel.get(TargetClient)
+        answer = await client.send(target, self.sound_request())
+        self.assertEqual(answer.status, 200)
+
     async def test_no_caller_is_refused_and_no_target_is_taken_out(self):
         self.stall_connects(2)
         status, _, _ = await self.request("GET", "/status/x", "s")
