--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,26 +1,38 @@
-"""An engine crashes while a new version is loaded; the route is ``single-version``.
+"""The host that confirmed the end of a batch is killed, just after a short outage.
 
-The check is the rule VERSION: a result of such a route names several versions.
+One partition of the store, that of the index of batches, is down while the end of a
+batch is confirmed.
+
+The check is the rule UNASKED: an item reaches an engine later than ``cancel-ms`` after
+the end of its batch was confirmed, from a machine in touch, and runs.
 """
 
 from __future__ import annotations
 
 import asyncio
+import signal
 from pathlib import Path
 
-from rig import BROKEN, HELD, ROUTE_HOST, CannotRun, Engine, Rig, run
+from rig import BROKEN, HELD, ROUTE_HOST, CannotRun, Host, Rig, run
 from trainer import Batch, Trainer
 
 MODEL = "m0"
-SHORT_EVENTS, LONG_EVENTS = 10, 120
+CANCEL_SECONDS = 3.0
+# The partition is down for so long before the end of the batch is sent, and until it is
+# confirmed.
+DOWN_SECONDS = 0.3
+INDEX_TOPIC = "batch-index"
+WATCH_SECONDS = 4.8
+EVENTS = 24
 EVENT_SECONDS = 0.05
-# A crashed engine is back after this time, with the weights that it had.
-DOWN_SECONDS = 4.5
-ROUNDS = 3
+GROUPS, GROUP_SIZE = 90, 4
+ROUNDS = 9
+# On a slow machine a round that would begin later is left out.
+LAST_ROUND_SECONDS = 92
 
 
 def manifest() -> dict:
-    """Return a manifest with one rollout route whose results have one version."""
+    """Return a manifest with one rollout route."""
     route = {
         "name": "r-m0",
         "host": ROUTE_HOST,
@@ -33,7 +45,7 @@
         "max-attempts": 3,
         "queue-ttl-s": 40,
         "run-deadline-ms": 7500,
-        "single-version": True,
+        "single-version": False,
         "session-affinity": True,
         "resumable": True,
     }
@@ -42,98 +54,86 @@
     return {"version": 1, "routes": [route], "services": [service], "limits": {}}
 
 
-def events_of(attempt_id: str) -> int:
-    """Return the length of an item's text; few texts are long."""
-    return LONG_EVENTS if "long" in attempt_id else SHORT_EVENTS
-
-
 def build() -> Rig:
-    """Return three hosts and six engines."""
+    """Return three hosts and four engines."""
     rig = Rig(Path(__file__).parent)
-    for number in range(6):
+    for number in range(4):
         engine = rig.engine(
             f"e{number}", "lm", models=(MODEL,), event_seconds=EVENT_SECONDS
         )
-        engine.events_of = events_of
+        engine.events_of = lambda attempt_id: EVENTS
     for name in ("host-1", "host-2", "host-3"):
         rig.host(name)
     return rig
 
 
-def groups_of(step: int) -> dict[str, list[str]]:
-    """Return twelve groups of four items; two items have long texts."""
-    groups = {}
-    for number in range(12):
-        kinds = ["long" if number < 2 else "short", "short", "short", "short"]
-        groups[f"s{step}g{number}"] = [
-            f"{kind}-{step}-{number}-{i}" for i, kind in enumerate(kinds)
-        ]
-    return groups
+def holder(rig: Rig) -> str:
+    """Return the host that starts the items, from whose log lines it is seen."""
+    latest: tuple[float, str] = (0.0, "")
+    for host in rig.hosts:
+        for line in host.log():
+            if line.get("event") == "lease_taken":
+                latest = max(latest, (line["wall"], host.name))
+    return latest[1]
 
 
-def busy_with_long(engine: Engine, version: int) -> bool:
-    """Return whether the engine runs long items under the version before."""
-    return engine.version_by_model[MODEL] < version and any(
-        "long" in attempt_id for attempt_id in engine.running_ids
+async def play_round(rig: Rig, trainer: Trainer, number: int, step: int) -> list[str]:
+    """Submit a batch, end it at a host that is killed then; return what broke."""
+    items = {
+        f"s{step}g{group}": [f"i{step}-{group}-{i}" for i in range(GROUP_SIZE)]
+        for group in range(GROUPS)
+    }
+    # Step k is asked once version k is named, and allows k - 1 and newer.
+    rig.name_version(MODEL, step)
+    batch = Batch(
+        f"step-{step}", MODEL, items, step=step, min_version=step - 1, wanted=GROUPS
     )
-
-
-async def crash_one(rig: Rig, version: int) -> None:
-    """Crash an engine with long runs once most of the others have the version."""
-    for _ in range(100):
-        await asyncio.sleep(0.05)
-        loaded = [e for e in rig.engines if e.version_by_model[MODEL] == version]
-        busy = [e for e in rig.engines if busy_with_long(e, version)]
-        if len(loaded) >= 3 and busy:
-            busy[0].kill()
-            await asyncio.sleep(DOWN_SECONDS)
-            await busy[0].start()
-            return
-    rig.record.write("no engine ran long items under the version before")
+    await trainer.submit(batch)
+    await trainer.read_until(batch, GROUPS, 2.5)
+    ender: Host = [h for h in rig.hosts if h.name != holder(rig)][number % 2]
+    if rig.trouble:
+        rig.record.write(f"the store's partition of {INDEX_TOPIC} is down")
+        rig.store.down_topics.add(INDEX_TOPIC)
+        await asyncio.sleep(DOWN_SECONDS)
+    if await trainer.end(batch, ender) != 200:
+        raise CannotRun("the end of the batch was not confirmed")
+    if rig.trouble:
+        rig.store.down_topics.clear()
+        rig.record.write(f"the store's partition of {INDEX_TOPIC} is up")
+        ender.signal(signal.SIGKILL)
+    await asyncio.sleep(WATCH_SECONDS)
+    broken = []
+    ids = {item for members in items.values() for item in members}
+    for engine in rig.engines:
+        for at, attempt_id, _, _ in engine.runs:
+            if attempt_id in ids and at > batch.ended_at + CANCEL_SECONDS:
+                broken.append(
+                    f"{attempt_id} of batch {batch.id} runs at {engine.id} "
+                    f"{at - batch.ended_at:.3f} s after its end was confirmed"
+                )
+    if rig.trouble:
+        await ender.end()
+        await ender.start()
+        await ender.wait_until_ready()
+    return broken
 
 
 async def case(rig: Rig) -> int:
     """Play the case; return its outcome."""
     rig.put_manifest(manifest())
     await rig.start()
+    await asyncio.sleep(4.0)
     trainer = Trainer(rig.record, rig.hosts)
     broken = []
-    finished = 0
-    for step in range(1, ROUNDS + 1):
-        # Step k is asked once version k is named, and allows k - 1 and newer.
-        batch = Batch(
-            f"step-{step}",
-            MODEL,
-            groups_of(step),
-            step=step,
-            min_version=max(1, step - 1),
-            wanted=12,
-        )
-        await trainer.submit(batch)
-        await asyncio.sleep(1.2)
-        # The trainer asks for steps ahead, so the next version comes meanwhile.
-        rig.name_version(MODEL, step + 1)
-        crash = None
-        if rig.trouble:
-            crash = asyncio.create_task(crash_one(rig, step + 1))
-        await trainer.read_until(batch, 12, 12.0)
-        await trainer.end(batch, rig.hosts[0])
-        if crash is not None:
-            await crash
-        for _ in range(100):
-            if all(e.version_by_model[MODEL] == step + 1 for e in rig.engines):
-                break
-            await asyncio.sleep(0.1)
-        for result in batch.results:
-            finished += result["state"] == "succeeded"
-            if len(result["versions"]) > 1:
-                broken.append(result)
-                rig.record.write(
-                    f"VERSION broken: {result['id']} of batch {batch.id} has versions "
-                    f"{result['versions']}"
-                )
-    if finished < 60:
-        raise CannotRun("too few items were done")
+    for number in range(ROUNDS):
+        if rig.record.now() > LAST_ROUND_SECONDS:
+            break
+        broken += await play_round(rig, trainer, number, number + 2)
+        await asyncio.sleep(0.5)
+    for line in broken:
+        rig.record.write(f"UNASKED broken: {line}")
+    if sum(len(engine.runs) for engine in rig.engines) < 200:
+        raise CannotRun("too few items ran")
     return BROKEN if broken else HELD
 
 
--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -64,7 +64,17 @@
 
 # Each script has a loopback address of its own, so that scripts that run at the same
 # time never meet at a port.
-LOOPBACK = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}.1"
+def _own_loopback() -> str:
+    address = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}.1"
+    with socket.socket() as probe:
+        try:
+            probe.bind((address, 0))
+        except OSError:
+            return "127.0.0.1"
+    return address
+
+
+LOOPBACK = _own_loopback()
 _used_ports: set[int] = set()
 
 
@@ -526,7 +536,7 @@
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "PYTHONDONTWRITEBYTECODE": "1",
             "PATH": os.environ.get("PATH", "/usr/bin:/bin"),
-            "HOME": str(self._folder),
+            "HOME": os.environ.get("HOME", str(self._folder)),
             "LANG": "C.UTF-8",
         }
         with open(self._folder / f"{self.name}.log", "ab") as log:
@@ -644,10 +654,22 @@
 
     async def main() -> int:
         rig = rig_of()
+        task = asyncio.current_task()
+        assert task is not None
+        stopped: list[bool] = []
+
+        def stop() -> None:
+            # Whoever stops the script stops its hosts as well; a second signal must
+            # not keep it from that.
+            if not stopped:
+                stopped.append(True)
+                task.cancel()
+
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
         try:
             async with asyncio.timeout(_MAX_SECONDS):
                 outcome = await case(rig)
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             # Whatever it was, it says nothing of the rule.
             rig.record.write(f"the case could not run: {error!r}")
             outcome = NOT_RUN
