Reject answers with a status that HTTP does not have

What callers saw: an engine in trouble answered with status 000, and the host passed it on, with signature and body, on safe, streaming and unsafe routes. With a header that says that the request was not run, the host answered 503, which promises that it never runs. Duties took the statuses 000, 099 and 101 for a call that the platform's API had accepted, as they are below 300; a relaying host passed them on; batch items ended with them.

Cause: whatever aiohttp's parser lets through counted as an answer. It takes any three digits as a status, and gives 101 to a caller that asked for no other protocol.

It now looks at each head before anybody can read it. A status outside 100 to 599, and 101, end the connection, and the reader gets a MalformedAnswerError. As that is an aiohttp.ClientError, each reader handles it like a connection that broke: a repeatable request goes elsewhere, any other gets 502, an item's run has failed, the outcome of writes, orders and duties is unknown. Nothing in such an answer is read, so no refusal, limit or leaving mark is believed. The heads that are too many for one request end in the same place.

Errors of aiohttp's parser become MalformedAnswerError, too: their text had the whole request with its headers (RequestInfo), in the log and in the caller's 502. A host that relays logs the target, the request and the reason, as the other one learns only that the answer is lost.

Ruled out: the peers of the own product speak thrift, not HTTP; whether a target refuses or takes connections (refuses_connections, connects) reads no answer; cranberryctl and the host list have tests here.

--- a/cranberryrun/answer_protocol.py
+++ b/cranberryrun/answer_protocol.py
@@ -1,4 +1,9 @@
-"""The client side of HTTP connections, with limits that aiohttp does not have."""
+"""The client side of HTTP connections: closed for answers that are not valid.
+
+aiohttp's parser is lenient, and it has no limits of its own. A target in trouble may
+send anything, so an answer that this module rejects says nothing: the request may have
+run, whatever the answer claims.
+"""
 
 from __future__ import annotations
 
@@ -7,25 +12,36 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
-from aiohttp.http_exceptions import BadHttpMessage
+from aiohttp.http_exceptions import HttpProcessingError
 
 # An answer may follow some interim responses (RFC 9110, section 15.2).
 _MAX_HEADS = 16
 # A head takes 25 bytes at least, and as a message twenty times as much memory.
 _PARSED_AT_ONCE_BYTES = 65_536
+# The parser quotes lines of up to 8 kB.
+_MAX_REASON_CHARACTERS = 200
+_SWITCHING_PROTOCOLS = 101
+
+
+class MalformedAnswerError(aiohttp.ClientError):
+    """A peer sent an answer that is not valid HTTP; it may have run the request."""
 
 
 class AnswerProtocol(ResponseHandler):
-    """A connection that is closed when the peer sends too many heads for one request.
+    """A connection that is closed when the peer sends an answer that is not valid.
 
-    Heads wait in a queue without a limit, and nobody takes them from it meanwhile: the
-    event loop may read a socket that always has more bytes dozens of times in a row.
-    Therefore the limit applies while the bytes are parsed.
+    It is also closed when the peer sends too many heads for one request. Heads wait in
+    a queue without a limit, and nobody takes them from it meanwhile: the event loop may
+    read a socket that always has more bytes dozens of times in a row. Therefore the
+    limit applies while the bytes are parsed.
+
+    The reader of an answer gets a :class:`MalformedAnswerError`.
     """
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
         self._head_count = 0
+        self._fault: str | None = None
 
     def set_response_params(self, **options: Any) -> None:
         """See aiohttp; called when a request takes the connection."""
@@ -33,31 +49,60 @@
         super().set_response_params(**options)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Add a head, with its body to come, to the queue."""
+        """Add a head, with its body to come, to the queue unless it is at fault."""
+        if self._fault is not None:
+            return
         self._head_count += 1
-        super().feed_data(data, size)
+        message, _ = data
+        self._fault = self._find_fault(message)
+        if self._fault is None:
+            super().feed_data(data, size)
+
+    def _find_fault(self, message: aiohttp.RawResponseMessage) -> str | None:
+        if self._head_count > _MAX_HEADS:
+            return f"more than {_MAX_HEADS} heads for one request"
+        return _status_fault(message.code)
 
     def data_received(self, data: bytes) -> None:
         """See :meth:`asyncio.Protocol.data_received`."""
         if len(data) <= _PARSED_AT_ONCE_BYTES:
-            super().data_received(data)
-            if self._head_count > _MAX_HEADS:
-                self._give_up()
+            self._parse(data)
             return
         for start in range(0, len(data), _PARSED_AT_ONCE_BYTES):
-            super().data_received(data[start : start + _PARSED_AT_ONCE_BYTES])
-            if self._head_count > _MAX_HEADS:
-                self._give_up()
-                return
+            self._parse(data[start : start + _PARSED_AT_ONCE_BYTES])
 
-    def _give_up(self) -> None:
+    def _parse(self, data: bytes) -> None:
+        if self._fault is not None:
+            return
+        super().data_received(data)
+        if self._fault is not None:
+            self._give_up(self._fault)
+
+    def _give_up(self, fault: str) -> None:
         """Close the connection; the heads that are queued can still be read."""
         if self.transport is not None:
             self.transport.abort()
         if not self.is_eof():
-            self.set_exception(
-                BadHttpMessage(f"more than {_MAX_HEADS} heads for one request")
-            )
+            self.set_exception(MalformedAnswerError(fault))
+
+    def set_exception(self, exc: BaseException, *causes: BaseException) -> None:
+        """Let the reader of the answer fail; an error of the parser becomes typed.
+
+        aiohttp would add the headers of the request to it, which may have secrets.
+        """
+        if isinstance(exc, HttpProcessingError):
+            # The parser marks the position of the error on a line of its own.
+            reason = " ".join(exc.message.split()).rstrip(" ^")
+            exc = MalformedAnswerError(reason[:_MAX_REASON_CHARACTERS])
+        super().set_exception(exc, *causes)
+
+
+def _status_fault(status: int) -> str | None:
+    if not 100 <= status <= 599:
+        return f"the status {status:03} is not valid"
+    if status == _SWITCHING_PROTOCOLS:
+        return f"the status is {status}, but no request asks for another protocol"
+    return None
 
 
 class Connector(aiohttp.TCPConnector):
--- a/cranberryrun/platform/target_relay.py
+++ b/cranberryrun/platform/target_relay.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDict
 
 from ..buffer_budget import BufferPath, BuffersFullError
+from ..events import Events
 from ..exceptions import (
     CranberryrunError,
     TargetFailedError,
@@ -70,7 +71,15 @@
             return await _pass_on(kernel, request, call, transfer)
     except TargetUnreachableError:
         return _failure(RelayOutcome.UNREACHABLE)
-    except TargetFailedError:
+    except TargetFailedError as error:
+        # The other host learns only that the answer is lost.
+        kernel.get(Events).emit(
+            "target_failed",
+            request=request.headers.get(header_names.ATTEMPT_ID),
+            target=target.id,
+            code=error.code,
+            reason=error.detail,
+        )
         return _failure(RelayOutcome.LOST)
 
 
--- a/standins/endless_target.py
+++ b/standins/endless_target.py
@@ -12,6 +12,8 @@
 
 import click
 
+from ._raw_server import RawServer
+
 _CHUNK = b"x" * 16_384
 _HEAD = (
     b"HTTP/1.1 200 OK\r\n"
@@ -64,52 +66,31 @@
 }
 
 
-class EndlessTarget:
+class EndlessTarget(RawServer):
     """Answers every request with bytes that end only when the caller closes.
 
     ``fault`` is a key of :data:`ENDLESS_ANSWERS`. With ``trickle_seconds``, a single
     byte is sent per that time after the first part. ``sent_bytes`` counts what callers
-    took, ``open_connections`` the connections that they have not closed.
+    took.
     """
 
     def __init__(self, fault: str, trickle_seconds: float = 0.0) -> None:
+        super().__init__()
         self._first, self._repeated = ENDLESS_ANSWERS[fault]
         self._trickle_seconds = trickle_seconds
-        self._server: asyncio.Server | None = None
-        self.address = ""
         self.sent_bytes = 0
         self.requests = 0
-        self.open_connections = 0
-
-    async def start(self) -> None:
-        """Listen on a free loopback port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
 
-    async def stop(self) -> None:
-        """Stop listening."""
-        if self._server is not None:
-            self._server.close()
-
-    async def _serve(
+    async def _answer(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self.open_connections += 1
-        try:
-            await reader.readuntil(b"\r\n\r\n")
-            self.requests += 1
-            for part in self._parts():
-                writer.write(part)
-                await writer.drain()
-                self.sent_bytes += len(part)
-                await asyncio.sleep(self._trickle_seconds)
-        except (ConnectionError, asyncio.IncompleteReadError):
-            # The caller closed the connection.
-            return
-        finally:
-            self.open_connections -= 1
-            writer.close()
+        await reader.readuntil(b"\r\n\r\n")
+        self.requests += 1
+        for part in self._parts():
+            writer.write(part)
+            await writer.drain()
+            self.sent_bytes += len(part)
+            await asyncio.sleep(self._trickle_seconds)
 
     def _parts(self) -> Iterator[bytes]:
         yield self._first
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -24,7 +24,7 @@
 from fakes.deployment import reward_call
 from standins.endless_target import ENDLESS_ANSWERS, EndlessTarget
 
-from .test_platform_host import PlatformTestCase
+from .test_platform_host import ATTEMPT_ID, PlatformTestCase
 
 CALL_SECONDS = 1.0
 FAULTS_OF_THE_HEAD = {
@@ -55,7 +55,8 @@
     def calls(self, target):
         """Return one call of each kind, by name."""
         deadline = clock.now() + CALL_SECONDS
-        request = Request("r", "GET", "/x", (), b"", deadline)
+        headers = ((ATTEMPT_ID, "r"),)
+        request = Request("r", "GET", "/x", headers, b"", deadline)
         item = Item("i", "g", "/x", {}, b"", 1.0)
         order = LoadOrder("m", 2, "host-1", 1, 0, True)
         return {
