Reject heads of answers that break the syntax of HTTP

What callers saw: an engine's line " Content-Length: 19" became part of the value before it, and the client got a body that was not the engine's, up to the end of the connection, or 504 at its deadline. "Transfer-Encoding : chunked" (a blank in the name) framed the body, and its line was passed on. Control bytes in values got callers 500, as the server refuses to write them, or were passed on to neighbours. Heads of RTSP, HTTP/0.9 and HTTP/2.0 counted as answers.

Cause: aiohttp reads answers leniently. It joins a line that begins with a blank to the line before it (obs-fold), drops the blank where this is the first line, takes a blank after the names that its parser knows itself (Content-Length, Transfer-Encoding, Connection), and takes all bytes but NUL and line ends in values and reasons. What it returns no longer shows this, so a check of the parsed head can't find it.

Change: a connection keeps the bytes of a head until the head is complete, and matches them with the syntax of RFC 9112; the error quotes the first line that does not match. As before, a line may end with LF alone and values may have bytes outside ASCII. What is kept is bounded: the parser has no limit for blanks before a value and for empty lines before an answer.

--- a/cranberryrun/answer_protocol.py
+++ b/cranberryrun/answer_protocol.py
@@ -14,13 +14,16 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 
+from .answer_head import RawHeads, is_interim, message_fault
+
 # An answer may follow some interim responses (RFC 9110, section 15.2).
 _MAX_HEADS = 16
 # A head takes 25 bytes at least, and as a message twenty times as much memory.
 _PARSED_AT_ONCE_BYTES = 65_536
 # The parser quotes lines of up to 8 kB.
 _MAX_REASON_CHARACTERS = 200
-_SWITCHING_PROTOCOLS = 101
+# The parser allows 128 fields of 8 kB.
+_MAX_HEAD_BYTES = 1_100_000
 
 
 class MalformedAnswerError(aiohttp.ClientError):
@@ -41,11 +44,15 @@
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
         self._head_count = 0
+        self._awaits_head = False
+        self._raw_heads = RawHeads()
         self._fault: str | None = None
 
     def set_response_params(self, **options: Any) -> None:
         """See aiohttp; called when a request takes the connection."""
         self._head_count = 0
+        self._awaits_head = True
+        self._raw_heads.clear()
         super().set_response_params(**options)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
@@ -61,7 +68,13 @@
     def _find_fault(self, message: aiohttp.RawResponseMessage) -> str | None:
         if self._head_count > _MAX_HEADS:
             return f"more than {_MAX_HEADS} heads for one request"
-        return _status_fault(message.code)
+        if not self._awaits_head:
+            return message_fault(message)
+        fault = self._raw_heads.take() or message_fault(message)
+        if not is_interim(message.code):
+            self._awaits_head = False
+            self._raw_heads.clear()
+        return fault
 
     def data_received(self, data: bytes) -> None:
         """See :meth:`asyncio.Protocol.data_received`."""
@@ -74,7 +87,11 @@
     def _parse(self, data: bytes) -> None:
         if self._fault is not None:
             return
+        if self._awaits_head:
+            self._raw_heads.add(data)
         super().data_received(data)
+        if self._fault is None and len(self._raw_heads) > _MAX_HEAD_BYTES:
+            self._fault = f"the head is longer than {_MAX_HEAD_BYTES} bytes"
         if self._fault is not None:
             self._give_up(self._fault)
 
@@ -97,14 +114,6 @@
         super().set_exception(exc, *causes)
 
 
-def _status_fault(status: int) -> str | None:
-    if not 100 <= status <= 599:
-        return f"the status {status:03} is not valid"
-    if status == _SWITCHING_PROTOCOLS:
-        return f"the status is {status}, but no request asks for another protocol"
-    return None
-
-
 class Connector(aiohttp.TCPConnector):
     """A connector whose connections are :class:`AnswerProtocol`."""
 
--- a/standins/broken_target.py
+++ b/standins/broken_target.py
@@ -9,8 +9,10 @@
 _ATTEMPT_ID = b"x-cranberryrun-attempt-id"
 _LAST_EVENT_ID = b"last-event-id"
 _PLACEHOLDER = b"ATTEMPT-ID"
+_OK = b"HTTP/1.1 200 OK"
 _EVENT = b"id: 1\ndata: broken\n\n"
 _LENGTH = b"Content-Length: %d" % len(_EVENT)
+_CHUNKS = b"%x\r\n%b\r\n0\r\n\r\n" % (len(_EVENT), _EVENT)
 _FIELDS = (
     b"X-Cranberryrun-Attempt-Id: " + _PLACEHOLDER,
     b"X-Cranberryrun-Server-Signature: 1.2.3",
@@ -30,7 +32,7 @@
 
 
 def _answer(
-    status_line: bytes = b"HTTP/1.1 200 OK",
+    status_line: bytes = _OK,
     *lines: bytes,
     framing: bytes = _LENGTH,
     body: bytes = _EVENT,
@@ -47,6 +49,40 @@
     "status 999": _answer(b"HTTP/1.1 999 OK"),
     "status 101": _answer(b"HTTP/1.1 101 OK", b"Connection: upgrade", b"Upgrade: x"),
     "status 101 without upgrade": _answer(b"HTTP/1.1 101 OK"),
+    "version 0.9": _answer(b"HTTP/0.9 200 OK"),
+    "version 2.0": _answer(b"HTTP/2.0 200 OK"),
+    "other protocol": _answer(b"RTSP/1.0 200 OK"),
+    "reason with control": _answer(b"HTTP/1.1 200 O\x01K"),
+    "reason with nul": _answer(b"HTTP/1.1 200 O\x00K"),
+    "name with blank": _answer(_OK, b"X Own: 1"),
+    "name with tab": _answer(_OK, b"X\tOwn: 1"),
+    "name with control": _answer(_OK, b"X\x01Own: 1"),
+    "name with nul": _answer(_OK, b"X\x00Own: 1"),
+    "name with delete": _answer(_OK, b"X\x7fOwn: 1"),
+    "name with CR": _answer(_OK, b"X\rOwn: 1"),
+    "name outside ASCII": _answer(_OK, b"X\xc3\x84: 1"),
+    "name before blank": _answer(_OK, b"X-Own : 1"),
+    "name before control": _answer(_OK, b"X-Own\x0b: 1"),
+    "length before blank": _answer(framing=_LENGTH.replace(b":", b" :")),
+    "coding before blank": _answer(
+        framing=b"Transfer-Encoding : chunked", body=_CHUNKS
+    ),
+    "connection before blank": _answer(_OK, b"Connection : close"),
+    "empty name": _answer(_OK, b": 1"),
+    "line without colon": _answer(_OK, b"X-Own"),
+    "name after blank": _answer(b"HTTP/1.1 200 OK\r\n X-Own: 1"),
+    "name after tab": _answer(b"HTTP/1.1 200 OK\r\n\tX-Own: 1"),
+    "folded line": _answer(_OK, b"X-Own: 1\r\n X-Other: 1"),
+    "folded line after LF": _answer(_OK, b"X-Own: 1\n X-Other: 1"),
+    "folded length": _answer(framing=b" " + _LENGTH, body=_EVENT + b"more"),
+    "folded coding": _answer(framing=b"\tTransfer-Encoding: chunked", body=_CHUNKS),
+    "value with control": _answer(_OK, b"X-Own: a\x01b"),
+    "value with escape": _answer(_OK, b"X-Own: a\x1b[2J"),
+    "value with delete": _answer(_OK, b"X-Own: a\x7fb"),
+    "value with nul": _answer(_OK, b"X-Own: a\x00b"),
+    "value with CR": _answer(_OK, b"X-Own: a\rX-Other: b"),
+    "value before control": _answer(_OK, b"X-Own: a\x0b"),
+    "broken interim answer": b"HTTP/1.1 103 Hints\r\n X-Own: 1\r\n\r\n" + _answer(),
 }
 
 
--- /dev/null
+++ b/tests/test_answer_head.py
@@ -0,0 +1,104 @@
+"""Heads of answers, whole and in pieces, that a connection takes or rejects."""
+
+import asyncio
+import unittest
+
+from cranberryrun.answer_protocol import AnswerProtocol, MalformedAnswerError
+from standins.broken_target import BROKEN_ANSWERS
+
+_OK = b"HTTP/1.1 200 OK\r\n"
+_END = b"Content-Length: 2\r\n\r\nok"
+SOUND_ANSWERS = {
+    "plain": _OK + b"X-Own: 1\r\n" + _END,
+    "old version": b"HTTP/1.0 200 OK\r\n" + _END,
+    "no reason": b"HTTP/1.1 200\r\n" + _END,
+    "empty reason": b"HTTP/1.1 200 \r\n" + _END,
+    "reason outside ASCII": b"HTTP/1.1 200 \xe9\r\n" + _END,
+    "unknown status": b"HTTP/1.1 599 X\r\n" + _END,
+    "empty value": _OK + b"X-Own:\r\n" + _END,
+    "blanks around a value": _OK + b"X-Own: \t 1 \t\r\n" + _END,
+    "tab in a value": _OK + b"X-Own: a\tb\r\n" + _END,
+    "value outside ASCII": _OK + b"X-Own: \xc3\xa4\xe9\r\n" + _END,
+    "all characters of names": _OK + b"!#$%&'*+-.^_`|~9Z: 1\r\n" + _END,
+    "lines end with LF": b"HTTP/1.1 200 OK\nX-Own: 1\nContent-Length: 2\n\nok",
+    "empty lines before": b"\r\n\r\nHTTP/1.1 200 OK\r\n" + _END,
+    "interim answers": b"HTTP/1.1 103 Hints\r\nX-Own: 1\r\n\r\n" * 3 + _OK + _END,
+    "blank lines in the body": _OK + b"Content-Length: 6\r\n\r\n\r\n \r\n ",
+}
+
+
+class RecordingTransport(asyncio.Transport):
+    """Records whether the connection was closed."""
+
+    def __init__(self):
+        super().__init__()
+        self.closed = False
+
+    def abort(self):
+        """See :meth:`asyncio.WriteTransport.abort`."""
+        self.closed = True
+
+    close = abort
+
+
+class AnswerHeadTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        super().setUp()
+        self.transport = RecordingTransport()
+
+    async def final_message(self, *parts):
+        """Return the message that a request gets if its answer comes in ``parts``."""
+        protocol = AnswerProtocol(loop=asyncio.get_running_loop())
+        protocol.connection_made(self.transport)
+        protocol.set_response_params(read_until_eof=True)
+        for part in parts:
+            protocol.data_received(part)
+        async with asyncio.timeout(1.0):
+            while True:
+                message, _ = await protocol.read()
+                if message.code >= 200:
+                    return message
+
+    def splits(self, answer):
+        """Yield the parts of each way in which the answer may arrive."""
+        yield (answer,)
+        yield tuple(bytes([byte]) for byte in answer)
+        for position in range(1, len(answer)):
+            yield answer[:position], answer[position:]
+
+    async def test_sound_answers_are_taken(self):
+        for name, answer in SOUND_ANSWERS.items():
+            with self.subTest(name):
+                for parts in self.splits(answer):
+                    message = await self.final_message(*parts)
+                    self.assertIn(message.code, (200, 599))
+                self.assertFalse(self.transport.closed)
+
+    async def test_broken_answers_close_the_connection(self):
+        for name, answer in BROKEN_ANSWERS.items():
+            with self.subTest(name):
+                for parts in self.splits(answer):
+                    self.transport.closed = False
+                    with self.assertRaises(MalformedAnswerError):
+                        await self.final_message(*parts)
+                    self.assertTrue(self.transport.closed)
+
+    async def test_reason_quotes_the_invalid_line(self):
+        for name, line in (
+            ("folded line", " X-Other: 1"),
+            ("coding before blank", "Transfer-Encoding : chunked"),
+            ("value with control", "X-Own: a\\x01b"),
+            ("name after blank", " X-Own: 1"),
+            ("other protocol", "RTSP/1.0 200 OK"),
+        ):
+            with self.subTest(name):
+                with self.assertRaises(MalformedAnswerError) as caught:
+                    await self.final_message(BROKEN_ANSWERS[name])
+                self.assertIn(f"the head has the line b'{line}", str(caught.exception))
+
+    async def test_head_without_end_is_bounded(self):
+        for part in (b"\r\n" * 10_000, b" " * 20_000):
+            head = [_OK + b"X-Own:"] if b" " in part else []
+            with self.assertRaisesRegex(MalformedAnswerError, "longer than"):
+                await self.final_message(*head, *[part] * 100)
+            self.assertTrue(self.transport.closed)
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -52,7 +52,7 @@
     @functools.wraps(test)
     async def run(self):
         for fault, claims in itertools.product(BROKEN_ANSWERS, (False, True)):
-            peer = BrokenTarget("t", fault, claims)
+            peer = BrokenTarget(f"{fault} {claims}", fault, claims)
             await peer.start()
             with self.subTest(fault=fault, claims=claims):
                 await test(self, peer)
@@ -69,8 +69,8 @@
     async def test_no_call_gets_an_answer_and_no_claim_is_believed(self, peer):
         directory = self.host.kernel.get(Directory)
         permits = self.host.kernel.get(SendPermits)
-        target = Target("t", "portal", peer.address, "a", 4, False, 1, 1, {})
-        directory.target_by_id["t"] = target
+        target = Target(peer.id, "portal", peer.address, "a", 4, False, 1, 1, {})
+        directory.target_by_id[target.id] = target
         calls = self.calls(target)
         errors = await asyncio.gather(*calls.values(), return_exceptions=True)
         for kind, error in zip(calls, errors):
@@ -78,8 +78,8 @@
             # The answer shows that the path to the target works.
             self.assertNotIsInstance(error, ConnectionLostError, kind)
             self.assertIn("MalformedAnswerError", error.detail)
-        self.assertIsNone(permits.limit_of("t"))
-        self.assertFalse(directory.target_by_id["t"].draining)
+        self.assertIsNone(permits.limit_of(target.id))
+        self.assertFalse(directory.target_by_id[target.id].draining)
 
 
 class StoreClientTest(PlatformTestCase):
--- a/tests/test_broken_answers_hosts.py
+++ b/tests/test_broken_answers_hosts.py
@@ -10,6 +10,7 @@
 from cranberryrun.events import Events
 from cranberryrun.fleet.directory import Directory
 from cranberryrun.fleet.target_paths import TargetPaths
+from cranberryrun.requests.forwarder import Forwarder
 from standins.broken_target import BrokenTarget
 from standins.platform_target import PlatformTarget
 from standins.target_link import Cut, TargetLink
@@ -28,7 +29,13 @@
 )
 
 # One for each part of an answer; the tests of the clients have all faults.
-FAULTS = ("status 000", "status 101")
+FAULTS = (
+    "status 000",
+    "status 101",
+    "coding before blank",
+    "folded length",
+    "value with control",
+)
 # Hosts choose among equal targets at random.
 MAX_REQUESTS = 30
 ROUTES = [
@@ -251,11 +258,14 @@
         await slow.start()
         self.addAsyncCleanup(slow.stop)
         await self.register("s0", slow.entry(), [self.host])
+        forwarder = self.host.kernel.get(Forwarder)
         for fault in FAULTS:
             with self.subTest(fault=fault):
                 async with self.broken_target(fault, self.host) as target:
                     hedged = []
                     for request_id in self.request_ids(fault, lambda: hedged):
+                        # The slow answers would postpone the second attempt.
+                        forwarder._mean_seconds_by_service.clear()
                         status, _, body = await self.request(
                             "POST", "/again/x", request_id, data=b"hi"
                         )
