Reject answers whose head does not frame the body

What callers saw, from a target in trouble: with "Content-Length:" a 200 with an empty body that looked whole; with "Transfer-Encoding: gzip" (identity, empty, quoted, chunked with a parameter) a body of everything until the connection ended, or 504 at the deadline; with "gzip, chunked" the encoded bytes without the line that says so. A stream went on with the events of such an answer, and an early end looked complete, as is_framed sees any Transfer-Encoding as framing.

Cause: aiohttp's parser reads a body with a coding that it does not know until the connection ends, and takes the length that it uses for "unknown" literally. Bodies of interim answers and of 204 are skipped by some paths of the parser and read by others.

Change: the check of heads requires that Transfer-Encoding, if there is one, is "chunked" alone and in HTTP/1.1 (no request asks for another coding), that a length has 18 digits at most, and that answers without a body (1xx, 204) frame none. Length 0 stays allowed there, and a length on 304, which is that of the body left out.

--- a/cranberryrun/answer_head.py
+++ b/cranberryrun/answer_head.py
@@ -9,9 +9,11 @@
 import re
 
 import aiohttp
+from aiohttp import HttpVersion11, hdrs
 
 _SWITCHING_PROTOCOLS = 101
 _MAX_QUOTED_BYTES = 80
+_MAX_LENGTH_DIGITS = 18
 
 # Empty lines may come before an answer, and a line may end with LF alone (section 2.2).
 _STATUS_LINE = rb"HTTP/1\.[01] [0-9]{3}(?: [\t -~\x80-\xff]*+)?\r?\n"
@@ -68,4 +70,31 @@
         return f"the status {status:03} is not valid"
     if status == _SWITCHING_PROTOCOLS:
         return f"the status is {status}, but no request asks for another protocol"
+    return _framing_fault(message)
+
+
+def _framing_fault(message: aiohttp.RawResponseMessage) -> str | None:
+    """Return why the head does not tell where the body ends (RFC 9112, section 6).
+
+    The parser reads a body with an unknown transfer coding until the connection ends,
+    and takes the greatest length that it can count for none.
+    """
+    codings = message.headers.getall(hdrs.TRANSFER_ENCODING, ())
+    length = message.headers.get(hdrs.CONTENT_LENGTH, "0")
+    if codings:
+        coding = ", ".join(codings)[:_MAX_QUOTED_BYTES]
+        # No request asks for another coding.
+        if coding.lower() != "chunked":
+            return f"the transfer coding is {coding!r} instead of chunked"
+        if message.version < HttpVersion11:
+            return "the body is chunked, which HTTP/1.0 does not have"
+    if len(length) > _MAX_LENGTH_DIGITS:
+        return f"the content length has {len(length)} digits"
+    if (codings or length.strip("0")) and _has_no_body(message.code):
+        return f"an answer with status {message.code} has a body"
     return None
+
+
+def _has_no_body(status: int) -> bool:
+    # One with status 304 may have the length of the body that it leaves out.
+    return status < 200 or status == 204
--- a/standins/broken_target.py
+++ b/standins/broken_target.py
@@ -12,6 +12,7 @@
 _OK = b"HTTP/1.1 200 OK"
 _EVENT = b"id: 1\ndata: broken\n\n"
 _LENGTH = b"Content-Length: %d" % len(_EVENT)
+_CODING = b"Transfer-Encoding: "
 _CHUNKS = b"%x\r\n%b\r\n0\r\n\r\n" % (len(_EVENT), _EVENT)
 _FIELDS = (
     b"X-Cranberryrun-Attempt-Id: " + _PLACEHOLDER,
@@ -82,6 +83,38 @@
     "value with nul": _answer(_OK, b"X-Own: a\x00b"),
     "value with CR": _answer(_OK, b"X-Own: a\rX-Other: b"),
     "value before control": _answer(_OK, b"X-Own: a\x0b"),
+    "transfer coding gzip": _answer(framing=_CODING + b"gzip"),
+    "transfer coding identity": _answer(framing=_CODING + b"identity"),
+    "empty transfer coding": _answer(framing=_CODING),
+    "gzip before chunked": _answer(framing=_CODING + b"gzip, chunked", body=_CHUNKS),
+    "chunked before gzip": _answer(framing=_CODING + b"chunked, gzip"),
+    "chunked twice": _answer(framing=_CODING + b"chunked, chunked", body=_CHUNKS),
+    "chunked in two lines": _answer(
+        _OK, _CODING + b"chunked", framing=_CODING + b"chunked", body=_CHUNKS
+    ),
+    "chunked with parameter": _answer(framing=_CODING + b"chunked;q=1"),
+    "quoted chunked": _answer(framing=_CODING + b'"chunked"'),
+    "chunked in old version": _answer(
+        b"HTTP/1.0 200 OK", framing=_CODING + b"chunked", body=_CHUNKS
+    ),
+    "chunked with length": _answer(_OK, _LENGTH, framing=_CODING + b"chunked"),
+    "length with chunked": _answer(_OK, _CODING + b"chunked", framing=_LENGTH),
+    "two lengths": _answer(_OK, _LENGTH),
+    "length in a list": _answer(framing=_LENGTH + b", 19"),
+    "length with sign": _answer(framing=b"Content-Length: +19"),
+    "negative length": _answer(framing=b"Content-Length: -1"),
+    "empty length": _answer(framing=b"Content-Length:"),
+    "length of 64 bits": _answer(framing=b"Content-Length: 18446744073709551615"),
+    "length beyond 64 bits": _answer(framing=b"Content-Length: 18446744073709551616"),
+    "body of an interim answer": _answer(b"HTTP/1.1 103 Hints") + _answer(),
+    "chunked interim answer": _answer(
+        b"HTTP/1.1 199 X", framing=_CODING + b"chunked", body=_CHUNKS
+    )
+    + _answer(),
+    "body of no content": _answer(b"HTTP/1.1 204 OK"),
+    "chunked no content": _answer(
+        b"HTTP/1.1 204 OK", framing=_CODING + b"chunked", body=b""
+    ),
     "broken interim answer": b"HTTP/1.1 103 Hints\r\n X-Own: 1\r\n\r\n" + _answer(),
 }
 
--- a/tests/test_answer_head.py
+++ b/tests/test_answer_head.py
@@ -23,6 +23,14 @@
     "lines end with LF": b"HTTP/1.1 200 OK\nX-Own: 1\nContent-Length: 2\n\nok",
     "empty lines before": b"\r\n\r\nHTTP/1.1 200 OK\r\n" + _END,
     "interim answers": b"HTTP/1.1 103 Hints\r\nX-Own: 1\r\n\r\n" * 3 + _OK + _END,
+    "chunked": _OK + b"transfer-encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    "length with zeros": _OK + b"Content-Length: 0002\r\n\r\nok",
+    "no length": _OK + b"\r\nok",
+    "no content": b"HTTP/1.1 204 OK\r\nContent-Length: 0\r\n\r\n",
+    "not modified": b"HTTP/1.1 304 OK\r\nContent-Length: 2\r\n\r\n",
+    "interim answer with length 0": b"HTTP/1.1 103 X\r\nContent-Length: 0\r\n\r\n"
+    + _OK
+    + _END,
     "blank lines in the body": _OK + b"Content-Length: 6\r\n\r\n\r\n \r\n ",
 }
 
@@ -71,7 +79,7 @@
             with self.subTest(name):
                 for parts in self.splits(answer):
                     message = await self.final_message(*parts)
-                    self.assertIn(message.code, (200, 599))
+                    self.assertIn(message.code, (200, 204, 304, 599))
                 self.assertFalse(self.transport.closed)
 
     async def test_broken_answers_close_the_connection(self):
--- a/tests/test_broken_answers_hosts.py
+++ b/tests/test_broken_answers_hosts.py
@@ -35,6 +35,8 @@
     "coding before blank",
     "folded length",
     "value with control",
+    "transfer coding gzip",
+    "length of 64 bits",
 )
 # Hosts choose among equal targets at random.
 MAX_REQUESTS = 30
