Fail readers of bodies whose chunks break

What callers saw: a target that began a chunked answer and then sent a chunk size, an extension or a trailer that is not valid held a request until its deadline (504 instead of 502, or too late for another target), and a stream until its gap was noticed. cranberryctl and the own product's clients waited for their timeouts, also when the target closed the connection.

Cause: when aiohttp's parser fails inside a body, the connection gets the error, but the reader of the body does not: the parser has dropped the body before it raises, so that the end of the connection does not reach the reader either. Only where the head and the fault come in one read does the request fail at once.

Change: a connection that gets an error of the parser gives it to the body that it is receiving.

Ruled out: trailers reach no caller, as aiohttp drops them, and the next answer has a parser of its own; what they may hold is checked by the parser only so far as a line is a field.

Processor time of an answer: nothing is added where no error occurs.

--- a/cranberryrun/answer_protocol.py
+++ b/cranberryrun/answer_protocol.py
@@ -111,6 +111,9 @@
             # The parser marks the position of the error on a line of its own.
             reason = " ".join(exc.message.split()).rstrip(" ^")
             exc = MalformedAnswerError(reason[:_MAX_REASON_CHARACTERS])
+            if self._payload is not None and not self._payload.is_eof():
+                # aiohttp would let the reader of the body wait for its deadline.
+                self._payload.set_exception(exc)
         super().set_exception(exc, *causes)
 
 
--- a/standins/broken_target.py
+++ b/standins/broken_target.py
@@ -9,13 +9,17 @@
 _ATTEMPT_ID = b"x-cranberryrun-attempt-id"
 _LAST_EVENT_ID = b"last-event-id"
 _PLACEHOLDER = b"ATTEMPT-ID"
+_PAUSE = b"PAUSE"
+_PAUSE_SECONDS = 0.03
 _OK = b"HTTP/1.1 200 OK"
 _EVENT = b"id: 1\ndata: broken\n\n"
 _LENGTH = b"Content-Length: %d" % len(_EVENT)
 _CODING = b"Transfer-Encoding: "
-_CHUNKS = b"%x\r\n%b\r\n0\r\n\r\n" % (len(_EVENT), _EVENT)
+_CHUNK = b"%x\r\n%b\r\n" % (len(_EVENT), _EVENT)
+_CHUNKS = _CHUNK + b"0\r\n\r\n"
+_ECHO = b"X-Cranberryrun-Attempt-Id: " + _PLACEHOLDER
 _FIELDS = (
-    b"X-Cranberryrun-Attempt-Id: " + _PLACEHOLDER,
+    _ECHO,
     b"X-Cranberryrun-Server-Signature: 1.2.3",
     b"X-Cranberryrun-Weight-Versions: 1",
     b"Content-Type: text/event-stream",
@@ -119,12 +123,29 @@
 }
 
 
+# Answers whose bodies break some time after their heads, at :data:`_PAUSE`.
+_CHUNKED_HEAD = _answer(framing=_CODING + b"chunked", body=b"")
+BROKEN_BODIES: dict[str, bytes] = {
+    "chunk size": _CHUNKED_HEAD + _CHUNK + _PAUSE + b"size\r\n",
+    "chunk size with sign": _CHUNKED_HEAD + _CHUNK + _PAUSE + b"-1\r\n",
+    "chunk size of 68 bits": _CHUNKED_HEAD + _CHUNK + _PAUSE + b"f" * 17 + b"\r\n",
+    "chunk longer than its size": _CHUNKED_HEAD + _CHUNK[:-2] + _PAUSE + b"more\r\n",
+    "chunk extension": _CHUNKED_HEAD + _CHUNK + _PAUSE + b"1;\x00\r\n",
+    "trailer with blank": _CHUNKED_HEAD + _CHUNK + _PAUSE + b"0\r\nX Own: 1\r\n\r\n",
+    "trailer with length": _CHUNKED_HEAD
+    + _CHUNK
+    + _PAUSE
+    + b"0\r\nContent-Length: 1\r\n\r\n",
+}
+_ANSWERS = BROKEN_ANSWERS | BROKEN_BODIES
+
+
 class BrokenTarget(RawServer):
     """Answers every request with the answer of ``fault`` and keeps the connection.
 
-    ``fault`` is a key of :data:`BROKEN_ANSWERS`. With ``claims``, the head begins with
-    :data:`CLAIMS`. ``requests`` lists the attempt ids of the requests, ``resumed``
-    those of requests for the rest of a stream.
+    ``fault`` is a key of :data:`BROKEN_ANSWERS` or :data:`BROKEN_BODIES`. With
+    ``claims``, the head begins with :data:`CLAIMS`. ``requests`` lists the attempt ids
+    of the requests, ``resumed`` those of requests for the rest of a stream.
     """
 
     def __init__(self, target_id: str, fault: str, claims: bool = False) -> None:
@@ -144,11 +165,18 @@
             self.requests.append(attempt_id.decode())
             if _LAST_EVENT_ID in header_by_name:
                 self.resumed.append(attempt_id.decode())
-            writer.write(self._raw_answer(attempt_id))
+            first, *rest = self._raw_answer(attempt_id).split(_PAUSE)
+            writer.write(first)
+            for part in rest:
+                await asyncio.sleep(_PAUSE_SECONDS)
+                writer.write(part)
             await writer.drain()
 
     def _raw_answer(self, attempt_id: bytes) -> bytes:
-        answer = BROKEN_ANSWERS[self._fault].replace(_PLACEHOLDER, attempt_id)
+        answer = _ANSWERS[self._fault]
+        if not attempt_id:
+            answer = answer.replace(_ECHO + b"\r\n", b"")
+        answer = answer.replace(_PLACEHOLDER, attempt_id)
         if not self._claims:
             return answer
         status_line, _, rest = answer.partition(b"\r\n")
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import itertools
+import time
 import unittest
 
 from cranberryrun.ctl_client import ControlClient, Request as ControlRequest
@@ -36,7 +37,7 @@
 from cranberryrun.platform.store_client import StoreClient
 from cranberryrun.services import HttpServiceClient
 from cranberryrun.settings import LogSettings
-from standins.broken_target import BROKEN_ANSWERS, BrokenTarget
+from standins.broken_target import BROKEN_ANSWERS, BROKEN_BODIES, BrokenTarget
 
 from .doubles import call
 from .test_duty_client import REPORT, HeldLease
@@ -46,20 +47,38 @@
 CALL_SECONDS = 1.0
 
 
+async def run_with_peer(case, test, fault, claims):
+    """Run ``test`` with a peer that has a fault; it must close its connections."""
+    peer = BrokenTarget(f"{fault} {claims}", fault, claims)
+    await peer.start()
+    with case.subTest(fault=fault, claims=claims):
+        await test(case, peer)
+        async with asyncio.timeout(1.0):
+            while peer.open_connections:
+                await asyncio.sleep(0.01)
+    await peer.stop()
+
+
 def with_each_peer(test):
-    """Run ``test`` with a peer for each fault; it must close its connections."""
+    """Run ``test`` with a peer for each fault of a head."""
 
     @functools.wraps(test)
     async def run(self):
         for fault, claims in itertools.product(BROKEN_ANSWERS, (False, True)):
-            peer = BrokenTarget(f"{fault} {claims}", fault, claims)
-            await peer.start()
-            with self.subTest(fault=fault, claims=claims):
-                await test(self, peer)
-                async with asyncio.timeout(1.0):
-                    while peer.open_connections:
-                        await asyncio.sleep(0.01)
-            await peer.stop()
+            await run_with_peer(self, test, fault, claims)
+
+    return run
+
+
+def with_each_broken_body(test):
+    """Run ``test`` with a peer for each fault of a body; it must not wait."""
+
+    @functools.wraps(test)
+    async def run(self):
+        for fault in BROKEN_BODIES:
+            started_at = time.monotonic()
+            await run_with_peer(self, test, fault, False)
+            self.assertLess(time.monotonic() - started_at, CALL_SECONDS)
 
     return run
 
@@ -81,6 +100,17 @@
         self.assertIsNone(permits.limit_of(target.id))
         self.assertFalse(directory.target_by_id[target.id].draining)
 
+    @with_each_broken_body
+    async def test_no_call_waits_for_the_rest_of_a_broken_body(self, peer):
+        target = Target(peer.id, "portal", peer.address, "a", 4, False, 1, 1, {})
+        calls = self.calls(target)
+        # The answer to an order is complete with its head.
+        await calls.pop("order")
+        errors = await asyncio.gather(*calls.values(), return_exceptions=True)
+        for kind, error in zip(calls, errors):
+            self.assertIsInstance(error, OutcomeUnknownError, kind)
+            self.assertIn("MalformedAnswerError", error.detail)
+
 
 class StoreClientTest(PlatformTestCase):
     @with_each_peer
@@ -93,6 +123,14 @@
             with self.assertRaises(error_type):
                 await store.send_call(peer.address, method, "/v1/x", b"")
 
+    @with_each_broken_body
+    async def test_no_call_waits_for_the_rest_of_a_broken_body(self, peer):
+        store = self.host.kernel.get(StoreClient)
+        with self.assertRaises(LogReadError):
+            await store.send_call(peer.address, "GET", "/v1/x", b"")
+        with self.assertRaises(AppendUnknownError):
+            await store.send_call(peer.address, "POST", "/v1/x", b"")
+
 
 class NeighbourClientTest(PlatformTestCase):
     @with_each_peer
@@ -109,6 +147,14 @@
         reach = kernel.get(ReachClient)
         self.assertFalse(await reach.reaches_targets("host-2"))
 
+    @with_each_broken_body
+    async def test_no_call_waits_for_the_rest_of_a_broken_body(self, peer):
+        kernel = self.host.kernel
+        kernel.get(Neighbours).address_of = {"host-2": peer.address}.get
+        for method in ("GET", "POST"):
+            with self.assertRaises(PeerError):
+                await call_host(kernel, "host-2", method, "/x", CALL_SECONDS)
+
 
 class DutyClientTest(unittest.IsolatedAsyncioTestCase):
     @with_each_peer
@@ -188,3 +234,23 @@
             with self.assertRaises(HostsUnreachableError):
                 async for _ in control.watch("/v1/x", None):
                     continue
+
+    @with_each_broken_body
+    async def test_no_call_waits_for_the_rest_of_a_broken_body(self, peer):
+        url = f"http://{peer.address}"
+        target = ServiceTarget(id="t1", url=url, zone="z1")
+        client = HttpServiceClient(target, self.clients, 1.0)
+        with self.assertRaises(TargetFailedError):
+            await client.send(call("GET"), True, 5.0)
+        engine = HttpEngineClient(url, self.clients, 5.0)
+        with self.assertRaises(EngineError):
+            await engine.load()
+        with self.assertRaises(StreamCutError):
+            async for _ in engine.resume("s", 1):
+                continue
+        with self.assertRaises(HostListError):
+            await HttpHostList(url, self.clients, 5.0).read()
+        async with ControlClient([url], timeout=5.0) as control:
+            change = ControlRequest("PUT", "/v1/x", body={}, change_id="c")
+            result = await control._send_once(url, change, 5.0)
+            self.assertIsInstance(result, ChangeUnknownError)
--- a/tests/test_broken_answers_hosts.py
+++ b/tests/test_broken_answers_hosts.py
@@ -4,6 +4,8 @@
 import contextlib
 import itertools
 import json
+import re
+import time
 
 import aiohttp
 
@@ -11,7 +13,7 @@
 from cranberryrun.fleet.directory import Directory
 from cranberryrun.fleet.target_paths import TargetPaths
 from cranberryrun.requests.forwarder import Forwarder
-from standins.broken_target import BrokenTarget
+from standins.broken_target import BROKEN_BODIES, BrokenTarget
 from standins.platform_target import PlatformTarget
 from standins.target_link import Cut, TargetLink
 
@@ -103,7 +105,7 @@
         self.assertIn("MalformedAnswerError", event.fields["reason"])
 
 
-class BrokenTargetTest(BrokenTargetMixin, PlatformTestCase):
+class BrokenTargetTestCase(BrokenTargetMixin, PlatformTestCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
         await self.use_routes(self.host)
@@ -118,6 +120,19 @@
     async def assert_closed(self, target):
         await self.wait_until(lambda: target.open_connections == 0, 1.0)
 
+    async def read_cut_stream(self, request_id, path="/resumed/x"):
+        """Return what arrives of a stream whose targets do not complete it."""
+        headers = {"Host": HOST_NAME, ATTEMPT_ID: request_id, DEADLINE_MS: "3000"}
+        body = b""
+        async with self.session.post(self.url + path, headers=headers) as response:
+            self.assertEqual(response.status, 200)
+            with self.assertRaises(aiohttp.ClientPayloadError):
+                async for chunk in response.content.iter_any():
+                    body += chunk
+        return body
+
+
+class BrokenHeadTest(BrokenTargetTestCase):
     async def test_request_that_may_run_once_gets_502(self):
         for fault in FAULTS:
             for path in ("/once/x", "/live/x"):
@@ -195,19 +210,6 @@
                         sound.script.clear()
                     self.assert_logged(self.host, target.resumed[0], target)
 
-    async def read_cut_stream(self, request_id):
-        """Return what arrives of a stream whose targets do not complete it."""
-        headers = {"Host": HOST_NAME, ATTEMPT_ID: request_id, DEADLINE_MS: "3000"}
-        body = b""
-        async with self.session.post(
-            f"{self.url}/resumed/x", headers=headers
-        ) as response:
-            self.assertEqual(response.status, 200)
-            with self.assertRaises(aiohttp.ClientPayloadError):
-                async for chunk in response.content.iter_any():
-                    body += chunk
-        return body
-
     async def test_item_is_run_again(self):
         for number, fault in enumerate(FAULTS):
             with self.subTest(fault=fault):
@@ -247,12 +249,63 @@
                 await asyncio.sleep(0.05)
 
 
-class HedgedRequestTest(BrokenTargetMixin, PlatformTestCase):
-    """The second attempt beside a slow one gets a broken answer."""
+class BrokenBodyTest(BrokenTargetTestCase):
+    """The body breaks after its head and its first event arrived."""
 
-    async def asyncSetUp(self):
-        await super().asyncSetUp()
-        await self.use_routes(self.host)
+    async def test_request_is_answered_long_before_its_deadline(self):
+        sound = await self.add_sound_target()
+        for fault in BROKEN_BODIES:
+            with self.subTest(fault=fault):
+                async with self.broken_target(fault, self.host) as target:
+                    for request_id in self.request_ids(fault, lambda: target.requests):
+                        started_at = time.monotonic()
+                        status, _, body = await self.request(
+                            "POST", "/again/x", request_id, data=b"hi"
+                        )
+                        self.assertEqual((status, body), (200, b"answer to hi"))
+                        self.assertLess(time.monotonic() - started_at, 1.0)
+                    self.assertIn(target.requests[0], sound.executed_requests)
+                    self.assert_logged(self.host, target.requests[0], target)
+
+    async def test_request_that_may_run_once_gets_502(self):
+        for fault in BROKEN_BODIES:
+            with self.subTest(fault=fault):
+                async with self.broken_target(fault, self.host) as target:
+                    started_at = time.monotonic()
+                    status, _, _ = await self.request("POST", "/once/x", fault)
+                    self.assertEqual(status, 502)
+                    self.assertLess(time.monotonic() - started_at, 1.0)
+                    self.assert_logged(self.host, fault, target)
+                    await self.assert_closed(target)
+
+    async def test_stream_is_broken_off(self):
+        for fault in BROKEN_BODIES:
+            with self.subTest(fault=fault):
+                async with self.broken_target(fault, self.host) as target:
+                    started_at = time.monotonic()
+                    body = await self.read_cut_stream(fault, "/live/x")
+                    self.assertIn(body, (b"", b"id: 1\ndata: broken\n\n"))
+                    self.assertLess(time.monotonic() - started_at, 1.0)
+                    self.assert_logged(self.host, fault, target)
+
+    async def test_resumable_stream_goes_on_at_another_target(self):
+        await self.add_sound_target(model="m")
+        for fault in BROKEN_BODIES:
+            with self.subTest(fault=fault):
+                async with self.broken_target(fault, self.host) as target:
+                    for request_id in self.request_ids(fault, lambda: target.requests):
+                        started_at = time.monotonic()
+                        status, _, body = await self.request(
+                            "POST", "/resumed/x", request_id
+                        )
+                        self.assertEqual(status, 200)
+                        events = re.findall(rb"id: (\d+)\n", body)
+                        self.assertEqual(events, [b"%d" % n for n in range(1, 7)])
+                        self.assertLess(time.monotonic() - started_at, 1.0)
+
+
+class HedgedRequestTest(BrokenTargetTestCase):
+    """The second attempt beside a slow one gets a broken answer."""
 
     async def test_slow_answer_is_returned(self):
         slow = PlatformTarget("s0", "faulty")
