Close idle connections on which an answer arrives

What callers saw: a target that sent a second answer while its connection was idle answered the next request on it with that copy, if the copy had no attempt id: a report of the state before, a refusal for a request that nobody refused. The heads of such copies were parsed, but not checked as answers to a request are.

Cause: aiohttp checks whether a connection may be used again when it is released, not when it is taken from the pool. An answer that arrives between the two waits in the queue of heads, and the next request reads it at once.

Change: a head that arrives while no request waits for one closes the connection, like a head that is not valid. So every head that a reader gets has passed the check of its lines.

Processor time of an answer: nothing is added.

--- a/cranberryrun/answer_protocol.py
+++ b/cranberryrun/answer_protocol.py
@@ -33,10 +33,11 @@
 class AnswerProtocol(ResponseHandler):
     """A connection that is closed when the peer sends an answer that is not valid.
 
-    It is also closed when the peer sends too many heads for one request. Heads wait in
-    a queue without a limit, and nobody takes them from it meanwhile: the event loop may
-    read a socket that always has more bytes dozens of times in a row. Therefore the
-    limit applies while the bytes are parsed.
+    It is also closed when an answer arrives while no request waits for one, as the next
+    request on the connection would get it, and when the peer sends too many heads for
+    one request. Heads wait in a queue without a limit, and nobody takes them from it
+    meanwhile: the event loop may read a socket that always has more bytes dozens of
+    times in a row. Therefore the limit applies while the bytes are parsed.
 
     The reader of an answer gets a :class:`MalformedAnswerError`.
     """
@@ -69,7 +70,7 @@
         if self._head_count > _MAX_HEADS:
             return f"more than {_MAX_HEADS} heads for one request"
         if not self._awaits_head:
-            return message_fault(message)
+            return "no request waits for the answer"
         fault = self._raw_heads.take() or message_fault(message)
         if not is_interim(message.code):
             self._awaits_head = False
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -4,12 +4,15 @@
 that answer, whether it is a success or a refusal.
 """
 
+import asyncio
+
 from cranberryrun import clock
 from cranberryrun.exceptions import TargetFailedError
 from cranberryrun.fleet.client import LoadOrder, TargetClient
-from cranberryrun.fleet.directory import Directory
+from cranberryrun.fleet.directory import Directory, Target
 from fakes.deployment import reward_call
 
+from .doubles import RawTarget, answer
 from .test_platform_host import PlatformTestCase
 
 COPIES = ("foreign", "foreign refusal")
@@ -67,3 +70,27 @@
             await self.client.order(self.entry(self.engine), order)
         with self.assertRaises(TargetFailedError):
             await self.client.report(self.entry(self.engine))
+
+    async def test_copy_on_an_idle_connection_answers_no_later_call(self):
+        # Reports have no id by which a copy could be told from an answer.
+        for copy in (
+            answer(b'{"sequence": 1}'),
+            answer(b"", "503 Service Unavailable", "X-Cranberryrun-Not-Executed: 1"),
+        ):
+            sent = asyncio.Event()
+
+            async def answer_twice(writer):
+                await answer(b'{"sequence": 1}')(writer)
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                await copy(writer)
+                sent.set()
+
+            async with RawTarget(answer_twice, answer(b'{"sequence": 2}')) as raw:
+                address = raw.url.removeprefix("http://")
+                target = Target("t", "lm", address, "a", 4, False, 1, 1, {})
+                self.assertEqual((await self.client.report(target)).sequence, 1)
+                await sent.wait()
+                await asyncio.sleep(0.05)
+                self.assertEqual((await self.client.report(target)).sequence, 2)
+                self.assertEqual(raw.connections, 2)
