Bound the keep-alive timeout that targets advertise

What callers saw: after one answer with a Keep-Alive timeout of 400 digits, and from the next turn of the timer for idle connections on, requests of all callers to all targets failed with OverflowError, and so did the host's calls to the store: the loops of the lease, the directory and the batch log failed.

Cause: the timeout of one target becomes that of all idle connections. The digits become infinity, for which the timer that closes idle connections can't be set. uvloop has no timers for numbers of 300 digits either.

A smaller value of any target still lowers it.

Processor time of an answer: one comparison where the header is present.

--- a/cranberryrun/http.py
+++ b/cranberryrun/http.py
@@ -15,6 +15,8 @@
 _KEEPALIVE_SECONDS = 15.0
 # A request sent just as the target closes the idle connection would be lost.
 _KEEPALIVE_MARGIN_SECONDS = 1.0
+# Event loops have no timers of any length.
+_MAX_KEEPALIVE_SECONDS = 86_400.0
 _ANSWER_BYTES = 64_000_000
 
 
@@ -136,11 +138,13 @@
     def apply_keepalive_timeout(self, seconds: float) -> None:
         """Apply the keep-alive timeout that a target advertises.
 
-        The least timeout of all targets applies to all connections.
+        The least timeout of all targets applies to all connections. A day is the most.
 
         :param seconds: as in the target's ``Keep-Alive`` header.
         """
-        timeout_seconds = seconds - _KEEPALIVE_MARGIN_SECONDS
+        timeout_seconds = min(
+            seconds - _KEEPALIVE_MARGIN_SECONDS, _MAX_KEEPALIVE_SECONDS
+        )
         if timeout_seconds <= 0 or (
             self._advertised_keepalive is not None
             and timeout_seconds >= self._advertised_keepalive
--- /dev/null
+++ b/tests/test_header_values.py
@@ -0,0 +1,59 @@
+"""Heads that are valid HTTP, but whose values are none of their fields."""
+
+import asyncio
+import unittest
+
+import uvloop
+
+from cranberryrun import clock
+from cranberryrun.fleet.client import Request, TargetClient
+from cranberryrun.fleet.directory import Target
+from cranberryrun.http import HttpClients
+
+from .doubles import RawTarget, answer
+from .test_platform_host import PlatformTestCase
+
+SIGNATURE = "X-Cranberryrun-Server-Signature: 1"
+# Some of them are too large for a float, for a timer or for an integer.
+LARGE_NUMBERS = ("9" * 400, "9" * 300, "9" * 20, "9" * 5000)
+
+
+class KeepAliveTest(PlatformTestCase):
+    def prepare(self, host, name):
+        # Idle connections are looked for often.
+        host.kernel.get(HttpClients)._idle = 0.05
+
+    async def test_timeout_of_one_target_breaks_no_connection(self):
+        client = self.host.kernel.get(TargetClient)
+        for seconds in LARGE_NUMBERS:
+            with self.subTest(digits=len(seconds)):
+                keep_alive = f"Keep-Alive: timeout={seconds}"
+                async with RawTarget(
+                    answer(b"ok", "200 OK", SIGNATURE, keep_alive)
+                ) as raw:
+                    address = raw.url.removeprefix("http://")
+                    target = Target("t", "portal", address, "a", 4, False, 1, 1, {})
+                    for _ in range(3):
+                        await asyncio.sleep(0.1)
+                        request = Request("r", "GET", "/x", (), b"", clock.now() + 1.0)
+                        self.assertEqual(
+                            (await client.send(target, request)).body, b"ok"
+                        )
+                status, _, _ = await self.request("GET", "/status/x", seconds[:20])
+                self.assertEqual(status, 200)
+
+
+class KeepAliveTimerTest(unittest.TestCase):
+    def test_connections_are_kept_under_uvloop(self):
+        async def call():
+            async with RawTarget(answer()) as raw:
+                clients = HttpClients(1.0)
+                await clients.start()
+                for seconds in LARGE_NUMBERS:
+                    clients.apply_keepalive_timeout(float(seconds))
+                    async with clients.shared.get(raw.url) as response:
+                        await clients.read(response)
+                await clients.stop()
+                return raw.connections
+
+        self.assertEqual(uvloop.run(call()), 1)
