Take no number of any length for a fencing token

What operators saw: a refusal of the platform's API whose fencing token has 5000 digits made the duty's loop fail with ValueError ("duty_failed"), and one of 20 digits or more told the holder that another machine holds the lease.

Cause: every number in the header, or in a field with "token" in its name, counted as a token. Python converts 4300 digits at the most.

Change: a token has 18 digits at the most; the API counts in 64 bits. A refusal with another number is one without a token: no engine can be had.

Ruled out: the weight version of a stream is converted where a ValueError fails the run; the limit and Retry-After of answers are floats that are checked.

Processor time of an answer: nothing is added but for refusals of this API.

--- a/cranberryrun/platform/duty_client.py
+++ b/cranberryrun/platform/duty_client.py
@@ -35,6 +35,8 @@
 _UNACKNOWLEDGED_MILLISECONDS = 1000
 _THROTTLED_SECONDS = 0.5
 _MAX_ERROR_BYTES = 4096
+# As many as 64 bits always hold.
+_MAX_TOKEN_DIGITS = 18
 # The API will not accept the same call later either.
 _REFUSED_FOR_GOOD = frozenset({400, 413, 422})
 
@@ -165,5 +167,9 @@
         answer = None
     if isinstance(answer, dict):
         values += [value for key, value in answer.items() if "token" in key.lower()]
-    tokens = [int(value) for value in values if str(value).isdecimal()]
+    tokens = [
+        int(value)
+        for value in values
+        if str(value).isdecimal() and len(str(value)) <= _MAX_TOKEN_DIGITS
+    ]
     return max(tokens, default=-1)
--- a/tests/test_header_values.py
+++ b/tests/test_header_values.py
@@ -6,13 +6,23 @@
 import uvloop
 
 from cranberryrun import clock
+from cranberryrun.duties.client import (
+    DutyConflictError,
+    DutyFencedError,
+    EngineOrder,
+)
 from cranberryrun.fleet.client import Request, TargetClient
 from cranberryrun.fleet.directory import Target
 from cranberryrun.http import HttpClients
+from cranberryrun.kernel import Kernel
+from cranberryrun.platform.duty_client import HttpDutyClient
+from cranberryrun.platform.header_names import FENCING_TOKEN
 
 from .doubles import RawTarget, answer
+from .test_duty_client import HeldLease
 from .test_platform_host import PlatformTestCase
 
+ORDER = EngineOrder("lm", "a", 6)
 SIGNATURE = "X-Cranberryrun-Server-Signature: 1"
 # Some of them are too large for a float, for a timer or for an integer.
 LARGE_NUMBERS = ("9" * 400, "9" * 300, "9" * 20, "9" * 5000)
@@ -57,3 +67,20 @@
                 return raw.connections
 
         self.assertEqual(uvloop.run(call()), 1)
+
+
+class FencingTokenTest(unittest.IsolatedAsyncioTestCase):
+    async def test_refusal_with_a_number_that_is_no_token(self):
+        for token in LARGE_NUMBERS:
+            with self.subTest(digits=len(token)):
+                refusal = answer(b"", "409 Conflict", f"{FENCING_TOKEN}: {token}")
+                async with RawTarget(refusal) as raw:
+                    client = HttpDutyClient(raw.url.removeprefix("http://"))
+                    kernel = Kernel()
+                    kernel.register(HeldLease())
+                    kernel.register(client)
+                    await kernel.start()
+                    with self.assertRaises(DutyConflictError) as caught:
+                        await client.order_engines(ORDER, "host-1", 5)
+                    self.assertNotIsInstance(caught.exception, DutyFencedError)
+                    await kernel.stop()
