Log why a call of the own API was sent again or has no outcome

What operators saw: after a broken answer, a host of the own API logged the request with the code of the error alone ("target_failed"), and the target with the reason only when it began a cooldown, without the request. No line named all three.

Cause: request_retried and request_unknown left out the detail of the error.

Change: both have it as the reason. The details of failed attempts name the target.

Processor time of an answer: nothing is added.

--- a/cranberryrun/request_router.py
+++ b/cranberryrun/request_router.py
@@ -152,7 +152,9 @@
     ) -> None:
         was_refused = isinstance(error, (RefusedError, RequestError))
         name = "request_refused" if was_refused else "request_unknown"
-        self.kernel.get(Events).emit(name, request=call.request, error=error.code)
+        self.kernel.get(Events).emit(
+            name, request=call.request, error=error.code, reason=error.detail
+        )
         if isinstance(error, CallerGoneError):
             self._record_outcome(call, "caller_gone", seconds)
             return
@@ -188,7 +190,10 @@
 
     def _report_retry(self, call: Call, error: CranberryrunError) -> None:
         self.kernel.get(Events).emit(
-            "request_retried", request=call.request, error=error.code
+            "request_retried",
+            request=call.request,
+            error=error.code,
+            reason=error.detail,
         )
         self.kernel.get(Metrics).retry(call.service)
 
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -39,7 +39,7 @@
 from cranberryrun.settings import LogSettings
 from standins.broken_target import BROKEN_ANSWERS, BROKEN_BODIES, BrokenTarget
 
-from .doubles import call
+from .doubles import RawTarget, TrafficHost, answer, call
 from .test_duty_client import REPORT, HeldLease
 from .test_endless_answers import EndlessAnswerTestCase
 from .test_platform_host import PlatformTestCase
@@ -254,3 +254,33 @@
             change = ControlRequest("PUT", "/v1/x", body={}, change_id="c")
             result = await control._send_once(url, change, 5.0)
             self.assertIsInstance(result, ChangeUnknownError)
+
+
+class OwnApiTest(unittest.IsolatedAsyncioTestCase):
+    """Calls through the router of the product's own API."""
+
+    def assert_logged(self, host, name):
+        (event,) = host.events_named(name)
+        self.assertEqual(event["request"], "r1")
+        self.assertIn("target t1", event["reason"])
+        self.assertIn("MalformedAnswerError", event["reason"])
+
+    @with_each_peer
+    async def test_call_that_may_run_once_is_not_sent_again(self, peer):
+        broken = ServiceTarget(id="t1", url=f"http://{peer.address}", zone="z1")
+        async with TrafficHost() as host, RawTarget(answer()) as sound:
+            host.declare(broken, sound.target("t2", "z2"))
+            with self.assertRaises(TargetFailedError) as caught:
+                await host.send("DELETE")
+            self.assertEqual(caught.exception.status, 502)
+            self.assertEqual((len(peer.requests), sound.requests), (1, []))
+            self.assert_logged(host, "request_unknown")
+
+    @with_each_peer
+    async def test_repeatable_call_goes_to_another_target(self, peer):
+        broken = ServiceTarget(id="t1", url=f"http://{peer.address}", zone="z1")
+        async with TrafficHost() as host, RawTarget(answer()) as sound:
+            host.declare(broken, sound.target("t2", "z2"))
+            self.assertEqual((await host.send("GET")).body, b"ok")
+            self.assertEqual((len(peer.requests), len(sound.requests)), (1, 1))
+            self.assert_logged(host, "request_retried")
