Reject answers with two values of a field that decides

What callers saw: an answer with two attempt ids counted as theirs if the first one was, and both ids were passed on; the same held for two signatures, two weight versions (VERSION reads one) and two limits.

Cause: the first line of a name was read, whatever later lines said. These fields hold one value (RFC 9110, section 5.3: only lists may come in several lines).

Change: an answer of a target with two values of the attempt id, the signature, the weight version or the limit is none: the connection is closed, and no limit or leaving mark in it is believed. The same value twice stays one value.

Test before the fix, on: all four subtests of test_answer_with_two_values_is_none: AssertionError: TargetFailedError not raised

--- a/cranberryrun/platform/answer_checks.py
+++ b/cranberryrun/platform/answer_checks.py
@@ -59,6 +59,19 @@
     raise TargetFailedError(f"the engine answered {status} to an item")
 
 
+def check_single_values(response: aiohttp.ClientResponse) -> None:
+    """Check that no field that decides something has two values.
+
+    :raises TargetFailedError: one has; the connection is closed.
+    """
+    for name in header_names.DECIDING:
+        values = response.headers.getall(name, ())
+        if len(values) < 2 or len(set(values)) == 1:
+            continue
+        response.close()
+        raise TargetFailedError(f"the answer has two values of {name}")
+
+
 def check_echo(response: aiohttp.ClientResponse, attempt_id: str | None) -> None:
     """Check that the answer does not belong to another request.
 
--- a/cranberryrun/platform/header_names.py
+++ b/cranberryrun/platform/header_names.py
@@ -33,6 +33,8 @@
 RESUMES = "Resumes"
 # The requests a second that the target takes from all hosts together, while it says so.
 LIMIT = "Server-Limit"
+# Headers of answers with one value, which says whose the answer is or what it means.
+DECIDING = (ATTEMPT_ID, SIGNATURE, WEIGHT_VERSION, LIMIT)
 # The secret of a caller. It ends at this host: no target and no other host gets it.
 KEY = "X-Cranberryrun-Key"
 # The name of the caller's workspace, which only hosts set.
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -39,6 +39,7 @@
 from .answer_checks import (
     check_echo,
     check_signature,
+    check_single_values,
     is_framed,
     named_limit,
     raise_if_refused,
@@ -176,6 +177,7 @@
             **options,
         ) as call:
             response = call.response
+            check_single_values(response)
             self._apply_keepalive_timeout(response)
             self.kernel.get(UnknownNames).record_headers(
                 "answer", response.headers, header_names.KNOWN_IN_ANSWERS
--- a/tests/test_header_values.py
+++ b/tests/test_header_values.py
@@ -11,8 +11,10 @@
     DutyFencedError,
     EngineOrder,
 )
+from cranberryrun.exceptions import TargetFailedError
 from cranberryrun.fleet.client import Request, TargetClient
-from cranberryrun.fleet.directory import Target
+from cranberryrun.fleet.directory import Directory, Target
+from cranberryrun.fleet.send_permits import SendPermits
 from cranberryrun.http import HttpClients
 from cranberryrun.kernel import Kernel
 from cranberryrun.platform.duty_client import HttpDutyClient
@@ -53,6 +55,41 @@
                 self.assertEqual(status, 200)
 
 
+class RepeatedFieldTest(PlatformTestCase):
+    """Fields that decide whose an answer is, or what it says, with two values."""
+
+    REPEATED = (
+        ("X-Cranberryrun-Attempt-Id: r", "X-Cranberryrun-Attempt-Id: other"),
+        (SIGNATURE, "X-Cranberryrun-Server-Signature: 2"),
+        ("X-Cranberryrun-Weight-Versions: 1", "X-Cranberryrun-Weight-Versions: 2"),
+        ("Server-Limit: 0.001", "Server-Limit: 5"),
+    )
+
+    async def test_answer_with_two_values_is_none(self):
+        client = self.host.kernel.get(TargetClient)
+        directory = self.host.kernel.get(Directory)
+        for lines in self.REPEATED:
+            with self.subTest(lines[0]):
+                claims = (SIGNATURE, "Server-Leaving: 1", *lines)
+                async with RawTarget(answer(b"ok", "200 OK", *claims)) as raw:
+                    address = raw.url.removeprefix("http://")
+                    target = Target(lines[0], "x", address, "a", 4, False, 1, 1, {})
+                    directory.target_by_id[target.id] = target
+                    request = Request("r", "GET", "/x", (), b"", clock.now() + 1.0)
+                    with self.assertRaisesRegex(TargetFailedError, "two values"):
+                        await client.send(target, request)
+                self.assertFalse(directory.target_by_id[target.id].draining)
+                self.assertIsNone(self.host.kernel.get(SendPermits).limit_of(target.id))
+
+    async def test_same_value_twice_is_one(self):
+        client = self.host.kernel.get(TargetClient)
+        async with RawTarget(answer(b"ok", "200 OK", SIGNATURE, SIGNATURE)) as raw:
+            address = raw.url.removeprefix("http://")
+            target = Target("t", "x", address, "a", 4, False, 1, 1, {})
+            request = Request("r", "GET", "/x", (), b"", clock.now() + 1.0)
+            self.assertEqual((await client.send(target, request)).body, b"ok")
+
+
 class KeepAliveTimerTest(unittest.TestCase):
     def test_connections_are_kept_under_uvloop(self):
         async def call():
