Show that header values outside UTF-8 lose bytes on their way

Found while the parts of a head were looked at that reach a caller. A target's value with bytes from 128 on that are not UTF-8 is valid HTTP (RFC 9110, section 5.5), so the answer is not broken and is passed on, but without these bytes: "caf\xe9" arrives as "caf".

Cause: aiohttp reads such bytes as lone surrogates, and its server leaves those out when it writes headers as UTF-8. It has no way to write other bytes.

Not mended: a rejection would take sound answers from callers, and writing the bytes needs a writer of heads of our own.

--- a/tests/test_header_values.py
+++ b/tests/test_header_values.py
@@ -22,7 +22,7 @@
 
 from .doubles import RawTarget, answer
 from .test_duty_client import HeldLease
-from .test_platform_host import PlatformTestCase
+from .test_platform_host import HOST_NAME, TARGET_TOPIC, PlatformTestCase
 
 ORDER = EngineOrder("lm", "a", 6)
 SIGNATURE = "X-Cranberryrun-Server-Signature: 1"
@@ -55,6 +55,34 @@
                 self.assertEqual(status, 200)
 
 
+class TextTest(PlatformTestCase):
+    async def test_value_outside_utf8_is_passed_on_unchanged(self):
+        """Any byte from 128 on is valid in a value (RFC 9110, section 5.5)."""
+
+        async def answer_in_latin_1(writer):
+            head = f"HTTP/1.1 200 OK\r\n{SIGNATURE}\r\nX-Own: caf\xe9\r\n"
+            writer.write(head.encode("latin-1") + b"Content-Length: 2\r\n\r\nok")
+
+        async with RawTarget(answer_in_latin_1) as raw:
+            entry = self.portals[0].entry()
+            entry["address"] = raw.url.removeprefix("http://")
+            for portal in self.portals:
+                self.store.put(TARGET_TOPIC, portal.id, None)
+            self.store.put(TARGET_TOPIC, "raw", entry)
+            directory = self.host.kernel.get(Directory)
+            await self.wait_until(
+                lambda: [t.id for t in directory.targets_of("portal")] == ["raw"]
+            )
+            host, port = self.url.removeprefix("http://").split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                f"GET /status/x HTTP/1.1\r\nHost: {HOST_NAME}\r\n\r\n".encode()
+            )
+            head = await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+        self.assertIn(b"X-Own: caf\xe9\r\n", head)
+
+
 class RepeatedFieldTest(PlatformTestCase):
     """Fields that decide whose an answer is, or what it says, with two values."""
 
