Let targets of the soak send answers with status 000

The fault "broken_answers" has a third kind: a target answers with status 000, after it ran the request. A response to a caller that is not valid HTTP is a violation; the callers of the soak counted it as a failed request so far.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -97,6 +97,10 @@
                 headers = dict(response.headers)
                 self._check_key(attempt_id, key, status)
                 self._history.check_response(attempt_id, status, body, headers)
+        except aiohttp.ClientResponseError as error:
+            self._history.add_violation(
+                f"{attempt_id}: the response is not valid HTTP: {error.message!r}"
+            )
         except (aiohttp.ClientError, TimeoutError) as error:
             self._history.statuses[type(error).__name__] += 1
         if route == UNSAFE:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -278,14 +278,14 @@
 
 
 class BreakAnswers(Fault):
-    """Makes one target reset connections or send interim heads without end."""
+    """Makes one target reset connections or send answers that are not valid."""
 
     name = "broken_answers"
 
     async def inject(self) -> str:
         """See :meth:`Fault.inject`."""
         target = self.random_target()
-        kind = self.rng.choice(["reset", "endless"])
+        kind = self.rng.choice(["reset", "endless", "malformed"])
         target.script.extend([kind] * self.rng.randint(1, 3))
         return f"{target.id} {kind}"
 
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -41,8 +41,8 @@
     server signature), ``short`` (fewer bytes than ``Content-Length``), ``reset``
     (connection reset), ``crash`` (connection reset, no new ones accepted; ``start``
     begins a new process), ``silent`` (no response), ``endless`` (interim heads without
-    end), ``cut`` (the stream ends in the
-    middle of an event), ``stall`` (the stream goes on with single bytes of no event,
+    end), ``malformed`` (status 000), ``cut`` (the stream ends in the middle of an
+    event), ``stall`` (the stream goes on with single bytes of no event,
     without end), ``impossible`` (422) or an empty string (success, as with an
     empty script). ``event_seconds`` is the time between events, ``answer_seconds``
     the time until a plain response. ``executed_requests`` lists the attempt ids of
@@ -232,6 +232,8 @@
             await asyncio.sleep(3600)
         if behaviour == "endless":
             await self._send_interim_heads(request)
+        if behaviour == "malformed":
+            await self._send_malformed_answer(request, headers)
         if behaviour == "crash":
             self._crash()
         if behaviour in ("reset", "crash"):
@@ -263,6 +265,16 @@
                 request.transport.write(_INTERIM_HEADS)
             await asyncio.sleep(0)
 
+    async def _send_malformed_answer(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> None:
+        """Send it; the caller closes its connection, which cancels this."""
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        lines += ["Content-Length: 9", "", "malformed"]
+        assert request.transport is not None
+        request.transport.write("\r\n".join(["HTTP/1.1 000 OK", *lines]).encode())
+        await asyncio.sleep(3600)
+
     async def _stream(
         self, request: web.Request, headers: dict[str, str], behaviour: str
     ) -> web.StreamResponse:
