--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -59,7 +59,7 @@
     await peer.stop()
 
 
-def with_each_peer(test):
+def with_each_broken_head(test):
     """Run ``test`` with a peer for each fault of a head."""
 
     @functools.wraps(test)
@@ -84,7 +84,7 @@
 
 
 class TargetClientTest(EndlessAnswerTestCase):
-    @with_each_peer
+    @with_each_broken_head
     async def test_no_call_gets_an_answer_and_no_claim_is_believed(self, peer):
         directory = self.host.kernel.get(Directory)
         permits = self.host.kernel.get(SendPermits)
@@ -113,7 +113,7 @@
 
 
 class StoreClientTest(PlatformTestCase):
-    @with_each_peer
+    @with_each_broken_head
     async def test_reads_fail_and_outcomes_of_writes_are_unknown(self, peer):
         store = self.host.kernel.get(StoreClient)
         for method, error_type in (
@@ -133,7 +133,7 @@
 
 
 class NeighbourClientTest(PlatformTestCase):
-    @with_each_peer
+    @with_each_broken_head
     async def test_call_of_another_host_has_no_answer(self, peer):
         kernel = self.host.kernel
         permits = kernel.get(PermitClient)
@@ -157,7 +157,7 @@
 
 
 class DutyClientTest(unittest.IsolatedAsyncioTestCase):
-    @with_each_peer
+    @with_each_broken_head
     async def test_outcome_of_a_call_is_unknown(self, peer):
         client = HttpDutyClient(peer.address)
         kernel = Kernel()
@@ -179,7 +179,7 @@
         await self.kernel.start()
         self.addAsyncCleanup(self.kernel.stop)
 
-    @with_each_peer
+    @with_each_broken_head
     async def test_call_of_a_service_may_have_run(self, peer):
         target = ServiceTarget(id="t1", url=f"http://{peer.address}", zone="z1")
         client = HttpServiceClient(target, self.clients, 1.0)
@@ -188,7 +188,7 @@
                 await client.send(call("GET"), repeatable, CALL_SECONDS)
             self.assertFalse(caught.exception.problem().get("not_run"))
 
-    @with_each_peer
+    @with_each_broken_head
     async def test_streams_are_cut_and_reports_and_orders_fail(self, peer):
         client = HttpEngineClient(f"http://{peer.address}", self.clients, CALL_SECONDS)
         order = StreamOrder("s", "w", "p", 8, 1, 0)
@@ -203,7 +203,7 @@
             await client.order(VersionOrder("o", 1, "w", 2))
         await client.cancel("s")
 
-    @with_each_peer
+    @with_each_broken_head
     async def test_outcome_of_an_append_to_the_log_is_unknown(self, peer):
         kernel = Kernel()
         kernel.register(HttpClients(1.0))
@@ -216,13 +216,13 @@
             await kernel.get(Log).read("config", 0, 10, 0)
         await kernel.stop()
 
-    @with_each_peer
+    @with_each_broken_head
     async def test_host_list_is_not_read(self, peer):
         hosts = HttpHostList(f"http://{peer.address}", self.clients, CALL_SECONDS)
         with self.assertRaises(HostListError):
             await hosts.read()
 
-    @with_each_peer
+    @with_each_broken_head
     async def test_outcome_of_a_change_is_unknown_to_the_command_line(self, peer):
         url = f"http://{peer.address}"
         async with ControlClient([url], timeout=0.1) as control:
@@ -265,7 +265,7 @@
         self.assertIn("target t1", event["reason"])
         self.assertIn("MalformedAnswerError", event["reason"])
 
-    @with_each_peer
+    @with_each_broken_head
     async def test_call_that_may_run_once_is_not_sent_again(self, peer):
         broken = ServiceTarget(id="t1", url=f"http://{peer.address}", zone="z1")
         async with TrafficHost() as host, RawTarget(answer()) as sound:
@@ -276,7 +276,7 @@
             self.assertEqual((len(peer.requests), sound.requests), (1, []))
             self.assert_logged(host, "request_unknown")
 
-    @with_each_peer
+    @with_each_broken_head
     async def test_repeatable_call_goes_to_another_target(self, peer):
         broken = ServiceTarget(id="t1", url=f"http://{peer.address}", zone="z1")
         async with TrafficHost() as host, RawTarget(answer()) as sound:
