Add crowds of misbehaving callers as tests, with what they do on this code

Cause: nothing bounded what clients together make a process hold, and no test showed it.

Each test starts the system's own process on loopback and checks that it lives, that the peak of its resident memory stays under the memory of the smallest machine (128 MB) and its descriptors under their limit, and that an ordinary call is answered while the crowd is still connected. No times, no shares. Crowds and bounds are fixed here, before the product changes; the bound is the machine's memory.

The stand-in target takes heads of any size, leaves bodies encoded, and can pad its answers.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -21,6 +21,8 @@
 _CUT_DELAY_SECONDS = 0.05
 _STALL_BYTE_SECONDS = 0.1
 _UNSENT_BYTES = 16_384
+# More than any caller of the tests sends.
+_MAX_HEAD_BYTES = 1_048_576
 _INTERIM_HEADS = b"HTTP/1.1 100 Continue\r\n\r\n" * 4000
 
 
@@ -58,11 +60,13 @@
     ``limit`` is set, every answer names it as the requests a second that the target
     takes, and ``limit_spans`` may list when; ``arrivals`` has the time of each request,
     in loop seconds. ``software`` is the version of the target's software in its entry.
-    Each event has ``padding`` more bytes, and a stream of which nothing is read for
-    ``unread_seconds`` is reset and counted in ``unread_cuts``. ``body_bytes_a_second``
-    is how fast bodies of requests are read; None is as fast as they come. Streams of
-    items whose ids begin with ``long`` have ``long_events`` events, and
-    ``last_run_at_by_attempt`` is when their last run began, in loop seconds.
+    A plain answer repeats the body while ``echoes_bodies`` is set and has
+    ``answer_padding`` more bytes and an event ``padding``; a stream of which nothing is
+    read for ``unread_seconds`` is reset and counted in ``unread_cuts``.
+    ``body_bytes_a_second`` is how fast bodies of requests are read; None is as fast as
+    they come. Streams of items whose ids begin with ``long`` have ``long_events``
+    events, and ``last_run_at_by_attempt`` is when their last run began, in loop
+    seconds.
     """
 
     def __init__(self, target_id: str, service: str, model: str | None = None) -> None:
@@ -98,6 +102,8 @@
         self.arrivals: list[float] = []
         self.answers_carry_id = ""
         self.padding = 0
+        self.answer_padding = b""
+        self.echoes_bodies = True
         self.unread_seconds: float | None = None
         self.body_bytes_a_second: int | None = None
         self.born = 1
@@ -125,13 +131,20 @@
 
     async def start(self) -> None:
         """Listen on a free loopback port."""
-        app = web.Application(client_max_size=1 << 24)
+        app = web.Application(client_max_size=1 << 26)
         app.router.add_get("/v1/report", self._report)
         app.router.add_post("/v1/order", self._order)
         app.router.add_route("*", "/{path:.*}", self._handle_request)
         app.on_response_prepare.append(self._add_headers)
         self._runner = web.AppRunner(
-            app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=0.1,
+            auto_decompress=False,
+            max_line_size=_MAX_HEAD_BYTES,
+            max_field_size=_MAX_HEAD_BYTES,
+            max_headers=_MAX_HEAD_BYTES,
         )
         await self._runner.setup()
         self._site = web.TCPSite(self._runner, "127.0.0.1", 0)
@@ -275,7 +288,9 @@
             signatures.add(headers[_SERVER_SIGNATURE])
         if behaviour == "copied":
             self._owe(request, "200 OK", headers, b"answer to " + body)
-        return web.Response(headers=headers, body=b"answer to " + body)
+        echo = body if self.echoes_bodies else b""
+        answer = b"answer to " + echo + self.answer_padding
+        return web.Response(headers=headers, body=answer)
 
     def _owe(
         self, request: web.Request, status: str, headers: dict[str, str], body: bytes
--- /dev/null
+++ b/tests/test_crowds_heads.py
@@ -0,0 +1,110 @@
+"""Crowds of callers whose heads are too long, incomplete or costly to hold."""
+
+from standins.deployment import Deployment
+from standins.slow_caller import SlowCaller
+
+from .crowds import CrowdTestCase, request_head
+
+CALLERS = 200
+# 120 lines of 8 kB: as many and as long as aiohttp takes.
+LONG_HEAD = request_head(
+    "/status/x", *(f"X-Long-{n}: {'x' * 8000}" for n in range(120))
+)
+# Stays inside ``max-header-bytes`` of the manifest.
+SMALL_FIELDS = request_head("/patient/x", *["a:"] * 3900)
+
+
+async def send_long_head(caller: SlowCaller) -> None:
+    """Send a head of 1 MB that lacks its last line."""
+    await caller.send(LONG_HEAD)
+
+
+class HeadCrowdTest(CrowdTestCase):
+    async def test_long_heads_that_lack_their_last_line(self):
+        """200 of them took 445 MB."""
+        await self.crowd(CALLERS, send_long_head)
+
+    async def test_long_heads_at_the_other_listeners(self):
+        for name in ("ready", "peer", "metrics"):
+            with self.subTest(listener=name):
+                await self.crowd(CALLERS, send_long_head, self.address_by_name[name])
+
+    async def test_heads_of_many_small_fields_that_lack_their_last_line(self):
+        """As objects they take a hundred times their bytes."""
+
+        async def act(caller):
+            await caller.send(SMALL_FIELDS)
+
+        await self.crowd(CALLERS, act)
+
+    async def test_calls_with_many_small_fields_at_a_slow_target(self):
+        self.portal.answer_seconds = 1.0
+
+        async def act(caller):
+            await caller.send(SMALL_FIELDS + b"Content-Length: 0\r\n\r\n")
+            await caller.read(100)
+
+        await self.crowd(CALLERS, act)
+
+    async def test_empty_lines_without_end_before_a_request(self):
+        """They kept the process busy for 10 s."""
+
+        async def act(caller):
+            for _ in range(1000):
+                await caller.send(b"\r\n" * 32_768)
+
+        await self.crowd(8, act)
+        self.assertEqual(self.closed_count, 8)
+
+    async def test_heads_that_follow_a_request_in_progress(self):
+        self.portal.answer_seconds = 2.0
+
+        async def act(caller):
+            await caller.send(request_head("/patient/x") + b"\r\n" + LONG_HEAD)
+
+        await self.crowd(CALLERS, act)
+
+    async def test_trailers_without_end(self):
+        head = request_head("/patient/x", "Transfer-Encoding: chunked")
+
+        async def act(caller):
+            await caller.send(head + b"\r\n0\r\n" + b"X-Again: 1\r\n" * 80_000)
+
+        await self.crowd(CALLERS, act)
+
+    async def test_malformed_heads_do_not_fill_the_log(self):
+        """Each wrote an error with a traceback."""
+        before = len(self.log_path.read_text().splitlines())
+
+        async def act(caller):
+            await caller.send(b"GET /patient/x HTTP/1.1\r\nno field\r\n\r\n")
+            await caller.read(100)
+
+        await self.crowd(CALLERS, act)
+        lines = self.log_path.read_text().splitlines()[before:]
+        self.assertEqual([each for each in lines if '"level": "error"' in each], [])
+        self.assertLess(len(lines), CALLERS // 4)
+
+
+class ApiHeadCrowdTest(CrowdTestCase):
+    """The same at the own API."""
+
+    async def start_host(self) -> None:
+        deployment = await self.enterAsyncContext(Deployment(self.folder / "api"))
+        await deployment.launch_standin("log", "log")
+        await deployment.launch_standin("hosts", "hosts")
+        running = await deployment.launch_host(
+            deployment.settings_for("host-1", "zone-a")
+        )
+        await deployment.wait_until_ready("host-1")
+        self.process = running.process
+        self.front = f"127.0.0.1:{running.port}"
+        self.log_path = deployment.folder / "host-1.out"
+
+    async def try_ordinary_call(self) -> bool:
+        async with self.session.get(f"http://{self.front}/readyz") as response:
+            return response.status == 200
+
+    async def test_long_heads_that_lack_their_last_line(self):
+        """200 of them took 446 MB."""
+        await self.crowd(CALLERS, send_long_head)
