Bound the heads of requests in size, time and memory, whatever they consist of

What callers saw: 200 clients whose heads of 1 MB lacked the last line took 460 MB of a machine of 128 MB, at every listener and at the own API; 466 MB where the head followed a request in progress. Empty lines before a request were read without end. A single head inside max-header-bytes was refused with 400 where a line had over 8,190 bytes or there were over 128 fields.

Cause: aiohttp bounds each line and the number of lines (1 MB together) and says nothing of a crowd; max-header-bytes and header-timeout-ms of the manifest were decoded and used nowhere. uvloop hands over up to 256 KB at once, before anything can be asked.

Fix: the connection counts from its first byte. BoundedReads reads 16 KB of a head at the most, and less while memory is short. Trailers and the sizes of chunks are counted in the same way, and bounded while the body does not grow. Heads that last for 2 s give way. A quarter of the budget is kept for calls up to 64 KB. Where even that is used up, a call with a small head is answered (503, not run) and any other connection closed: nothing was sent on.

Tests replaced: a head of 700 kB is answered 431, as it exceeds the limit before it is invalid; the head timeout is set by the manifest, no longer by a constant; a body that fits nowhere is served beside small calls alone, and no longer entirely alone, so "full" in test_slow_readers is two holds, and its budget 10 MB, of which two large bodies fit into the part for large calls as before. The crowds of the crowd tests have a target of their own: an ordinary call went to the slow one and met its own time limit.

Evidence: the eight crowds of heads at the platform's listeners and the own API failed before and pass, the six single heads too.

--- a/cranberryrun/api.py
+++ b/cranberryrun/api.py
@@ -13,7 +13,9 @@
 from .api_handlers import Handlers, Listener
 from .api_resources import ResourceHandlers
 from .api_trainers import TrainerHandlers
+from .buffer_budget import BufferBudget
 from .caller_http import abort_connection, problem_response
+from .client_limits import MeteredLimits
 from .exceptions import (
     CranberryrunError,
     KernelError,
@@ -23,7 +25,7 @@
     TooLargeError,
 )
 from .metrics import Metrics
-from .request_protocol import AppRunner
+from .request_server import AppRunner
 from .resources import Resources
 from .security import Tokens, server_context
 from .settings import Settings
@@ -82,7 +84,10 @@
 
     async def start(self) -> None:
         """Start listening on the API port."""
-        self.kernel.get(Metrics).register_gauge("in_flight", lambda: self._in_flight)
+        metrics = self.kernel.get(Metrics)
+        metrics.register_gauge("in_flight", lambda: self._in_flight)
+        budget = BufferBudget(self._settings.limits.connection_bytes)
+        metrics.register_gauge("buffered_bytes", budget.used_by_path)
         app = web.Application(
             client_max_size=self._settings.limits.body_bytes,
             middlewares=[self._middleware],
@@ -91,7 +96,11 @@
         app.on_response_prepare.append(self._close_connection_when_stopping)
         # Cancel the handler of a disconnected caller to free its capacity.
         self._runner = AppRunner(
-            app, access_log=None, shutdown_timeout=1, handler_cancellation=True
+            app,
+            limits=MeteredLimits(metrics, budget),
+            access_log=None,
+            shutdown_timeout=1,
+            handler_cancellation=True,
         )
         await self._runner.setup()
         self._site = web.TCPSite(
--- /dev/null
+++ b/cranberryrun/client_limits.py
@@ -0,0 +1,84 @@
+"""What the connections of one process may hold together, and who gives way."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from . import clock
+from .buffer_budget import BufferBudget, BufferPath, Hold
+from .metrics import Metrics
+
+# For listeners without a budget of their own, as in tests.
+_DEFAULT_BYTES = 64_000_000
+
+
+class Owner(Protocol):
+    """A connection that holds bytes."""
+
+    def abort(self) -> None:
+        """Close the connection without sending what is unsent."""
+
+
+class ClientLimits:
+    """The limits that all connections of a process share.
+
+    Subclasses say where the limits come from, and record what was closed.
+
+    :param budget: counts what all connections hold.
+    """
+
+    #: The longest head of a request, in bytes, with empty lines before it.
+    head_bytes = 16_384
+    #: How long a head may take from its first byte, in seconds.
+    head_seconds = 10.0
+
+    def __init__(self, budget: BufferBudget | None = None) -> None:
+        self.budget = budget or BufferBudget(_DEFAULT_BYTES)
+        self._owner_by_hold: dict[Hold, Owner] = {}
+
+    def hold(self, path: BufferPath, size: int, owner: Owner) -> Hold:
+        """Count bytes that ``owner`` holds, whether they fit or not."""
+        hold = self.budget.hold(path, size, clock.now())
+        self._owner_by_hold[hold] = owner
+        return hold
+
+    def release(self, hold: Hold) -> None:
+        """Stop counting ``hold``; a repeated call has no effect."""
+        self.budget.release(hold)
+        self._owner_by_hold.pop(hold, None)
+
+    def make_room(self, size: int, hold: Hold | None = None) -> bool:
+        """Return whether ``size`` more bytes fit, perhaps as others are given up."""
+        if self.budget.fits(size, hold):
+            return True
+        now = clock.now()
+        for stalled in self.budget.stalled_holds(size, now, hold):
+            self.record_given_up(stalled, now - stalled.started_at)
+            self._owner_by_hold[stalled].abort()
+            self.release(stalled)
+        return self.budget.fits(size, hold)
+
+    def record_given_up(self, hold: Hold, seconds: float) -> None:
+        """Record that a connection is closed to make room; the default does nothing.
+
+        :param seconds: how long the bytes were held.
+        """
+
+    def record_closed(self, cause: str) -> None:
+        """Record that a connection is closed for ``cause``, a word or two."""
+
+
+class MeteredLimits(ClientLimits):
+    """Limits whose closed connections are counted."""
+
+    def __init__(self, metrics: Metrics, budget: BufferBudget) -> None:
+        super().__init__(budget)
+        self._metrics = metrics
+
+    def record_given_up(self, hold: Hold, seconds: float) -> None:
+        """See :meth:`ClientLimits.record_given_up`."""
+        self.record_closed(f"stalled {hold.path.value}")
+
+    def record_closed(self, cause: str) -> None:
+        """See :meth:`ClientLimits.record_closed`."""
+        self._metrics.closed_connection(cause)
--- a/cranberryrun/metric_catalogue.py
+++ b/cranberryrun/metric_catalogue.py
@@ -183,6 +183,12 @@
         ("path",),
         "Calls refused as the bytes held for slow connections were at their limit.",
     ),
+    "closed_connections": MetricKind(
+        "cranberryrun_closed_connections",
+        "counter",
+        ("cause",),
+        "Connections closed because of what their clients sent or did not read.",
+    ),
     "queue": MetricKind(
         "cranberryrun_queue",
         "gauge",
--- a/cranberryrun/metrics.py
+++ b/cranberryrun/metrics.py
@@ -152,6 +152,10 @@
         """Count a call that was refused for lack of memory."""
         self._add("buffers_full", path=path)
 
+    def closed_connection(self, cause: str) -> None:
+        """Count a connection that was closed because of what its client sent."""
+        self._add("closed_connections", cause=cause)
+
     def rejected_key(self, reason: str) -> None:
         """Count a call that was rejected because of its key."""
         self._add("rejected_keys", reason=reason)
--- a/cranberryrun/platform/buffers.py
+++ b/cranberryrun/platform/buffers.py
@@ -7,11 +7,13 @@
 
 from aiohttp import web
 
-from .. import clock
 from ..buffer_budget import BufferBudget, BufferPath, BuffersFullError, Hold
+from ..client_limits import MeteredLimits
 from ..events import Events
 from ..exceptions import RequestError, TooLargeError
-from ..kernel import Service
+from ..fleet.directory import Directory
+from ..fleet.manifest import Limits
+from ..kernel import Kernel, Service
 from ..metrics import Metrics
 from .http_server import Connection
 
@@ -30,6 +32,38 @@
     status = 408
 
 
+class HostLimits(MeteredLimits):
+    """The limits of the manifest in force, and the events of closed connections."""
+
+    def __init__(self, kernel: Kernel, budget: BufferBudget) -> None:
+        super().__init__(kernel.get(Metrics), budget)
+        self._kernel = kernel
+
+    def _limits(self) -> Limits:
+        manifest = self._kernel.get(Directory).manifest
+        return manifest.limits if manifest is not None else Limits()
+
+    @property
+    def head_bytes(self) -> int:  # type: ignore[override]
+        """See :class:`ClientLimits`."""
+        return self._limits().header_bytes
+
+    @property
+    def head_seconds(self) -> float:  # type: ignore[override]
+        """See :class:`ClientLimits`."""
+        return self._limits().header_timeout
+
+    def record_given_up(self, hold: Hold, seconds: float) -> None:
+        """See :meth:`ClientLimits.record_given_up`."""
+        super().record_given_up(hold, seconds)
+        self._kernel.get(Events).emit(
+            "answer_abandoned",
+            path=hold.path.value,
+            size=hold.size,
+            seconds=round(seconds, 3),
+        )
+
+
 class Buffers(Service):
     """Holds the budget of this host.
 
@@ -42,10 +76,11 @@
     def __init__(self, limit_bytes: int) -> None:
         super().__init__()
         self.budget = BufferBudget(limit_bytes)
-        self._connection_by_hold: dict[Hold, Connection] = {}
+        self.limits: HostLimits
 
     async def start(self) -> None:
         """Register the metric."""
+        self.limits = HostLimits(self.kernel, self.budget)
         metrics = self.kernel.get(Metrics)
         metrics.register_gauge("buffered_bytes", self.budget.used_by_path)
 
@@ -54,12 +89,11 @@
         return Transfer(self, request)
 
     def check(self, path: BufferPath, size: int, hold: Hold | None = None) -> None:
-        """Return if ``size`` more bytes fit, perhaps because slow answers are given up.
+        """Return if ``size`` more bytes fit, perhaps because others are given up.
 
         :raises BuffersFullError: they do not.
         """
-        self._give_up_slow_answers(size)
-        if self.budget.fits(size, hold):
+        if self.limits.make_room(size, hold):
             return
         used = self.budget.used_bytes
         self.kernel.get(Metrics).buffers_full(path.value)
@@ -70,31 +104,16 @@
             used=used,
             limit=self.budget.limit_bytes,
         )
-        raise BuffersFullError(f"this host holds {used} bytes for slow connections")
+        raise BuffersFullError(f"this host holds {used} bytes for its connections")
 
     def hold(self, path: BufferPath, size: int, connection: Connection) -> Hold:
         """Count bytes that are held for a connection, whether they fit or not."""
-        self._give_up_slow_answers(size)
-        hold = self.budget.hold(path, size, clock.now())
-        self._connection_by_hold[hold] = connection
-        return hold
+        self.limits.make_room(size)
+        return self.limits.hold(path, size, connection)
 
     def release(self, hold: Hold) -> None:
         """Stop counting ``hold``."""
-        self.budget.release(hold)
-        self._connection_by_hold.pop(hold, None)
-
-    def _give_up_slow_answers(self, size: int) -> None:
-        for hold in self.budget.slow_answers(size, clock.now()):
-            connection = self._connection_by_hold[hold]
-            self.kernel.get(Events).emit(
-                "answer_abandoned",
-                path=hold.path.value,
-                size=hold.size,
-                seconds=round(clock.now() - hold.started_at, 3),
-            )
-            connection.abort()
-            self.release(hold)
+        self.limits.release(hold)
 
 
 class Transfer:
--- a/cranberryrun/platform/frontend.py
+++ b/cranberryrun/platform/frontend.py
@@ -79,7 +79,8 @@
             await self._listen(address, self._serve_metrics, keepalive)
 
     async def _listen(self, address: str, handler: Handler, keepalive: float) -> None:
-        runner, site = await listen(address, handler, keepalive)
+        limits = self.kernel.get(Buffers).limits
+        runner, site = await listen(address, handler, keepalive, limits)
         self._runners.append(runner)
         self._sites.append(site)
 
--- a/cranberryrun/platform/http_server.py
+++ b/cranberryrun/platform/http_server.py
@@ -12,16 +12,13 @@
 from typing import Any, cast
 
 from aiohttp import web
-from aiohttp.http_exceptions import BadHttpMessage, BadHttpMethod, HttpProcessingError
 
-from ..request_protocol import RequestProtocol, Server
+from ..client_limits import ClientLimits
+from ..request_protocol import RequestProtocol
+from ..request_server import Server
 from .settings import split_address
 
 _LISTEN_BACKLOG = 512
-_NOT_HTTP = "the request is not valid HTTP"
-# A caller needs some milliseconds to send the head of a request. The time begins with
-# the first byte, so that idle connections stay open.
-_HEAD_TIMEOUT_SECONDS = 10.0
 # Reading a body stops at twice this size until its handler reads it. The default of
 # aiohttp would let 200 connections hold 100 MB.
 _READ_BUFFER_BYTES = 65_536
@@ -31,19 +28,15 @@
 # default it takes 3 MB, which a host with 200 slow callers does not have.
 _KERNEL_UNSENT_BYTES = 65_536
 _INT = struct.Struct("i")
-_NO_LINGER = struct.pack("ii", 1, 0)
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
 class Connection(RequestProtocol):
-    """A connection with limits, whose errors repeat nothing that the caller sent.
+    """A connection that is closed if its caller does not read for too long.
 
-    It is closed if the head of a request takes too long, or if the caller does not read
-    for a time that the handler of its request sets. Writing pauses as soon as the
-    kernel takes no more bytes, so that the unsent rest is known.
-
-    An error of the parser quotes the line that it rejects, which may have a key.
+    The handler of a request sets the time. Writing pauses as soon as the kernel takes
+    no more bytes, so that the unsent rest is known.
 
     ``on_stall`` is called before a connection is closed because it is not read, with
     the time in seconds and the number of unsent bytes.
@@ -52,7 +45,6 @@
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
         self.on_stall: Callable[[float, int], None] | None = None
-        self._head_timer: asyncio.TimerHandle | None = None
         self._stall_timer: asyncio.TimerHandle | None = None
         self._stall_seconds: float | None = None
         self._progress_at = 0.0
@@ -73,21 +65,9 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """See :meth:`asyncio.Protocol.connection_lost`."""
-        self._cancel_head_timer()
         self._cancel_stall_timer()
         super().connection_lost(exc)
 
-    def data_received(self, data: bytes) -> None:
-        """See :meth:`asyncio.Protocol.data_received`."""
-        count = self._request_count
-        # Without a request in progress these bytes belong to the head of the next one.
-        idle = self._waiter is not None and not self._waiter.done()
-        super().data_received(data)
-        if self._request_count != count:
-            self._cancel_head_timer()
-        elif idle and data and self._head_timer is None:
-            self._head_timer = self._loop.call_later(_HEAD_TIMEOUT_SECONDS, self.abort)
-
     def pause_writing(self) -> None:
         """See :meth:`asyncio.Protocol.pause_writing`."""
         super().pause_writing()
@@ -105,20 +85,6 @@
         if self.writing_paused:
             self._watch_stall()
 
-    def abort(self) -> None:
-        """Close the connection without sending what is unsent.
-
-        The kernel drops its part as well, which may be some megabytes.
-        """
-        if self.transport is None:
-            return
-        connection = self.transport.get_extra_info("socket")
-        if connection is not None:
-            # The caller may have closed the connection already.
-            with contextlib.suppress(OSError):
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-        self.transport.abort()
-
     def _watch_stall(self) -> None:
         if self._stall_seconds is None or self.transport is None:
             return
@@ -164,42 +130,28 @@
             return unsent
         return unsent + _INT.unpack(answer)[0]
 
-    def _cancel_head_timer(self) -> None:
-        if self._head_timer is not None:
-            self._head_timer.cancel()
-            self._head_timer = None
-
     def _cancel_stall_timer(self) -> None:
         if self._stall_timer is not None:
             self._stall_timer.cancel()
             self._stall_timer = None
 
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Answer a request that failed, and log the error."""
-        if isinstance(exc, HttpProcessingError):
-            # The kind decides the level of the log line.
-            kind = BadHttpMethod if isinstance(exc, BadHttpMethod) else BadHttpMessage
-            exc, message = kind(_NOT_HTTP), _NOT_HTTP
-        return super().handle_error(request, status, exc, message)
-
 
 async def listen(
-    address: str, handler: Handler, keepalive: float
+    address: str,
+    handler: Handler,
+    keepalive: float,
+    limits: ClientLimits | None = None,
 ) -> tuple[web.ServerRunner, web.TCPSite]:
     """Serve ``handler`` at ``address``.
 
     :param keepalive: how long an idle connection stays open, in seconds.
+    :param limits: what the connections may hold; None: defaults for this address alone.
     """
     host, port = split_address(address)
     server = Server(
         handler,
         Connection,
+        limits=limits,
         handler_cancellation=True,
         keepalive_timeout=keepalive,
         access_log=None,
--- a/cranberryrun/platform/neighbour_server.py
+++ b/cranberryrun/platform/neighbour_server.py
@@ -61,7 +61,10 @@
         """Listen for calls of other hosts, if the settings give a peer address."""
         if self._address is not None:
             self._runner, _ = await listen(
-                self._address, self._serve, _KEEPALIVE_SECONDS
+                self._address,
+                self._serve,
+                _KEEPALIVE_SECONDS,
+                self.kernel.get(Buffers).limits,
             )
 
     async def stop(self) -> None:
--- a/cranberryrun/request_protocol.py
+++ b/cranberryrun/request_protocol.py
@@ -3,81 +3,342 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+import struct
+from http import HTTPStatus
 from typing import Any
 
 from aiohttp import web
 from aiohttp.http import RawRequestMessage
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.streams import EmptyStreamReader, StreamReader
+from aiohttp.web_protocol import _ErrInfo
 
-# Closing a connection that has unread bytes may reset it before the caller has read the
-# answer, so the rest of a request that is not valid is read, up to this limit.
+from . import clock
+from .bounded_reads import BoundedReads, ReadSizes
+from .buffer_budget import BufferPath, Hold
+from .client_limits import ClientLimits
+
+# The rest of a request that is not valid is read, up to these limits.
 _MAX_DISCARDED_BYTES = 1_048_576
+_LINGER_SECONDS = 1.0
+_LINGER_PAUSE_SECONDS = 0.05
+_HEAD_READ_BYTES = 16_384
+_BODY_READ_BYTES = 65_536
+# While memory is short, connections are read in small pieces.
+_SHORT_READ_BYTES = 2_048
+# What a line of a head takes as the objects of aiohttp and of a call that is passed on,
+# beside a few copies of its text.
+_LINE_BYTES = 600
+_TEXT_COPIES = 3
+# A call whose head takes no more is answered with a refusal where there is no room.
+_REFUSED_HEAD_BYTES = 16_384
+# The parser bounds each line and their number, but not the head as a whole.
+_PARSER_LIMIT = 2**31
+# The rest of a head may have arrived while the event loop stood still.
+_HEAD_GRACE_SECONDS = 0.2
+# Decoders may need a block as a whole before they return a byte.
+_ENCODED_BLOCK_BYTES = 262_144
+_END_OF_HEAD = b"\r\n\r\n"
+_NOT_HTTP = "the request is not valid HTTP"
+_NO_LINGER = struct.pack("ii", 1, 0)
+
+
+class HeadTooLongError(HttpProcessingError):
+    """The head of a request exceeds its limit."""
+
+    code = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+
+
+class RequestProtocol(web.RequestHandler, ReadSizes):
+    """A connection whose requests are counted from their first byte.
 
+    The head of a request is bounded in size and in time, whatever it consists of: empty
+    lines before it, many small fields, a long path. Where it is too long the caller
+    gets 431. Where the process has no room for it, a small call is answered with a
+    refusal, and other connections are closed, as nothing was sent on.
 
-class RequestProtocol(web.RequestHandler):
-    """A connection that parses nothing after a request that is not valid.
+    After a request that is not valid nothing is parsed. aiohttp would go on parsing
+    until that request is answered, and queue an error for each read, which quotes what
+    was read. The event loop may read a socket that always has more bytes dozens of
+    times in a row. Therefore all limits apply before bytes are parsed.
 
-    aiohttp goes on parsing until that request is answered, and queues an error for each
-    read, which quotes what was read. The event loop may read a socket that always has
-    more bytes dozens of times in a row. Therefore the limit applies while the bytes are
-    parsed.
+    :param limits: what the connections of the process may hold together.
     """
 
-    def __init__(self, *arguments: Any, **options: Any) -> None:
-        super().__init__(*arguments, **options)
+    def __init__(self, *arguments: Any, limits: ClientLimits, **options: Any) -> None:
+        super().__init__(
+            *arguments,
+            max_line_size=_PARSER_LIMIT,
+            max_field_size=_PARSER_LIMIT,
+            max_headers=_PARSER_LIMIT,
+            **options,
+        )
+        self.limits = limits
         self._invalid = False
         self._discarded_bytes = 0
+        self._hold: Hold | None = None
+        # What arrived while the queue of requests was full.
+        self._unparsed = b""
+        self._noted_count = 0
+        self._head_bytes = 0
+        # The newest bytes of an incomplete head, which may be a part of its end.
+        self._head_tail = b""
+        self._head_timer: asyncio.TimerHandle | None = None
+        # The body of the newest request; its length, unless it is sent in chunks.
+        self._body: StreamReader | EmptyStreamReader | None = None
+        self._body_length: int | None = None
+        self._body_is_encoded = False
+        self._body_bytes = 0
+        # Bytes since the body last grew: sizes of chunks, trailers.
+        self._framing_bytes = 0
+        self._lines_cost = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See :meth:`asyncio.Protocol.connection_made`."""
+        super().connection_made(transport)
+        # Transports of uvloop are not of the types of asyncio.
+        transport.set_protocol(BoundedReads(self))  # type: ignore[attr-defined]
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """See :meth:`asyncio.Protocol.connection_lost`."""
+        self._cancel_head_timer()
+        if self._hold is not None:
+            self.limits.release(self._hold)
+        super().connection_lost(exc)
+
+    def read_size(self) -> int:
+        """See :meth:`ReadSizes.read_size`."""
+        if self._invalid:
+            return _BODY_READ_BYTES
+        body = self._body
+        in_body = body is not None and not body.is_eof()
+        # What follows a body in chunks may be a head, which is parsed with it.
+        long = in_body and self._body_length is not None
+        size = _BODY_READ_BYTES if long else _HEAD_READ_BYTES
+        return size if self.limits.budget.fits(size, self._hold) else _SHORT_READ_BYTES
 
     def data_received(self, data: bytes) -> None:
         """See :meth:`asyncio.Protocol.data_received`."""
         if self._invalid:
             self._discarded_bytes += len(data)
             if self._discarded_bytes > _MAX_DISCARDED_BYTES:
-                self.pause_reading()
+                self._pause_transport_reading()
             return
+        if not data:
+            # Reading goes on, and the parser has kept what it did not parse.
+            super().data_received(data)
+            self._note_new_requests()
+        data, self._unparsed = self._unparsed + data, b""
+        while data and not self._invalid and not self._force_close:
+            if len(self._messages) >= self._max_msg_queue_size:
+                self._unparsed = data
+                return
+            if self._body is None or self._body.is_eof():
+                data = self._receive_head(data)
+            else:
+                data = self._receive_body(data, self._body)
+
+    def _receive_head(self, data: bytes) -> bytes:
+        """Parse a part of a head; return the bytes that are not a part of it."""
+        end = (self._head_tail + data).find(_END_OF_HEAD)
+        if end >= 0:
+            end += len(_END_OF_HEAD) - len(self._head_tail)
+            data, rest = data[:end], data[end:]
+        else:
+            rest = b""
+        if self._head_bytes + len(data) > self.limits.head_bytes:
+            self._reject(f"the head exceeds {self.limits.head_bytes} bytes")
+            return b""
+        cost = _TEXT_COPIES * len(data) + _LINE_BYTES * data.count(b"\n")
+        refusable = end >= 0 and cost <= _REFUSED_HEAD_BYTES
+        if not self.limits.make_room(cost, self._hold) and not refusable:
+            self.limits.record_closed("head")
+            self.abort()
+            return b""
+        self._count(cost)
+        self._head_bytes += len(data)
+        self._head_tail = (self._head_tail + data)[1 - len(_END_OF_HEAD) :]
         super().data_received(data)
-        if self._messages:
-            newest, _ = self._messages[-1]
-            self._invalid = not isinstance(newest, RawRequestMessage)
+        self._note_new_requests()
+        if self._head_bytes and self._head_timer is None and data.strip(b"\r\n"):
+            self._start_head_timer()
+        return rest
 
+    def _receive_body(self, data: bytes, body: StreamReader) -> bytes:
+        """Parse a part of a body; return the bytes that are not a part of it."""
+        rest = b""
+        if self._body_length is not None:
+            left = self._body_length - self._body_bytes
+            data, rest = data[:left], data[left:]
+        elif not self._count_lines(data):
+            return b""
+        self._body_bytes += len(data)
+        before = body.total_bytes
+        super().data_received(data)
+        self._note_new_requests()
+        if body.total_bytes != before:
+            self._framing_bytes = 0
+            self._uncount_lines()
+            return rest
+        self._framing_bytes += len(data)
+        limit = self.limits.head_bytes
+        if self._body_is_encoded:
+            limit = max(limit, _ENCODED_BLOCK_BYTES)
+        if self._framing_bytes > limit and not body.is_eof():
+            self.limits.record_closed("framing")
+            self.abort()
+        return rest
 
-class Server(web.Server):
-    """Makes connections of one class; see aiohttp for the other options.
+    def _count_lines(self, data: bytes) -> bool:
+        """Count what the lines of a body in chunks take, if they are trailers.
 
-    :param protocol_class: :class:`RequestProtocol` or a class below it.
-    """
+        Return whether there is room for them; otherwise the connection is closed.
+        """
+        cost = _LINE_BYTES * data.count(b"\n")
+        if not self.limits.make_room(cost, self._hold):
+            self.limits.record_closed("framing")
+            self.abort()
+            return False
+        self._count(cost)
+        self._lines_cost += cost
+        return True
 
-    def __init__(
-        self,
-        handler: Any,
-        protocol_class: type[RequestProtocol] = RequestProtocol,
-        *,
-        request_factory: Any = None,
-        handler_cancellation: bool = False,
-        **options: Any,
-    ) -> None:
-        super().__init__(
-            handler,
-            request_factory=request_factory,
-            handler_cancellation=handler_cancellation,
-            **options,
-        )
-        self._protocol_class = protocol_class
-        self._options = options
+    def _uncount_lines(self) -> None:
+        """Count lines no longer, as they were the framing of a part of the body."""
+        if self._hold is not None and self._lines_cost:
+            size = max(0, self._hold.size - self._lines_cost)
+            self.limits.budget.resize(self._hold, size)
+        self._lines_cost = 0
 
-    def __call__(self) -> RequestProtocol:
-        """Return a new connection."""
-        loop = asyncio.get_running_loop()
-        return self._protocol_class(self, loop=loop, **self._options)
+    def _note_new_requests(self) -> None:
+        """Look at the newest request, if any was just parsed."""
+        if self._request_count == self._noted_count:
+            return
+        self._noted_count = self._request_count
+        self._cancel_head_timer()
+        newest, self._body = self._messages[-1]
+        if not isinstance(newest, RawRequestMessage):
+            self._invalid = True
+            return
+        length = newest.headers.get("Content-Length")
+        self._body_length = int(length) if length is not None else None
+        self._body_is_encoded = newest.compression is not None
+        self._body_bytes = self._framing_bytes = self._lines_cost = 0
+        self._head_bytes = 0
+        self._head_tail = b""
+        if self._hold is not None:
+            self._hold.path = BufferPath.CALL
 
+    def _reject(self, reason: str) -> None:
+        """Let the caller get 431, and parse nothing more."""
+        self._invalid = True
+        self._cancel_head_timer()
+        error = HeadTooLongError(message=reason)
+        fault = _ErrInfo(status=error.code, exc=error, message=reason)
+        self._messages.append((fault, EmptyStreamReader()))
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
 
-class AppRunner(web.AppRunner):
-    """Serves an application over connections that are :class:`RequestProtocol`."""
+    def _count(self, size: int) -> None:
+        """Count ``size`` more bytes that are held for this connection."""
+        if self._hold is None:
+            self._hold = self.limits.hold(BufferPath.HEAD, size, self)
+        else:
+            self.limits.budget.resize(self._hold, self._hold.size + size)
 
-    async def _make_server(self) -> web.Server:
-        # aiohttp has no public option for this; a test sends requests without end.
-        server = await super()._make_server()
-        return Server(
-            server.request_handler,
-            request_factory=server.request_factory,
-            **self._kwargs,
+    def request_done(self) -> None:
+        """Count no longer what a request took that was answered."""
+        if self._hold is None:
+            return
+        queued = len(self._messages) + (1 if self._head_bytes else 0)
+        if queued:
+            # What each of them takes is not known.
+            size = self._hold.size * queued // (queued + 1)
+            self.limits.budget.resize(self._hold, size)
+            return
+        self.limits.release(self._hold)
+        self._hold = None
+
+    def _start_head_timer(self) -> None:
+        self._head_timer = self._loop.call_later(
+            self.limits.head_seconds, self._check_head
         )
+
+    def _check_head(self) -> None:
+        """Close the connection unless the rest of the head has arrived meanwhile."""
+        if self._waiter is None or self._waiter.done():
+            # The request before is in progress, and reading may be paused.
+            self._start_head_timer()
+            return
+        self._head_timer = self._loop.call_later(_HEAD_GRACE_SECONDS, self._end_head)
+
+    def _end_head(self) -> None:
+        self.limits.record_closed("head timeout")
+        self.abort()
+
+    def _cancel_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def abort(self) -> None:
+        """Close the connection without sending what is unsent.
+
+        The kernel drops its part as well, which may be some megabytes.
+        """
+        if self.transport is None:
+            return
+        connection = self.transport.get_extra_info("socket")
+        if connection is not None:
+            # The caller may have closed the connection already.
+            with contextlib.suppress(OSError):
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        self.transport.abort()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer a request that failed, and log the error.
+
+        The answer repeats nothing of what the caller sent, as the parser quotes the
+        line that it rejects, which may have a key.
+        """
+        if not isinstance(exc, HttpProcessingError):
+            return super().handle_error(request, status, exc, message)
+        self.log_exception("invalid request from %s", request.remote)
+        self.limits.record_closed("too long" if status == 431 else "not HTTP")
+        text = exc.message if isinstance(exc, HeadTooLongError) else _NOT_HTTP
+        response = _LastAnswer(status=status, text=text)
+        response.force_close()
+        return response
+
+    async def linger(self) -> None:
+        """Discard what arrives until the caller pauses, or for a second.
+
+        Closing a connection that has unread bytes may reset it before the caller has
+        read the answer.
+        """
+        deadline = clock.now() + _LINGER_SECONDS
+        discarded = -1
+        while self._discarded_bytes != discarded and clock.now() < deadline:
+            if self._discarded_bytes > _MAX_DISCARDED_BYTES:
+                return
+            discarded = self._discarded_bytes
+            await asyncio.sleep(_LINGER_PAUSE_SECONDS)
+
+
+class _LastAnswer(web.Response):
+    """The answer to a request that is not valid, after which the connection ends."""
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        """Write the answer, and let the caller read it."""
+        request = self._req
+        await super().write_eof(data)
+        if request is not None and isinstance(request.protocol, RequestProtocol):
+            await request.protocol.linger()
--- a/cranberryrun/settings.py
+++ b/cranberryrun/settings.py
@@ -168,6 +168,12 @@
         ge=1024,
         description="Maximum size of a request body, in bytes.",
     )
+    connection_bytes: int = Field(
+        default=64_000_000,
+        ge=1_000_000,
+        description="Maximum memory for what the connections of all clients hold, in "
+        "bytes.",
+    )
     queue: int = Field(
         default=256, ge=0, description="Maximum number of queued requests of a service."
     )
