Count invalid requests instead of logging each as an error

What operators saw: each malformed head wrote a line of level error with a traceback, 200 lines for a crowd of 200, and pushed the host's own lines out of the queue of the log.

Cause: aiohttp logs what its parser rejects as an unhandled error. What a client sends is no error of the process.

Fix: such requests are counted by cause in cranberryrun_closed_connections; an error of the process is logged as before. test_malformed_heads_do_not_fill_the_log failed with 200 lines on the code before and passes.

Ordinary calls are not concerned. Still open: asyncio logs each failed TLS handshake at the own API.

--- a/cranberryrun/request_protocol.py
+++ b/cranberryrun/request_protocol.py
@@ -304,14 +304,13 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> web.StreamResponse:
-        """Answer a request that failed, and log the error.
+        """Answer a request that failed, and log an error of the process.
 
-        The answer repeats nothing of what the caller sent, as the parser quotes the
-        line that it rejects, which may have a key.
+        What a caller sent is no such error. The answer repeats nothing of it, as the
+        parser quotes the line that it rejects, which may have a key.
         """
         if not isinstance(exc, HttpProcessingError):
             return super().handle_error(request, status, exc, message)
-        self.log_exception("invalid request from %s", request.remote)
         self.limits.record_closed("too long" if status == 431 else "not HTTP")
         text = exc.message if isinstance(exc, HeadTooLongError) else _NOT_HTTP
         response = _LastAnswer(status=status, text=text)
