Pass encoded bodies on as their callers encoded them

What callers saw: a target got the decoded body of a request with a Content-Encoding, under the same Content-Encoding and another length, on the platform and at /call of the own API. A body of 20 kB that decodes to 20 MB was held decoded.

Cause: aiohttp decodes bodies of requests unless told not to.

Fix: nothing is decoded, so the bytes that are counted are the bytes that arrive.

test_encoded_body failed before (100000 bytes where 132 were sent) and passes; the crowd of bodies that expand passes as before. Ordinary calls have no such field and cost the same.

--- a/cranberryrun/request_protocol.py
+++ b/cranberryrun/request_protocol.py
@@ -38,8 +38,6 @@
 _PARSER_LIMIT = 2**31
 # The rest of a head may have arrived while the event loop stood still.
 _HEAD_GRACE_SECONDS = 0.2
-# Decoders may need a block as a whole before they return a byte.
-_ENCODED_BLOCK_BYTES = 262_144
 _END_OF_HEAD = b"\r\n\r\n"
 _NOT_HTTP = "the request is not valid HTTP"
 _NO_LINGER = struct.pack("ii", 1, 0)
@@ -73,6 +71,8 @@
             max_line_size=_PARSER_LIMIT,
             max_field_size=_PARSER_LIMIT,
             max_headers=_PARSER_LIMIT,
+            # A body is passed on as its caller encoded it.
+            auto_decompress=False,
             **options,
         )
         self.limits = limits
@@ -89,7 +89,6 @@
         # The body of the newest request; its length, unless it is sent in chunks.
         self._body: StreamReader | EmptyStreamReader | None = None
         self._body_length: int | None = None
-        self._body_is_encoded = False
         self._body_bytes = 0
         # Bytes since the body last grew: sizes of chunks, trailers.
         self._framing_bytes = 0
@@ -183,10 +182,7 @@
             self._uncount_lines()
             return rest
         self._framing_bytes += len(data)
-        limit = self.limits.head_bytes
-        if self._body_is_encoded:
-            limit = max(limit, _ENCODED_BLOCK_BYTES)
-        if self._framing_bytes > limit and not body.is_eof():
+        if self._framing_bytes > self.limits.head_bytes and not body.is_eof():
             self.limits.record_closed("framing")
             self.abort()
         return rest
@@ -224,7 +220,6 @@
             return
         length = newest.headers.get("Content-Length")
         self._body_length = int(length) if length is not None else None
-        self._body_is_encoded = newest.compression is not None
         self._body_bytes = self._framing_bytes = self._lines_cost = 0
         self._head_bytes = 0
         self._head_tail = b""
