Count bodies from their first byte, and hold each of them once

What callers saw: 200 bodies of 2 MB that stop short of their end took 132 to 141 MB of a machine of 128 MB, whole, in chunks, at a slow target or relayed. A single body of max-body-bytes took 134 MB, so that it ended the process on the smallest machine.

Cause: bytes were counted when a handler took them. Until then 128 KB in the reader of the body and up to 256 KB of the newest read were in no account, for each connection. A body was a list of chunks that was joined (twice its size); a bytearray that grows to 33 MB is copied by the heap as well, and aiohttp joins a head and a body that are written together (before Python 3.12.9).

Fix: the connection counts a body as it reads it, and the handler refuses it (503, not run) where it does not fit; the own API closes the connection. Incomplete bodies without progress for 2 s give way, a complete one is kept until its target has it. The rest of a refused body is dropped before it is parsed, and the connection closed after the answer. BodyBuffer holds a large body in one private mapping, which grows without a copy and goes back to the system at once; PiecewisePayload writes it in pieces of 64 KB. A single body may take 0.3 of the machine's memory while no other large call is held.

Ruled out: preallocating the declared length, as a client that sends nothing would hold it.

Evidence: four crowds of bodies and the two single bodies of 33.5 MB failed before (129 to 141 MB) and pass under 128 MB. test_slow_readers marks the bytes that fill its budget as kept, as an incomplete body may now be given up. At rest 66.3 MB before, 67.0 MB after.

--- a/cranberryrun/buffer_budget.py
+++ b/cranberryrun/buffer_budget.py
@@ -36,11 +36,14 @@
     RELAY_STREAM = "relay_stream"
 
 
-# Given up when memory runs out: heads that are incomplete, and answers. A body is
-# needed until a target has it, and a stream never loses events.
+# Given up when memory runs out, unless they must be kept: what is incomplete, and
+# answers. A stream never loses events.
 _ABANDONABLE = frozenset(
     {
         BufferPath.HEAD,
+        BufferPath.REQUEST_BODY,
+        BufferPath.SUBMISSION,
+        BufferPath.RELAY_BODY,
         BufferPath.ANSWER,
         BufferPath.PAGE,
         BufferPath.ITEM_BODY,
@@ -57,11 +60,16 @@
 
 @dataclass(eq=False, slots=True)
 class Hold:
-    """Bytes held for one transfer since ``started_at``, in loop seconds."""
+    """Bytes held for one transfer.
+
+    ``progress_at`` is when it began or last made progress, in loop seconds. While
+    ``kept`` is set it is not given up: a target needs a body that is complete.
+    """
 
     path: BufferPath
     size: int
-    started_at: float
+    progress_at: float
+    kept: bool = False
 
 
 class BufferBudget:
@@ -142,7 +150,7 @@
     ) -> list[Hold]:
         """Return the holds to give up so that ``size`` more bytes fit, for ``hold``.
 
-        These are the largest of those that have lasted for long, as few as are needed.
+        These are the largest of those without progress for long, as few as are needed.
         An empty list is returned if all of them together would not be enough.
         """
         own = hold.size if hold is not None else 0
@@ -158,7 +166,8 @@
             if each is not hold
             and each.path in _ABANDONABLE
             and each.size
-            and now - each.started_at >= _SLOW_AFTER_SECONDS
+            and not each.kept
+            and now - each.progress_at >= _SLOW_AFTER_SECONDS
         ]
         stalled.sort(key=lambda each: each.size, reverse=True)
         chosen = []
--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -319,6 +319,12 @@
         INFO,
         "A target ended a stream that its caller did not read; not the target's fault.",
     ),
+    (
+        444,
+        "request_abandoned",
+        WARNING,
+        "The request of a slow sender was given up, as the limit of held bytes passed.",
+    ),
     (500, "version_announced", INFO, "A trainer announced a weight version."),
     (501, "version_known", INFO, "This host learned of a newer weight version."),
     (502, "order_sent", INFO, "An engine was ordered to load a version."),
--- a/cranberryrun/client_limits.py
+++ b/cranberryrun/client_limits.py
@@ -53,7 +53,7 @@
             return True
         now = clock.now()
         for stalled in self.budget.stalled_holds(size, now, hold):
-            self.record_given_up(stalled, now - stalled.started_at)
+            self.record_given_up(stalled, now - stalled.progress_at)
             self._owner_by_hold[stalled].abort()
             self.release(stalled)
         return self.budget.fits(size, hold)
@@ -61,7 +61,7 @@
     def record_given_up(self, hold: Hold, seconds: float) -> None:
         """Record that a connection is closed to make room; the default does nothing.
 
-        :param seconds: how long the bytes were held.
+        :param seconds: how long there was no progress.
         """
 
     def record_closed(self, cause: str) -> None:
--- a/cranberryrun/fleet/client.py
+++ b/cranberryrun/fleet/client.py
@@ -57,7 +57,7 @@
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: bytes | memoryview
     deadline: float
     workspace: str | None = None
 
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -68,8 +68,11 @@
 # The share of the host's memory that answers may take while they are being read.
 _ANSWER_MEMORY_SHARE = 0.1
 # The share of the host's memory that is held for slow readers, beside the two above.
-# 22 MB on the smallest host, of whose 152 MB an idle process takes 55.
+# 19 MB on the smallest host, of whose 128 MB an idle process takes 67.
 _BUFFER_MEMORY_SHARE = 0.15
+# The share of the host's memory that a single request may take while no other large one
+# is held: on the smallest host, a body of the size that manifests allow.
+_SINGLE_MEMORY_SHARE = 0.3
 # The platform's load balancer checks readiness once a second and stops sending requests
 # after two failed checks.
 _READINESS_LAG_SECONDS = 2.5
@@ -108,7 +111,10 @@
         return [
             Events(settings.host_id, incarnation, _EVENT_RING_SIZE),
             Metrics(settings.host_id),
-            Buffers(int(_BUFFER_MEMORY_SHARE * settings.memory_mb * 1_000_000)),
+            Buffers(
+                int(_BUFFER_MEMORY_SHARE * settings.memory_mb * 1_000_000),
+                int(_SINGLE_MEMORY_SHARE * settings.memory_mb * 1_000_000),
+            ),
             HttpClients(
                 _CONNECT_TIMEOUT_SECONDS,
                 idle=_TARGET_KEEPALIVE_SECONDS,
--- a/cranberryrun/platform/buffers.py
+++ b/cranberryrun/platform/buffers.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from ..body_buffer import BodyBuffer
 from ..buffer_budget import BufferBudget, BufferPath, BuffersFullError, Hold
 from ..client_limits import MeteredLimits
 from ..events import Events
@@ -25,6 +26,17 @@
 _SUBMISSION_FACTOR = 6
 
 
+# What is given up on these paths is a request; on others it is an answer.
+_INCOMPLETE = frozenset(
+    {
+        BufferPath.HEAD,
+        BufferPath.REQUEST_BODY,
+        BufferPath.SUBMISSION,
+        BufferPath.RELAY_BODY,
+    }
+)
+
+
 class BodyTimeoutError(RequestError):
     """The caller stopped sending the body of its request; nothing was sent on."""
 
@@ -57,7 +69,7 @@
         """See :meth:`ClientLimits.record_given_up`."""
         super().record_given_up(hold, seconds)
         self._kernel.get(Events).emit(
-            "answer_abandoned",
+            "request_abandoned" if hold.path in _INCOMPLETE else "answer_abandoned",
             path=hold.path.value,
             size=hold.size,
             seconds=round(seconds, 3),
@@ -68,14 +80,15 @@
     """Holds the budget of this host.
 
     :param limit_bytes: limit of the bytes that are held on all paths together.
+    :param single_bytes: limit of the bytes of a single transfer.
     """
 
     name = "buffers"
     requires = ("events", "metrics")
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(self, limit_bytes: int, single_bytes: int) -> None:
         super().__init__()
-        self.budget = BufferBudget(limit_bytes)
+        self.budget = BufferBudget(limit_bytes, single_bytes)
         self.limits: HostLimits
 
     async def start(self) -> None:
@@ -122,7 +135,6 @@
     def __init__(self, buffers: Buffers, request: web.BaseRequest) -> None:
         self._buffers = buffers
         self._request = request
-        self._body: Hold | None = None
         self._answer: Hold | None = None
         assert isinstance(request.protocol, Connection)
         self._connection = request.protocol
@@ -139,9 +151,8 @@
     ) -> None:
         self._connection.limit_stall(None)
         self._connection.on_stall = None
-        for hold in (self._body, self._answer):
-            if hold is not None:
-                self._buffers.release(hold)
+        if self._answer is not None:
+            self._buffers.release(self._answer)
 
     def limit_stall(self, seconds: float) -> None:
         """Close the connection when nothing is read for ``seconds``."""
@@ -149,11 +160,11 @@
 
     async def read_body(
         self, path: BufferPath, limit: int | None, max_silence: float
-    ) -> bytes:
+    ) -> bytes | memoryview:
         """Return the body of the request.
 
-        It is counted as it arrives, so that a sender that stops holds no more memory
-        than what it sent.
+        Its connection counts it as it arrives, so that a sender that stops holds no
+        more memory than what it sent.
 
         :param limit: the maximum size in bytes.
         :param max_silence: how long the sender may send nothing, in seconds.
@@ -166,17 +177,28 @@
         if limit is not None and declared > limit:
             raise TooLargeError(f"the request body exceeds {limit} bytes")
         self._buffers.check(path, declared * factor)
-        self._body = self._buffers.hold(path, 0, self._connection)
-        chunks = []
-        size = 0
+        body = BodyBuffer()
         while chunk := await self._read_chunk(max_silence):
-            size += len(chunk)
-            if limit is not None and size > limit:
+            if limit is not None and len(body) + len(chunk) > limit:
                 raise TooLargeError(f"the request body exceeds {limit} bytes")
-            self._buffers.check(path, len(chunk) * factor, self._body)
-            self._buffers.budget.resize(self._body, size * factor)
-            chunks.append(chunk)
-        return b"".join(chunks)
+            self._check_held_body(path)
+            body.append(chunk)
+        self._keep_body(path, len(body) * (factor - 1))
+        return body.contents()
+
+    def _check_held_body(self, path: BufferPath) -> None:
+        hold = self._connection.body_hold
+        if hold is not None:
+            hold.path = path
+            self._buffers.check(path, 0, hold)
+
+    def _keep_body(self, path: BufferPath, decoding_bytes: int) -> None:
+        """Keep a body that is complete until its target has it, or it is decoded."""
+        hold = self._connection.body_hold
+        if hold is not None:
+            self._buffers.check(path, decoding_bytes, hold)
+            self._buffers.budget.resize(hold, hold.size + decoding_bytes)
+            hold.kept = True
 
     async def _read_chunk(self, max_silence: float) -> bytes:
         try:
@@ -199,8 +221,8 @@
         self, response: web.StreamResponse, path: BufferPath = BufferPath.ANSWER
     ) -> None:
         """Write the answer; return once the caller's socket has all of it."""
-        if self._body is not None:
-            self._buffers.release(self._body)
+        if self._connection.release_body():
+            response.force_close()
         if isinstance(response, web.Response) and isinstance(response.body, bytes):
             size = len(response.body)
             if self._answer is None:
--- a/cranberryrun/platform/frontend.py
+++ b/cranberryrun/platform/frontend.py
@@ -204,7 +204,7 @@
         caller.check_route(route)
         route = caller.with_priority(route)
         if is_batch:
-            return await self._submit_batch(request, route, body, caller)
+            return await self._submit_batch(request, route, bytes(body), caller)
         return await self._forward(request, route, body, caller, transfer)
 
     def _manifest(self) -> Manifest:
@@ -224,7 +224,7 @@
         self,
         request: web.BaseRequest,
         route: Route,
-        body: bytes,
+        body: bytes | memoryview,
         caller: Caller,
         transfer: Transfer,
     ) -> web.StreamResponse:
--- a/cranberryrun/platform/http_server.py
+++ b/cranberryrun/platform/http_server.py
@@ -42,6 +42,8 @@
     the time in seconds and the number of unsent bytes.
     """
 
+    refuses_bodies = True
+
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
         self.on_stall: Callable[[float, int], None] | None = None
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -34,6 +34,7 @@
 from ..fleet.send_permits import SendPermits
 from ..fleet.target_paths import TargetPaths
 from ..http import HOP_HEADERS, HttpClients, forwardable
+from ..piecewise_payload import payload
 from ..rewards.models import RewardCall
 from . import header_names, wire
 from .answer_checks import (
@@ -121,7 +122,7 @@
             request.target,
             request.id,
             headers=headers,
-            data=request.body or None,
+            data=payload(request.body),
             seconds=remaining,
             **options,
         )
--- a/cranberryrun/platform/target_relay.py
+++ b/cranberryrun/platform/target_relay.py
@@ -18,6 +18,7 @@
 from ..fleet.target_paths import TargetPaths
 from ..http import HttpClients, forwardable
 from ..kernel import Kernel
+from ..piecewise_payload import payload
 from . import header_names
 from .answer_checks import exchange_of, is_framed
 from .buffers import STREAM_READ_BYTES, BodyTimeoutError, Transfer
@@ -66,7 +67,7 @@
             exchange=exchange_of(request.headers.get(header_names.ATTEMPT_ID)),
             relayable=False,
             headers=headers,
-            data=body or None,
+            data=payload(body),
             read_bufsize=STREAM_READ_BYTES,
         ) as call:
             return await _pass_on(kernel, request, call, transfer)
--- a/cranberryrun/request_protocol.py
+++ b/cranberryrun/request_protocol.py
@@ -65,6 +65,10 @@
     :param limits: what the connections of the process may hold together.
     """
 
+    #: Whether handlers refuse bodies for which there is no room. Otherwise their
+    #: connections are closed.
+    refuses_bodies = False
+
     def __init__(self, *arguments: Any, limits: ClientLimits, **options: Any) -> None:
         super().__init__(
             *arguments,
@@ -78,6 +82,7 @@
         self.limits = limits
         self._invalid = False
         self._discarded_bytes = 0
+        self._max_discarded_bytes = _MAX_DISCARDED_BYTES
         self._hold: Hold | None = None
         # What arrived while the queue of requests was full.
         self._unparsed = b""
@@ -93,6 +98,7 @@
         # Bytes since the body last grew: sizes of chunks, trailers.
         self._framing_bytes = 0
         self._lines_cost = 0
+        self.body_hold: Hold | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See :meth:`asyncio.Protocol.connection_made`."""
@@ -103,8 +109,9 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """See :meth:`asyncio.Protocol.connection_lost`."""
         self._cancel_head_timer()
-        if self._hold is not None:
-            self.limits.release(self._hold)
+        for hold in (self._hold, self.body_hold):
+            if hold is not None:
+                self.limits.release(hold)
         super().connection_lost(exc)
 
     def read_size(self) -> int:
@@ -116,14 +123,13 @@
         # What follows a body in chunks may be a head, which is parsed with it.
         long = in_body and self._body_length is not None
         size = _BODY_READ_BYTES if long else _HEAD_READ_BYTES
-        return size if self.limits.budget.fits(size, self._hold) else _SHORT_READ_BYTES
+        hold = self.body_hold if in_body else self._hold
+        return size if self.limits.budget.fits(size, hold) else _SHORT_READ_BYTES
 
     def data_received(self, data: bytes) -> None:
         """See :meth:`asyncio.Protocol.data_received`."""
         if self._invalid:
-            self._discarded_bytes += len(data)
-            if self._discarded_bytes > _MAX_DISCARDED_BYTES:
-                self._pause_transport_reading()
+            self._discard(len(data))
             return
         if not data:
             # Reading goes on, and the parser has kept what it did not parse.
@@ -174,6 +180,10 @@
         elif not self._count_lines(data):
             return b""
         self._body_bytes += len(data)
+        if not self._count_body(len(data)):
+            self.limits.record_closed("body")
+            self.abort()
+            return b""
         before = body.total_bytes
         super().data_received(data)
         self._note_new_requests()
@@ -187,6 +197,45 @@
             self.abort()
         return rest
 
+    def _count_body(self, size: int) -> bool:
+        """Count ``size`` more bytes of a body; return whether they may be held."""
+        hold = self.body_hold
+        if hold is None:
+            path = BufferPath.REQUEST_BODY
+            hold = self.body_hold = self.limits.hold(path, 0, self)
+        hold.progress_at = clock.now()
+        fits = self.limits.make_room(size, hold)
+        self.limits.budget.resize(hold, hold.size + size)
+        return fits or self.refuses_bodies
+
+    def release_body(self) -> bool:
+        """Count the body of the newest request no longer, as it is not needed.
+
+        Return whether it is incomplete. Its rest is then discarded, and the connection
+        must be closed after the answer.
+        """
+        if self._messages:
+            # It is that of a request that waits for this one.
+            return False
+        if self.body_hold is not None:
+            self.limits.release(self.body_hold)
+            self.body_hold = None
+        if self._body is None or self._body.is_eof():
+            return False
+        self._invalid = True
+        if self._body_length is not None:
+            self._max_discarded_bytes = self._body_length - self._body_bytes
+        return True
+
+    def _discard(self, size: int) -> None:
+        self._discarded_bytes += size
+        if self._discarded_bytes < self._max_discarded_bytes:
+            return
+        self._pause_transport_reading()
+        if self._body is not None and not self._body.is_eof():
+            # Ends the time that aiohttp waits for the rest of the body.
+            self._body.feed_eof()
+
     def _count_lines(self, data: bytes) -> bool:
         """Count what the lines of a body in chunks take, if they are trailers.
 
@@ -243,8 +292,16 @@
         else:
             self.limits.budget.resize(self._hold, self._hold.size + size)
 
-    def request_done(self) -> None:
-        """Count no longer what a request took that was answered."""
+    def request_done(self) -> bool:
+        """Count no longer what a request took that was answered.
+
+        Return whether the connection must be closed; see :meth:`release_body`.
+        """
+        must_close = self.release_body()
+        self._release_heads()
+        return must_close
+
+    def _release_heads(self) -> None:
         if self._hold is None:
             return
         queued = len(self._messages) + (1 if self._head_bytes else 0)
@@ -321,7 +378,7 @@
         deadline = clock.now() + _LINGER_SECONDS
         discarded = -1
         while self._discarded_bytes != discarded and clock.now() < deadline:
-            if self._discarded_bytes > _MAX_DISCARDED_BYTES:
+            if self._discarded_bytes >= self._max_discarded_bytes:
                 return
             discarded = self._discarded_bytes
             await asyncio.sleep(_LINGER_PAUSE_SECONDS)
--- a/cranberryrun/request_server.py
+++ b/cranberryrun/request_server.py
@@ -49,9 +49,12 @@
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         protocol = request.protocol
         try:
-            return await handler(request)
+            response = await handler(request)
         finally:
-            protocol.request_done()
+            must_close = protocol.request_done()
+        if must_close:
+            response.force_close()
+        return response
 
     return handle
 
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -128,6 +128,8 @@
         self.full = [
             self.budget.hold(BufferPath.REQUEST_BODY, size, 0.0) for size in sizes
         ]
+        for hold in self.full:
+            hold.kept = True
 
     def make_room(self):
         for hold in self.full:
