Read answers from targets only as there is room to hold them

What callers saw: 60 callers that asked for answers of 4 MB and read nothing, or a few bytes at a time, or left and asked again, took 247 to 392 MB of a machine of 128 MB, with 20 requests on each connection 568 MB.

Cause: an answer was read whole and then counted, "delivered in any case", so a crowd that asked faster than its slow readers were given up (2 s) made the budget a counter. Each answer was held up to three times: as a bytearray and its copy, and joined with its head by aiohttp. The connection of a target held 512 KB and a read of 256 KB beside it.

Fix: a call counts 48 KB for what its target's connection may hold, and is refused (503, not run) before anything is sent if there is no room. A caller's answer gets room for its declared length, or for each piece, before it is read; until then the target waits. Those that wait are served in their order. To make room, readers without progress for 2 s are given up, answers that can't be asked for again after 6 s; progress counts by pieces of 64 KB. After 0.5 s the first in line may go beyond the limit, one at a time, as calls whose bodies are held could wait for each other. An answer with a declared length beyond the memory for answers fails at once. Connections to targets are read in pieces of 16 to 64 KB.

Weighed: reading only while the budget has room was set aside before, as normal callers would have waited behind slow ones. The part of the budget that is for small calls removes that: an answer up to 64 KB does not stand in line.

Evidence: all five crowds of answers failed before and pass.

--- a/cranberryrun/answer_protocol.py
+++ b/cranberryrun/answer_protocol.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import deque
 from collections.abc import Hashable
 from functools import partial
@@ -17,12 +18,14 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from .answer_head import RawHeads, is_interim, message_fault
+from .bounded_reads import BoundedReads, ReadSizes
 from .exchanges import Exchange, current_exchange
 
 # An answer may follow some interim responses (RFC 9110, section 15.2).
 _MAX_HEADS = 16
 # A head takes 25 bytes at least, and as a message twenty times as much memory.
 _PARSED_AT_ONCE_BYTES = 65_536
+_MIN_READ_BYTES = 16_384
 # The parser quotes lines of up to 8 kB.
 _MAX_REASON_CHARACTERS = 200
 # The parser allows 128 fields of 8 kB.
@@ -36,7 +39,7 @@
     """A peer sent an answer that is not valid HTTP; it may have run the request."""
 
 
-class AnswerProtocol(ResponseHandler):
+class AnswerProtocol(ResponseHandler, ReadSizes):
     """A connection that is closed when the peer sends an answer that is not valid.
 
     It is also closed when an answer arrives while no request waits for one, as the next
@@ -59,6 +62,16 @@
         self._key_required = False
         self._carried: set[Hashable] = set()
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See :meth:`asyncio.Protocol.connection_made`."""
+        super().connection_made(transport)
+        # Transports of uvloop are not of the types of asyncio.
+        transport.set_protocol(BoundedReads(self))  # type: ignore[attr-defined]
+
+    def read_size(self) -> int:
+        """See :meth:`ReadSizes.read_size`."""
+        return min(max(_MIN_READ_BYTES, self._read_bufsize), _PARSED_AT_ONCE_BYTES)
+
     def suits(self, exchange: Exchange) -> bool:
         """Return whether no earlier answer can be taken for that of ``exchange``."""
         if exchange.key is None:
--- a/cranberryrun/buffer_budget.py
+++ b/cranberryrun/buffer_budget.py
@@ -64,12 +64,14 @@
 
     ``progress_at`` is when it began or last made progress, in loop seconds. While
     ``kept`` is set it is not given up: a target needs a body that is complete.
+    ``patience`` is how much longer than others it may make no progress.
     """
 
     path: BufferPath
     size: int
     progress_at: float
     kept: bool = False
+    patience: float = 1.0
 
 
 class BufferBudget:
@@ -150,7 +152,8 @@
     ) -> list[Hold]:
         """Return the holds to give up so that ``size`` more bytes fit, for ``hold``.
 
-        These are the largest of those without progress for long, as few as are needed.
+        These are the largest of those without progress for long, as few as are needed;
+        those with more patience come last.
         An empty list is returned if all of them together would not be enough.
         """
         own = hold.size if hold is not None else 0
@@ -167,9 +170,9 @@
             and each.path in _ABANDONABLE
             and each.size
             and not each.kept
-            and now - each.progress_at >= _SLOW_AFTER_SECONDS
+            and now - each.progress_at >= _SLOW_AFTER_SECONDS * each.patience
         ]
-        stalled.sort(key=lambda each: each.size, reverse=True)
+        stalled.sort(key=lambda each: (each.patience, -each.size))
         chosen = []
         for each in stalled:
             if excess <= 0:
--- a/cranberryrun/client_limits.py
+++ b/cranberryrun/client_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Protocol
 
 from . import clock
@@ -10,6 +11,9 @@
 
 # For listeners without a budget of their own, as in tests.
 _DEFAULT_BYTES = 64_000_000
+# How often the first of those that wait asks for room.
+_WAIT_SECONDS = 0.05
+_OVERDRAFT_AFTER_SECONDS = 0.5
 
 
 class Owner(Protocol):
@@ -35,6 +39,9 @@
     def __init__(self, budget: BufferBudget | None = None) -> None:
         self.budget = budget or BufferBudget(_DEFAULT_BYTES)
         self._owner_by_hold: dict[Hold, Owner] = {}
+        # Those that wait for room get it in the order in which they came.
+        self._line = asyncio.Lock()
+        self._overdrawn: Hold | None = None
 
     def hold(self, path: BufferPath, size: int, owner: Owner) -> Hold:
         """Count bytes that ``owner`` holds, whether they fit or not."""
@@ -46,6 +53,8 @@
         """Stop counting ``hold``; a repeated call has no effect."""
         self.budget.release(hold)
         self._owner_by_hold.pop(hold, None)
+        if hold is self._overdrawn:
+            self._overdrawn = None
 
     def make_room(self, size: int, hold: Hold | None = None) -> bool:
         """Return whether ``size`` more bytes fit, perhaps as others are given up."""
@@ -58,6 +67,25 @@
             self.release(stalled)
         return self.budget.fits(size, hold)
 
+    async def wait_for_room(self, size: int, hold: Hold) -> None:
+        """Count ``size`` more bytes for ``hold`` once they fit.
+
+        One hold at a time goes beyond the limit after a while. Otherwise calls whose
+        bodies are held could wait for each other's answers.
+        """
+        if not self.make_room(size, hold):
+            async with self._line:
+                patient_until = clock.now() + _OVERDRAFT_AFTER_SECONDS
+                while not self.make_room(size, hold):
+                    if self._may_overdraw(hold) and clock.now() >= patient_until:
+                        self._overdrawn = hold
+                        break
+                    await asyncio.sleep(_WAIT_SECONDS)
+        self.budget.resize(hold, hold.size + size)
+
+    def _may_overdraw(self, hold: Hold) -> bool:
+        return self._overdrawn is None or self._overdrawn is hold
+
     def record_given_up(self, hold: Hold, seconds: float) -> None:
         """Record that a connection is closed to make room; the default does nothing.
 
--- a/cranberryrun/fleet/client.py
+++ b/cranberryrun/fleet/client.py
@@ -68,7 +68,7 @@
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: bytes | memoryview
 
 
 @dataclass(frozen=True, slots=True)
--- a/cranberryrun/http.py
+++ b/cranberryrun/http.py
@@ -128,7 +128,7 @@
             ),
         )
 
-    async def read(self, response: aiohttp.ClientResponse) -> bytes:
+    async def read(self, response: aiohttp.ClientResponse) -> bytes | memoryview:
         """Return the complete body of an answer to a request of any session.
 
         :raises AnswerTooLongError: the body is too long; the connection is closed.
--- a/cranberryrun/piecewise_payload.py
+++ b/cranberryrun/piecewise_payload.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.payload import BytesPayload
 
@@ -39,3 +40,12 @@
         for piece in pieces(body if content_length is None else body[:content_length]):
             await writer.write(piece)
             await writer.drain()
+
+
+class PiecewiseResponse(web.StreamResponse):
+    """An answer whose body is written in pieces."""
+
+    def __init__(self, body: bytes | memoryview, **options: Any) -> None:
+        super().__init__(**options)
+        self.content_length = len(body)
+        self.whole_body = body
--- a/cranberryrun/platform/buffers.py
+++ b/cranberryrun/platform/buffers.py
@@ -6,7 +6,10 @@
 from types import TracebackType
 
 from aiohttp import web
+from multidict import CIMultiDict
 
+from .. import clock
+from ..answer_memory import AnswerReader
 from ..body_buffer import BodyBuffer
 from ..buffer_budget import BufferBudget, BufferPath, BuffersFullError, Hold
 from ..client_limits import MeteredLimits
@@ -16,11 +19,15 @@
 from ..fleet.manifest import Limits
 from ..kernel import Kernel, Service
 from ..metrics import Metrics
+from ..piecewise_payload import PIECE_BYTES, PiecewiseResponse, pieces
 from .http_server import Connection
 
 # The buffer for the answer of a target that is passed on as it arrives. Small, because
 # there is one for each stream; reading stops at twice this size.
 STREAM_READ_BYTES = 16_384
+# What the connection of a target holds of an answer before there is room for it: twice
+# the buffer, and the read that filled it.
+ANSWER_READ_BYTES = 3 * STREAM_READ_BYTES
 # Decoding a batch takes up to 5.4 times the size of its body at the peak, measured for
 # 128 and 1024 items with bodies of 200 bytes.
 _SUBMISSION_FACTOR = 6
@@ -129,7 +136,7 @@
         self.limits.release(hold)
 
 
-class Transfer:
+class Transfer(AnswerReader):
     """One request of a caller or another host: its body, and the answer to it."""
 
     def __init__(self, buffers: Buffers, request: web.BaseRequest) -> None:
@@ -153,6 +160,7 @@
         self._connection.on_stall = None
         if self._answer is not None:
             self._buffers.release(self._answer)
+        self._answer = None
 
     def limit_stall(self, seconds: float) -> None:
         """Close the connection when nothing is read for ``seconds``."""
@@ -209,13 +217,30 @@
                 f"nothing of the request body arrived for {max_silence:g} s"
             ) from None
 
-    def reserve_answer(self, path: BufferPath, size: int) -> None:
-        """Count an answer that is yet to be built and may be refused.
+    def reserve_answer(
+        self, path: BufferPath, size: int = ANSWER_READ_BYTES, patience: float = 1.0
+    ) -> None:
+        """Count an answer that is yet to be built or read, and may be refused.
 
+        :param size: what is held of it before :meth:`make_room` is asked, in bytes.
+        :param patience: how much longer than others its reader may make no progress.
         :raises BuffersFullError: the host has no memory for it.
         """
         self._buffers.check(path, size)
         self._answer = self._buffers.hold(path, size, self._connection)
+        self._answer.patience = patience
+        # Its reader can't be slow before it is sent.
+        self._answer.kept = True
+
+    async def make_room(self, size: int) -> None:
+        """See :meth:`AnswerReader.make_room`."""
+        if self._answer is not None:
+            await self._buffers.limits.wait_for_room(size, self._answer)
+
+    def drop(self, size: int) -> None:
+        """See :meth:`AnswerReader.drop`."""
+        if self._answer is not None:
+            self._buffers.budget.resize(self._answer, self._answer.size - size)
 
     async def send(
         self, response: web.StreamResponse, path: BufferPath = BufferPath.ANSWER
@@ -223,18 +248,29 @@
         """Write the answer; return once the caller's socket has all of it."""
         if self._connection.release_body():
             response.force_close()
-        if isinstance(response, web.Response) and isinstance(response.body, bytes):
-            size = len(response.body)
+        body = _whole_body(response)
+        if body is not None:
             if self._answer is None:
-                self._answer = self._buffers.hold(path, size, self._connection)
-            self._buffers.budget.resize(self._answer, size)
+                self._answer = self._buffers.hold(path, len(body), self._connection)
+            self._answer.progress_at = clock.now()
+            self._answer.kept = False
+            self._buffers.budget.resize(self._answer, len(body))
         try:
             await response.prepare(self._request)
+            if isinstance(response, PiecewiseResponse):
+                await self._write_pieces(response)
             await response.write_eof()
         except ConnectionError:
             # aiohttp ends the connection when it writes to it again.
             return
 
+    async def _write_pieces(self, response: PiecewiseResponse) -> None:
+        for piece in pieces(response.whole_body):
+            await response.write(piece)
+            await self._request.writer.drain()
+            if self._answer is not None:
+                self._answer.progress_at = clock.now()
+
     async def write_part(
         self,
         response: web.StreamResponse,
@@ -243,12 +279,10 @@
     ) -> None:
         """Write a part of a stream; return once the caller's socket has all of it.
 
-        Meanwhile the stream is not read from its target, whose connection holds twice
-        ``STREAM_READ_BYTES`` at most before the transport stops reading.
+        Meanwhile the stream is not read from its target, whose connection holds
+        ``ANSWER_READ_BYTES`` at most before the transport stops reading.
         """
-        hold = self._buffers.hold(
-            path, len(data) + 2 * STREAM_READ_BYTES, self._connection
-        )
+        hold = self._buffers.hold(path, len(data), self._connection)
         try:
             await response.write(data)
             if self._connection.writing_paused:
@@ -263,3 +297,21 @@
             seconds=round(seconds, 3),
             unsent=unsent,
         )
+
+
+def _whole_body(response: web.StreamResponse) -> bytes | memoryview | None:
+    """Return the body of a response that has all of it already."""
+    if isinstance(response, PiecewiseResponse):
+        return response.whole_body
+    if isinstance(response, web.Response) and isinstance(response.body, bytes):
+        return response.body
+    return None
+
+
+def whole_response(
+    status: int, headers: CIMultiDict[str], body: bytes | memoryview
+) -> web.StreamResponse:
+    """Return a response that is written in pieces if its body is large."""
+    if len(body) <= PIECE_BYTES:
+        return web.Response(status=status, headers=headers, body=bytes(body))
+    return PiecewiseResponse(body, status=status, headers=headers)
--- a/cranberryrun/platform/frontend.py
+++ b/cranberryrun/platform/frontend.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import json
 from urllib.parse import parse_qs
 
 from aiohttp import web
 from multidict import CIMultiDict
 
 from .. import clock
+from ..answer_memory import reading_for
 from ..batches.service import Batches
 from ..buffer_budget import BufferPath
 from ..events import Events
@@ -26,7 +28,7 @@
 from ..requests.streams import Streams
 from ..workspaces.access import Caller, KeyRejectedError, OtherWorkspaceError
 from . import batch_wire, header_names
-from .buffers import Buffers, Transfer
+from .buffers import Buffers, Transfer, whole_response
 from .explain_endpoint import EXPLAIN_PATH, serve_explanation
 from .http_server import Handler, listen
 from .settings import HostSettings
@@ -42,6 +44,9 @@
 _KEEPALIVE_SECONDS = 75.0
 # How long a caller may read nothing of an answer that belongs to no route.
 _STALL_SECONDS = 10.0
+# Encoding a page takes its text as an object, as JSON and as bytes.
+_PAGE_COPIES = 3
+_ONLY_ANSWER_PATIENCE = 3.0
 
 
 class Frontend(Service):
@@ -242,8 +247,14 @@
             workspace=caller.workspace_name,
         )
         if route.kind is RouteKind.STREAMING:
-            return await self._forward_stream(request, route, forwarded, transfer)
-        answer = await self.kernel.get(Forwarder).forward(route, forwarded)
+            transfer.reserve_answer(BufferPath.STREAM)
+            with reading_for(transfer):
+                return await self._forward_stream(request, route, forwarded, transfer)
+        # An answer that can't be asked for again is kept for longer.
+        patience = 1.0 if route.kind.repeatable else _ONLY_ANSWER_PATIENCE
+        transfer.reserve_answer(BufferPath.ANSWER, patience=patience)
+        with reading_for(transfer):
+            answer = await self.kernel.get(Forwarder).forward(route, forwarded)
         return _response(answer)
 
     async def _forward_stream(
@@ -305,7 +316,7 @@
         batch_id: str,
         caller: Caller,
         transfer: Transfer,
-    ) -> web.Response:
+    ) -> web.StreamResponse:
         batches = self.kernel.get(Batches)
         if request.method == "DELETE":
             await batches.end(batch_id, _deadline(request), caller)
@@ -315,8 +326,10 @@
             _parse_number(request.headers.get(header_names.WAIT_MS), 0) / 1000
         )
         page = await batches.results(batch_id, after, wait_seconds, caller)
-        transfer.reserve_answer(BufferPath.PAGE, page.text_size)
-        return web.json_response(batch_wire.encode_results(page))
+        transfer.reserve_answer(BufferPath.PAGE, _PAGE_COPIES * page.text_size)
+        body = json.dumps(batch_wire.encode_results(page)).encode()
+        headers = CIMultiDict({"Content-Type": "application/json; charset=utf-8"})
+        return whole_response(200, headers, body)
 
     async def _serve_item_body(
         self,
@@ -324,17 +337,15 @@
         batch_id: str,
         caller: Caller,
         transfer: Transfer,
-    ) -> web.Response:
+    ) -> web.StreamResponse:
         item_id = _query_parameter(request, "id") or ""
         body = await self.kernel.get(Batches).body(batch_id, item_id, caller)
         transfer.reserve_answer(BufferPath.ITEM_BODY, len(body))
-        return web.Response(body=body)
+        return whole_response(200, CIMultiDict(), body)
 
 
-def _response(answer: Answer) -> web.Response:
-    return web.Response(
-        status=answer.status, body=answer.body, headers=CIMultiDict(answer.headers)
-    )
+def _response(answer: Answer) -> web.StreamResponse:
+    return whole_response(answer.status, CIMultiDict(answer.headers), answer.body)
 
 
 def _stream_response(answer: Answer) -> web.StreamResponse:
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -91,7 +91,9 @@
 
     async def send(self, target: Target, request: Request) -> Answer:
         """See :meth:`TargetClient.send`."""
-        async with self._send_forwarded(target, request) as call:
+        async with self._send_forwarded(
+            target, request, read_bufsize=STREAM_READ_BYTES
+        ) as call:
             response = call.response
             body = await call.read_body(self.kernel.get(HttpClients))
             check_signature(response, request.id)
--- a/cranberryrun/platform/target_relay.py
+++ b/cranberryrun/platform/target_relay.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from ..answer_memory import reading_for
 from ..buffer_budget import BufferPath, BuffersFullError
 from ..events import Events
 from ..exceptions import (
@@ -21,7 +22,7 @@
 from ..piecewise_payload import payload
 from . import header_names
 from .answer_checks import exchange_of, is_framed
-from .buffers import STREAM_READ_BYTES, BodyTimeoutError, Transfer
+from .buffers import STREAM_READ_BYTES, BodyTimeoutError, Transfer, whole_response
 from .target_requests import (
     RELAY_OUTCOME,
     RELAY_PREFIX,
@@ -55,6 +56,7 @@
     transfer.limit_stall(max(seconds, _MIN_STALL_SECONDS))
     try:
         body = await transfer.read_body(BufferPath.RELAY_BODY, None, seconds)
+        transfer.reserve_answer(BufferPath.RELAY_ANSWER)
     except (BuffersFullError, BodyTimeoutError):
         # Tells the other host that nothing was sent, so that it asks the next one.
         return _failure(RelayOutcome.UNKNOWN)
@@ -93,8 +95,9 @@
     headers[RELAY_OUTCOME] = RelayOutcome.ANSWERED.value
     framed = is_framed(response)
     if not framed and response.content_type != _EVENT_STREAM:
-        body = await call.read_body(kernel.get(HttpClients))
-        return web.Response(status=response.status, headers=headers, body=body)
+        with reading_for(transfer):
+            body = await call.read_body(kernel.get(HttpClients))
+        return whole_response(response.status, headers, body)
     answer = web.StreamResponse(status=response.status, headers=headers)
     if framed and response.content_length is not None:
         answer.content_length = response.content_length
--- a/cranberryrun/platform/target_requests.py
+++ b/cranberryrun/platform/target_requests.py
@@ -83,7 +83,7 @@
                     self.watch.heard()
                 yield chunk
 
-    async def read_body(self, clients: HttpClients) -> bytes:
+    async def read_body(self, clients: HttpClients) -> bytes | memoryview:
         """Return the complete body.
 
         A body without Content-Length or Transfer-Encoding ends with the connection, so
