Let idle connections give way where a process has too many

Cause: connections were accepted until descriptors ran out. New ones were then accepted and closed by the event loop, calls found no descriptor for their targets, and idle ones stayed for 75 s.

Fix: connections of clients may take half of the descriptors, less 32, as each call may need another one for its target, and 12.5 for each MB of memory (an idle one takes 5.6 KB). A new connection closes the longest idle one, or else the one whose head has been incomplete for longest; calls in progress are not given up for it. The addresses of readiness checks, metrics and neighbours have room for 32 more, and theirs are not closed for others.

--- a/cranberryrun/client_limits.py
+++ b/cranberryrun/client_limits.py
@@ -8,6 +8,7 @@
 from . import clock
 from .buffer_budget import BufferBudget, BufferPath, Hold
 from .metrics import Metrics
+from .open_connections import OpenConnections
 
 # For listeners without a budget of their own, as in tests.
 _DEFAULT_BYTES = 64_000_000
@@ -29,6 +30,7 @@
     Subclasses say where the limits come from, and record what was closed.
 
     :param budget: counts what all connections hold.
+    :param connections: how many connections may be open; None: what descriptors allow.
     """
 
     #: The longest head of a request, in bytes, with empty lines before it.
@@ -36,8 +38,11 @@
     #: How long a head may take from its first byte, in seconds.
     head_seconds = 10.0
 
-    def __init__(self, budget: BufferBudget | None = None) -> None:
+    def __init__(
+        self, budget: BufferBudget | None = None, connections: int | None = None
+    ) -> None:
         self.budget = budget or BufferBudget(_DEFAULT_BYTES)
+        self.connections = OpenConnections(connections)
         self._owner_by_hold: dict[Hold, Owner] = {}
         # Those that wait for room get it in the order in which they came.
         self._line = asyncio.Lock()
@@ -99,8 +104,10 @@
 class MeteredLimits(ClientLimits):
     """Limits whose closed connections are counted."""
 
-    def __init__(self, metrics: Metrics, budget: BufferBudget) -> None:
-        super().__init__(budget)
+    def __init__(
+        self, metrics: Metrics, budget: BufferBudget, connections: int | None = None
+    ) -> None:
+        super().__init__(budget, connections)
         self._metrics = metrics
 
     def record_given_up(self, hold: Hold, seconds: float) -> None:
--- a/cranberryrun/platform/__main__.py
+++ b/cranberryrun/platform/__main__.py
@@ -73,6 +73,8 @@
 # The share of the host's memory that a single request may take while no other large one
 # is held: on the smallest host, a body of the size that manifests allow.
 _SINGLE_MEMORY_SHARE = 0.3
+# An idle connection takes 5.6 KB: those that are allowed, 0.07 of the host's memory.
+_CONNECTIONS_PER_MB = 12.5
 # The platform's load balancer checks readiness once a second and stops sending requests
 # after two failed checks.
 _READINESS_LAG_SECONDS = 2.5
@@ -114,6 +116,7 @@
             Buffers(
                 int(_BUFFER_MEMORY_SHARE * settings.memory_mb * 1_000_000),
                 int(_SINGLE_MEMORY_SHARE * settings.memory_mb * 1_000_000),
+                int(_CONNECTIONS_PER_MB * settings.memory_mb),
             ),
             HttpClients(
                 _CONNECT_TIMEOUT_SECONDS,
--- a/cranberryrun/platform/buffers.py
+++ b/cranberryrun/platform/buffers.py
@@ -19,6 +19,7 @@
 from ..fleet.manifest import Limits
 from ..kernel import Kernel, Service
 from ..metrics import Metrics
+from ..open_connections import descriptor_limit
 from ..piecewise_payload import PIECE_BYTES, PiecewiseResponse, pieces
 from .http_server import Connection
 
@@ -53,8 +54,8 @@
 class HostLimits(MeteredLimits):
     """The limits of the manifest in force, and the events of closed connections."""
 
-    def __init__(self, kernel: Kernel, budget: BufferBudget) -> None:
-        super().__init__(kernel.get(Metrics), budget)
+    def __init__(self, kernel: Kernel, budget: BufferBudget, connections: int) -> None:
+        super().__init__(kernel.get(Metrics), budget, connections)
         self._kernel = kernel
 
     def _limits(self) -> Limits:
@@ -87,19 +88,25 @@
 
     :param limit_bytes: limit of the bytes that are held on all paths together.
     :param single_bytes: limit of the bytes of a single transfer.
+    :param max_connections: limit of the connections of clients, if the descriptors of
+        the process allow as many.
     """
 
     name = "buffers"
     requires = ("events", "metrics")
 
-    def __init__(self, limit_bytes: int, single_bytes: int) -> None:
+    def __init__(
+        self, limit_bytes: int, single_bytes: int, max_connections: int
+    ) -> None:
         super().__init__()
+        self._max_connections = max_connections
         self.budget = BufferBudget(limit_bytes, single_bytes)
         self.limits: HostLimits
 
     async def start(self) -> None:
         """Register the metric."""
-        self.limits = HostLimits(self.kernel, self.budget)
+        connections = min(descriptor_limit(), self._max_connections)
+        self.limits = HostLimits(self.kernel, self.budget, connections)
         metrics = self.kernel.get(Metrics)
         metrics.register_gauge("buffered_bytes", self.budget.used_by_path)
 
--- a/cranberryrun/platform/frontend.py
+++ b/cranberryrun/platform/frontend.py
@@ -84,8 +84,11 @@
             await self._listen(address, self._serve_metrics, keepalive)
 
     async def _listen(self, address: str, handler: Handler, keepalive: float) -> None:
+        # The first address is that of callers.
         limits = self.kernel.get(Buffers).limits
-        runner, site = await listen(address, handler, keepalive, limits)
+        runner, site = await listen(
+            address, handler, keepalive, limits, essential=bool(self._sites)
+        )
         self._runners.append(runner)
         self._sites.append(site)
 
--- a/cranberryrun/platform/http_server.py
+++ b/cranberryrun/platform/http_server.py
@@ -143,17 +143,21 @@
     handler: Handler,
     keepalive: float,
     limits: ClientLimits | None = None,
+    *,
+    essential: bool = False,
 ) -> tuple[web.ServerRunner, web.TCPSite]:
     """Serve ``handler`` at ``address``.
 
     :param keepalive: how long an idle connection stays open, in seconds.
     :param limits: what the connections may hold; None: defaults for this address alone.
+    :param essential: whether the platform or neighbours need the connections.
     """
     host, port = split_address(address)
     server = Server(
         handler,
         Connection,
         limits=limits,
+        essential=essential,
         handler_cancellation=True,
         keepalive_timeout=keepalive,
         access_log=None,
--- a/cranberryrun/platform/neighbour_server.py
+++ b/cranberryrun/platform/neighbour_server.py
@@ -65,6 +65,7 @@
                 self._serve,
                 _KEEPALIVE_SECONDS,
                 self.kernel.get(Buffers).limits,
+                essential=True,
             )
 
     async def stop(self) -> None:
--- a/cranberryrun/request_protocol.py
+++ b/cranberryrun/request_protocol.py
@@ -6,7 +6,6 @@
 import contextlib
 import socket
 import struct
-from http import HTTPStatus
 from typing import Any
 
 from aiohttp import web
@@ -19,11 +18,11 @@
 from .bounded_reads import BoundedReads, ReadSizes
 from .buffer_budget import BufferPath, Hold
 from .client_limits import ClientLimits
+from .last_answer import HeadTooLongError, LastAnswer
+from .open_connections import OpenConnection
 
-# The rest of a request that is not valid is read, up to these limits.
+# The rest of a request that is not valid is read, up to this limit.
 _MAX_DISCARDED_BYTES = 1_048_576
-_LINGER_SECONDS = 1.0
-_LINGER_PAUSE_SECONDS = 0.05
 _HEAD_READ_BYTES = 16_384
 _BODY_READ_BYTES = 65_536
 # While memory is short, connections are read in small pieces.
@@ -43,13 +42,7 @@
 _NO_LINGER = struct.pack("ii", 1, 0)
 
 
-class HeadTooLongError(HttpProcessingError):
-    """The head of a request exceeds its limit."""
-
-    code = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-
-
-class RequestProtocol(web.RequestHandler, ReadSizes):
+class RequestProtocol(web.RequestHandler, ReadSizes, OpenConnection):
     """A connection whose requests are counted from their first byte.
 
     The head of a request is bounded in size and in time, whatever it consists of: empty
@@ -63,13 +56,20 @@
     times in a row. Therefore all limits apply before bytes are parsed.
 
     :param limits: what the connections of the process may hold together.
+    :param essential: see :class:`OpenConnection`.
     """
 
     #: Whether handlers refuse bodies for which there is no room. Otherwise their
     #: connections are closed.
     refuses_bodies = False
 
-    def __init__(self, *arguments: Any, limits: ClientLimits, **options: Any) -> None:
+    def __init__(
+        self,
+        *arguments: Any,
+        limits: ClientLimits,
+        essential: bool = False,
+        **options: Any,
+    ) -> None:
         super().__init__(
             *arguments,
             max_line_size=_PARSER_LIMIT,
@@ -80,6 +80,7 @@
             **options,
         )
         self.limits = limits
+        self.essential = essential
         self._invalid = False
         self._discarded_bytes = 0
         self._max_discarded_bytes = _MAX_DISCARDED_BYTES
@@ -105,10 +106,14 @@
         super().connection_made(transport)
         # Transports of uvloop are not of the types of asyncio.
         transport.set_protocol(BoundedReads(self))  # type: ignore[attr-defined]
+        if not self.limits.connections.add(self):
+            self.limits.record_closed("connections")
+            self.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """See :meth:`asyncio.Protocol.connection_lost`."""
         self._cancel_head_timer()
+        self.limits.connections.remove(self)
         for hold in (self._hold, self.body_hold):
             if hold is not None:
                 self.limits.release(hold)
@@ -208,6 +213,13 @@
         self.limits.budget.resize(hold, hold.size + size)
         return fits or self.refuses_bodies
 
+    @property
+    def discarded_bytes(self) -> int | None:
+        """How much has been discarded; None if no more will be."""
+        if self._discarded_bytes >= self._max_discarded_bytes:
+            return None
+        return self._discarded_bytes
+
     def release_body(self) -> bool:
         """Count the body of the newest request no longer, as it is not needed.
 
@@ -282,7 +294,7 @@
         error = HeadTooLongError(message=reason)
         fault = _ErrInfo(status=error.code, exc=error, message=reason)
         self._messages.append((fault, EmptyStreamReader()))
-        if self._waiter is not None and not self._waiter.done():
+        if self._waits():
             self._waiter.set_result(None)
 
     def _count(self, size: int) -> None:
@@ -299,8 +311,21 @@
         """
         must_close = self.release_body()
         self._release_heads()
+        self.limits.connections.note_request(self)
         return must_close
 
+    def waits_for_request(self) -> bool:
+        """See :meth:`OpenConnection.waits_for_request`."""
+        return self._waits() and not self._head_bytes
+
+    def waits_for_head(self) -> bool:
+        """See :meth:`OpenConnection.waits_for_head`."""
+        return self._waits() and self._head_bytes > 0
+
+    def _waits(self) -> bool:
+        """Return whether no request is in progress."""
+        return self._waiter is not None and not self._waiter.done()
+
     def _release_heads(self) -> None:
         if self._hold is None:
             return
@@ -320,7 +345,7 @@
 
     def _check_head(self) -> None:
         """Close the connection unless the rest of the head has arrived meanwhile."""
-        if self._waiter is None or self._waiter.done():
+        if not self._waits():
             # The request before is in progress, and reading may be paused.
             self._start_head_timer()
             return
@@ -365,31 +390,6 @@
             return super().handle_error(request, status, exc, message)
         self.limits.record_closed("too long" if status == 431 else "not HTTP")
         text = exc.message if isinstance(exc, HeadTooLongError) else _NOT_HTTP
-        response = _LastAnswer(status=status, text=text)
+        response = LastAnswer(status=status, text=text)
         response.force_close()
         return response
-
-    async def linger(self) -> None:
-        """Discard what arrives until the caller pauses, or for a second.
-
-        Closing a connection that has unread bytes may reset it before the caller has
-        read the answer.
-        """
-        deadline = clock.now() + _LINGER_SECONDS
-        discarded = -1
-        while self._discarded_bytes != discarded and clock.now() < deadline:
-            if self._discarded_bytes >= self._max_discarded_bytes:
-                return
-            discarded = self._discarded_bytes
-            await asyncio.sleep(_LINGER_PAUSE_SECONDS)
-
-
-class _LastAnswer(web.Response):
-    """The answer to a request that is not valid, after which the connection ends."""
-
-    async def write_eof(self, data: bytes = b"") -> None:
-        """Write the answer, and let the caller read it."""
-        request = self._req
-        await super().write_eof(data)
-        if request is not None and isinstance(request.protocol, RequestProtocol):
-            await request.protocol.linger()
--- a/cranberryrun/request_server.py
+++ b/cranberryrun/request_server.py
@@ -16,6 +16,7 @@
 
     :param protocol_class: :class:`RequestProtocol` or a class below it.
     :param limits: what the connections may hold; None: defaults for this server alone.
+    :param essential: whether the platform or neighbours need the connections.
     """
 
     def __init__(
@@ -24,6 +25,7 @@
         protocol_class: type[RequestProtocol] = RequestProtocol,
         *,
         limits: ClientLimits | None = None,
+        essential: bool = False,
         request_factory: Any = None,
         handler_cancellation: bool = False,
         **options: Any,
@@ -35,7 +37,10 @@
             **options,
         )
         self._protocol_class = protocol_class
-        self._options = options | {"limits": limits or ClientLimits()}
+        self._options = options | {
+            "limits": limits or ClientLimits(),
+            "essential": essential,
+        }
 
     def __call__(self) -> RequestProtocol:
         """Return a new connection."""
--- a/tests/test_crowds_connections.py
+++ b/tests/test_crowds_connections.py
@@ -1,6 +1,9 @@
 """Crowds of connections beyond the descriptors of the process."""
 
 import asyncio
+import contextlib
+
+from standins.slow_caller import SlowCaller
 
 from .crowds import CrowdTestCase, request_head
 
@@ -14,6 +17,20 @@
 
         await self.crowd(1200, act)
 
+    async def test_idle_connections_that_come_again_when_they_are_closed(self):
+        async def act(caller):
+            while True:
+                with contextlib.suppress(ConnectionError):
+                    await caller.read(1)
+                caller.close()
+                await asyncio.sleep(0.2)
+                caller = SlowCaller(self.front)
+                self.addCleanup(caller.close)
+                with contextlib.suppress(ConnectionError):
+                    await caller.connect()
+
+        await self.crowd(1200, act)
+
     async def test_connections_whose_heads_are_incomplete(self):
         async def act(caller):
             await caller.send(b"POST /patient/x HT")
