Name clients whose connections are closed, and log few of what a crowd causes

What operators saw: answer_abandoned, caller_stalled and buffers_full did not say which client it was, and each of a crowd's connections wrote a line.

Cause: the events were emitted for each case, without the address.

Fix: a connection that is closed for what its client sent, or for others, is counted by cause and logged as connection_closed (445); this and the events above but buffers_full have the client's address in peer. Each name is logged once a second at the most, and the next line says how many were omitted. Labels are fixed words.

Not bounded further: answer_failed is still a line for each refused call, in the bounded queue of the log. Ordinary calls emit none of these events.

--- a/cranberryrun/api.py
+++ b/cranberryrun/api.py
@@ -15,7 +15,8 @@
 from .api_trainers import TrainerHandlers
 from .buffer_budget import BufferBudget
 from .caller_http import abort_connection, problem_response
-from .client_limits import MeteredLimits
+from .client_limits import RecordedLimits
+from .events import Events
 from .exceptions import (
     CranberryrunError,
     KernelError,
@@ -97,7 +98,7 @@
         # Cancel the handler of a disconnected caller to free its capacity.
         self._runner = AppRunner(
             app,
-            limits=MeteredLimits(metrics, budget),
+            limits=RecordedLimits(metrics, self.kernel.get(Events), budget),
             access_log=None,
             shutdown_timeout=1,
             handler_cancellation=True,
--- a/cranberryrun/buffer_budget.py
+++ b/cranberryrun/buffer_budget.py
@@ -36,20 +36,22 @@
     RELAY_STREAM = "relay_stream"
 
 
-# Given up when memory runs out, unless they must be kept: what is incomplete, and
-# answers. A stream never loses events.
-_ABANDONABLE = frozenset(
+# Requests that may not have arrived as a whole.
+INCOMPLETE = frozenset(
     {
         BufferPath.HEAD,
         BufferPath.REQUEST_BODY,
         BufferPath.SUBMISSION,
         BufferPath.RELAY_BODY,
-        BufferPath.ANSWER,
-        BufferPath.PAGE,
-        BufferPath.ITEM_BODY,
-        BufferPath.RELAY_ANSWER,
     }
 )
+# Given up when memory runs out, unless they must be kept. A stream never loses events.
+_ABANDONABLE = INCOMPLETE | {
+    BufferPath.ANSWER,
+    BufferPath.PAGE,
+    BufferPath.ITEM_BODY,
+    BufferPath.RELAY_ANSWER,
+}
 
 
 class BuffersFullError(RefusedError):
--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -325,6 +325,12 @@
         WARNING,
         "The request of a slow sender was given up, as the limit of held bytes passed.",
     ),
+    (
+        445,
+        "connection_closed",
+        WARNING,
+        "A connection was closed because of what its client sent, or for others.",
+    ),
     (500, "version_announced", INFO, "A trainer announced a weight version."),
     (501, "version_known", INFO, "This host learned of a newer weight version."),
     (502, "order_sent", INFO, "An engine was ordered to load a version."),
--- a/cranberryrun/client_limits.py
+++ b/cranberryrun/client_limits.py
@@ -6,9 +6,11 @@
 from typing import Protocol
 
 from . import clock
-from .buffer_budget import BufferBudget, BufferPath, Hold
+from .buffer_budget import INCOMPLETE, BufferBudget, BufferPath, Hold
+from .events import Events
 from .metrics import Metrics
 from .open_connections import OpenConnections
+from .paced_events import PacedEvents
 
 # For listeners without a budget of their own, as in tests.
 _DEFAULT_BYTES = 64_000_000
@@ -20,6 +22,10 @@
 class Owner(Protocol):
     """A connection that holds bytes."""
 
+    @property
+    def peer(self) -> str:
+        """Address and port of the client."""
+
     def abort(self) -> None:
         """Close the connection without sending what is unsent."""
 
@@ -67,8 +73,9 @@
             return True
         now = clock.now()
         for stalled in self.budget.stalled_holds(size, now, hold):
-            self.record_given_up(stalled, now - stalled.progress_at)
-            self._owner_by_hold[stalled].abort()
+            owner = self._owner_by_hold[stalled]
+            self.record_given_up(stalled, now - stalled.progress_at, owner.peer)
+            owner.abort()
             self.release(stalled)
         return self.budget.fits(size, hold)
 
@@ -91,29 +98,42 @@
     def _may_overdraw(self, hold: Hold) -> bool:
         return self._overdrawn is None or self._overdrawn is hold
 
-    def record_given_up(self, hold: Hold, seconds: float) -> None:
+    def record_given_up(self, hold: Hold, seconds: float, peer: str) -> None:
         """Record that a connection is closed to make room; the default does nothing.
 
         :param seconds: how long there was no progress.
         """
 
-    def record_closed(self, cause: str) -> None:
+    def record_closed(self, cause: str, peer: str) -> None:
         """Record that a connection is closed for ``cause``, a word or two."""
 
 
-class MeteredLimits(ClientLimits):
-    """Limits whose closed connections are counted."""
+class RecordedLimits(ClientLimits):
+    """Limits whose closed connections are counted and, some of them, logged."""
 
     def __init__(
-        self, metrics: Metrics, budget: BufferBudget, connections: int | None = None
+        self,
+        metrics: Metrics,
+        events: Events,
+        budget: BufferBudget,
+        connections: int | None = None,
     ) -> None:
         super().__init__(budget, connections)
         self._metrics = metrics
+        self.events = PacedEvents(events)
 
-    def record_given_up(self, hold: Hold, seconds: float) -> None:
+    def record_given_up(self, hold: Hold, seconds: float, peer: str) -> None:
         """See :meth:`ClientLimits.record_given_up`."""
-        self.record_closed(f"stalled {hold.path.value}")
-
-    def record_closed(self, cause: str) -> None:
+        self._metrics.closed_connection(f"stalled {hold.path.value}")
+        self.events.emit(
+            "request_abandoned" if hold.path in INCOMPLETE else "answer_abandoned",
+            path=hold.path.value,
+            size=hold.size,
+            seconds=round(seconds, 3),
+            peer=peer,
+        )
+
+    def record_closed(self, cause: str, peer: str) -> None:
         """See :meth:`ClientLimits.record_closed`."""
         self._metrics.closed_connection(cause)
+        self.events.emit("connection_closed", cause=cause, peer=peer)
--- a/cranberryrun/metric_catalogue.py
+++ b/cranberryrun/metric_catalogue.py
@@ -175,13 +175,13 @@
         "cranberryrun_buffered_bytes",
         "gauge",
         ("path",),
-        "Bytes that the host holds for slow connections, by what they are for.",
+        "Bytes that the host holds for connections of clients, by what they are for.",
     ),
     "buffers_full": MetricKind(
         "cranberryrun_buffers_full",
         "counter",
         ("path",),
-        "Calls refused as the bytes held for slow connections were at their limit.",
+        "Calls refused as the bytes held for connections were at their limit.",
     ),
     "closed_connections": MetricKind(
         "cranberryrun_closed_connections",
--- a/cranberryrun/platform/buffers.py
+++ b/cranberryrun/platform/buffers.py
@@ -12,7 +12,7 @@
 from ..answer_memory import AnswerReader
 from ..body_buffer import BodyBuffer
 from ..buffer_budget import BufferBudget, BufferPath, BuffersFullError, Hold
-from ..client_limits import MeteredLimits
+from ..client_limits import RecordedLimits
 from ..events import Events
 from ..exceptions import RequestError, TooLargeError
 from ..fleet.directory import Directory
@@ -33,17 +33,6 @@
 _SUBMISSION_COPIES = 2
 
 
-# What is given up on these paths is a request; on others it is an answer.
-_INCOMPLETE = frozenset(
-    {
-        BufferPath.HEAD,
-        BufferPath.REQUEST_BODY,
-        BufferPath.SUBMISSION,
-        BufferPath.RELAY_BODY,
-    }
-)
-
-
 class BodyTimeoutError(RequestError):
     """The caller stopped sending the body of its request; nothing was sent on."""
 
@@ -51,11 +40,11 @@
     status = 408
 
 
-class HostLimits(MeteredLimits):
-    """The limits of the manifest in force, and the events of closed connections."""
+class HostLimits(RecordedLimits):
+    """The limits of the manifest in force."""
 
     def __init__(self, kernel: Kernel, budget: BufferBudget, connections: int) -> None:
-        super().__init__(kernel.get(Metrics), budget, connections)
+        super().__init__(kernel.get(Metrics), kernel.get(Events), budget, connections)
         self._kernel = kernel
 
     def _limits(self) -> Limits:
@@ -72,16 +61,6 @@
         """See :class:`ClientLimits`."""
         return self._limits().header_timeout
 
-    def record_given_up(self, hold: Hold, seconds: float) -> None:
-        """See :meth:`ClientLimits.record_given_up`."""
-        super().record_given_up(hold, seconds)
-        self._kernel.get(Events).emit(
-            "request_abandoned" if hold.path in _INCOMPLETE else "answer_abandoned",
-            path=hold.path.value,
-            size=hold.size,
-            seconds=round(seconds, 3),
-        )
-
 
 class Buffers(Service):
     """Holds the budget of this host.
@@ -123,7 +102,7 @@
             return
         used = self.budget.used_bytes
         self.kernel.get(Metrics).buffers_full(path.value)
-        self.kernel.get(Events).emit(
+        self.limits.events.emit(
             "buffers_full",
             path=path.value,
             size=size,
@@ -301,11 +280,12 @@
             self._buffers.release(hold)
 
     def _record_stall(self, seconds: float, unsent: int) -> None:
-        self._buffers.kernel.get(Events).emit(
+        self._buffers.limits.events.emit(
             "caller_stalled",
             path=self._request.path,
             seconds=round(seconds, 3),
             unsent=unsent,
+            peer=self._connection.peer,
         )
 
 
--- a/cranberryrun/platform/settings.py
+++ b/cranberryrun/platform/settings.py
@@ -109,8 +109,8 @@
         gt=0,
         description=(
             "Memory that the process may use, in MB. Cached results take a fifth of it "
-            "at most, answers being read a tenth, and bytes held for slow callers and "
-            "targets 0.15."
+            "at most, answers being read a tenth, and what connections of clients hold "
+            "0.15, or 0.3 for a single large call."
         ),
     )
     metrics_port: int | None = Field(
--- a/cranberryrun/request_protocol.py
+++ b/cranberryrun/request_protocol.py
@@ -107,8 +107,7 @@
         # Transports of uvloop are not of the types of asyncio.
         transport.set_protocol(BoundedReads(self))  # type: ignore[attr-defined]
         if not self.limits.connections.add(self):
-            self.limits.record_closed("connections")
-            self.abort()
+            self._close_for("connections")
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """See :meth:`asyncio.Protocol.connection_lost`."""
@@ -164,8 +163,7 @@
         cost = _TEXT_COPIES * len(data) + _LINE_BYTES * data.count(b"\n")
         refusable = end >= 0 and cost <= _REFUSED_HEAD_BYTES
         if not self.limits.make_room(cost, self._hold) and not refusable:
-            self.limits.record_closed("head")
-            self.abort()
+            self._close_for("head")
             return b""
         self._count(cost)
         self._head_bytes += len(data)
@@ -186,8 +184,7 @@
             return b""
         self._body_bytes += len(data)
         if not self._count_body(len(data)):
-            self.limits.record_closed("body")
-            self.abort()
+            self._close_for("body")
             return b""
         before = body.total_bytes
         super().data_received(data)
@@ -198,8 +195,7 @@
             return rest
         self._framing_bytes += len(data)
         if self._framing_bytes > self.limits.head_bytes and not body.is_eof():
-            self.limits.record_closed("framing")
-            self.abort()
+            self._close_for("framing")
         return rest
 
     def _count_body(self, size: int) -> bool:
@@ -255,8 +251,7 @@
         """
         cost = _LINE_BYTES * data.count(b"\n")
         if not self.limits.make_room(cost, self._hold):
-            self.limits.record_closed("framing")
-            self.abort()
+            self._close_for("framing")
             return False
         self._count(cost)
         self._lines_cost += cost
@@ -352,14 +347,23 @@
         self._head_timer = self._loop.call_later(_HEAD_GRACE_SECONDS, self._end_head)
 
     def _end_head(self) -> None:
-        self.limits.record_closed("head timeout")
-        self.abort()
+        self._close_for("head timeout")
 
     def _cancel_head_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
             self._head_timer = None
 
+    def _close_for(self, cause: str) -> None:
+        self.limits.record_closed(cause, self.peer)
+        self.abort()
+
+    @property
+    def peer(self) -> str:
+        """Address and port of the client."""
+        host, port, *_ = self.peername or ("unknown", 0)
+        return f"{host}:{port}"
+
     def abort(self) -> None:
         """Close the connection without sending what is unsent.
 
@@ -388,7 +392,8 @@
         """
         if not isinstance(exc, HttpProcessingError):
             return super().handle_error(request, status, exc, message)
-        self.limits.record_closed("too long" if status == 431 else "not HTTP")
+        cause = "too long" if isinstance(exc, HeadTooLongError) else "not HTTP"
+        self.limits.record_closed(cause, self.peer)
         text = exc.message if isinstance(exc, HeadTooLongError) else _NOT_HTTP
         response = LastAnswer(status=status, text=text)
         response.force_close()
