Let the soak have crowds of clients that don't behave

Each seed draws crowds of 20 to 120 connections to one host from a generator of its own: heads and empty lines without end, heads that arrive byte by byte, bodies that lack a byte, answers that are not read, idle connections. None of their requests reaches a target, so the checks of what targets run stay as they are; the memory of each host is watched against its 190 MB, which its settings now name.

--- a/soak/runner.py
+++ b/soak/runner.py
@@ -13,6 +13,7 @@
 from standins.platform_api import PlatformApi
 
 from .callers import Callers
+from .clients import ClientCrowd
 from .faults import (
     CALM_KINDS,
     FAULT_KINDS,
@@ -54,9 +55,9 @@
     """Run of one seed.
 
     Three of four seeds have workspaces, and two of these three have usage duties. Every
-    second seed asks for a single weight version. These, copied answers and the standing
-    kinds of faults draw from generators of their own, so that a seed keeps its other
-    faults.
+    second seed asks for a single weight version. These, copied answers, crowds of
+    clients and the standing kinds of faults draw from generators of their own, so that
+    a seed keeps its other faults.
 
     :param seconds: how long faults are injected.
     :param folder: where settings and logs of the hosts go.
@@ -91,6 +92,7 @@
         if seed % 4 >= 2 and other_build is None:
             api = PlatformApi(require_fence=self._feature_rng.random() < 0.5)
         self._copies_rng = random.Random(f"copies of {seed}")
+        self._clients_rng = random.Random(f"clients of {seed}")
         single_version = self._copies_rng.random() < 0.5 and not long_steps
         self._testbed = Testbed(
             folder,
@@ -174,6 +176,12 @@
                 _STANDING_INTERVAL_SECONDS,
             ),
             self._inject_kinds([CopyAnswers], self._copies_rng, deadline),
+            self._inject_kinds(
+                [ClientCrowd],
+                self._clients_rng,
+                deadline,
+                _STANDING_INTERVAL_SECONDS,
+            ),
             *tasks,
         )
 
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -221,6 +221,7 @@
             "front_address": host.front_address,
             "ready_address": f"127.0.0.1:{free_port()}",
             "peer_address": f"127.0.0.1:{free_port()}",
+            "memory_mb": MEMORY_MB,
             "store": {"address": host.store_link.address},
         }
         if self.long_steps:
