Let only the answers of targets wait for their callers' room

The store's answers that a call reads on its way were read as answers for the caller: from 256 KB on they were a mapping, which the decoder of records does not take, and they waited for room in the budget, behind the answers of callers.

Fix: answers that are passed on are read with read_for_caller, all others as before.

test_a_caller_can_resume_a_stream_where_bodies_are_mapped failed before and passes.

--- a/cranberryrun/answer_memory.py
+++ b/cranberryrun/answer_memory.py
@@ -33,7 +33,7 @@
 
 @contextmanager
 def reading_for(reader: AnswerReader) -> Iterator[None]:
-    """Have the answers that are read in this block be those of ``reader``."""
+    """Have the answers of targets that are read in this block be for ``reader``."""
     token = _current.set(reader)
     try:
         yield
@@ -76,13 +76,20 @@
         self._limit_bytes = limit_bytes
         self._size_by_response: dict[aiohttp.ClientResponse, int] = {}
 
-    async def read(self, response: aiohttp.ClientResponse) -> bytes | memoryview:
-        """Return the complete body of ``response``, as bytes unless it is a caller's.
+    async def read(self, response: aiohttp.ClientResponse) -> bytes:
+        """Return the complete body of ``response``, which is for no caller.
+
+        :raises AnswerTooLongError: the body is too long; the connection is closed.
+        """
+        return bytes(await self._read(response, None))
+
+    async def read_for_caller(
+        self, response: aiohttp.ClientResponse
+    ) -> bytes | memoryview:
+        """Return the complete body of ``response`` once its reader has room for it.
 
         :raises AnswerTooLongError: the body is too long; the connection is closed.
         """
-        if _current.get() is None:
-            return bytes(await self._read(response, AnswerRoom()))
         length = response.content_length or 0
         if length > self._limit_bytes:
             response.close()
@@ -98,13 +105,14 @@
             raise
 
     async def _read(
-        self, response: aiohttp.ClientResponse, room: AnswerRoom
+        self, response: aiohttp.ClientResponse, room: AnswerRoom | None
     ) -> bytes | memoryview:
         body = BodyBuffer()
         self._size_by_response[response] = 0
         try:
             while chunk := await response.content.readany():
-                await room.extend(len(body) + len(chunk))
+                if room is not None:
+                    await room.extend(len(body) + len(chunk))
                 body.append(chunk)
                 self._size_by_response[response] = len(body)
                 self._check(response)
--- a/cranberryrun/http.py
+++ b/cranberryrun/http.py
@@ -128,13 +128,24 @@
             ),
         )
 
-    async def read(self, response: aiohttp.ClientResponse) -> bytes | memoryview:
+    async def read(self, response: aiohttp.ClientResponse) -> bytes:
         """Return the complete body of an answer to a request of any session.
 
         :raises AnswerTooLongError: the body is too long; the connection is closed.
         """
         return await self._answers.read(response)
 
+    async def read_for_caller(
+        self, response: aiohttp.ClientResponse
+    ) -> bytes | memoryview:
+        """Return the complete body of an answer that is passed on.
+
+        It waits until its reader has room for it; see :class:`AnswerMemory`.
+
+        :raises AnswerTooLongError: the body is too long; the connection is closed.
+        """
+        return await self._answers.read_for_caller(response)
+
     def apply_keepalive_timeout(self, seconds: float) -> None:
         """Apply the keep-alive timeout that a target advertises.
 
--- a/cranberryrun/platform/target_requests.py
+++ b/cranberryrun/platform/target_requests.py
@@ -93,7 +93,7 @@
         """
         connection = self.response.connection
         protocol = connection.protocol if connection is not None else None
-        body = await clients.read(self.response)
+        body = await clients.read_for_caller(self.response)
         if is_framed(self.response):
             return body
         if protocol is None or not isinstance(
--- a/tests/test_platform_streams.py
+++ b/tests/test_platform_streams.py
@@ -1,6 +1,7 @@
 """Tests of event streams that a host forwards, with stand-in engines on loopback."""
 
 import asyncio
+import unittest.mock
 
 import aiohttp
 
@@ -105,6 +106,11 @@
         )
         self.assertEqual(body, self.complete_stream("s3", first=5))
 
+    async def test_a_caller_can_resume_a_stream_where_bodies_are_mapped(self):
+        """What the store answers meanwhile was read as an answer for the caller."""
+        with unittest.mock.patch("cranberryrun.body_buffer._MAPPED_FROM_BYTES", 2):
+            await self.test_a_caller_can_resume_a_stream()
+
     async def test_a_stream_that_is_not_resumable_is_aborted_when_it_is_cut(self):
         for engine in self.engines:
             engine.script.append("cut")
