--- a/tests/test_answer_head.py
+++ b/tests/test_answer_head.py
@@ -53,6 +53,9 @@
         super().__init__()
         self.closed = False
 
+    def set_protocol(self, protocol):
+        """See :meth:`asyncio.BaseTransport.set_protocol`; bytes are passed directly."""
+
     def abort(self):
         """See :meth:`asyncio.WriteTransport.abort`."""
         self.closed = True
