--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,139 +1,213 @@
-"""Streams that their clients take up again on a route that leads to two services."""
+"""An entry of another writer beside those of the engines, whose address is none."""
 
 import asyncio
+import base64
+import json
 from pathlib import Path
 
 from aiohttp import web
 from rig import (
     ATTEMPT_ID,
     DEADLINE_MS,
+    EXPECT_VERSION,
+    HOST_NAME,
     LAST_EVENT_ID,
+    NOT_EXECUTED,
     OPERATOR_TOPIC,
+    SERVER_TOPIC,
     SIGNATURE,
     WEIGHT_VERSIONS,
-    Connection,
     Engine,
     disrupted,
+    exchange,
     manifest,
     route,
     run_case,
 )
 
-EVENTS = 30
-EVENT_SECONDS = 0.1
-STREAMS = 12
-# The client sees the break after about this many events.
-BREAK_SECONDS = 1.5
-DEADLINE_SECONDS = 12.0
+MODEL = "m0"
+GROUPS = 6
+GROUP_ITEMS = 4
+EVENTS = 20
+EVENT_SECONDS = 0.05
+# The trainer gives a step up after so long.
+STEP_SECONDS = 12.0
+# An item may be at no engine for so long.
+IDLE_SECONDS = 5.0
+STEPS = 2
 
 
-class TextEngine(Engine):
-    """Streams a text that depends on the version of the engine's software."""
+class ModelEngine(Engine):
+    """Runs items; ``spans`` has the times of each run of an item."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.models = [{"name": MODEL, "version": 1, "adapters": []}]
+        self.spans = []
 
     async def answer(self, request, attempt_id):
+        if request.path == "/v1/report":
+            return web.json_response(
+                {"models": self.models, "busy": False, "sequence": 0, "born": self.born}
+            )
         await request.read()
+        headers = {ATTEMPT_ID: attempt_id}
+        if request.headers.get(EXPECT_VERSION, "1") != "1":
+            return web.Response(status=421, headers={**headers, NOT_EXECUTED: "1"})
         after = int(request.headers.get(LAST_EVENT_ID, "0"))
-        self.began(attempt_id, f"{request.path} from event {after + 1} on")
-        response = web.StreamResponse(
-            headers={
-                ATTEMPT_ID: attempt_id,
-                SIGNATURE: f"{self.id}.{len(self.runs)}",
-                WEIGHT_VERSIONS: "1",
-                "Content-Type": "text/event-stream",
-            }
-        )
-        await response.prepare(request)
-        for number in range(after + 1, EVENTS + 1):
-            await asyncio.sleep(EVENT_SECONDS)
-            text = f"{self.service}/{self.software}"
-            await response.write(f"id: {number}\ndata: {text}\n\n".encode())
-        return response
+        self.began(attempt_id, f"from event {after + 1} on")
+        span = [attempt_id, self.record.now(), None]
+        self.spans.append(span)
+        headers |= {
+            SIGNATURE: f"{self.id}.{len(self.runs)}",
+            WEIGHT_VERSIONS: "1",
+            "Content-Type": "text/event-stream",
+        }
+        try:
+            response = web.StreamResponse(headers=headers)
+            await response.prepare(request)
+            for number in range(after + 1, EVENTS + 1):
+                await asyncio.sleep(EVENT_SECONDS)
+                event = f"id: {number}\ndata: {attempt_id}/{number}\n\n"
+                await response.write(event.encode())
+            return response
+        finally:
+            span[2] = self.record.now()
+
 
+def submission(step):
+    items = [
+        {
+            "id": f"s{step}-g{group}-{number}",
+            "path": "/rollout/x",
+            "headers": {
+                "X-Cranberryrun-Model": MODEL,
+                "X-Cranberryrun-Token-Usage": "1016,400",
+                "X-Cranberryrun-Prefix-Hash": f"a{group}:1000,b{group}{number}:16",
+                "X-Cranberryrun-Length-Hint": str(EVENTS),
+            },
+            "body": base64.b64encode(b"prompt").decode(),
+            "tokens": 1416,
+            "group-id": f"s{step}-g{group}",
+        }
+        for group in range(GROUPS)
+        for number in range(GROUP_ITEMS)
+    ]
+    return {
+        "step": step,
+        "model": MODEL,
+        "min-version": 1,
+        "group-count": GROUPS,
+        "items": items,
+    }
 
-class Client:
-    """A client that takes its stream up again after a broken connection."""
 
-    def __init__(self, rig, number):
+class Trainer:
+    """Asks for steps; ``unlisted`` has the items that a step ran out of time for."""
+
+    def __init__(self, rig, host):
+        self.rig = rig
         self.record = rig.record
-        self.number = number
-        self.texts = []
-        self.whole = False
-
-    async def play(self, addresses):
-        loop = asyncio.get_running_loop()
-        give_up_at = loop.time() + DEADLINE_SECONDS
-        for attempt, address in enumerate(addresses):
-            left = give_up_at - loop.time()
-            try:
-                async with asyncio.timeout(left):
-                    if await self._attempt(f"s{self.number}-{attempt}", address, left):
-                        return
-            except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
-                self.record.write(f"s{self.number}-{attempt} ends: {error!r}")
-
-    async def _attempt(self, attempt_id, address, left):
-        headers = {ATTEMPT_ID: attempt_id, DEADLINE_MS: str(int(left * 1000))}
-        if self.texts:
-            headers[LAST_EVENT_ID] = str(len(self.texts))
-        self.record.write(f"{attempt_id} is sent, {headers.get(LAST_EVENT_ID)}")
-        connection = await Connection.open(address)
-        try:
-            await connection.send("POST", f"/advice/{self.number}", headers)
-            status, fields = await connection.read_head()
-            self.record.write(f"{attempt_id} is answered {status}")
-            if status != 200:
-                await asyncio.sleep(float(fields.get("retry-after", "0.2")))
-                return False
-            pending = b""
-            async for part in connection.read_chunks(fields):
-                *events, pending = (pending + part).split(b"\n\n")
-                for event in events:
-                    number, text = event.decode().split("\n")
-                    assert number == f"id: {len(self.texts) + 1}", number
-                    self.texts.append(text.removeprefix("data: "))
-            self.whole = True
-            self.record.write(f"{attempt_id} is complete: {self.texts}")
-            return True
-        finally:
-            connection.close()
+        self.host = host
+        self.broken = []
 
+    async def play(self):
+        for step in range(STEPS):
+            await self._ask(step)
 
-async def play(rig):
-    for number in (1, 2):
-        for service, software in (("advisor-a", "v1"), ("advisor-b", "v2")):
-            await rig.add_engine(
-                TextEngine(
-                    rig.record, rig.store, f"{service}-{number}", service, software
-                )
+    async def _ask(self, step):
+        body = submission(step)
+        batch_id = f"batch-{step}"
+        headers = {ATTEMPT_ID: batch_id, DEADLINE_MS: "4000"}
+        status, _, _ = await exchange(
+            self.host.front,
+            "POST",
+            "/rollout/x",
+            {**headers, "Content-Type": "application/json"},
+            json.dumps(body).encode(),
+        )
+        asked_at = self.record.now()
+        self.record.write(f"step {step} is answered {status}")
+        if status != 202:
+            return
+        listed = set()
+        while len(listed) < len(body["items"]):
+            if self.record.now() >= asked_at + STEP_SECONDS:
+                self._judge(step, {item["id"] for item in body["items"]} - listed)
+                break
+            status, _, answer = await exchange(
+                self.host.front,
+                "GET",
+                f"/v1/lots/{batch_id}?after={len(listed)}",
+                {"X-Cranberryrun-Wait-Ms": "500"},
             )
-    backends = [{"service": name, "weight": 0.5} for name in ("advisor-a", "advisor-b")]
-    advice = route("advice", "streaming", None, backends=backends, resumable=True)
-    del advice["service"]
-    rig.store.put(
-        OPERATOR_TOPIC, "config", manifest(1, [advice], ["advisor-a", "advisor-b"])
-    )
-    first = await rig.add_host("front-a-1")
-    second = await rig.add_host("front-a-2")
-    for host in (first, second):
-        await host.wait_ready()
-    # The holder of the lease has recorded the versions by then.
-    await asyncio.sleep(4.0)
-    clients = [Client(rig, number) for number in range(STREAMS)]
-    addresses = [first.front, *[second.front] * 3]
-    tasks = [asyncio.create_task(client.play(addresses)) for client in clients]
-    await asyncio.sleep(BREAK_SECONDS)
-    if disrupted():
-        await first.kill()
-        await first.launch()
-    await asyncio.gather(*tasks)
-    broken = []
-    for client in clients:
-        if client.whole and len(set(client.texts)) > 1:
-            parts = list(dict.fromkeys(client.texts))
-            broken.append(
-                f"ORDER: stream s{client.number} is complete and joins {parts}"
+            if status == 200:
+                results = json.loads(answer)["results"]
+                listed.update(result["id"] for result in results)
+                if results:
+                    self.record.write(f"step {step}: {len(listed)} results are read")
+        status, _, _ = await exchange(
+            self.host.front, "DELETE", f"/v1/lots/{batch_id}", {DEADLINE_MS: "4000"}
+        )
+        self.record.write(f"the end of step {step} is answered {status}")
+
+    def _judge(self, step, unlisted):
+        now = self.record.now()
+        spans = [span for engine in self.rig.engines for span in engine.spans]
+        idle = []
+        for item in sorted(unlisted):
+            ends = [end or now for attempt_id, _, end in spans if attempt_id == item]
+            if max(ends, default=0.0) <= now - IDLE_SECONDS:
+                idle.append(item)
+        running = sum(span[2] is None for span in spans)
+        self.record.write(
+            f"step {step} runs out of time; not listed: {sorted(unlisted)}; "
+            f"at no engine for {IDLE_SECONDS} s: {idle}; {running} runs are going on"
+        )
+        if idle and any(span[0].startswith(f"s{step}-") for span in spans):
+            self.broken.append(
+                f"LOST: step {step} runs out of time, and {len(idle)} of its items have "
+                f"been at no engine for {IDLE_SECONDS} s: {idle}"
             )
-    return broken
+
+
+async def play(rig):
+    if disrupted():
+        # Another writer's entry: the address has the name of a port in place of one.
+        entry = {
+            "service": "advisor-lm",
+            "address": "lm-7:http",
+            "zone": "a",
+            "version": "v1",
+            "slots": 12,
+            "state": "ready",
+            "sequence": 1,
+            "born": 1,
+            "models": [{"name": MODEL, "version": 1, "adapters": []}],
+        }
+        rig.store.put(SERVER_TOPIC, "lm-7", entry)
+        rig.record.write(f"another writer's entry: {entry}")
+    for number in range(3):
+        await rig.add_engine(
+            ModelEngine(rig.record, rig.store, f"lm-{number}", "advisor-lm")
+        )
+    rollout = route(
+        "rollout",
+        "rollout",
+        "advisor-lm",
+        **{"run-deadline-ms": 7500, "queue-ttl-s": 40, "resumable": True},
+    )
+    service = {
+        "name": "advisor-lm",
+        "engine": {"slots": 12, "stride": 1, "models": [{"name": MODEL}]},
+    }
+    rig.store.put(OPERATOR_TOPIC, "config", manifest(1, [rollout], [service]))
+    host = await rig.add_host("front-a-1")
+    await host.wait_ready()
+    await asyncio.sleep(2.0)
+    trainer = Trainer(rig, host)
+    await trainer.play()
+    return trainer.broken
 
 
 if __name__ == "__main__":
