Keep review/11 within the doses of spoilt answers

Three of five engines are in trouble for 5.5 s, and one of 45 answers that they begin in that time is spoilt.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -29,10 +29,15 @@
 GROUP_ITEMS = 4
 EVENTS = 40
 EVENT_SECONDS = 0.05
-# An engine in trouble sends so many events of a stream, and then what follows.
+# Three of five engines are in trouble for a while. One of their answers has so many
+# events and then junk; it is less than 0.03 of their answers in that time.
+ENGINES = 5
+IN_TROUBLE = 3
+SPOILT_ANSWER = 10
 SOUND_EVENTS = 5
+TROUBLE_SECONDS = 5.5
 STEP_SECONDS = 12.0
-STEPS = 2
+STEPS = 4
 # Bytes of any value, which are sent again until the caller closes.
 JUNK = random.Random(1).randbytes(1_000_000)
 
@@ -41,10 +46,26 @@
     return f"{item_id}/{number}"
 
 
-class ModelEngine(Engine):
-    """Runs items; after some events it sends junk while it is ``in_trouble``."""
+class Trouble:
+    """The engines in trouble, and how many items they have run meanwhile."""
+
+    def __init__(self):
+        self.engines = ()
+        self.answers = 0
+
+    def spoils(self, engine):
+        """Return whether an answer that begins now is the one with junk."""
+        if engine not in self.engines:
+            return False
+        self.answers += 1
+        return self.answers == SPOILT_ANSWER
+
+
+TROUBLE = Trouble()
 
-    in_trouble = False
+
+class ModelEngine(Engine):
+    """Runs items; one answer of the engines in trouble turns into junk."""
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
@@ -60,6 +81,7 @@
         if request.headers.get(EXPECT_VERSION, "1") != "1":
             return web.Response(status=421, headers={**headers, NOT_EXECUTED: "1"})
         after = int(request.headers.get(LAST_EVENT_ID, "0"))
+        spoilt = TROUBLE.spoils(self)
         self.began(attempt_id, f"from event {after + 1} on")
         headers |= {
             SIGNATURE: f"{self.id}.{len(self.runs)}",
@@ -69,7 +91,7 @@
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
         for number in range(after + 1, EVENTS + 1):
-            if self.in_trouble and number == after + 1 + SOUND_EVENTS:
+            if spoilt and number == after + 1 + SOUND_EVENTS:
                 self.record.write(
                     f"{self.id} sends junk after {attempt_id}/{number - 1}"
                 )
@@ -150,8 +172,13 @@
     return broken
 
 
+def end_trouble(rig):
+    rig.record.write(f"trouble ends after {TROUBLE.answers} answers of these engines")
+    TROUBLE.engines = ()
+
+
 async def play(rig):
-    for number in range(3):
+    for number in range(ENGINES):
         await rig.add_engine(
             ModelEngine(rig.record, rig.store, f"lm-{number}", "advisor-lm")
         )
@@ -169,7 +196,9 @@
     host = await rig.add_host("front-a-1")
     await host.wait_ready()
     await asyncio.sleep(2.0)
-    rig.engines[0].in_trouble = disrupted()
+    if disrupted():
+        TROUBLE.engines = rig.engines[:IN_TROUBLE]
+        asyncio.get_running_loop().call_later(TROUBLE_SECONDS, end_trouble, rig)
     broken = []
     for step in range(STEPS):
         broken += await ask_step(rig, host, step)
