--- a/review/12/case.py
+++ b/review/12/case.py
@@ -22,7 +22,8 @@
     run_case,
 )
 
-REQUESTS = 24
+ENGINES = 5
+REQUESTS = 60
 WORK_SECONDS = 1.0
 CRASH_SECONDS = 0.5
 DEADLINE_SECONDS = 8.0
@@ -65,12 +66,12 @@
 
 
 async def play(rig):
-    for number in range(3):
+    for number in range(ENGINES):
         await rig.add_engine(
             WorkingEngine(rig.record, rig.store, f"enrol-{number}", "enrol-app")
         )
     if disrupted() and os.environ.get("TROUBLE") != "crash":
-        for name in ("ledger", "mailer"):
+        for name in ("ledger", "mailer", "search"):
             # Another program registers itself, with a service and an address of its own.
             entry = {
                 "service": name,
