--- a/review/14/case.py
+++ b/review/14/case.py
@@ -23,7 +23,11 @@
 
 EVENTS = 20
 EVENT_SECONDS = 0.05
-# What the engine in trouble sends again and again: bytes of no event.
+# One of three engines is in trouble for a while, and spoils the first of each so many
+# answers, less than 0.03 of them.
+TROUBLE_SECONDS = 5.5
+SPOILT_ONE_IN = 34
+# What it then sends again and again: bytes of no event.
 JUNK = b"?\n\n" * 10_000
 STREAMS = 6
 STREAM_SECONDS = 10.0
@@ -39,6 +43,7 @@
     """Streams a few events, or junk without end while it is ``in_trouble``."""
 
     in_trouble = False
+    answers = 0
 
     async def answer(self, request, attempt_id):
         await request.read()
@@ -53,9 +58,13 @@
             }
         )
         await response.prepare(request)
-        while self.in_trouble:
-            # Until the caller closes.
-            await response.write(JUNK)
+        if self.in_trouble:
+            self.answers += 1
+            if self.answers % SPOILT_ONE_IN == 1:
+                self.record.write(f"{self.id} sends junk in {attempt_id}")
+                while True:
+                    # Until the caller closes.
+                    await response.write(JUNK)
         for number in range(after + 1, EVENTS + 1):
             await asyncio.sleep(EVENT_SECONDS)
             await response.write(f"id: {number}\ndata: {number}\n\n".encode())
@@ -137,7 +146,9 @@
     if disrupted():
         rig.engines[0].in_trouble = True
         rig.record.write(f"{rig.engines[0].id} is in trouble")
-    await asyncio.sleep(PLAY_SECONDS)
+    await asyncio.sleep(TROUBLE_SECONDS)
+    rig.engines[0].in_trouble = False
+    await asyncio.sleep(PLAY_SECONDS - TROUBLE_SECONDS)
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
