--- a/review/12/case.py
+++ b/review/12/case.py
@@ -72,10 +72,10 @@
         )
     if disrupted() and os.environ.get("TROUBLE") != "crash":
         for name in ("ledger", "mailer", "search"):
-            # Another program registers itself, with a service and an address of its own.
+            # Another program registers itself, with a service of its own and no port.
             entry = {
                 "service": name,
-                "address": f"{name}-1",
+                "address": "127.0.0.1",
                 "zone": "a",
                 "version": "5",
                 "slots": 1,
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -176,7 +176,7 @@
         # Another writer's entry: the address has the name of a port in place of one.
         entry = {
             "service": "advisor-lm",
-            "address": "lm-7:http",
+            "address": "127.0.0.1:http",
             "zone": "a",
             "version": "v1",
             "slots": 12,
