Take only whole events in order from the streams of engines

A result succeeded with 13 of 40 events missing, after an engine in trouble had sent junk in the stream of its item.

Cause: the parser took any bytes before a blank line for an event, and an event without a number counted as the next one. The next engine was asked to go on too far behind. Ruled out: that the next engine left events out (the record of the case has the Last-Event-Id that it was asked with, 5 events and 13 blocks). Pieces of a run also stayed when it was cut off for its length.

Fix: the parser returns whole events with increasing numbers and raises MalformedStreamError for anything else; what the event stream format allows (comments, CR LF, further fields) passes. Items: numbers follow each other, and nothing of a malformed run is kept, also not by the next lease holder, as the discard is recorded. Plain streams: a gap is confirmed by a second target where another may be asked; behind an event that may be wrong nothing goes on.

test_endless_answers expected TruncatedAnswerError for an event without end; it is a MalformedStreamError now, for the same bound, as the answer did not end.

--- a/cranberryrun/batches/item_run.py
+++ b/cranberryrun/batches/item_run.py
@@ -10,6 +10,7 @@
 from ..exceptions import RefusedError, TargetFailedError, TargetUnreachableError
 from ..fleet.client import (
     ItemImpossibleError,
+    MalformedStreamError,
     RunFailedError,
     TargetClient,
     WrongVersionError,
@@ -57,6 +58,7 @@
 async def run_item(kernel: Kernel, scheduled: ScheduledItem, engine: Engine) -> Outcome:
     """Run ``scheduled`` on ``engine``; update the engine's health from the outcome."""
     failed_result = Result(scheduled.item.id, False)
+    pieces_before = len(scheduled.pieces)
     try:
         await _read_pieces(kernel, scheduled, engine)
     except ItemImpossibleError:
@@ -80,6 +82,10 @@
     except RefusedError as error:
         engine.start_cooldown(_REFUSAL_COOLDOWN_SECONDS)
         return Outcome(f"refused: {error.detail}")
+    except MalformedStreamError as error:
+        engine.health.record_failure()
+        scheduled.drop_malformed(pieces_before)
+        return Outcome(f"the stream was malformed: {error.detail}")
     except TargetFailedError as error:
         if not scheduled.pieces:
             engine.health.record_failure()
--- a/cranberryrun/batches/results.py
+++ b/cranberryrun/batches/results.py
@@ -43,8 +43,15 @@
     complete: bool
 
 
-def _lacks_completion_record(scheduled: ScheduledItem) -> bool:
-    return scheduled.scoring and not scheduled.completion_recorded
+def _should_record(scheduled: ScheduledItem, min_new_pieces: int) -> bool:
+    if scheduled.finished:
+        return False
+    if scheduled.scoring and not scheduled.completion_recorded:
+        return True
+    if not scheduled.discard_recorded:
+        # The next holder would go on with the output that was discarded.
+        return True
+    return len(scheduled.pieces) - scheduled.recorded_count >= min_new_pieces
 
 
 class ResultWriter(Service):
@@ -99,10 +106,7 @@
             ):
                 # The store deletes old records, and an output needs its first pieces.
                 scheduled.record_from_start()
-            if (
-                scheduled.finished
-                or len(scheduled.pieces) - scheduled.recorded_count < min_new_pieces
-            ) and not _lacks_completion_record(scheduled):
+            if not _should_record(scheduled, min_new_pieces):
                 continue
             new_pieces = scheduled.pieces[scheduled.recorded_count :]
             appended.append(
@@ -149,6 +153,7 @@
                 scheduled.recorded_since = appended_at
             scheduled.recorded_count = max(scheduled.recorded_count, record.count)
             scheduled.completion_recorded |= record.complete
+            scheduled.discard_recorded = True
         await self._trim_finished(scheduled_items, offset)
         return True
 
--- a/cranberryrun/batches/scheduled_item.py
+++ b/cranberryrun/batches/scheduled_item.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from .. import clock
 from ..fleet.engine_pool import Engine
 from ..fleet.origin import Origin
 from ..rewards.models import PendingCall
@@ -15,6 +16,9 @@
 # Output lengths have a heavy tail: an output that exceeds its estimate is expected to
 # grow by this share of its current length.
 OVERRUN_SHARE = 0.5
+# An item whose runs keep being malformed waits before its third run, and then longer
+# each time: it may be an item that no engine can run.
+_MALFORMED_DELAYS_SECONDS = (0.0, 0.5, 1.0, 2.0, 4.0, 8.0)
 # The mean length as a multiple of the estimate. Estimates are right at the median, and
 # a mean excess of a half belongs to a tail that falls with the third power: above the
 # estimate lengths are 1.5 times as long in the mean. If they are as often below it by
@@ -46,7 +50,10 @@
     for the next batch. ``unscored`` is the result of a complete output whose
     ``reward_call`` has no answer yet; ``completion_recorded`` tells whether the store
     knows that the output is complete. ``slow_span_moves`` counts its moves away from
-    engines that were slow for a moment.
+    engines that were slow for a moment. ``malformed_runs`` counts the runs in which an
+    engine sent something that is no output; no run starts before ``retry_at``, in loop
+    seconds. ``discard_recorded`` tells whether the store has no output that was
+    discarded since.
     """
 
     item: Item
@@ -77,6 +84,9 @@
     unscored: Result | None = None
     completion_recorded: bool = False
     reward_call: PendingCall | None = None
+    malformed_runs: int = 0
+    retry_at: float = 0.0
+    discard_recorded: bool = True
 
     def __post_init__(self) -> None:
         self.min_version = max(self.min_version, self.state.batch.min_version)
@@ -88,8 +98,10 @@
 
     @property
     def waiting(self) -> bool:
-        """Whether the item needs a run and has none."""
-        return self.engine is None and self.unscored is None and not self.finished
+        """Whether the item needs a run now and has none."""
+        if self.engine is not None or self.unscored is not None or self.finished:
+            return False
+        return clock.now() >= self.retry_at
 
     @property
     def scoring(self) -> bool:
@@ -104,6 +116,21 @@
         self.unscored = None
         self.record_from_start()
 
+    def drop_malformed(self, kept: int) -> None:
+        """Drop the pieces of a run that was malformed, which may be wrong.
+
+        :param kept: the number of pieces of earlier runs, which the next run resumes.
+        """
+        pieces, origin = self.pieces[:kept], self.origin
+        self.discard_output()
+        if pieces:
+            self.pieces, self.origin = pieces, origin
+        self.discard_recorded = False
+        longest = len(_MALFORMED_DELAYS_SECONDS) - 1
+        delay = _MALFORMED_DELAYS_SECONDS[min(self.malformed_runs, longest)]
+        self.malformed_runs += 1
+        self.retry_at = clock.now() + delay
+
     @property
     def kept_version(self) -> int | None:
         """The weight version that has to generate the rest; None if any newer may."""
--- a/cranberryrun/fleet/client.py
+++ b/cranberryrun/fleet/client.py
@@ -29,6 +29,22 @@
     """The connection ended before the answer was complete; the target may be gone."""
 
 
+class MalformedStreamError(TargetFailedError):
+    """The target sent something in a stream that is no event, or not the next one.
+
+    Unlike after a stream that only broke off, what arrived before may be wrong too.
+    """
+
+    code = "stream_malformed"
+
+
+class ConflictingEventsError(MalformedStreamError):
+    """The target sent another event of a number, or events in another order.
+
+    The caller may already have the wrong one of two events.
+    """
+
+
 class ItemImpossibleError(CranberryrunError):
     """The target reported that the item can never succeed."""
 
@@ -73,7 +89,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamedEvent:
-    """One complete event of a stream; ``raw`` has the bytes that the target sent."""
+    """One complete event of a stream; ``raw`` has the bytes that the target sent.
+
+    ``number`` is None for comments after the last event.
+    """
 
     number: int | None
     raw: bytes
@@ -132,9 +151,11 @@
     ) -> AsyncIterator[Answer | StreamedEvent]:
         """Send a request and yield the head of the answer, then its complete events.
 
-        An answer that is not a stream is yielded as a single complete answer.
+        An answer that is not a stream is yielded as a single complete answer. The
+        numbers of the events increase, from ``last_event`` on.
 
         :param last_event: the number of the event after which the stream resumes.
+        :raises MalformedStreamError: the target sent something else than such events.
         """
 
     @abstractmethod
@@ -155,6 +176,8 @@
         :param host: the host name of the item's route.
         :param version: the weight version that the engine must have.
         :param workspace: the workspace of the item's batch, which the engine is told.
+        :raises MalformedStreamError: some of the pieces may be wrong, as the engine
+            sent something that is no event or not the next one, or without end.
         :raises ItemImpossibleError: the item can never succeed.
         :raises RunFailedError: the engine ran the item and reported a failure.
         """
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -25,6 +25,7 @@
     Answer,
     EngineReport,
     LoadOrder,
+    MalformedStreamError,
     OrderRefusedError,
     Request,
     RunFailedError,
@@ -147,7 +148,7 @@
                 yield Answer(response.status, headers, body)
                 return
             yield Answer(response.status, headers, b"")
-            parser = EventParser()
+            parser = EventParser(last_event)
             room = AnswerRoom()
             try:
                 async for chunk in call.chunks():
@@ -161,6 +162,8 @@
                 raise TruncatedAnswerError(
                     "the event stream ended before it was complete"
                 )
+            if parser.skipped:
+                yield StreamedEvent(None, parser.skipped)
 
     @asynccontextmanager
     async def _open_call(
@@ -364,7 +367,8 @@
 async def _read_pieces(call: OpenedCall, last_event: int) -> AsyncIterator[Piece]:
     """Yield the pieces of a run that resumes after event ``last_event``.
 
-    :raises TargetFailedError: an event is missing or repeated.
+    :raises MalformedStreamError: an event is missing, repeated or malformed, or the
+        output is too long.
     :raises TruncatedAnswerError: the stream ended before it was complete.
     """
     response = call.response
@@ -372,18 +376,18 @@
     if version_header is None or not version_header.isdigit():
         raise TargetFailedError("the answer has no valid weight version header")
     version = int(version_header)
-    parser = EventParser()
+    parser = EventParser(last_event)
     size = 0
     async for chunk in call.chunks():
         for event in parser.feed(chunk):
-            if event.number is not None and event.number != last_event + 1:
-                raise TargetFailedError(
+            if event.number != last_event + 1:
+                raise MalformedStreamError(
                     f"received event {event.number}; expected event {last_event + 1}"
                 )
             last_event += 1
             size += len(event.raw)
             if size > _MAX_OUTPUT_BYTES:
-                raise TargetFailedError(
+                raise MalformedStreamError(
                     f"the output of the run exceeds {_MAX_OUTPUT_BYTES} bytes"
                 )
             version = event.version if event.version is not None else version
--- a/cranberryrun/requests/streams.py
+++ b/cranberryrun/requests/streams.py
@@ -17,12 +17,12 @@
     OutcomeUnknownError,
     RefusedError,
     TargetFailedError,
-    TargetTimeoutError,
     TargetUnreachableError,
     TruncatedAnswerError,
 )
 from ..fleet.client import (
     Answer,
+    ConflictingEventsError,
     ConnectionLostError,
     Request,
     StreamedEvent,
@@ -36,10 +36,12 @@
 from ..kernel import Service
 from ..usage_counts.counter import RequestUsage
 from .crashes import Crashes
+from .event_numbers import EventNumbers, KnownGaps
 from .forwarder import Forwarder
 from .read_pace import ReadPace
 from .software_history import SoftwareHistory
 from .stream_origins import StreamOrigins
+from .stream_silence import end_when_silent
 
 # Callers abandon a stream after a silence of two seconds or four times the latency
 # goal, whichever is longer. Half of that leaves another target time for its first
@@ -50,35 +52,6 @@
 _ORIGIN_RETRY_AFTER_SECONDS = 1.0
 
 
-async def _end_when_silent(
-    parts: AsyncIterator[Answer | StreamedEvent],
-    target: Target,
-    max_silence: Callable[[], float | None],
-    pace: ReadPace,
-) -> AsyncIterator[Answer | StreamedEvent]:
-    """Yield the parts; end when no whole one arrives for ``max_silence()`` seconds.
-
-    Single bytes now and then, which complete no event, are silence. The time in which
-    the caller reads a part does not count.
-
-    :raises TargetTimeoutError: the target was silent; its connection is closed.
-    """
-    while True:
-        seconds = max_silence()
-        pace.begin_read(clock.now())
-        try:
-            async with asyncio.timeout(seconds):
-                part = await anext(parts)
-        except StopAsyncIteration:
-            return
-        except TimeoutError:
-            raise TargetTimeoutError(
-                f"{target.id} sent no event for {seconds:g} s"
-            ) from None
-        pace.end_read(clock.now())
-        yield part
-
-
 class UnreadStreamError(TargetFailedError):
     """The target ended a stream that was not read because its caller was slow."""
 
@@ -104,6 +77,10 @@
         "target_client",
     )
 
+    def __init__(self) -> None:
+        super().__init__()
+        self._known_gaps = KnownGaps()
+
     async def forward(
         self,
         route: Route,
@@ -168,6 +145,7 @@
         unsent: set[str] = set()
         head_sent = False
         may_have_run = False
+        numbers = EventNumbers(last_event, self._known_gaps)
         if origin is not None:
             # A caller whose connection breaks again may name this request.
             origins.record_soon(request.id, origin)
@@ -184,29 +162,24 @@
                 unsent.add(target.id)
                 continue
             tried.add(target.id)
-            begun = bool(last_event)
+            begun = bool(numbers.last)
             if begun:
-                self._emit(
-                    "stream_resumed", request, target, resumes=resumes, after=last_event
-                )
+                fields = {"resumes": resumes, "after": numbers.last}
+                self._emit("stream_resumed", request, target, **fields)
             try:
                 parts = self._attempt(
                     target,
                     request,
                     usage,
-                    last_event,
+                    numbers,
                     lambda: self._max_silence(route, service, tried, origin),
                 )
                 async for part in parts:
                     if isinstance(part, StreamedEvent):
-                        if not begun:
+                        if not begun and part.number is not None:
                             begun = True
                             usage.begin()
                             self._emit("stream_begun", request, target)
-                        if part.number is not None:
-                            if last_event is not None and part.number <= last_event:
-                                continue
-                            last_event = part.number
                     elif head_sent:
                         # The caller already has the head that the first target sent.
                         continue
@@ -229,8 +202,10 @@
                     # one takes a second at least, so the deadline limits them.
                     tried.discard(target.id)
                 may_have_run |= not isinstance(error, RefusedError)
+                # Nothing goes on behind an event that may be wrong.
+                wrong = numbers.doubtful or isinstance(error, ConflictingEventsError)
                 may_retry = isinstance(error, RefusedError) or (
-                    route.resumable and forwarder.may_repeat(request)
+                    route.resumable and not wrong and forwarder.may_repeat(request)
                 )
                 attempts_exhausted = len(tried) >= route.max_attempts
                 if (
@@ -318,7 +293,7 @@
         target: Target,
         request: Request,
         usage: RequestUsage,
-        last_event: int | None,
+        numbers: EventNumbers,
         max_silence: Callable[[], float | None],
     ) -> AsyncIterator[Answer | StreamedEvent]:
         forwarder = self.kernel.get(Forwarder)
@@ -329,10 +304,11 @@
         pace = ReadPace()
         try:
             client = self.kernel.get(TargetClient)
-            parts = client.stream(target, request, last_event)
+            resumed = bool(numbers.last)
+            parts = client.stream(target, request, numbers.last)
             with usage.attempt(streamed=True):
-                async for part in _end_when_silent(parts, target, max_silence, pace):
-                    if isinstance(part, Answer) and last_event and part.status != 200:
+                async for part in end_when_silent(parts, target, max_silence, pace):
+                    if isinstance(part, Answer) and resumed and part.status != 200:
                         raise TargetFailedError(
                             f"{target.id} answered the resumption with status "
                             f"{part.status}"
@@ -342,6 +318,11 @@
                     if isinstance(part, Answer):
                         head = part
                         continue
+                    if part.number is not None:
+                        # Another target would be tried as well after a silence.
+                        numbers.accept(
+                            part.number, target, lambda: max_silence() is not None
+                        )
                     if head is not None:
                         yield head
                         head = None
@@ -387,5 +368,5 @@
 
 
 def _begins_stream(part: Answer | StreamedEvent) -> bool:
-    """Return whether the part is the head of a stream, not a complete answer."""
+    """Return whether the part is the head of a stream."""
     return isinstance(part, Answer) and part.status == 200 and not part.body
--- a/fakes/engines.py
+++ b/fakes/engines.py
@@ -21,6 +21,7 @@
     EngineReport,
     ItemImpossibleError,
     LoadOrder,
+    MalformedStreamError,
     OrderRefusedError,
     Request,
     RunFailedError,
@@ -43,6 +44,8 @@
         names it, because what two versions write does not fit together.
     :ivar gap: time between two events of a run, in seconds.
     :ivar cut_after: number of events after which the engine breaks off each run.
+    :ivar malformed_after: number of events, all with wrong texts, after which the
+        engine sends something in each run that is no event.
     :ivar unresponsive: whether the engine accepts connections but answers nothing.
     :ivar gone: whether the engine refuses connections and breaks off its runs.
     :ivar started: event that must be set before a run sends its first event.
@@ -58,6 +61,7 @@
     load_seconds: float = 0.9
     slots: int = 12
     cut_after: int | None = None
+    malformed_after: int | None = None
     unresponsive: bool = False
     gone: bool = False
     status: int = 200
@@ -245,12 +249,16 @@
                 )
             if engine.unresponsive:
                 await asyncio.sleep(3600)
+            if engine.malformed_after == sent_events:
+                raise MalformedStreamError("the engine sent something that is no event")
             sent_events += 1
             done += 1
             engine.hold(run, item, done, crashes)
             text = f"{item.id}/{done}"
             if engine.software:
                 text += f"@{engine.software}"
+            if engine.malformed_after is not None:
+                text = "wrong"
             yield Piece(text, engine.version)
 
     async def score(self, target: Target, call: RewardCall, deadline: float) -> str:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -13,9 +13,13 @@
     LogReadError,
     OutcomeUnknownError,
     TargetFailedError,
-    TruncatedAnswerError,
 )
-from cranberryrun.fleet.client import LoadOrder, Request, TargetClient
+from cranberryrun.fleet.client import (
+    LoadOrder,
+    MalformedStreamError,
+    Request,
+    TargetClient,
+)
 from cranberryrun.fleet.directory import Directory, Target
 from cranberryrun.http import HttpClients
 from cranberryrun.platform import target_client
@@ -170,7 +174,7 @@
 class ParserTest(unittest.TestCase):
     def test_event_without_end_is_bounded(self):
         parser = EventParser()
-        with self.assertRaises(TruncatedAnswerError):
+        with self.assertRaises(MalformedStreamError):
             for _ in range(1000):
                 parser.feed(b"data: " + b"x" * 16_384)
 
