Treat every attempt as run unless its error proves that nothing was sent

Requests that may run once ran at an engine that crashed, and again at another one, beside entries of another writer.

Cause: after a lost connection the examination of the crash probes another target. The address of the foreign entry raised SettingsError, which left Forwarder.send in place of ConnectionLostError, and each error that was no OutcomeUnknownError meant "not run". Ruled out: that the lost connection itself was misjudged (the case without entries holds).

Fix: failures.failure_of keeps the list of errors the other way round: only a RefusedError proves that a target did not run. Questions about a failure go through inquiries.inquire and may fail in any way; they are logged. The border does the same for what is raised while a request is sent or an answer is read, for the store, the API for duties and other hosts. Health hears of each error; load orders and reward calls that fail unexpectedly wait before they go on. The reader of item streams moved to a module of its own for its length.

--- a/cranberryrun/catalogue.py
+++ b/cranberryrun/catalogue.py
@@ -331,6 +331,18 @@
         WARNING,
         "A connection was closed because of what its client sent, or for others.",
     ),
+    (
+        446,
+        "inquiry_failed",
+        WARNING,
+        "A question about a failure, such as a probe, failed unexpectedly itself.",
+    ),
+    (
+        447,
+        "attempt_unexpected",
+        ERROR,
+        "An attempt ended with an error that nobody foresaw; the target may have run.",
+    ),
     (500, "version_announced", INFO, "A trainer announced a weight version."),
     (501, "version_known", INFO, "This host learned of a newer weight version."),
     (502, "order_sent", INFO, "An engine was ordered to load a version."),
--- a/cranberryrun/fleet/loads.py
+++ b/cranberryrun/fleet/loads.py
@@ -6,7 +6,7 @@
 
 from .. import clock
 from ..events import Events
-from ..exceptions import CranberryrunError, StaleFenceError
+from ..exceptions import StaleFenceError
 from ..kernel import Service
 from .absent_ids import drop_absent
 from .client import LoadOrder, OrderRefusedError, TargetClient
@@ -134,7 +134,8 @@
             async with asyncio.timeout(_LOAD_TIMEOUT_SECONDS):
                 await self._send_order(engine, model, version)
                 await self._wait_loaded(engine, model, version)
-        except (CranberryrunError, TimeoutError) as error:
+        except Exception as error:
+            # Whatever went wrong, the order is not sent again at once.
             self._record_failure(engine, model, version, error)
         finally:
             engine.loading_model = None
--- a/cranberryrun/fleet/target_paths.py
+++ b/cranberryrun/fleet/target_paths.py
@@ -14,6 +14,7 @@
 from ..events import Events
 from ..kernel import Service
 from .directory import Directory, Target
+from .inquiries import inquire
 from .neighbours import Neighbours
 from .reach_client import ReachClient
 from .reachability import DOUBT_SECONDS, Reachability
@@ -169,17 +170,24 @@
         return await self._connects_to_one_of(self._targets_to_probe(target_id))
 
     async def _connects_to_one_of(self, targets: list[Target]) -> bool:
-        client = self.kernel.get(ReachClient)
         if not targets:
             return True
         # Mostly the first one answers, and a connection is a cost to its target.
-        connected = await client.connects(targets[0]) or any(
-            await asyncio.gather(*(client.connects(each) for each in targets[1:]))
+        connected = await self._connects(targets[0]) or any(
+            await asyncio.gather(*(self._connects(each) for each in targets[1:]))
         )
         if connected:
             self.reachability.record_heard(clock.now())
         return connected
 
+    async def _connects(self, target: Target) -> bool:
+        connected = await inquire(
+            self.kernel,
+            f"whether {target.id} accepts connections",
+            self.kernel.get(ReachClient).connects(target),
+        )
+        return bool(connected)
+
     def _targets_to_probe(self, except_id: str | None = None) -> list[Target]:
         """Return targets of different services, those that did not fail first."""
         target_by_id = self.kernel.get(Directory).target_by_id
@@ -259,10 +267,14 @@
             self._neighbour_answered.set()
 
     async def _ask(self, host: str) -> bool:
-        reaches_targets = await self.kernel.get(ReachClient).reaches_targets(host)
+        reaches_targets = await inquire(
+            self.kernel,
+            f"whether host {host} reaches targets",
+            self.kernel.get(ReachClient).reaches_targets(host),
+        )
         if reaches_targets:
             self._relays.confirm(host, clock.now())
             self._neighbour_answered.set()
         else:
             self._relays.refute(host)
-        return reaches_targets
+        return bool(reaches_targets)
--- a/cranberryrun/platform/duty_client.py
+++ b/cranberryrun/platform/duty_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import math
 import socket
@@ -22,6 +21,7 @@
     EngineOrder,
     UsageReport,
 )
+from ..exceptions import CranberryrunError
 from ..fleet.lease import Lease
 from . import header_names
 
@@ -125,7 +125,9 @@
                 await _raise_for_status(path, response, fence)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise DutyUnsentError(f"can't connect to the API: {error!r}") from None
-        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+        except CranberryrunError:
+            raise
+        except Exception as error:
             raise DutyUnknownError(f"no answer of the API: {error!r}") from None
 
 
--- a/cranberryrun/platform/host_calls.py
+++ b/cranberryrun/platform/host_calls.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Any, TypeVar
 
 import aiohttp
@@ -47,7 +46,7 @@
             **options,
         ) as response:
             return response.status, await response.read()
-    except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+    except Exception as error:
         raise PeerError(f"host {host} did not answer {path}: {error!r}") from None
 
 
--- a/cranberryrun/platform/store_client.py
+++ b/cranberryrun/platform/store_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import base64
 import binascii
 import json
@@ -242,7 +241,7 @@
                 answer = await clients.read(response)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise _not_applied_error(method, f"can't connect to {address}: {error}")
-        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+        except Exception as error:
             reason = f"no complete answer from {address}: {error!r}"
             if method == "GET":
                 raise LogReadError(reason) from None
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -17,6 +17,7 @@
 from ..events import Events
 from ..exceptions import (
     RecordInvalidError,
+    RefusedError,
     StaleFenceError,
     TargetFailedError,
     TruncatedAnswerError,
@@ -25,7 +26,6 @@
     Answer,
     EngineReport,
     LoadOrder,
-    MalformedStreamError,
     OrderRefusedError,
     Request,
     RunFailedError,
@@ -50,6 +50,7 @@
 )
 from .buffers import STREAM_READ_BYTES
 from .event_parser import EventParser
+from .item_stream import read_pieces
 from .settings import split_address
 from .target_requests import OpenedCall, TargetRequests
 from .unknown_names import UnknownNames
@@ -75,8 +76,6 @@
 _EVENT_STREAM = "text/event-stream"
 # An event is held as it arrived and as its text.
 _EVENT_COPIES = 2
-# A page of results holds at most 1 MB of text, so no result can be longer.
-_MAX_OUTPUT_BYTES = 1_000_000
 _ORDER_PATH = "/v1/order"
 _REPORT_PATH = "/v1/report"
 
@@ -200,7 +199,11 @@
                 self.kernel.get(Directory).mark_leaving(target.id)
             self._record_limit(target, response, sent_at)
             raise_if_refused(response)
-            yield call
+            try:
+                yield call
+            except RefusedError as error:
+                # Whoever reads the answer was refused something; the target ran.
+                raise TargetFailedError(error.detail) from None
 
     def _record_limit(
         self, target: Target, response: aiohttp.ClientResponse, sent_at: float
@@ -263,7 +266,7 @@
         ) as call:
             raise_if_run_failed(call.response)
             check_signature(call.response, item.id)
-            async for piece in _read_pieces(call, done):
+            async for piece in read_pieces(call, done):
                 yield piece
 
     async def score(self, target: Target, call: RewardCall, deadline: float) -> str:
@@ -362,35 +365,3 @@
                 f"{target.id} has already accepted a higher fencing token"
             )
         raise OrderRefusedError(f"{target.id} refused the order with status {status}")
-
-
-async def _read_pieces(call: OpenedCall, last_event: int) -> AsyncIterator[Piece]:
-    """Yield the pieces of a run that resumes after event ``last_event``.
-
-    :raises MalformedStreamError: an event is missing, repeated or malformed, or the
-        output is too long.
-    :raises TruncatedAnswerError: the stream ended before it was complete.
-    """
-    response = call.response
-    version_header = response.headers.get(header_names.WEIGHT_VERSION)
-    if version_header is None or not version_header.isdigit():
-        raise TargetFailedError("the answer has no valid weight version header")
-    version = int(version_header)
-    parser = EventParser(last_event)
-    size = 0
-    async for chunk in call.chunks():
-        for event in parser.feed(chunk):
-            if event.number != last_event + 1:
-                raise MalformedStreamError(
-                    f"received event {event.number}; expected event {last_event + 1}"
-                )
-            last_event += 1
-            size += len(event.raw)
-            if size > _MAX_OUTPUT_BYTES:
-                raise MalformedStreamError(
-                    f"the output of the run exceeds {_MAX_OUTPUT_BYTES} bytes"
-                )
-            version = event.version if event.version is not None else version
-            yield Piece(event.data, version)
-    if parser.has_partial_event or not is_framed(response):
-        raise TruncatedAnswerError("the event stream ended before it was complete")
--- a/cranberryrun/platform/target_requests.py
+++ b/cranberryrun/platform/target_requests.py
@@ -20,8 +20,9 @@
     TruncatedAnswerError,
 )
 from ..exchanges import Exchange, exchanging
-from ..fleet.client import ConnectionLostError
+from ..fleet.client import ConnectionLostError, ItemImpossibleError
 from ..fleet.directory import Target
+from ..fleet.failures import failure_of
 from ..fleet.neighbours import Neighbours
 from ..fleet.target_paths import CallWatch, TargetPaths
 from ..http import HttpClients
@@ -113,8 +114,12 @@
         ) from None
     except _CONNECTION_ENDED as error:
         raise ConnectionLostError(f"request to {authority} failed: {error!r}") from None
-    except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
+    except ItemImpossibleError:
+        raise
+    except (aiohttp.ClientError, asyncio.TimeoutError) as error:
         raise TargetFailedError(f"request to {authority} failed: {error!r}") from None
+    except Exception as error:
+        raise failure_of(error) from None
 
 
 @contextmanager
--- a/cranberryrun/requests/attempts.py
+++ b/cranberryrun/requests/attempts.py
@@ -8,7 +8,6 @@
 from ..exceptions import (
     CranberryrunError,
     DeadlineError,
-    OutcomeUnknownError,
     RefusedError,
     TargetRefusedError,
     TargetTimeoutError,
@@ -16,6 +15,7 @@
 )
 from ..fleet.client import Answer, Request, WrongVersionError
 from ..fleet.directory import Target
+from ..fleet.failures import failure_of
 from ..fleet.manifest import Route
 from ..fleet.rate_limits import TargetLimitedError
 from ..second_attempts.service import SecondAttempts
@@ -166,11 +166,12 @@
         return answer.status >= SERVER_ERROR_STATUS and self._route.kind.repeatable
 
     def _handle_failure(self, task: asyncio.Task[Answer]) -> None:
-        error = task.exception()
-        if error is None:
+        exception = task.exception()
+        if exception is None:
             self._error_answer = task.result()
-        elif isinstance(error, CranberryrunError):
-            may_have_run = isinstance(error, OutcomeUnknownError)
+        elif isinstance(exception, Exception):
+            error = failure_of(exception)
+            may_have_run = not isinstance(error, RefusedError)
             if self._error_to_raise is None or may_have_run:
                 self._error_to_raise = error
             self.found_full = self.found_full or _says_full(error)
@@ -181,7 +182,7 @@
             if may_have_run and not self._may_run_again():
                 return
         else:
-            raise error
+            raise exception
         if not self._running and self._may_start_attempt():
             self._start_attempt()
 
--- a/cranberryrun/requests/crashes.py
+++ b/cranberryrun/requests/crashes.py
@@ -21,6 +21,7 @@
 )
 from ..fleet.client import ConnectionLostError, Request, TargetClient
 from ..fleet.directory import Target
+from ..fleet.inquiries import inquire
 from ..fleet.keyed_follower import KeyedFollower
 from ..fleet.lease import Lease
 from ..kernel import Service
@@ -139,11 +140,17 @@
 
         A connection may also be lost without a crash; then the target still accepts
         new ones. A target that can't be reached may have ended under an earlier one.
+        An examination that fails shows nothing.
         """
         if isinstance(error, TargetFailedError):
             self.suspect(target, request)
         if target.id not in self._lost or not isinstance(error, _POSSIBLE_CRASHES):
             return
+        await inquire(
+            self.kernel, f"whether {target.id} ended", self._examine_process(target)
+        )
+
+    async def _examine_process(self, target: Target) -> None:
         if not await self.kernel.get(TargetClient).refuses_connections(target):
             return
         keys = [
--- a/cranberryrun/requests/forwarder.py
+++ b/cranberryrun/requests/forwarder.py
@@ -17,6 +17,7 @@
 from ..fleet.absent_ids import drop_absent
 from ..fleet.client import Answer, Request, TargetClient
 from ..fleet.directory import Directory, Target
+from ..fleet.failures import log_failure_of
 from ..fleet.manifest import Route
 from ..fleet.origin import Origin
 from ..fleet.rate_limits import TargetLimitedError
@@ -313,6 +314,8 @@
 
         :param repeated: whether targets refused the request a moment ago.
         :raises TargetLimitedError: the target's limit allows no request; none was sent.
+        :raises RefusedError: the target did not run the request.
+        :raises OutcomeUnknownError: it may have run the request.
         """
         await self.kernel.get(SendPermits).acquire(target)
         state = self.state_of(target.id)
@@ -322,19 +325,18 @@
         try:
             with usage.attempt():
                 answer = await self.kernel.get(TargetClient).send(target, request)
-        except RefusedError as error:
-            freed = False
-            if not repeated:
-                state.health.record_refusal()
-            self.record_failed_attempt(request, target, started_at, error)
-            await self.kernel.get(Crashes).examine(target, request, error)
-            raise
-        except TargetFailedError as error:
-            state.health.record_failure()
-            self._record_time(target, started_at, complete=False)
-            self.record_failed_attempt(request, target, started_at, error)
-            await self.kernel.get(Crashes).examine(target, request, error)
-            raise
+        except Exception as error:
+            failure = log_failure_of(self.kernel, error)
+            if not isinstance(failure, RefusedError):
+                state.health.record_failure()
+                self._record_time(target, started_at, complete=False)
+            else:
+                freed = False
+                if not repeated:
+                    state.health.record_refusal()
+            self.record_failed_attempt(request, target, started_at, failure)
+            await self.kernel.get(Crashes).examine(target, request, failure)
+            raise failure from None
         except asyncio.CancelledError:
             self.kernel.get(Crashes).suspect(target, request)
             self._record_time(target, started_at, complete=False)
--- a/cranberryrun/requests/streams.py
+++ b/cranberryrun/requests/streams.py
@@ -29,6 +29,8 @@
     TargetClient,
 )
 from ..fleet.directory import Directory, Target
+from ..fleet.failures import log_failure_of
+from ..fleet.inquiries import inquire
 from ..fleet.manifest import Route
 from ..fleet.origin import Origin
 from ..fleet.rate_limits import TargetLimitedError
@@ -329,7 +331,8 @@
                     yield part
             if head is not None:
                 yield head
-        except CranberryrunError as error:
+        except Exception as unknown:
+            error = log_failure_of(self.kernel, unknown)
             if await self._ended_unread(target, request, error, pace):
                 self._emit("stream_unread", request, target, reason=error.detail)
                 raise UnreadStreamError(error.detail) from None
@@ -339,7 +342,7 @@
                 state.health.record_failure()
             forwarder.record_failed_attempt(request, target, started_at, error)
             await self.kernel.get(Crashes).examine(target, request, error)
-            raise
+            raise error from None
         except (asyncio.CancelledError, GeneratorExit):
             self.kernel.get(Crashes).suspect(target, request)
             raise
@@ -364,7 +367,13 @@
             return False
         if not pace.ended_unread(clock.now()):
             return False
-        return not await self.kernel.get(TargetClient).refuses_connections(target)
+        client = self.kernel.get(TargetClient)
+        refuses = await inquire(
+            self.kernel,
+            f"whether {target.id} ended",
+            client.refuses_connections(target),
+        )
+        return not refuses
 
 
 def _begins_stream(part: Answer | StreamedEvent) -> bool:
--- a/cranberryrun/rewards/caller.py
+++ b/cranberryrun/rewards/caller.py
@@ -9,12 +9,12 @@
 from ..exceptions import (
     CranberryrunError,
     RefusedError,
-    TargetFailedError,
     TargetUnreachableError,
 )
 from ..fleet.absent_ids import drop_absent
 from ..fleet.client import RunFailedError, TargetClient
 from ..fleet.directory import Directory, Target
+from ..fleet.failures import log_failure_of
 from ..fleet.send_permits import SendPermits
 from ..health import Health
 from ..kernel import Service
@@ -248,8 +248,11 @@
             health.record_refusal()
             pending.retry_at = clock.now() + _REFUSAL_DELAY_SECONDS
             self._record_error(pending, target, error)
-        except (TargetFailedError, TimeoutError) as error:
+        except TimeoutError as error:
             self._record_target_failure(health, pending, target, error)
+        except Exception as error:
+            failure = log_failure_of(self.kernel, error)
+            self._record_target_failure(health, pending, target, failure)
         else:
             health.record_answer()
             self._answer_time(target.id).record(clock.now() - started_at)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -22,7 +22,7 @@
 )
 from cranberryrun.fleet.directory import Directory, Target
 from cranberryrun.http import HttpClients
-from cranberryrun.platform import target_client
+from cranberryrun.platform import item_stream
 from cranberryrun.platform.event_parser import EventParser
 from cranberryrun.platform.store_client import StoreClient
 from fakes.deployment import reward_call
@@ -137,7 +137,7 @@
         response = self.response_of(events.encode())
         size = 0
         with self.assertRaises(TargetFailedError):
-            async for piece in target_client._read_pieces(response, 0):
+            async for piece in item_stream.read_pieces(response, 0):
                 size += len(piece.text)
         self.assertLess(size, 1_000_000)
 
