--- a/cranberryrun/platform/item_stream.py
+++ b/cranberryrun/platform/item_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import AsyncIterator
 
 from ..batches.models import Item, Piece
@@ -14,6 +15,7 @@
 from .event_reader import WORK_A_TURN, parts
 from .target_requests import OpenedCall
 
+_VERSION = re.compile(r"[0-9]{1,18}")
 # A page of results holds at most 1 MB of text, so no result can be longer.
 _MAX_OUTPUT_BYTES = 1_000_000
 # Events without a token, such as the one that ends a stream.
@@ -40,8 +42,8 @@
     :raises TruncatedAnswerError: the stream ended before it was complete.
     """
     response = call.response
-    version_header = response.headers.get(header_names.WEIGHT_VERSION)
-    if version_header is None or not version_header.isdigit():
+    version_header = response.headers.get(header_names.WEIGHT_VERSION, "")
+    if _VERSION.fullmatch(version_header) is None:
         raise TargetFailedError("the answer has no valid weight version header")
     version = int(version_header)
     parser = EventParser(last_event)
