Drop empty lines before a head where they arrive

Cause: two line ends were taken for the end of a head, so that a read of empty lines was parsed in pieces of four bytes, each with a search for room and 1,200 counted bytes. Ruled out: the parser itself, which takes the bytes of a piece.

Fix: empty lines before a head mean nothing and are dropped in one step for a read. They count for the limit of the head's size, as before.

--- a/cranberryrun/request_protocol.py
+++ b/cranberryrun/request_protocol.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import socket
-import struct
 from typing import Any
 
 from aiohttp import web
@@ -20,6 +17,7 @@
 from .client_limits import ClientLimits
 from .last_answer import HeadTooLongError, LastAnswer
 from .open_connections import OpenConnection
+from .unsent_bytes import abort_unsent
 
 # The rest of a request that is not valid is read, up to this limit.
 _MAX_DISCARDED_BYTES = 1_048_576
@@ -38,7 +36,6 @@
 # The rest of a head may have arrived while the event loop stood still.
 _HEAD_GRACE_SECONDS = 0.2
 _END_OF_HEAD = b"\r\n\r\n"
-_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class RequestProtocol(web.RequestHandler, ReadSizes, OpenConnection):
@@ -155,6 +152,12 @@
 
     def _receive_head(self, data: bytes) -> bytes:
         """Parse a part of a head; return the bytes that are not a part of it."""
+        if not self._head_tail:
+            # Empty lines before a head mean nothing (RFC 9112, section 2.2). If they
+            # were parsed, each pair of them would look like the end of a head.
+            lines = data.lstrip(b"\r\n")
+            self._head_bytes += len(data) - len(lines)
+            data = lines
         end = (self._head_tail + data).find(_END_OF_HEAD)
         if end >= 0:
             end += len(_END_OF_HEAD) - len(self._head_tail)
@@ -164,6 +167,8 @@
         if self._head_bytes + len(data) > self.limits.head_bytes:
             self._reject(f"the head exceeds {self.limits.head_bytes} bytes")
             return b""
+        if not data:
+            return b""
         cost = _TEXT_COPIES * len(data) + _LINE_BYTES * data.count(b"\n")
         refusable = end >= 0 and cost <= _REFUSED_HEAD_BYTES
         if not self.limits.make_room(cost, self._hold) and not refusable:
@@ -372,14 +377,8 @@
 
         The kernel drops its part as well, which may be some megabytes.
         """
-        if self.transport is None:
-            return
-        connection = self.transport.get_extra_info("socket")
-        if connection is not None:
-            # The caller may have closed the connection already.
-            with contextlib.suppress(OSError):
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-        self.transport.abort()
+        if self.transport is not None:
+            abort_unsent(self.transport)
 
     def handle_error(
         self,
--- a/tests/test_crowds_heads.py
+++ b/tests/test_crowds_heads.py
@@ -1,10 +1,16 @@
 """Crowds of callers whose heads are too long, incomplete or costly to hold."""
 
+import asyncio
+import time
+
+from standins.caller_crowd import CallerCrowd
 from standins.slow_caller import SlowCaller
 
 from .crowds import CrowdTestCase, request_head
 
 CALLERS = 200
+# The time limit of a short route, with half a second more.
+CROWD_SECONDS = 2.0
 # 120 lines of 8 kB: as many and as long as aiohttp takes.
 LONG_HEAD = request_head(
     "/status/x", *(f"X-Long-{n}: {'x' * 8000}" for n in range(120))
@@ -55,6 +61,32 @@
         await self.crowd(8, act)
         self.assertEqual(self.closed_count, 8)
 
+    async def test_empty_lines_inside_the_limit_leave_others_their_turn(self):
+        """150 callers made a host hang for 20 s, at 4,000 parsed pieces each."""
+
+        async def act(caller):
+            await caller.send(b"\r\n" * 8000)
+
+        started_at = time.monotonic()
+        async with CallerCrowd(self.front, 150, act) as crowd:
+            acting = asyncio.create_task(crowd.act_for(CROWD_SECONDS))
+            await asyncio.sleep(0.1)
+            await self.assert_ordinary_call_is_served()
+            self.assertLess(time.monotonic() - started_at, CROWD_SECONDS)
+            await acting
+            self.assert_within_machine()
+
+    async def test_request_after_empty_lines_is_served(self):
+        served = []
+
+        async def act(caller):
+            head = request_head("/status/x", "Content-Length: 0")
+            await caller.send(b"\r\n" * 1000 + head + b"\r\n")
+            served.append(await caller.read(12))
+
+        await self.crowd(1, act)
+        self.assertEqual(served, [b"HTTP/1.1 200"])
+
     async def test_heads_that_follow_a_request_in_progress(self):
         self.target.answer_seconds = 2.0
 
