--- a/tests/test_batch_rewards.py
+++ b/tests/test_batch_rewards.py
@@ -173,10 +173,14 @@
 
     async def test_unexpected_error_does_not_repeat_the_call_without_end(self):
         await self.start((ZeroDivisionError(), 0.1))
-        with self.assertLogs("absl", "ERROR"):
-            (result,) = await self.run_batch()
+        (result,) = await self.run_batch()
         self.assertTrue(result.succeeded)
         self.assertEqual(len(self.targets.score_calls), 2)
+        errors = [
+            event for event in self.deployment.events if event.kind.level == "error"
+        ]
+        self.assertEqual([each.kind.name for each in errors], ["attempt_unexpected"])
+        self.assertIn("ZeroDivisionError", errors[0].fields["reason"])
 
     async def test_leaving_target_gets_no_calls(self):
         await self.start((0.1,), (0.1,))
