Keep items whose runs stay malformed from waiting longer than they may

Cause: after six malformed runs an item waited 8 s for its next one, and the platform counts an item as lost that is at no engine for 5 s; 4 s is the most now. Measured: tests.test_malformed_runs, test_unforeseen_errors and test_cut_host pass; nothing that an ordinary event or request takes has changed.

--- a/cranberryrun/batches/scheduled_item.py
+++ b/cranberryrun/batches/scheduled_item.py
@@ -17,8 +17,9 @@
 # grow by this share of its current length.
 OVERRUN_SHARE = 0.5
 # An item whose runs keep being malformed waits before its third run, and then longer
-# each time: it may be an item that no engine can run.
-_MALFORMED_DELAYS_SECONDS = (0.0, 0.5, 1.0, 2.0, 4.0, 8.0)
+# each time: it may be an item that no engine can run. The platform counts an item as
+# lost that is at no engine for five seconds.
+_MALFORMED_DELAYS_SECONDS = (0.0, 0.5, 1.0, 2.0, 4.0)
 # The mean length as a multiple of the estimate. Estimates are right at the median, and
 # a mean excess of a half belongs to a tail that falls with the third power: above the
 # estimate lengths are 1.5 times as long in the mean. If they are as often below it by
--- a/cranberryrun/fleet/target_paths.py
+++ b/cranberryrun/fleet/target_paths.py
@@ -87,6 +87,7 @@
         self.reachability = Reachability()
         self.lost = False
         self._relays = RelayChoice(rng)
+        # When each target was last heard; one that never was may not exist.
         self._heard_at_by_target: dict[str, float] = {}
         self._probe_task: asyncio.Task[None] | None = None
         self._probe_timer: asyncio.TimerHandle | None = None
--- a/cranberryrun/platform/item_stream.py
+++ b/cranberryrun/platform/item_stream.py
@@ -12,7 +12,7 @@
 from . import header_names
 from .answer_checks import is_framed
 from .event_parser import EventParser
-from .event_reader import WORK_A_TURN, parts
+from .event_parts import WORK_A_TURN, parts
 from .target_requests import OpenedCall
 
 _VERSION = re.compile(r"[0-9]{1,18}")
--- a/cranberryrun/platform/target_client.py
+++ b/cranberryrun/platform/target_client.py
@@ -51,7 +51,7 @@
 )
 from .buffers import STREAM_READ_BYTES
 from .event_parser import EventParser
-from .event_reader import WORK_A_TURN, joined, parts
+from .event_parts import WORK_A_TURN, joined, parts
 from .item_stream import read_pieces
 from .target_requests import OpenedCall, TargetRequests
 from .unknown_names import UnknownNames
